--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# Everything that a newcomer or CI runs. Needs Go, gcc, make and git; the tools are built from tools/go.mod.
+
+BUILD := build
+TOOLS := $(BUILD)/tools
+TOOL_PACKAGES := github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go \
+	google.golang.org/grpc/cmd/protoc-gen-go-grpc github.com/mgechev/revive \
+	honnef.co/go/tools/cmd/staticcheck mvdan.cc/gofumpt
+
+.PHONY: all build test race lint generate check-generated tools demo soak figures capacity fuzz clean
+
+all: build
+
+build:
+	@mkdir -p $(BUILD)
+	go build -o $(BUILD)/ ./cmd/...
+
+# All that CI runs.
+test: lint check-generated build
+	go test ./...
+	go test -race ./...
+
+tools: $(TOOLS)/.done
+
+$(TOOLS)/.done: tools/go.mod tools/go.sum
+	@mkdir -p $(TOOLS)
+	go build -modfile=tools/go.mod -o $(TOOLS)/ $(TOOL_PACKAGES)
+	@touch $@
+
+lint: tools
+	@unformatted=$$($(TOOLS)/gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	go vet ./...
+	$(TOOLS)/staticcheck ./...
+	$(TOOLS)/revive -config revive.toml -exclude 'schema/...' ./...
+
+generate: tools
+	PATH="$(abspath $(TOOLS)):$$PATH" $(TOOLS)/buf generate
+	$(TOOLS)/gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
+	go run ./cmd/turmericdoor settings reference > docs/reference/settings.md
+
+# Fails when the generated code is older than its schema.
+check-generated: tools
+	@rm -rf $(BUILD)/generated && mkdir -p $(BUILD)/generated && cp -r schema buf.yaml buf.gen.yaml $(BUILD)/generated/
+	@cd $(BUILD)/generated && PATH="$(abspath $(TOOLS)):$$PATH" $(abspath $(TOOLS))/buf generate
+	@diff -r schema $(BUILD)/generated/schema || (echo "generated code is stale: run make generate"; exit 1)
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,68 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/dispatch"
+)
+
+// Verdict is what becomes of a request at the door; Admit and Refuse are its variants.
+type Verdict interface {
+	verdict()
+}
+
+// Admit lets the request in; Expected is the time its answer is expected to take, and Brownout says that it
+// can only be met by leaving out what the document allows to be left out.
+type Admit struct {
+	Expected time.Duration
+	Brownout bool
+}
+
+func (Admit) verdict() {}
+
+// Refuse turns the request away before anything has run.
+type Refuse struct {
+	Reason     dispatch.Reason
+	RetryAfter time.Duration
+}
+
+func (Refuse) verdict() {}
+
+// Stage is what the request would meet at one stage; Droppable is the part of its service time that the
+// document allows to be left out.
+type Stage struct {
+	Estimate  dispatch.Estimate
+	Droppable time.Duration
+}
+
+const (
+	// minRetryAfter is the least wait that a refused caller is told.
+	minRetryAfter = 50 * time.Millisecond
+	// noUpstreamRetry is when to come back if a stage has no upstream.
+	noUpstreamRetry = 2 * time.Second
+)
+
+// Decide compares the time left with the work of all stages and the wait at the narrowest one: in a chain
+// of queues the narrowest holds back the others, so that their waits do not add up.
+func Decide(left time.Duration, stages []Stage) Verdict {
+	work, droppable, narrowest := time.Duration(0), time.Duration(0), time.Duration(0)
+	for _, stage := range stages {
+		if !stage.Estimate.Usable {
+			return Refuse{Reason: dispatch.NoUpstream, RetryAfter: noUpstreamRetry}
+		}
+		work += stage.Estimate.Service
+		droppable += stage.Droppable
+		narrowest = max(narrowest, stage.Estimate.Wait)
+	}
+	expected := work + narrowest
+	switch {
+	case expected <= left:
+		return Admit{Expected: expected}
+	case expected-droppable <= left:
+		return Admit{Expected: expected - droppable, Brownout: true}
+	case work-droppable > left:
+		return Refuse{Reason: dispatch.TooLate, RetryAfter: minRetryAfter}
+	default:
+		return Refuse{Reason: dispatch.Overloaded, RetryAfter: max(expected-droppable-left, minRetryAfter)}
+	}
+}
--- /dev/null
+++ b/answer/doc.go
@@ -0,0 +1,2 @@
+// Package answer is what a caller is told in the end.
+package answer
--- /dev/null
+++ b/caller/body.go
@@ -0,0 +1,88 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/turmericdoor/turmericdoor/answer"
+)
+
+// RequestBody is what a caller sends. Input is a JSON string for model pipelines and any JSON value for
+// plain services. DeadlineMs counts from the request's arrival and can only shorten the rank's deadline.
+type RequestBody struct {
+	RequestID      string `json:"RequestId"`
+	Rank           string
+	DeadlineMs     int64
+	Input          json.RawMessage
+	IdempotencyKey string
+	Stream         bool
+}
+
+// AnswerBody is what a caller gets, also as the last event of a stream.
+type AnswerBody struct {
+	RequestID string `json:"RequestId"`
+	Outcome   answer.Outcome
+	Output    json.RawMessage `json:",omitempty"`
+	Tokens    int             `json:",omitempty"`
+	Stages    []answer.Stage  `json:",omitempty"`
+	Revision  int64           `json:",omitempty"`
+	Brownout  bool            `json:",omitempty"`
+	Replayed  bool            `json:",omitempty"`
+	Error     *ErrorBody      `json:",omitempty"`
+}
+
+// ErrorBody says why there is no output; RetryAfterMs is 0 where coming back is of no use.
+type ErrorBody struct {
+	Code         answer.Code
+	Message      string
+	RetryAfterMs int64
+}
+
+// TokenBody is one event of a stream before its last.
+type TokenBody struct {
+	Index int
+	Text  string
+}
+
+func bodyOf(ended answer.Answer) AnswerBody {
+	body := AnswerBody{
+		RequestID: ended.RequestID, Outcome: ended.Outcome, Output: ended.Output, Tokens: ended.Tokens,
+		Stages: ended.Stages, Revision: ended.Revision, Brownout: ended.Brownout, Replayed: ended.Replayed,
+	}
+	if ended.Outcome != answer.Answered {
+		body.Error = &ErrorBody{Code: ended.Code, Message: ended.Message, RetryAfterMs: ended.RetryAfter.Milliseconds()}
+	}
+	return body
+}
+
+// statusOf is the HTTP status of an answer.
+func statusOf(ended answer.Answer) int {
+	if ended.Outcome == answer.Answered {
+		return http.StatusOK
+	}
+	switch ended.Code {
+	case answer.BadRequest, answer.UnknownRank, answer.DeadlinePassed, answer.KeyMissing:
+		return http.StatusBadRequest
+	case answer.BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case answer.UnknownKey:
+		return http.StatusUnauthorized
+	case answer.PipelineNotAllowed:
+		return http.StatusForbidden
+	case answer.UnknownPipeline:
+		return http.StatusNotFound
+	case answer.KeyReused, answer.InProgress:
+		return http.StatusConflict
+	case answer.Quarantined, answer.UpstreamRejected:
+		return http.StatusUnprocessableEntity
+	case answer.Overloaded, answer.QueueFull, answer.SuspectBusy:
+		return http.StatusTooManyRequests
+	case answer.DeadlineExceeded, answer.TooLate:
+		return http.StatusGatewayTimeout
+	case answer.UpstreamFailed:
+		return http.StatusBadGateway
+	case answer.NoCode, answer.PlatformDown, answer.Stopping, answer.NotReady, answer.NoUpstream, answer.CallerGone:
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,321 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/turmericdoor/turmericdoor/answer"
+	"github.com/turmericdoor/turmericdoor/claimant"
+	"github.com/turmericdoor/turmericdoor/digest"
+	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/drain"
+	"github.com/turmericdoor/turmericdoor/metric"
+	"github.com/turmericdoor/turmericdoor/revision"
+	"github.com/turmericdoor/turmericdoor/runner"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+	"github.com/turmericdoor/turmericdoor/upstream"
+)
+
+// Handler serves callers.
+type Handler struct {
+	Timers   *timer.Service
+	Holder   *revision.Holder
+	Runner   *runner.Runner
+	Claimant *claimant.Claimant
+	Gate     *drain.Gate
+	Events   *timeline.Ring
+	Metrics  *metric.Set
+	MaxBody  int64
+}
+
+// Routes returns the handler of all paths.
+func (hd *Handler) Routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/pipelines/{Pipeline}", hd.serve)
+	mux.HandleFunc("/", func(writer http.ResponseWriter, _ *http.Request) {
+		write(writer, answer.NotRunFor(answer.UnknownPipeline, 0, "the path is POST /v1/pipelines/NAME"))
+	})
+	return mux
+}
+
+// serve answers one request.
+func (hd *Handler) serve(writer http.ResponseWriter, incoming *http.Request) {
+	arrived := hd.Timers.Now()
+	if !hd.Gate.Enter() {
+		write(writer, hd.closed())
+		return
+	}
+	defer hd.Gate.Leave()
+	asked, refusal := hd.read(writer, incoming, arrived)
+	if asked == nil {
+		write(writer, refusal)
+		return
+	}
+	hd.event(wire.EventKind_EventRequestArrived, asked, answer.Answer{}, 0)
+	ended := hd.answer(incoming.Context(), asked)
+	ended.RequestID = asked.request.ID
+	took := hd.Timers.Now().Sub(arrived)
+	hd.event(wire.EventKind_EventRequestEnded, asked, ended, took)
+	hd.book(asked, ended, took)
+	asked.reply(writer, ended)
+}
+
+// closed is the answer before the first document and after the last request.
+func (hd *Handler) closed() answer.Answer {
+	if hd.Gate.Phase() == drain.Starting {
+		return answer.NotRunFor(answer.NotReady, time.Second, "the instance has no document yet")
+	}
+	return answer.NotRunFor(answer.Stopping, time.Second, "the instance is stopping")
+}
+
+// asked is a request as it was understood.
+type asked struct {
+	request *runner.Request
+	key     string
+	stream  *stream
+}
+
+func (as *asked) reply(writer http.ResponseWriter, ended answer.Answer) {
+	if as.stream != nil && as.stream.began {
+		as.stream.end(ended)
+		return
+	}
+	write(writer, ended)
+}
+
+// read understands a request, or returns the refusal.
+func (hd *Handler) read(writer http.ResponseWriter, incoming *http.Request, arrived time.Time) (*asked, answer.Answer) {
+	current := hd.Holder.Current()
+	key, _ := strings.CutPrefix(incoming.Header.Get("Authorization"), "Bearer ")
+	organisation, known := current.OrganisationByKey(key)
+	if !known {
+		return nil, answer.NotRunFor(answer.UnknownKey, 0, "the header Authorization must be \"Bearer\" and a key of an organisation")
+	}
+	body, refusal := hd.readBody(writer, incoming)
+	if body == nil {
+		return nil, refusal
+	}
+	pipeline, refusal := pipelineOf(current, organisation, incoming.PathValue("Pipeline"))
+	if pipeline == nil {
+		return nil, refusal
+	}
+	rank, ranked := current.Ranks[body.Rank]
+	if !ranked {
+		return nil, answer.NotRunFor(answer.UnknownRank, 0, "Rank must be one of "+rankNames(current))
+	}
+	request := &runner.Request{
+		ID: body.RequestID, Document: current, Organisation: organisation, Rank: rank, Pipeline: pipeline,
+		Deadline: arrived.Add(rank.Deadline), Fingerprint: digest.Of([]byte(pipeline.Name), body.Input),
+	}
+	return hd.complete(writer, request, body, arrived)
+}
+
+// complete checks what depends on the pipeline and the rank.
+func (hd *Handler) complete(writer http.ResponseWriter, request *runner.Request, body *RequestBody, arrived time.Time) (*asked, answer.Answer) {
+	if body.DeadlineMs < 0 {
+		return nil, answer.NotRunFor(answer.DeadlinePassed, 0, "DeadlineMs lies in the past")
+	}
+	if body.DeadlineMs > 0 {
+		own := arrived.Add(time.Duration(body.DeadlineMs) * time.Millisecond)
+		if own.Before(request.Deadline) {
+			request.Deadline = own
+		}
+	}
+	if !request.Pipeline.Idempotent && body.IdempotencyKey == "" {
+		return nil, answer.NotRunFor(answer.KeyMissing, 0, "the pipeline is not idempotent and needs an IdempotencyKey")
+	}
+	payload, understood := payloadOf(request.Pipeline, body.Input)
+	if !understood {
+		return nil, answer.NotRunFor(answer.BadRequest, 0, "Input must be a JSON string for this pipeline")
+	}
+	request.Payload = payload
+	if request.ID == "" {
+		request.ID = uuid.NewString()
+	}
+	as := &asked{request: request, key: body.IdempotencyKey}
+	if body.Stream {
+		as.stream = newStream(writer)
+		request.Token = as.stream.token
+	}
+	return as, answer.Answer{}
+}
+
+func (hd *Handler) readBody(writer http.ResponseWriter, incoming *http.Request) (*RequestBody, answer.Answer) {
+	raw, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, hd.MaxBody))
+	tooLarge := &http.MaxBytesError{}
+	if errors.As(err, &tooLarge) {
+		return nil, answer.NotRunFor(answer.BodyTooLarge, 0, "the body is larger than "+strconv.FormatInt(hd.MaxBody, 10)+" bytes")
+	}
+	if err != nil {
+		return nil, answer.NotRunFor(answer.BadRequest, 0, "the body could not be read")
+	}
+	return ParseBody(raw)
+}
+
+// maxRequestID bounds a caller's request id, in bytes.
+const maxRequestID = 128
+
+// ParseBody reads a request's JSON, or returns the refusal.
+func ParseBody(raw []byte) (*RequestBody, answer.Answer) {
+	body := &RequestBody{}
+	decoder := json.NewDecoder(strings.NewReader(string(raw)))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(body); err != nil {
+		return nil, answer.NotRunFor(answer.BadRequest, 0, "the body is not the JSON that is expected: "+err.Error())
+	}
+	if decoder.More() {
+		return nil, answer.NotRunFor(answer.BadRequest, 0, "the body holds more than one JSON value")
+	}
+	if len(body.RequestID) > maxRequestID || strings.ContainsFunc(body.RequestID, notPrintable) {
+		return nil, answer.NotRunFor(answer.BadRequest, 0, "RequestId must be at most 128 printable ASCII characters")
+	}
+	return body, answer.Answer{}
+}
+
+func notPrintable(char rune) bool {
+	return char < '!' || char > '~'
+}
+
+func pipelineOf(current *document.Document, organisation *document.Organisation, name string) (*document.Pipeline, answer.Answer) {
+	pipeline, found := current.Pipelines[name]
+	if !found {
+		return nil, answer.NotRunFor(answer.UnknownPipeline, 0, "there is no pipeline "+strconv.Quote(name))
+	}
+	if !organisation.Allows(name) {
+		return nil, answer.NotRunFor(answer.PipelineNotAllowed, 0, "the organisation may not call pipeline "+strconv.Quote(name))
+	}
+	return pipeline, answer.Answer{}
+}
+
+func rankNames(current *document.Document) string {
+	names := []string{}
+	for _, rank := range current.RankOrder {
+		names = append(names, rank.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+// payloadOf makes the first stage's payload.
+func payloadOf(pipeline *document.Pipeline, input json.RawMessage) (upstream.Payload, bool) {
+	if pipeline.Stages[0].Pool.Kind == document.Service {
+		return upstream.Payload{Body: input}, len(input) > 0
+	}
+	text := ""
+	err := json.Unmarshal(input, &text)
+	return upstream.Payload{Query: text}, err == nil
+}
+
+// answer admits, claims where that is needed, and runs.
+func (hd *Handler) answer(ctx context.Context, as *asked) answer.Answer {
+	admitted, refusal := hd.Runner.Admit(as.request)
+	if admitted == nil {
+		return refusal
+	}
+	if as.request.Pipeline.Idempotent {
+		return hd.Runner.Run(ctx, admitted)
+	}
+	defer admitted.Release()
+	return hd.answerOnce(ctx, admitted, as)
+}
+
+// platformRetry is when to come back if the platform can't be reached.
+const platformRetry = 2 * time.Second
+
+// answerOnce runs a non-idempotent request under a claim.
+func (hd *Handler) answerOnce(ctx context.Context, admitted *runner.Admitted, as *asked) answer.Answer {
+	claiming, cancel := context.WithDeadline(ctx, as.request.Deadline)
+	defer cancel()
+	outcome := hd.Claimant.Claim(claiming, as.request.Organisation.Name, as.key, as.request.Fingerprint.String(), uuid.NewString())
+	switch claimed := outcome.(type) {
+	case *claimant.Granted:
+		return hd.runClaimed(ctx, admitted, as, claimed)
+	case claimant.Replay:
+		return replay(claimed.Answer)
+	case claimant.Reused:
+		return answer.NotRunFor(answer.KeyReused, 0, "the IdempotencyKey was used for another request")
+	case claimant.Taken:
+		return answer.Answer{
+			Outcome: answer.Unknown, Code: answer.InProgress, RetryAfter: platformRetry,
+			Message: "a request with this IdempotencyKey is under way or ended without a known result",
+		}
+	case claimant.Unavailable:
+		return answer.NotRunFor(answer.PlatformDown, platformRetry, "no claim could be made: "+claimed.Cause)
+	}
+	return answer.NotRunFor(answer.PlatformDown, platformRetry, "no claim could be made")
+}
+
+// runClaimed dispatches a claimed request, unless its time ran out while the claim was made: a process that
+// was paused must not act on it any more.
+func (hd *Handler) runClaimed(ctx context.Context, admitted *runner.Admitted, as *asked, granted *claimant.Granted) answer.Answer {
+	hd.event(wire.EventKind_EventClaimed, as, answer.Answer{}, 0)
+	if !hd.Timers.Now().Before(as.request.Deadline) || ctx.Err() != nil {
+		granted.Release()
+		return answer.NotRunFor(answer.DeadlineExceeded, platformRetry, "the deadline passed while the claim was made")
+	}
+	ended := hd.Runner.Run(ctx, admitted)
+	switch ended.Outcome {
+	case answer.NotRun:
+		granted.Release()
+	case answer.Answered, answer.Failed:
+		kept, _ := json.Marshal(ended)
+		granted.Complete(kept)
+	case answer.Unknown:
+		// The claim stays as it is: nobody may run the request again.
+	}
+	return ended
+}
+
+func replay(kept json.RawMessage) answer.Answer {
+	ended := answer.Answer{}
+	if json.Unmarshal(kept, &ended) != nil {
+		return answer.Answer{Outcome: answer.Unknown, Code: answer.InProgress, Message: "the kept answer can't be read"}
+	}
+	ended.Replayed = true
+	return ended
+}
+
+func (hd *Handler) event(kind wire.EventKind, as *asked, ended answer.Answer, took time.Duration) {
+	hd.Events.Record(&wire.Event{
+		Kind: kind, RequestId: as.request.ID, Organisation: as.request.Organisation.Name, Rank: as.request.Rank.Name,
+		Pipeline: as.request.Pipeline.Name, Outcome: string(ended.Outcome), Detail: string(ended.Code),
+		DurationMicros: took.Microseconds(), Revision: as.request.Document.Revision,
+	})
+}
+
+func (hd *Handler) book(as *asked, ended answer.Answer, took time.Duration) {
+	hd.Metrics.Ended(metric.Request{
+		Rank: as.request.Rank.Name, Organisation: as.request.Organisation.Name, Pipeline: as.request.Pipeline.Name,
+		Outcome: string(ended.Outcome), Code: string(ended.Code), Took: took,
+		Attained: ended.Outcome == answer.Answered && !hd.Timers.Now().After(as.request.Deadline),
+	})
+	for _, stage := range ended.Stages {
+		hd.Metrics.Stage(as.request.Pipeline.Name, stage.Name, millis(stage.WaitMs), millis(stage.RunMs))
+	}
+}
+
+func millis(count float64) time.Duration {
+	return time.Duration(count * float64(time.Millisecond))
+}
+
+// write sends an answer as JSON.
+func write(writer http.ResponseWriter, ended answer.Answer) {
+	body, _ := json.Marshal(bodyOf(ended))
+	header := writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if ended.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatInt(int64((ended.RetryAfter+time.Second-1)/time.Second), 10))
+	}
+	writer.WriteHeader(statusOf(ended))
+	_, _ = writer.Write(body)
+}
--- /dev/null
+++ b/caller/stream.go
@@ -0,0 +1,46 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/turmericdoor/turmericdoor/answer"
+	"github.com/turmericdoor/turmericdoor/invariant"
+)
+
+// stream sends an answer as server-sent events: one Token event a token, then one End event. A stream
+// without its End event was cut short.
+type stream struct {
+	writer  http.ResponseWriter
+	flusher *http.ResponseController
+	began   bool
+	next    int
+}
+
+func newStream(writer http.ResponseWriter) *stream {
+	return &stream{writer: writer, flusher: http.NewResponseController(writer)}
+}
+
+// token sends one token; tokens come in order, each once.
+func (st *stream) token(index int, text string) {
+	invariant.Check(index == st.next, "a stream has no gap and no double", "token %d in place of %d", index, st.next)
+	st.next++
+	st.send("Token", TokenBody{Index: index, Text: text})
+}
+
+func (st *stream) end(ended answer.Answer) {
+	st.send("End", bodyOf(ended))
+}
+
+func (st *stream) send(name string, value any) {
+	if !st.began {
+		st.began = true
+		st.writer.Header().Set("Content-Type", "text/event-stream")
+		st.writer.Header().Set("Cache-Control", "no-store")
+		st.writer.WriteHeader(http.StatusOK)
+	}
+	data, _ := json.Marshal(value)
+	// A write fails only if the caller has left, which ends the request's context.
+	_, _ = st.writer.Write([]byte("event: " + name + "\ndata: " + string(data) + "\n\n"))
+	_ = st.flusher.Flush()
+}
--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,178 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Wish says what a call needs of its upstream; Prefix is 0 for a call without a prompt prefix.
+type Wish struct {
+	FailureDomain string
+	Avoid         []string
+	Adapter       string
+	Prefix        uint64
+	Alone         bool
+}
+
+// Chooser picks among the upstreams of one pool; it is not safe for concurrent use.
+type Chooser struct {
+	candidates []*Candidate
+	random     *rand.Rand
+	mean       float64
+	base       time.Time
+}
+
+const (
+	// scanAll is the size up to which every upstream is looked at.
+	scanAll = 32
+	// sampleSize is how many are looked at in a larger pool.
+	sampleSize = 16
+	// maxEjectedShare is the part of a pool that may be ejected at once.
+	maxEjectedShare = 0.5
+)
+
+// New returns a chooser that draws from random and expects calls to take mean until they are measured.
+func New(random *rand.Rand, mean time.Duration) *Chooser {
+	return &Chooser{random: random, mean: float64(mean)}
+}
+
+// Add enters an upstream; the pool's first ones need no slow start.
+func (ch *Chooser) Add(now time.Time, cd *Candidate, warm bool) {
+	if ch.base.IsZero() {
+		ch.base = now
+	}
+	cd.base = ch.base
+	cd.addedAt = since(ch.base, now)
+	if warm {
+		cd.addedAt -= slowStart
+	}
+	ch.candidates = append(ch.candidates, cd)
+}
+
+// Remove takes an upstream out by name.
+func (ch *Chooser) Remove(name string) {
+	ch.candidates = slices.DeleteFunc(ch.candidates, func(cd *Candidate) bool { return cd.Name == name })
+}
+
+// All returns the upstreams; the slice belongs to the chooser.
+func (ch *Chooser) All() []*Candidate {
+	return ch.candidates
+}
+
+// Mean returns the mean service time of the pool.
+func (ch *Chooser) Mean() time.Duration {
+	return time.Duration(ch.mean)
+}
+
+// meanSmoothing is the weight of one call in the pool's mean.
+const meanSmoothing = 0.02
+
+// Served notes an answer's service time for the upstream and for the pool.
+func (ch *Chooser) Served(now time.Time, cd *Candidate, service time.Duration) {
+	cd.Succeeded(now, service)
+	ch.mean += meanSmoothing * (float64(service) - ch.mean)
+}
+
+// Failed notes a failed call and ejects the upstream after several in a row, unless too many are out;
+// it reports whether it was ejected.
+func (ch *Chooser) Failed(now time.Time, cd *Candidate) bool {
+	at := since(ch.base, now)
+	if !cd.Failed() || cd.ejectedAt(at) {
+		return false
+	}
+	out := 1
+	for _, other := range ch.candidates {
+		if other.ejectedAt(at) {
+			out++
+		}
+	}
+	if float64(out) > maxEjectedShare*float64(len(ch.candidates)) {
+		return false
+	}
+	cd.eject(at)
+	return true
+}
+
+// Pick returns the best upstream with room, or nil when there is none.
+func (ch *Chooser) Pick(now time.Time, wish *Wish) *Candidate {
+	count := len(ch.candidates)
+	if count == 0 {
+		return nil
+	}
+	at := since(ch.base, now)
+	if count > scanAll {
+		if found := ch.pickSample(at, wish); found != nil {
+			return found
+		}
+	}
+	return ch.scan(at, wish, ch.random.IntN(count), count)
+}
+
+// pickSample looks at a few at random.
+func (ch *Chooser) pickSample(now instant, wish *Wish) *Candidate {
+	count := len(ch.candidates)
+	best := (*Candidate)(nil)
+	lowest := 0.0
+	for range sampleSize {
+		cd := ch.candidates[ch.random.IntN(count)]
+		best, lowest = ch.better(now, wish, cd, best, lowest)
+	}
+	return best
+}
+
+func (ch *Chooser) scan(now instant, wish *Wish, offset, count int) *Candidate {
+	best := (*Candidate)(nil)
+	lowest := 0.0
+	for range count {
+		best, lowest = ch.better(now, wish, ch.candidates[offset], best, lowest)
+		offset++
+		if offset == count {
+			offset = 0
+		}
+	}
+	return best
+}
+
+// better returns cd with its score if it beats the best so far.
+func (ch *Chooser) better(now instant, wish *Wish, cd, best *Candidate, lowest float64) (*Candidate, float64) {
+	if !cd.usable(now) || !cd.hasRoom(wish.Alone) || !fits(cd, wish) {
+		return best, lowest
+	}
+	score := ch.score(now, wish, cd)
+	if best == nil || score < lowest {
+		return cd, score
+	}
+	return best, lowest
+}
+
+// fits reports whether the upstream may serve the wish at all.
+func fits(cd *Candidate, wish *Wish) bool {
+	if wish.Adapter != "" && !slices.Contains(cd.Adapters, wish.Adapter) {
+		return false
+	}
+	return len(wish.Avoid) == 0 || !slices.Contains(wish.Avoid, cd.Name)
+}
+
+// score is the expected time of a call, in nanoseconds.
+func (ch *Chooser) score(now instant, wish *Wish, cd *Candidate) float64 {
+	service := cd.expected(now, ch.mean)
+	load := (float64(cd.InFlight) + cd.othersNow(now)) / float64(cd.Slots)
+	score := service * (1 + load) * cd.ramp(now)
+	if cd.FailureDomain != wish.FailureDomain {
+		score += domainPenalty
+	}
+	return score - prefillShare*service*cd.hitChance(now, wish.Prefix)
+}
+
+// Room returns the calls that this instance may have in flight on all usable upstreams together.
+func (ch *Chooser) Room(now time.Time) int64 {
+	at := since(ch.base, now)
+	total := int64(0)
+	for _, cd := range ch.candidates {
+		if !cd.Leaving && !cd.ejectedAt(at) {
+			total += cd.Limit.Current()
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,125 @@
+package choice_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/choice"
+	"github.com/turmericdoor/turmericdoor/limit"
+)
+
+var start = time.Unix(1000, 0)
+
+// withChooser makes a pool of count upstreams in domain a that are warm.
+func withChooser(count int) *choice.Chooser {
+	ch := choice.New(rand.New(rand.NewPCG(1, 2)), 10*time.Millisecond)
+	for at := range count {
+		ch.Add(start, &choice.Candidate{
+			Name: fmt.Sprintf("u%d", at), FailureDomain: "a", Slots: 8,
+			Limit: limit.New(limit.Divided{}, 8, 1),
+		}, true)
+	}
+	return ch
+}
+
+func pick(t *testing.T, ch *choice.Chooser, now time.Time, wish choice.Wish) string {
+	t.Helper()
+	wish.FailureDomain = "a"
+	cd := ch.Pick(now, &wish)
+	must.NotNil(t, cd)
+	return cd.Name
+}
+
+func TestPick(t *testing.T) {
+	t.Run("the least loaded", func(t *testing.T) {
+		ch := withChooser(3)
+		ch.All()[0].InFlight = 2
+		ch.All()[2].InFlight = 1
+		must.Eq(t, "u1", pick(t, ch, start, choice.Wish{}))
+	})
+	t.Run("a reported load counts and is forgotten", func(t *testing.T) {
+		ch := withChooser(2)
+		ch.All()[0].Report(start, 6)
+		ch.All()[1].InFlight = 1
+		must.Eq(t, "u1", pick(t, ch, start, choice.Wish{}))
+		must.Eq(t, "u0", pick(t, ch, start.Add(2*time.Second), choice.Wish{}))
+	})
+	t.Run("never one that is leaving, full, avoided or without the adapter", func(t *testing.T) {
+		ch := withChooser(4)
+		ch.All()[0].Leaving = true
+		ch.All()[1].InFlight = 8
+		ch.All()[3].Adapters = []string{"tin"}
+		must.Eq(t, "u3", pick(t, ch, start, choice.Wish{Avoid: []string{"u2"}}))
+		must.Eq(t, "u3", pick(t, ch, start, choice.Wish{Adapter: "tin"}))
+		must.Nil(t, ch.Pick(start, &choice.Wish{Avoid: []string{"u2", "u3"}}))
+	})
+	t.Run("the own failure domain until its wait exceeds the distance", func(t *testing.T) {
+		ch := withChooser(2)
+		ch.All()[0].FailureDomain = "b"
+		must.Eq(t, "u1", pick(t, ch, start, choice.Wish{}))
+		ch.All()[1].InFlight = 6
+		must.Eq(t, "u0", pick(t, ch, start, choice.Wish{}))
+	})
+	t.Run("a cached prefix is worth a short wait and no long one", func(t *testing.T) {
+		ch := withChooser(2)
+		ch.All()[0].Remember(start, 77)
+		ch.All()[0].InFlight = 1
+		must.Eq(t, "u0", pick(t, ch, start, choice.Wish{Prefix: 77}))
+		ch.All()[0].InFlight = 5
+		must.Eq(t, "u1", pick(t, ch, start, choice.Wish{Prefix: 77}))
+	})
+	t.Run("alone only on an idle upstream", func(t *testing.T) {
+		ch := withChooser(2)
+		ch.All()[0].InFlight = 1
+		must.Eq(t, "u1", pick(t, ch, start, choice.Wish{Alone: true}))
+	})
+	t.Run("a slow upstream is tried again later", func(t *testing.T) {
+		ch := withChooser(2)
+		ch.All()[0].Succeeded(start, time.Second)
+		ch.All()[1].InFlight = 4
+		must.Eq(t, "u1", pick(t, ch, start, choice.Wish{}))
+		must.Eq(t, "u0", pick(t, ch, start.Add(6*time.Second), choice.Wish{}))
+	})
+}
+
+func TestEject(t *testing.T) {
+	ch := withChooser(4)
+	for _, cd := range ch.All() {
+		for range 5 {
+			ch.Failed(start, cd)
+		}
+	}
+	out := 0
+	for _, cd := range ch.All() {
+		if cd.Ejected(start) {
+			out++
+		}
+	}
+	must.Eq(t, 2, out)
+	must.False(t, ch.All()[0].Ejected(start.Add(2*time.Second)))
+}
+
+// BenchmarkPick compares the chooser with picking at random, at three sizes.
+func BenchmarkPick(b *testing.B) {
+	for _, size := range []int{10, 150, 600} {
+		ch := withChooser(size)
+		wish := &choice.Wish{FailureDomain: "a", Prefix: 77}
+		b.Run(fmt.Sprintf("chooser/%d", size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				ch.Pick(start, wish)
+			}
+		})
+		random := rand.New(rand.NewPCG(1, 2))
+		b.Run(fmt.Sprintf("random/%d", size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = ch.All()[random.IntN(size)]
+			}
+		})
+	}
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,57 @@
+// Command standin runs the stand-ins that an INI file names, for tests and the demo.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/turmericdoor/turmericdoor/emulator"
+	"github.com/turmericdoor/turmericdoor/schema/plan"
+	"github.com/turmericdoor/turmericdoor/section"
+)
+
+func main() {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: standin FILE.ini, with one section [Standin NAME] for each stand-in")
+		os.Exit(2)
+	}
+	list, err := load(os.Args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	for _, one := range list {
+		if err := one.Start(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	<-ctx.Done()
+	for _, one := range list {
+		one.Stop()
+	}
+}
+
+// load reads the stand-ins of a file.
+func load(path string) ([]*emulator.Standin, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	sections, faults := section.Read(path, string(text))
+	list := []*emulator.Standin{}
+	for _, sc := range sections {
+		config := &plan.Standin{}
+		faults = append(faults, sc.Bind(path, config)...)
+		list = append(list, emulator.New(sc.Name, config))
+	}
+	if len(faults) > 0 {
+		return nil, fmt.Errorf("%s and %d more", faults[0], len(faults)-1)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/command/local.go
@@ -0,0 +1,101 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sort"
+	"strings"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/turmericdoor/turmericdoor/configuration"
+	"github.com/turmericdoor/turmericdoor/digest"
+	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/instance"
+)
+
+// serve runs an entry instance. A second signal changes nothing: what is in flight is still finished.
+func (tb *Table) serve() error {
+	loaded, err := configuration.Load(tb.options.settings)
+	if err != nil {
+		return inputError(err)
+	}
+	logger := log.NewWithOptions(os.Stderr, log.Options{
+		Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+	})
+	level, err := log.ParseLevel(loaded.GetLog().GetLevel())
+	if err != nil {
+		return err
+	}
+	logger.SetLevel(level)
+	logger = logger.With("instance", loaded.GetInstance().GetId())
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	return instance.New(loaded, logger).Run(ctx)
+}
+
+// inputError gives a missing or faulty file its exit code.
+func inputError(err error) error {
+	return CodeError{Code: ExitBadInput, Err: err}
+}
+
+func (tb *Table) checkSettings() error {
+	if _, err := configuration.Load(tb.options.settings); err != nil {
+		return inputError(err)
+	}
+	fmt.Fprintf(tb.out, "%s: settings are right\n", tb.options.settings)
+	return nil
+}
+
+// checkDocument checks a folder of team files as one document.
+func (tb *Table) checkDocument() error {
+	text, err := readFolder(tb.options.directory)
+	if err != nil {
+		return inputError(err)
+	}
+	parsed, faults := document.Parse(text)
+	if len(faults) > 0 {
+		return configuration.FaultsError{Faults: faults}
+	}
+	fmt.Fprintf(tb.out, "%d teams, %d ranks, %d organisations, %d pools, %d upstreams, %d pipelines: the document is right\n",
+		len(text.Teams), len(parsed.Ranks), len(parsed.Organisations), len(parsed.Pools), len(parsed.Upstreams), len(parsed.Pipelines))
+	return nil
+}
+
+func readFolder(directory string) (document.Text, error) {
+	paths, err := filepath.Glob(filepath.Join(directory, "*.ini"))
+	if err != nil {
+		return document.Text{}, err
+	}
+	if len(paths) == 0 {
+		return document.Text{}, fmt.Errorf("no file NAME.ini in folder %q", directory)
+	}
+	sort.Strings(paths)
+	text := document.Text{Revision: 1}
+	for _, path := range paths {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return document.Text{}, err
+		}
+		team := strings.TrimSuffix(filepath.Base(path), ".ini")
+		text = text.With(document.TeamText{Team: team, Revision: 1, Text: string(content)})
+	}
+	return text, nil
+}
+
+func (tb *Table) digest() error {
+	if tb.options.key == "" {
+		return coded(ExitBadInput, "--key is missing")
+	}
+	fmt.Fprintln(tb.out, digest.OfKey(tb.options.key))
+	return nil
+}
+
+func (tb *Table) version() error {
+	fmt.Fprintln(tb.out, "turmericdoor "+Version)
+	return nil
+}
--- /dev/null
+++ b/configuration/configuration.go
@@ -0,0 +1,109 @@
+package configuration
+
+import (
+	"os"
+	"strings"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"github.com/turmericdoor/turmericdoor/schema/settings"
+	"github.com/turmericdoor/turmericdoor/section"
+)
+
+// FaultsError carries every fault of a text.
+type FaultsError struct {
+	Faults []section.Fault
+}
+
+// Error returns one line a fault.
+func (fe FaultsError) Error() string {
+	lines := []string{}
+	for _, fault := range fe.Faults {
+		lines = append(lines, fault.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks a settings file; the error is a FaultsError unless the file can't be read.
+func Load(path string) (*settings.Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	loaded, faults := Parse(path, string(text))
+	if len(faults) > 0 {
+		return nil, FaultsError{Faults: faults}
+	}
+	return loaded, nil
+}
+
+// Parse reads settings from text and reports every fault; source names the text.
+func Parse(source, text string) (*settings.Settings, []section.Fault) {
+	loaded := &settings.Settings{}
+	sections, faults := section.Read(source, text)
+	reflected := loaded.ProtoReflect()
+	fields := reflected.Descriptor().Fields()
+	for _, found := range sections {
+		if fields.ByName(protoreflect.Name(found.Title())) == nil {
+			faults = append(faults, section.Fault{
+				Source: source, Line: found.Line, Section: found.Title(), Expected: "one of the sections " + names(fields),
+			})
+		}
+	}
+	for at := range fields.Len() {
+		faults = append(faults, bind(source, sections, reflected, fields.Get(at))...)
+	}
+	return loaded, append(faults, conflicts(source, loaded)...)
+}
+
+// bind fills one section of the settings, from defaults alone when the text has no such section.
+func bind(source string, sections []section.Section, whole protoreflect.Message, field protoreflect.FieldDescriptor) []section.Fault {
+	wanted := section.Section{Kind: string(field.Name()), Line: 1}
+	for _, found := range sections {
+		if found.Title() == wanted.Kind {
+			wanted = found
+		}
+	}
+	return wanted.Bind(source, whole.Mutable(field).Message().Interface())
+}
+
+func names(fields protoreflect.FieldDescriptors) string {
+	list := []string{}
+	for at := range fields.Len() {
+		list = append(list, string(fields.Get(at).Name()))
+	}
+	return strings.Join(list, ", ")
+}
+
+// conflicts reports values that are each allowed but do not go together.
+func conflicts(source string, loaded *settings.Settings) []section.Fault {
+	faults := []section.Fault{}
+	tls := loaded.GetTls()
+	peer := []string{tls.GetPeerCertificateFile(), tls.GetPeerKeyFile(), tls.GetPeerAuthorityFile()}
+	if !allOrNone(peer) {
+		faults = append(faults, section.Fault{
+			Source: source, Section: "Tls", Expected: "all three of PeerCertificateFile, PeerKeyFile, PeerAuthorityFile, or none",
+		})
+	}
+	if !allOrNone([]string{tls.GetCallerCertificateFile(), tls.GetCallerKeyFile()}) {
+		faults = append(faults, section.Fault{
+			Source: source, Section: "Tls", Expected: "both of CallerCertificateFile and CallerKeyFile, or none",
+		})
+	}
+	if loaded.GetPeers().GetSuspectAfterMs() < 2*loaded.GetPeers().GetHeartbeatMs() {
+		faults = append(faults, section.Fault{
+			Source: source, Section: "Peers", Key: "SuspectAfterMs", Expected: "at least twice HeartbeatMs",
+		})
+	}
+	return faults
+}
+
+func allOrNone(values []string) bool {
+	set := 0
+	for _, value := range values {
+		if value != "" {
+			set++
+		}
+	}
+	return set == 0 || set == len(values)
+}
--- /dev/null
+++ b/configuration/doc.go
@@ -0,0 +1,2 @@
+// Package configuration loads the settings file that a process starts from.
+package configuration
--- /dev/null
+++ b/document/parse.go
@@ -0,0 +1,266 @@
+package document
+
+import (
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/turmericdoor/turmericdoor/digest"
+	"github.com/turmericdoor/turmericdoor/schema/parts"
+	"github.com/turmericdoor/turmericdoor/section"
+)
+
+// Parse reads, links and checks a document, and reports every fault of every team at once.
+func Parse(text Text) (*Document, []section.Fault) {
+	ps := &parser{
+		bound: map[item]bound{}, stages: map[string]*Stage{},
+		document: &Document{
+			Text: text, Revision: text.Revision,
+			Teams: map[string]*Team{}, Ranks: map[string]*Rank{}, Organisations: map[string]*Organisation{},
+			Pools: map[string]*Pool{}, Pipelines: map[string]*Pipeline{}, Upstreams: map[string]*Upstream{},
+			byKey: map[digest.Sum]*Organisation{},
+		},
+	}
+	for _, team := range text.Teams {
+		ps.readTeam(team)
+	}
+	ps.link()
+	if len(ps.faults) == 0 {
+		ps.check()
+	}
+	sort.SliceStable(ps.faults, func(left, right int) bool {
+		return ps.faults[left].Source < ps.faults[right].Source
+	})
+	return ps.document, ps.faults
+}
+
+// item names one section of the document.
+type item struct {
+	kind string
+	name string
+}
+
+// bound is a section filled from its text, with where it stands.
+type bound struct {
+	team    string
+	section section.Section
+	message proto.Message
+}
+
+// parser collects sections first and links them afterwards, since teams refer to each other.
+type parser struct {
+	document *Document
+	bound    map[item]bound
+	stages   map[string]*Stage
+	order    []item
+	faults   []section.Fault
+}
+
+// blank returns an empty message for a kind of section, or nil for an unknown kind.
+func blank(kind string) proto.Message {
+	switch kind {
+	case "Team":
+		return &parts.Team{}
+	case "Rank":
+		return &parts.Rank{}
+	case "Organisation":
+		return &parts.Organisation{}
+	case "Pool":
+		return &parts.Pool{}
+	case "Upstream":
+		return &parts.Upstream{}
+	case "Pipeline":
+		return &parts.Pipeline{}
+	case "Stage":
+		return &parts.Stage{}
+	default:
+		return nil
+	}
+}
+
+func (ps *parser) fault(bd bound, key, value, expected string) {
+	line := bd.section.Line
+	for _, found := range bd.section.Keys {
+		if found.Name == key {
+			line = found.Line
+		}
+	}
+	ps.faults = append(ps.faults, section.Fault{
+		Source: bd.team, Line: line, Section: bd.section.Title(), Key: key, Value: value, Expected: expected,
+	})
+}
+
+// readTeam binds the sections of one team.
+func (ps *parser) readTeam(team TeamText) {
+	sections, faults := section.Read(team.Team, team.Text)
+	ps.faults = append(ps.faults, faults...)
+	for _, sc := range sections {
+		ps.readSection(team.Team, sc)
+	}
+}
+
+func (ps *parser) readSection(team string, sc section.Section) {
+	bd := bound{team: team, section: sc, message: blank(sc.Kind)}
+	if bd.message == nil {
+		ps.fault(bd, "", "", "a kind of section: Team, Rank, Organisation, Pool, Upstream, Pipeline or Stage")
+		return
+	}
+	if !section.IsName(sc.Name) {
+		ps.fault(bd, "", "", "a name after "+sc.Kind+" made of letters, digits, dots, underscores and hyphens")
+		return
+	}
+	if sc.Kind == "Team" && sc.Name != team {
+		ps.fault(bd, "", "", "[Team "+team+"], since a team may only state its own keys")
+		return
+	}
+	id := item{sc.Kind, sc.Name}
+	if other, taken := ps.bound[id]; taken {
+		ps.fault(bd, "", "", "a name that team "+other.team+" does not already use")
+		return
+	}
+	ps.faults = append(ps.faults, sc.Bind(team, bd.message)...)
+	ps.bound[id] = bd
+	ps.order = append(ps.order, id)
+}
+
+// link turns the messages into plain structs, first those that refer to nothing.
+func (ps *parser) link() {
+	ps.each("Team", ps.linkTeam)
+	ps.each("Rank", ps.linkRank)
+	ps.each("Pool", ps.linkPool)
+	ps.each("Upstream", ps.linkUpstream)
+	ps.each("Stage", ps.linkStage)
+	ps.each("Pipeline", ps.linkPipeline)
+	ps.each("Organisation", ps.linkOrganisation)
+	ps.document.sortRanks()
+	ps.document.sortUpstreams()
+}
+
+func (ps *parser) each(kind string, link func(name string, bd bound)) {
+	for _, id := range ps.order {
+		if id.kind == kind {
+			link(id.name, ps.bound[id])
+		}
+	}
+}
+
+func sums(texts []string) []digest.Sum {
+	list := []digest.Sum{}
+	for _, text := range texts {
+		if sum, ok := digest.Parse(text); ok {
+			list = append(list, sum)
+		}
+	}
+	return list
+}
+
+func milliseconds(count int64) time.Duration {
+	return time.Duration(count) * time.Millisecond
+}
+
+func (ps *parser) linkTeam(name string, bd bound) {
+	message, _ := bd.message.(*parts.Team)
+	ps.document.Teams[name] = &Team{Name: name, KeyDigests: sums(message.GetKeyDigests())}
+}
+
+func (ps *parser) linkRank(name string, bd bound) {
+	message, _ := bd.message.(*parts.Rank)
+	for _, other := range ps.document.Ranks {
+		if other.Precedence == message.GetPrecedence() {
+			ps.fault(bd, "Precedence", "", "a value that rank "+other.Name+" does not already use")
+		}
+	}
+	ps.document.Ranks[name] = &Rank{
+		Name: name, Precedence: message.GetPrecedence(),
+		Deadline: milliseconds(message.GetDeadlineMs()), FloorPercent: message.GetFloorPercent(),
+	}
+}
+
+func (ps *parser) linkPool(name string, bd bound) {
+	message, _ := bd.message.(*parts.Pool)
+	kind := Kind(message.GetKind())
+	if kind == Service && message.GetPath() == "" {
+		ps.fault(bd, "Path", "", "the path of the call, since the pool is a plain service")
+	}
+	ps.document.Pools[name] = &Pool{
+		Name: name, Kind: kind, StageTime: milliseconds(message.GetStageMs()),
+		RetryPercent: message.GetRetryPercent(), HedgeAfter: milliseconds(message.GetHedgeAfterMs()),
+		AttemptTimeout: milliseconds(message.GetAttemptTimeoutMs()), Path: message.GetPath(),
+	}
+}
+
+func (ps *parser) linkUpstream(name string, bd bound) {
+	message, _ := bd.message.(*parts.Upstream)
+	pool, found := ps.document.Pools[message.GetPool()]
+	if !found {
+		ps.dangling(bd, "Pool", "Pool", message.GetPool())
+		return
+	}
+	ps.document.Upstreams[name] = &Upstream{
+		Name: name, Pool: pool, Address: message.GetAddress(), FailureDomain: message.GetFailureDomain(),
+		Slots: message.GetSlots(), Incarnation: message.GetIncarnation(), ChecksFence: message.GetChecksFence(),
+		ChecksOrders: message.GetChecksOrders(), Model: message.GetModel(), Adapters: message.GetAdapters(),
+	}
+}
+
+// dangling reports a reference to a section that isn't there.
+func (ps *parser) dangling(bd bound, key, kind, name string) {
+	if name == "" {
+		return
+	}
+	ps.fault(bd, key, name, "the name of a ["+kind+"] section of any team")
+}
+
+func (ps *parser) linkPipeline(name string, bd bound) {
+	message, _ := bd.message.(*parts.Pipeline)
+	pipeline := &Pipeline{Name: name, Idempotent: message.GetIdempotent()}
+	seen := map[string]bool{}
+	for _, stageName := range message.GetStages() {
+		if seen[stageName] {
+			ps.fault(bd, "Stages", stageName, "each stage once: a repeated stage makes a cycle")
+			continue
+		}
+		seen[stageName] = true
+		if _, stated := ps.bound[item{"Stage", stageName}]; !stated {
+			ps.dangling(bd, "Stages", "Stage", stageName)
+		}
+		if stage, linked := ps.stages[stageName]; linked {
+			pipeline.Stages = append(pipeline.Stages, stage)
+		}
+	}
+	ps.document.Pipelines[name] = pipeline
+}
+
+func (ps *parser) linkStage(name string, bd bound) {
+	message, _ := bd.message.(*parts.Stage)
+	pool, found := ps.document.Pools[message.GetPool()]
+	if !found {
+		ps.dangling(bd, "Pool", "Pool", message.GetPool())
+		return
+	}
+	ps.stages[name] = &Stage{
+		Name: name, Pool: pool, Candidates: message.GetCandidates(), MaxTokens: message.GetMaxTokens(),
+		Brownout: Brownout(message.GetBrownout()), Adapter: message.GetAdapter(),
+	}
+}
+
+func (ps *parser) linkOrganisation(name string, bd bound) {
+	message, _ := bd.message.(*parts.Organisation)
+	organisation := &Organisation{
+		Name: name, Weight: message.GetWeight(), KeyDigests: sums(message.GetKeyDigests()), Pipelines: map[string]bool{},
+	}
+	for _, pipeline := range message.GetPipelines() {
+		if _, found := ps.document.Pipelines[pipeline]; !found {
+			ps.dangling(bd, "Pipelines", "Pipeline", pipeline)
+		}
+		organisation.Pipelines[pipeline] = true
+	}
+	for _, sum := range organisation.KeyDigests {
+		if other, taken := ps.document.byKey[sum]; taken && other != organisation {
+			ps.fault(bd, "KeyDigests", sum.String(), "a key that organisation "+other.Name+" does not already use")
+		}
+		ps.document.byKey[sum] = organisation
+	}
+	ps.document.Organisations[name] = organisation
+}
--- /dev/null
+++ b/drain/doc.go
@@ -0,0 +1,2 @@
+// Package drain counts what is in flight on an instance, so that it can stop without cutting anything off.
+package drain
--- /dev/null
+++ b/guard/guard.go
@@ -0,0 +1,140 @@
+package guard
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/turmericdoor/turmericdoor/digest"
+	"github.com/turmericdoor/turmericdoor/news"
+	"github.com/turmericdoor/turmericdoor/quarantine"
+	"github.com/turmericdoor/turmericdoor/runner"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/table"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+)
+
+// Reports is where crashes are told and known.
+type Reports interface {
+	Standing(fingerprint digest.Sum) quarantine.Standing
+	ReportCrash(crash quarantine.Crash)
+	Passed(fingerprint digest.Sum)
+	Leaving() []news.Leaving
+}
+
+// Guard decides about contents; it is safe for concurrent use.
+type Guard struct {
+	Reports     Reports
+	Store       table.Store
+	Timers      *timer.Service
+	Events      *timeline.Ring
+	Instance    string
+	CallTimeout time.Duration
+}
+
+// record is the row of a suspect content: who tries it, and whether it is condemned.
+type record struct {
+	Instance  string
+	UnixMilli int64
+	Condemned bool
+}
+
+const (
+	// prefix is where suspects lie in the table.
+	prefix = "suspect/"
+	// busyRetry is when to come back while a suspect can't be tried.
+	busyRetry = 2 * time.Second
+	// trialLife is how long a trial whose end was not written keeps others from trying.
+	trialLife = 10 * time.Minute
+)
+
+// Permit decides whether a content may run now.
+func (gd *Guard) Permit(ctx context.Context, fingerprint digest.Sum) runner.Permit {
+	switch gd.Reports.Standing(fingerprint) {
+	case quarantine.Clear:
+		return runner.Free{}
+	case quarantine.Condemned:
+		return runner.Denied{Condemned: true}
+	case quarantine.Suspect:
+		return gd.trial(ctx, fingerprint)
+	}
+	return runner.Denied{Condemned: true}
+}
+
+// trial lets a suspect run if no other instance tries it: two trials at once could cost two upstreams.
+func (gd *Guard) trial(ctx context.Context, fingerprint digest.Sum) runner.Permit {
+	ctx, cancel := context.WithTimeout(ctx, gd.CallTimeout)
+	defer cancel()
+	key := prefix + fingerprint.String()
+	rows, read := gd.Store.Read(ctx, key).(table.Rows)
+	if !read {
+		return runner.Denied{RetryAfter: busyRetry}
+	}
+	row := table.Find(rows.Rows, key)
+	known := record{}
+	if row.Version > 0 {
+		_ = json.Unmarshal(row.Value, &known)
+	}
+	if known.Condemned {
+		return runner.Denied{Condemned: true}
+	}
+	if row.Version > 0 && gd.Timers.Now().Sub(time.UnixMilli(known.UnixMilli)) < trialLife {
+		return runner.Denied{RetryAfter: busyRetry}
+	}
+	if !gd.write(ctx, row, record{Instance: gd.Instance, UnixMilli: gd.Timers.Now().UnixMilli()}) {
+		return runner.Denied{RetryAfter: busyRetry}
+	}
+	return runner.Alone{Release: func(passed bool) { gd.end(fingerprint, passed) }}
+}
+
+func (gd *Guard) write(ctx context.Context, row table.Row, content record) bool {
+	encoded, _ := json.Marshal(content)
+	outcome := gd.Store.Commit(ctx, table.Transaction{
+		Conditions: []table.Condition{{Key: row.Key, Version: row.Version}},
+		Writes:     []table.Write{{Key: row.Key, Value: encoded}},
+	})
+	_, committed := outcome.(table.Committed)
+	return committed
+}
+
+// end writes how a trial ended. If that fails, others wait until the trial's row is old.
+func (gd *Guard) end(fingerprint digest.Sum, passed bool) {
+	if passed {
+		gd.Reports.Passed(fingerprint)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), gd.CallTimeout)
+	defer cancel()
+	key := prefix + fingerprint.String()
+	rows, read := gd.Store.Read(ctx, key).(table.Rows)
+	if !read {
+		return
+	}
+	row := table.Find(rows.Rows, key)
+	if gd.Reports.Standing(fingerprint) == quarantine.Condemned {
+		gd.write(ctx, row, record{Instance: gd.Instance, UnixMilli: gd.Timers.Now().UnixMilli(), Condemned: true})
+		return
+	}
+	gd.Store.Commit(ctx, table.Transaction{
+		Conditions: []table.Condition{{Key: key, Version: row.Version}},
+		Writes:     []table.Write{{Key: key, Delete: true}},
+	})
+}
+
+// Crashed reports an upstream that died while it ran a content. One that was leaving anyway says nothing
+// about the content.
+func (gd *Guard) Crashed(fingerprint digest.Sum, upstream, requestID string) {
+	for _, item := range gd.Reports.Leaving() {
+		if item.Upstream == upstream {
+			return
+		}
+	}
+	gd.Reports.ReportCrash(quarantine.Crash{
+		Fingerprint: fingerprint, Upstream: upstream, ID: uuid.NewString(), At: gd.Timers.Now(),
+	})
+	gd.Events.Record(&wire.Event{
+		Kind: wire.EventKind_EventRequestQuarantined, RequestId: requestID, Upstream: upstream, Detail: fingerprint.String(),
+	})
+}
--- /dev/null
+++ b/invariant/doc.go
@@ -0,0 +1,2 @@
+// Package invariant asserts the promises inside the running program and stops the process on a breach.
+package invariant
--- /dev/null
+++ b/metric/doc.go
@@ -0,0 +1,2 @@
+// Package metric names the figures that an instance exposes.
+package metric
--- /dev/null
+++ b/metric/metric.go
@@ -0,0 +1,63 @@
+package metric
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Set is one instance's figures.
+type Set struct {
+	set *metrics.Set
+}
+
+// New returns an empty set.
+func New() *Set {
+	return &Set{set: metrics.NewSet()}
+}
+
+// Write prints all figures in the Prometheus text format.
+func (st *Set) Write(to io.Writer) {
+	st.set.WritePrometheus(to)
+	metrics.WriteProcessMetrics(to)
+}
+
+// Request is one finished request.
+type Request struct {
+	Rank         string
+	Organisation string
+	Pipeline     string
+	Outcome      string
+	Code         string
+	Attained     bool
+	Took         time.Duration
+}
+
+// Ended books a finished request.
+func (st *Set) Ended(request Request) {
+	labels := fmt.Sprintf("rank=%q,organisation=%q,pipeline=%q", request.Rank, request.Organisation, request.Pipeline)
+	st.set.GetOrCreateCounter(fmt.Sprintf("turmericdoor_requests_total{%s,outcome=%q,code=%q}", labels, request.Outcome, request.Code)).Inc()
+	st.set.GetOrCreateHistogram(fmt.Sprintf("turmericdoor_request_seconds{rank=%q}", request.Rank)).Update(request.Took.Seconds())
+	if request.Attained {
+		st.set.GetOrCreateCounter(fmt.Sprintf("turmericdoor_deadline_attained_total{%s}", labels)).Inc()
+	}
+}
+
+// Stage books the cost of one stage of a request.
+func (st *Set) Stage(pipeline, stage string, wait, run time.Duration) {
+	labels := fmt.Sprintf("pipeline=%q,stage=%q", pipeline, stage)
+	st.set.GetOrCreateFloatCounter("turmericdoor_stage_wait_seconds_total{" + labels + "}").Add(wait.Seconds())
+	st.set.GetOrCreateFloatCounter("turmericdoor_stage_run_seconds_total{" + labels + "}").Add(run.Seconds())
+}
+
+// TableCall books a call to the platform's table service.
+func (st *Set) TableCall(call, outcome string) {
+	st.set.GetOrCreateCounter(fmt.Sprintf("turmericdoor_table_calls_total{call=%q,outcome=%q}", call, outcome)).Inc()
+}
+
+// Gauge exposes a figure that is computed when it is read.
+func (st *Set) Gauge(name string, read func() float64) {
+	st.set.GetOrCreateGauge("turmericdoor_"+name, read)
+}
--- /dev/null
+++ b/news/doc.go
@@ -0,0 +1,3 @@
+// Package news holds what instances tell each other besides membership: which upstreams are leaving and
+// which requests crashed upstreams.
+package news
--- /dev/null
+++ b/news/news.go
@@ -0,0 +1,130 @@
+package news
+
+import (
+	"encoding/binary"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericdoor/turmericdoor/quarantine"
+)
+
+// Leaving says that an upstream's incarnation, and any before it, gets no new work.
+type Leaving struct {
+	Upstream    string
+	Incarnation int64
+}
+
+// Board is the news that one instance knows; it is not safe for concurrent use.
+type Board struct {
+	leaving map[string]*leavingItem
+	crashes map[string]*crashItem
+	digest  uint64
+}
+
+type leavingItem struct {
+	leaving Leaving
+	sends   int
+}
+
+type crashItem struct {
+	crash quarantine.Crash
+	sends int
+}
+
+// sendBudget is how many messages carry an item; a full exchange reaches whom these missed.
+const sendBudget = 16
+
+// New returns an empty board.
+func New() *Board {
+	return &Board{leaving: map[string]*leavingItem{}, crashes: map[string]*crashItem{}}
+}
+
+// AddLeaving enters a leaving upstream and reports whether that was news.
+func (bd *Board) AddLeaving(item Leaving) bool {
+	known, found := bd.leaving[item.Upstream]
+	if found && known.leaving.Incarnation >= item.Incarnation {
+		return false
+	}
+	if found {
+		bd.digest ^= hashLeaving(known.leaving)
+	}
+	bd.digest ^= hashLeaving(item)
+	bd.leaving[item.Upstream] = &leavingItem{leaving: item, sends: sendBudget}
+	return true
+}
+
+// AddCrash enters a crash and reports whether that was news.
+func (bd *Board) AddCrash(now time.Time, crash quarantine.Crash) bool {
+	if _, found := bd.crashes[crash.ID]; found || now.Sub(crash.At) > quarantine.Life {
+		return false
+	}
+	bd.digest ^= xxhash.Sum64String(crash.ID)
+	bd.crashes[crash.ID] = &crashItem{crash: crash, sends: sendBudget}
+	return true
+}
+
+// Forget drops crashes that no longer count.
+func (bd *Board) Forget(now time.Time) {
+	for id, item := range bd.crashes {
+		if now.Sub(item.crash.At) > quarantine.Life {
+			bd.digest ^= xxhash.Sum64String(id)
+			delete(bd.crashes, id)
+		}
+	}
+}
+
+func hashLeaving(item Leaving) uint64 {
+	encoded := binary.LittleEndian.AppendUint64([]byte(item.Upstream+"\x00"), uint64(item.Incarnation))
+	return xxhash.Sum64(encoded)
+}
+
+// Digest is equal for two boards with the same items.
+func (bd *Board) Digest() uint64 {
+	return bd.digest
+}
+
+// Leaving returns all leaving upstreams by name.
+func (bd *Board) Leaving() []Leaving {
+	list := []Leaving{}
+	for _, item := range bd.leaving {
+		list = append(list, item.leaving)
+	}
+	sort.Slice(list, func(left, right int) bool { return list[left].Upstream < list[right].Upstream })
+	return list
+}
+
+// Crashes returns all crashes, oldest first.
+func (bd *Board) Crashes() []quarantine.Crash {
+	list := []quarantine.Crash{}
+	for _, item := range bd.crashes {
+		list = append(list, item.crash)
+	}
+	sort.Slice(list, func(left, right int) bool {
+		if list[left].At.Equal(list[right].At) {
+			return list[left].ID < list[right].ID
+		}
+		return list[left].At.Before(list[right].At)
+	})
+	return list
+}
+
+// Outgoing returns the items that the next message carries.
+func (bd *Board) Outgoing() ([]Leaving, []quarantine.Crash) {
+	leaving := []Leaving{}
+	for _, item := range bd.leaving {
+		if item.sends > 0 {
+			item.sends--
+			leaving = append(leaving, item.leaving)
+		}
+	}
+	crashes := []quarantine.Crash{}
+	for _, item := range bd.crashes {
+		if item.sends > 0 {
+			item.sends--
+			crashes = append(crashes, item.crash)
+		}
+	}
+	return leaving, crashes
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,294 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/turmericdoor/turmericdoor/digest"
+	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/editor"
+	"github.com/turmericdoor/turmericdoor/metric"
+	"github.com/turmericdoor/turmericdoor/peer"
+	"github.com/turmericdoor/turmericdoor/revision"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/section"
+)
+
+// Instance is what an operator may ask of the instance itself.
+type Instance interface {
+	Status(ctx context.Context) Status
+	Ready() (bool, string)
+	LeaveUpstream(ctx context.Context, name string) (stored bool, err error)
+	Stop()
+}
+
+// Handler serves operators.
+type Handler struct {
+	KeyDigest digest.Sum
+	Holder    *revision.Holder
+	Editor    *editor.Editor
+	Peer      *peer.Peer
+	Metrics   *metric.Set
+	Instance  Instance
+	MaxBody   int64
+}
+
+// Routes returns the handler of all paths.
+func (hd *Handler) Routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "ok\n") })
+	mux.HandleFunc("GET /readyz", hd.ready)
+	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) { hd.Metrics.Write(writer) })
+	mux.HandleFunc("GET /v1/status", hd.any(hd.status))
+	mux.HandleFunc("GET /v1/timeline", hd.any(hd.timeline))
+	mux.HandleFunc("GET /v1/document", hd.any(hd.document))
+	mux.HandleFunc("GET /v1/document/history", hd.any(hd.history))
+	mux.HandleFunc("GET /v1/document/edits/{EditId}", hd.any(hd.edit))
+	mux.HandleFunc("GET /v1/document/revisions", hd.any(hd.revisions))
+	mux.HandleFunc("POST /v1/document/teams/{Team}/check", hd.any(hd.check))
+	mux.HandleFunc("PUT /v1/document/teams/{Team}", hd.put)
+	mux.HandleFunc("POST /v1/upstreams/{Upstream}/leave", hd.any(hd.leave))
+	mux.HandleFunc("POST /v1/stop", hd.fleet(hd.stop))
+	return mux
+}
+
+func keyOf(request *http.Request) string {
+	key, _ := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+	return key
+}
+
+// isFleet reports whether the key is that of the fleet's operators.
+func (hd *Handler) isFleet(key string) bool {
+	return digest.OfKey(key).Equal(hd.KeyDigest)
+}
+
+// mayEdit reports whether the key opens a team's sections.
+func (hd *Handler) mayEdit(key, team string) bool {
+	if hd.isFleet(key) {
+		return true
+	}
+	current := hd.Holder.Current()
+	if current == nil {
+		return false
+	}
+	known, found := current.Teams[team]
+	return found && known.HasKey(key)
+}
+
+// any lets the operators of the fleet and of every team in.
+func (hd *Handler) any(next http.HandlerFunc) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		key := keyOf(request)
+		allowed := hd.isFleet(key)
+		if current := hd.Holder.Current(); current != nil {
+			for _, team := range current.Teams {
+				allowed = team.HasKey(key) || allowed
+			}
+		}
+		if !allowed {
+			fail(writer, http.StatusUnauthorized, "UnknownKey", "the header Authorization must be \"Bearer\" and an operator's key")
+			return
+		}
+		next(writer, request)
+	}
+}
+
+// fleet lets only the fleet's operators in.
+func (hd *Handler) fleet(next http.HandlerFunc) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		if !hd.isFleet(keyOf(request)) {
+			fail(writer, http.StatusUnauthorized, "UnknownKey", "this takes the key of the fleet's operators")
+			return
+		}
+		next(writer, request)
+	}
+}
+
+func (hd *Handler) ready(writer http.ResponseWriter, _ *http.Request) {
+	ready, why := hd.Instance.Ready()
+	if !ready {
+		fail(writer, http.StatusServiceUnavailable, "InstanceNotReady", why)
+		return
+	}
+	_, _ = io.WriteString(writer, "ready\n")
+}
+
+func (hd *Handler) status(writer http.ResponseWriter, request *http.Request) {
+	reply(writer, hd.Instance.Status(request.Context()))
+}
+
+func (hd *Handler) revisions(writer http.ResponseWriter, request *http.Request) {
+	reply(writer, hd.Peer.Revisions(request.Context()))
+}
+
+func (hd *Handler) stop(writer http.ResponseWriter, _ *http.Request) {
+	hd.Instance.Stop()
+	reply(writer, struct{ Stopping bool }{true})
+}
+
+func (hd *Handler) leave(writer http.ResponseWriter, request *http.Request) {
+	stored, err := hd.Instance.LeaveUpstream(request.Context(), request.PathValue("Upstream"))
+	if err != nil {
+		fail(writer, http.StatusNotFound, "UnknownUpstream", err.Error())
+		return
+	}
+	reply(writer, struct{ Leaving, Stored bool }{true, stored})
+}
+
+func (hd *Handler) document(writer http.ResponseWriter, request *http.Request) {
+	text, err := hd.Editor.Fetch(request.Context())
+	if err == nil {
+		reply(writer, text)
+		return
+	}
+	current := hd.Holder.Current()
+	if current == nil {
+		fail(writer, http.StatusServiceUnavailable, "PlatformUnavailable", err.Error())
+		return
+	}
+	writer.Header().Set("Warning", "110 - \"platform unavailable, this is the revision in force here\"")
+	reply(writer, current.Text)
+}
+
+func (hd *Handler) history(writer http.ResponseWriter, request *http.Request) {
+	entries, err := hd.Editor.History(request.Context())
+	if err != nil {
+		fail(writer, http.StatusServiceUnavailable, "PlatformUnavailable", err.Error())
+		return
+	}
+	reply(writer, entries)
+}
+
+func (hd *Handler) edit(writer http.ResponseWriter, request *http.Request) {
+	entry, found, err := hd.Editor.Find(request.Context(), request.PathValue("EditId"))
+	switch {
+	case err != nil:
+		fail(writer, http.StatusServiceUnavailable, "PlatformUnavailable", err.Error())
+	case !found:
+		fail(writer, http.StatusNotFound, "UnknownEdit", "no edit with this id was accepted")
+	default:
+		reply(writer, entry)
+	}
+}
+
+// check validates a team's text beside the other teams' without writing it.
+func (hd *Handler) check(writer http.ResponseWriter, request *http.Request) {
+	edit, ok := hd.readEdit(writer, request)
+	if !ok {
+		return
+	}
+	text := document.Text{}
+	if current := hd.Holder.Current(); current != nil {
+		text = current.Text
+	}
+	text = text.With(document.TeamText{Team: request.PathValue("Team"), Text: edit.Text})
+	_, faults := document.Parse(text)
+	if len(faults) > 0 {
+		replyStatus(writer, http.StatusUnprocessableEntity, EditResult{Outcome: "Invalid", Faults: lines(faults)})
+		return
+	}
+	reply(writer, EditResult{Outcome: "Valid"})
+}
+
+func lines(faults []section.Fault) []string {
+	list := []string{}
+	for _, fault := range faults {
+		list = append(list, fault.String())
+	}
+	return list
+}
+
+func (hd *Handler) readEdit(writer http.ResponseWriter, request *http.Request) (Edit, bool) {
+	edit := Edit{}
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, hd.MaxBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&edit); err != nil {
+		fail(writer, http.StatusBadRequest, "BadRequest", err.Error())
+		return edit, false
+	}
+	return edit, true
+}
+
+func (hd *Handler) put(writer http.ResponseWriter, request *http.Request) {
+	team := request.PathValue("Team")
+	if !hd.mayEdit(keyOf(request), team) {
+		fail(writer, http.StatusForbidden, "NotYourSection", "the key may not edit the sections of team "+strconv.Quote(team))
+		return
+	}
+	edit, ok := hd.readEdit(writer, request)
+	if !ok {
+		return
+	}
+	if !section.IsName(edit.EditID) || !section.IsName(team) {
+		fail(writer, http.StatusBadRequest, "BadRequest", "EditId and the team must be names of letters, digits, dots, underscores and hyphens")
+		return
+	}
+	outcome := hd.Editor.Put(request.Context(), editor.Edit{
+		ID: edit.EditID, Team: team, Expected: edit.Expected, Text: edit.Text, Author: edit.Author,
+	})
+	status, result := resultOf(outcome)
+	replyStatus(writer, status, result)
+}
+
+func resultOf(outcome editor.Outcome) (int, EditResult) {
+	switch ended := outcome.(type) {
+	case editor.Accepted:
+		return http.StatusOK, EditResult{Outcome: "Accepted", Revision: ended.Revision}
+	case editor.Conflict:
+		return http.StatusConflict, EditResult{Outcome: "Conflict", Theirs: ended.Theirs.Text, TheirsRevision: ended.Theirs.Revision}
+	case editor.Invalid:
+		return http.StatusUnprocessableEntity, EditResult{Outcome: "Invalid", Faults: lines(ended.Faults)}
+	case editor.Undecided:
+		return http.StatusGatewayTimeout, EditResult{Outcome: "Undecided", Cause: ended.Cause}
+	case editor.Unavailable:
+		return http.StatusServiceUnavailable, EditResult{Outcome: "Unavailable", Cause: ended.Cause}
+	}
+	return http.StatusInternalServerError, EditResult{Outcome: "Undecided"}
+}
+
+// TimelineReply is the body of GET /v1/timeline; Events are in the JSON form of the schema's Event.
+type TimelineReply struct {
+	Events      []json.RawMessage
+	Overwritten map[string]uint64
+	Silent      []string
+}
+
+func (hd *Handler) timeline(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	number := func(name string) int64 {
+		value, _ := strconv.ParseInt(query.Get(name), 10, 64)
+		return value
+	}
+	gathered := hd.Peer.Gather(request.Context(), &wire.FetchEventsRequest{
+		RequestId: query.Get("RequestId"), Upstream: query.Get("Upstream"), Organisation: query.Get("Organisation"),
+		Kind: query.Get("Kind"), FromMicros: number("FromMicros"), ToMicros: number("ToMicros"), Limit: number("Limit"),
+	})
+	body := TimelineReply{Overwritten: gathered.Overwritten, Silent: gathered.Silent}
+	for _, event := range gathered.Events {
+		encoded, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(event)
+		if err == nil {
+			body.Events = append(body.Events, encoded)
+		}
+	}
+	reply(writer, body)
+}
+
+func reply(writer http.ResponseWriter, value any) {
+	replyStatus(writer, http.StatusOK, value)
+}
+
+func replyStatus(writer http.ResponseWriter, status int, value any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(value)
+}
+
+func fail(writer http.ResponseWriter, status int, code, message string) {
+	replyStatus(writer, status, Failure{Code: code, Message: message})
+}
--- /dev/null
+++ b/revision/doc.go
@@ -0,0 +1,2 @@
+// Package revision holds the revision of the document that an instance has in force.
+package revision
--- /dev/null
+++ b/runner/request.go
@@ -0,0 +1,65 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/digest"
+	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/pool"
+	"github.com/turmericdoor/turmericdoor/upstream"
+)
+
+// Request is one request of a caller with the revision of the document that it began with.
+type Request struct {
+	ID           string
+	Document     *document.Document
+	Organisation *document.Organisation
+	Rank         *document.Rank
+	Pipeline     *document.Pipeline
+	Deadline     time.Time
+	Payload      upstream.Payload
+	Fingerprint  digest.Sum
+	Token        func(index int, text string)
+}
+
+// Caller makes calls on upstreams.
+type Caller interface {
+	Do(ctx context.Context, call *upstream.Call) upstream.Outcome
+}
+
+// Pools finds the pool of a name.
+type Pools interface {
+	Pool(name string) *pool.Pool
+}
+
+// Permit is whether a content may run; Free, Alone and Denied are its variants.
+type Permit interface {
+	permit()
+}
+
+// Free lets a content run beside others.
+type Free struct{}
+
+func (Free) permit() {}
+
+// Alone lets a suspect content run with an upstream to itself; Release must follow with how that ended.
+type Alone struct {
+	Release func(passed bool)
+}
+
+func (Alone) permit() {}
+
+// Denied stops a content; Condemned says for good, otherwise RetryAfter is when to come back.
+type Denied struct {
+	Condemned  bool
+	RetryAfter time.Duration
+}
+
+func (Denied) permit() {}
+
+// Guard decides which contents may run after crashes.
+type Guard interface {
+	Permit(ctx context.Context, fingerprint digest.Sum) Permit
+	Crashed(fingerprint digest.Sum, upstream, requestID string)
+}
