Split the instance from its sockets, add seeded chance, leases and orders to engines

The core of an instance now runs without sockets, so that tests drive the same code over fakes; all chance comes from one seeded source. Engine pools have a lease whose number goes along with each order.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -10,13 +10,12 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/turmericdoor/turmericdoor/answer"
 	"github.com/turmericdoor/turmericdoor/claimant"
 	"github.com/turmericdoor/turmericdoor/digest"
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/drain"
+	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/revision"
 	"github.com/turmericdoor/turmericdoor/runner"
@@ -35,6 +34,7 @@
 	Gate     *drain.Gate
 	Events   *timeline.Ring
 	Metrics  *metric.Set
+	Chance   *entropy.Source
 	MaxBody  int64
 }
 
@@ -140,7 +140,7 @@
 	}
 	request.Payload = payload
 	if request.ID == "" {
-		request.ID = uuid.NewString()
+		request.ID = hd.Chance.Name()
 	}
 	as := &asked{request: request, key: body.IdempotencyKey}
 	if body.Stream {
@@ -235,7 +235,7 @@
 func (hd *Handler) answerOnce(ctx context.Context, admitted *runner.Admitted, as *asked) answer.Answer {
 	claiming, cancel := context.WithDeadline(ctx, as.request.Deadline)
 	defer cancel()
-	outcome := hd.Claimant.Claim(claiming, as.request.Organisation.Name, as.key, as.request.Fingerprint.String(), uuid.NewString())
+	outcome := hd.Claimant.Claim(claiming, as.request.Organisation.Name, as.key, as.request.Fingerprint.String(), hd.Chance.Name())
 	switch claimed := outcome.(type) {
 	case *claimant.Granted:
 		return hd.runClaimed(ctx, admitted, as, claimed)
--- a/claimant/claimant.go
+++ b/claimant/claimant.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/claim"
+	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/table"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
@@ -17,6 +17,7 @@
 type Claimant struct {
 	store       table.Store
 	timers      *timer.Service
+	chance      *entropy.Source
 	instance    string
 	callTimeout time.Duration
 	requests    chan *pending
@@ -82,9 +83,9 @@
 
 // New returns a claimant of an instance; each call to the service is given callTimeout, and work that
 // outlasts its request ends with ctx.
-func New(ctx context.Context, store table.Store, timers *timer.Service, instance string, callTimeout time.Duration) *Claimant {
+func New(ctx context.Context, store table.Store, timers *timer.Service, chance *entropy.Source, instance string, callTimeout time.Duration) *Claimant {
 	return &Claimant{
-		ctx: ctx, store: store, timers: timers, instance: instance, callTimeout: callTimeout,
+		ctx: ctx, store: store, timers: timers, chance: chance, instance: instance, callTimeout: callTimeout,
 		requests: make(chan *pending, queueSize),
 	}
 }
@@ -315,7 +316,7 @@
 			if read && row.Version == 0 {
 				absent++
 			}
-			if ct.timers.Sleep(ct.ctx, time.Duration(rand.Int64N(int64(pause)))) != nil {
+			if ct.timers.Sleep(ct.ctx, ct.chance.Within(pause)) != nil {
 				return
 			}
 		}
--- a/command/remote.go
+++ b/command/remote.go
@@ -14,11 +14,11 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/editor"
+	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/operator"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timeline"
@@ -154,7 +154,7 @@
 		return inputError(err)
 	}
 	if tb.options.editID == "" {
-		tb.options.editID = uuid.NewString()
+		tb.options.editID = entropy.NewRandom().Name()
 	}
 	edit := operator.Edit{
 		EditID: tb.options.editID, Expected: tb.options.expected, Text: string(content), Author: tb.options.author,
--- /dev/null
+++ b/core/core.go
@@ -0,0 +1,203 @@
+package core
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/caller"
+	"github.com/turmericdoor/turmericdoor/claimant"
+	"github.com/turmericdoor/turmericdoor/controller"
+	"github.com/turmericdoor/turmericdoor/digest"
+	"github.com/turmericdoor/turmericdoor/drain"
+	"github.com/turmericdoor/turmericdoor/editor"
+	"github.com/turmericdoor/turmericdoor/entropy"
+	"github.com/turmericdoor/turmericdoor/guard"
+	"github.com/turmericdoor/turmericdoor/hlc"
+	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/metric"
+	"github.com/turmericdoor/turmericdoor/operator"
+	"github.com/turmericdoor/turmericdoor/peer"
+	"github.com/turmericdoor/turmericdoor/platform"
+	"github.com/turmericdoor/turmericdoor/pool"
+	"github.com/turmericdoor/turmericdoor/revision"
+	"github.com/turmericdoor/turmericdoor/runner"
+	"github.com/turmericdoor/turmericdoor/schema/settings"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/table"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+)
+
+// Listing is the platform's list of instances.
+type Listing interface {
+	Instances(ctx context.Context) ([]platform.ListedInstance, error)
+}
+
+// Parts are what surrounds a core. Listing may be nil.
+type Parts struct {
+	Settings *settings.Settings
+	Timers   *timer.Service
+	Chance   *entropy.Source
+	Store    table.Store
+	Listing  Listing
+	Caller   runner.Caller
+	Control  controller.Control
+	Dialer   peer.Dialer
+	Log      func(*wire.Event)
+}
+
+// Core is an entry instance without its sockets.
+type Core struct {
+	settings   *settings.Settings
+	timers     *timer.Service
+	chance     *entropy.Source
+	events     *timeline.Ring
+	metrics    *metric.Set
+	store      table.Store
+	listing    Listing
+	gate       *drain.Gate
+	holder     *revision.Holder
+	editor     *editor.Editor
+	claimant   *claimant.Claimant
+	controller *controller.Controller
+	peer       *peer.Peer
+	runner     *runner.Runner
+	pools      atomic.Pointer[map[string]*pool.Pool]
+	poolsMu    sync.Mutex
+	live       atomic.Int64
+	up         atomic.Bool
+	stop       chan struct{}
+	stopOnce   sync.Once
+	lifetime   context.Context
+	end        context.CancelFunc
+	partsMu    sync.Mutex
+	ends       []<-chan struct{}
+}
+
+// New builds a core that is not running yet.
+func New(parts Parts) *Core {
+	lifetime, end := context.WithCancel(context.Background())
+	cr := &Core{
+		settings: parts.Settings, timers: parts.Timers, chance: parts.Chance, metrics: metric.New(), gate: drain.New(),
+		listing: parts.Listing, stop: make(chan struct{}), lifetime: lifetime, end: end,
+	}
+	id := cr.settings.GetInstance().GetId()
+	callTimeout := milliseconds(cr.settings.GetPlatform().GetCallTimeoutMs())
+	clock := hlc.New(cr.timers)
+	cr.events = timeline.New(id, clock, cr.settings.GetLimits().GetTimelineEvents(), parts.Log)
+	cr.store = meteredStore{next: parts.Store, metrics: cr.metrics}
+	cr.holder = revision.New(cr.documentInstalled)
+	cr.editor = editor.New(cr.store, cr.timers, cr.chance.Fork("editor"))
+	cr.claimant = claimant.New(lifetime, cr.store, cr.timers, cr.chance.Fork("claimant"), id, callTimeout)
+	cr.pools.Store(&map[string]*pool.Pool{})
+	cr.live.Store(1)
+	cr.peer = cr.newPeer(clock, parts.Dialer)
+	cr.controller = controller.New(controller.Parts{
+		Timers: cr.timers, Store: cr.store, Control: parts.Control, Events: cr.events, Instance: id,
+		CallTimeout: callTimeout, Members: cr.peer, Chance: cr.chance.Fork("controller"),
+	})
+	cr.runner = &runner.Runner{
+		Timers: cr.timers, FailureDomain: cr.settings.GetInstance().GetFailureDomain(), Caller: parts.Caller, Pools: cr,
+		Events: cr.events, Chance: cr.chance.Fork("runner"), Guard: &guard.Guard{
+			Reports: cr.peer, Store: cr.store, Timers: cr.timers, Events: cr.events, Chance: cr.chance.Fork("guard"),
+			Instance: id, CallTimeout: callTimeout,
+		},
+	}
+	cr.gauges()
+	return cr
+}
+
+func milliseconds(count int64) time.Duration {
+	return time.Duration(count) * time.Millisecond
+}
+
+func (cr *Core) newPeer(clock *hlc.Clock, dialer peer.Dialer) *peer.Peer {
+	own, peers := cr.settings.GetInstance(), cr.settings.GetPeers()
+	heartbeat := milliseconds(peers.GetHeartbeatMs())
+	config := member.Config{
+		Heartbeat: heartbeat, SuspectAfter: milliseconds(peers.GetSuspectAfterMs()),
+		DeadAfter: milliseconds(peers.GetDeadAfterMs()), Partners: int(peers.GetPartners()),
+	}
+	now := cr.timers.Now()
+	self := member.Member{
+		ID: own.GetId(), Address: own.GetPeerAddress(), FailureDomain: own.GetFailureDomain(),
+		Incarnation: uint64(now.UnixMilli()),
+	}
+	members := member.New(self, config, cr.chance.Generator("member"), now)
+	parts := peer.Parts{
+		Timers: cr.timers, Clock: clock, Events: cr.events, Holder: cr.holder, Listener: cr, Members: members,
+		Dialer: dialer, Chance: cr.chance.Fork("peer"),
+	}
+	return peer.New(parts, peer.Config{Member: config, Seeds: peers.GetSeeds(), Heartbeat: heartbeat})
+}
+
+func (cr *Core) gauges() {
+	cr.metrics.Gauge("document_revision", func() float64 { return float64(cr.holder.Revision()) })
+	cr.metrics.Gauge("requests_in_flight", func() float64 { return float64(cr.gate.InFlight()) })
+	cr.metrics.Gauge("members_live", func() float64 { return float64(cr.live.Load()) })
+	cr.metrics.Gauge("claims_owed", func() float64 { return float64(cr.claimant.Owed()) })
+}
+
+// Start starts every part.
+func (cr *Core) Start() {
+	cr.events.Record(&wire.Event{Kind: wire.EventKind_EventStarted, Detail: cr.settings.GetInstance().GetFailureDomain()})
+	cr.start(cr.claimant.Run)
+	cr.start(cr.peer.Run)
+	cr.start(cr.poll)
+	cr.start(cr.controller.Run)
+}
+
+// start runs a part and remembers the channel on which it reports its end.
+func (cr *Core) start(run func(context.Context, chan<- struct{})) {
+	done := make(chan struct{})
+	cr.partsMu.Lock()
+	cr.ends = append(cr.ends, done)
+	cr.partsMu.Unlock()
+	go run(cr.lifetime, done)
+}
+
+// await returns once every part has reported its end.
+func (cr *Core) await() {
+	cr.partsMu.Lock()
+	defer cr.partsMu.Unlock()
+	for _, done := range cr.ends {
+		<-done
+	}
+}
+
+// Callers returns the handler of callers' requests.
+func (cr *Core) Callers() http.Handler {
+	handler := &caller.Handler{
+		Timers: cr.timers, Holder: cr.holder, Runner: cr.runner, Claimant: cr.claimant, Gate: cr.gate,
+		Events: cr.events, Metrics: cr.metrics, Chance: cr.chance.Fork("caller"), MaxBody: cr.settings.GetLimits().GetMaxBodyBytes(),
+	}
+	return handler.Routes()
+}
+
+// Operators returns the handler of operators' requests.
+func (cr *Core) Operators() http.Handler {
+	keyDigest, _ := digest.Parse(cr.settings.GetOperators().GetKeyDigest())
+	handler := &operator.Handler{
+		KeyDigest: keyDigest, Holder: cr.holder, Editor: cr.editor, Peer: cr.peer, Metrics: cr.metrics,
+		Instance: cr, MaxBody: cr.settings.GetLimits().GetMaxBodyBytes(),
+	}
+	return handler.Routes()
+}
+
+// Peer returns the part that other instances call.
+func (cr *Core) Peer() *peer.Peer {
+	return cr.peer
+}
+
+// Revision returns the revision of the document in force, or 0 before the first one.
+func (cr *Core) Revision() int64 {
+	return cr.holder.Revision()
+}
+
+// Pool returns the pool of a name; pools are never removed while the instance runs.
+func (cr *Core) Pool(name string) *pool.Pool {
+	return (*cr.pools.Load())[name]
+}
--- a/instance/document.go
+++ b/core/document.go
@@ -1,8 +1,9 @@
-package instance
+package core
 
 import (
 	"context"
-	"math/rand/v2"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,69 +19,70 @@
 )
 
 // documentInstalled brings the pools in line with a document that has just come into force.
-func (in *Instance) documentInstalled(fresh *document.Document) {
-	in.poolsMu.Lock()
-	defer in.poolsMu.Unlock()
-	before := *in.pools.Load()
+func (cr *Core) documentInstalled(fresh *document.Document) {
+	cr.poolsMu.Lock()
+	defer cr.poolsMu.Unlock()
+	before := *cr.pools.Load()
 	after := make(map[string]*pool.Pool, len(before))
 	for name, kept := range before {
 		after[name] = kept
 	}
-	for name, part := range fresh.Pools {
+	for _, name := range slices.Sorted(maps.Keys(fresh.Pools)) {
 		if after[name] == nil {
-			after[name] = in.newPool(part)
+			after[name] = cr.newPool(fresh.Pools[name])
 		}
-		after[name].Update(part, fresh.RankOrder)
+		after[name].Update(fresh.Pools[name], fresh.RankOrder)
 	}
-	in.pools.Store(&after)
-	in.events.Record(&wire.Event{Kind: wire.EventKind_EventDocumentInstalled, Revision: fresh.Revision})
-	in.gate.Advance(drain.Serving)
-	in.peer.Announce()
+	cr.pools.Store(&after)
+	cr.controller.Wanted(fresh)
+	cr.events.Record(&wire.Event{Kind: wire.EventKind_EventDocumentInstalled, Revision: fresh.Revision})
+	cr.gate.Advance(drain.Serving)
+	cr.peer.Announce()
 }
 
 // newPool makes a pool that already knows which upstreams are leaving.
-func (in *Instance) newPool(part *document.Pool) *pool.Pool {
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	decider := dispatch.New(limit.Adaptive{}, random, int(in.settings.GetLimits().GetMaxWaiting()), part.StageTime)
-	decider.SetPeers(int(in.live.Load()))
-	for _, item := range in.peer.Leaving() {
+func (cr *Core) newPool(part *document.Pool) *pool.Pool {
+	random := cr.chance.Generator("pool/" + part.Name)
+	decider := dispatch.New(limit.Adaptive{}, random, int(cr.settings.GetLimits().GetMaxWaiting()), part.StageTime)
+	decider.SetPeers(int(cr.live.Load()))
+	for _, item := range cr.peer.Leaving() {
 		decider.Leave(item.Upstream, item.Incarnation)
 	}
-	made := pool.New(in.timers, decider)
-	in.start(made.Run)
+	made := pool.New(cr.timers, decider)
+	cr.start(made.Run)
 	return made
 }
 
 // MembersChanged tells the pools how many instances share the upstreams.
-func (in *Instance) MembersChanged(_ []member.Change, live int) {
-	in.poolsMu.Lock()
-	defer in.poolsMu.Unlock()
-	in.live.Store(int64(live))
-	for _, each := range *in.pools.Load() {
+func (cr *Core) MembersChanged(_ []member.Change, live int) {
+	cr.poolsMu.Lock()
+	defer cr.poolsMu.Unlock()
+	cr.live.Store(int64(live))
+	for _, each := range *cr.pools.Load() {
 		each.SetPeers(live)
 	}
 }
 
 // UpstreamLeaving takes an upstream out of use.
-func (in *Instance) UpstreamLeaving(item news.Leaving) {
-	in.poolsMu.Lock()
-	defer in.poolsMu.Unlock()
-	for _, each := range *in.pools.Load() {
+func (cr *Core) UpstreamLeaving(item news.Leaving) {
+	cr.poolsMu.Lock()
+	defer cr.poolsMu.Unlock()
+	for _, each := range *cr.pools.Load() {
 		each.Leave(item.Upstream, item.Incarnation)
 	}
 }
 
 // DocumentFetched installs a document that a peer or the platform sent, if it is newer.
-func (in *Instance) DocumentFetched(text document.Text) {
-	if text.Revision <= in.holder.Revision() {
+func (cr *Core) DocumentFetched(text document.Text) {
+	if text.Revision <= cr.holder.Revision() {
 		return
 	}
 	parsed, faults := document.Parse(text)
 	if len(faults) > 0 {
-		in.logger.Error("document refused", "revision", text.Revision, "faults", len(faults), "first", faults[0].String())
+		cr.events.Record(&wire.Event{Kind: wire.EventKind_EventDocumentRefused, Revision: text.Revision, Detail: faults[0].String()})
 		return
 	}
-	in.holder.Install(parsed)
+	cr.holder.Install(parsed)
 }
 
 // leavingPrefix is where leaving upstreams lie in the table; a row's value is the incarnation.
@@ -91,70 +93,70 @@
 
 // poll looks at the platform now and again until ctx ends. Peers carry changes faster: this finds what they
 // missed.
-func (in *Instance) poll(ctx context.Context, done chan<- struct{}) {
+func (cr *Core) poll(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
-	interval := milliseconds(in.settings.GetPlatform().GetPollIntervalMs())
+	interval := milliseconds(cr.settings.GetPlatform().GetPollIntervalMs())
 	wait := interval
 	for {
-		if in.look(ctx) {
+		if cr.look(ctx) {
 			wait = interval
-			in.platformUp(true)
+			cr.platformUp(true)
 		} else {
 			wait = min(2*wait, max(maxBackoff, interval))
-			in.platformUp(false)
+			cr.platformUp(false)
 		}
 		// Before the first document there is no service to spare: look often.
-		if in.holder.Current() == nil {
+		if cr.holder.Current() == nil {
 			wait = min(wait, time.Second)
 		}
-		if in.timers.Sleep(ctx, wait/2+time.Duration(rand.Int64N(int64(wait)))) != nil {
+		if cr.timers.Sleep(ctx, wait/2+cr.chance.Within(wait)) != nil {
 			return
 		}
 	}
 }
 
-func (in *Instance) platformUp(up bool) {
-	if in.up.Swap(up) == up {
+func (cr *Core) platformUp(up bool) {
+	if cr.up.Swap(up) == up {
 		return
 	}
 	kind := wire.EventKind_EventPlatformUnavailable
 	if up {
 		kind = wire.EventKind_EventPlatformBack
 	}
-	in.events.Record(&wire.Event{Kind: kind})
+	cr.events.Record(&wire.Event{Kind: kind})
 }
 
 // look reads the document's head, the leaving upstreams and the instance list; it reports whether the table
 // service answered.
-func (in *Instance) look(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, 3*milliseconds(in.settings.GetPlatform().GetCallTimeoutMs()))
+func (cr *Core) look(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, 3*milliseconds(cr.settings.GetPlatform().GetCallTimeoutMs()))
 	defer cancel()
-	revision, err := in.editor.Head(ctx)
+	revision, err := cr.editor.Head(ctx)
 	if err != nil {
 		return false
 	}
-	if !in.readLeaving(ctx) {
+	if !cr.readLeaving(ctx) {
 		return false
 	}
-	if revision > in.holder.Revision() {
-		text, err := in.editor.Fetch(ctx)
+	if revision > cr.holder.Revision() {
+		text, err := cr.editor.Fetch(ctx)
 		if err != nil {
 			return false
 		}
-		in.DocumentFetched(text)
+		cr.DocumentFetched(text)
 	}
-	in.readListing(ctx)
+	cr.readListing(ctx)
 	return true
 }
 
-func (in *Instance) readLeaving(ctx context.Context) bool {
-	rows, read := in.store.List(ctx, leavingPrefix).(table.Rows)
+func (cr *Core) readLeaving(ctx context.Context) bool {
+	rows, read := cr.store.List(ctx, leavingPrefix).(table.Rows)
 	if !read {
 		return false
 	}
 	for _, row := range rows.Rows {
 		name := strings.TrimPrefix(row.Key, leavingPrefix)
-		in.peer.ReportLeaving(news.Leaving{Upstream: name, Incarnation: incarnationOf(row.Value)})
+		cr.peer.ReportLeaving(news.Leaving{Upstream: name, Incarnation: incarnationOf(row.Value)})
 	}
 	return true
 }
@@ -171,17 +173,17 @@
 }
 
 // readListing takes the platform's list as a hint: it lags, so that only what it says of leaving counts.
-func (in *Instance) readListing(ctx context.Context) {
-	if in.listing == nil {
+func (cr *Core) readListing(ctx context.Context) {
+	if cr.listing == nil {
 		return
 	}
-	listed, err := in.listing.Instances(ctx)
+	listed, err := cr.listing.Instances(ctx)
 	if err != nil {
 		return
 	}
 	for _, one := range listed {
 		if one.Leaving {
-			in.peer.ReportLeaving(news.Leaving{Upstream: one.Name, Incarnation: one.Incarnation})
+			cr.peer.ReportLeaving(news.Leaving{Upstream: one.Name, Incarnation: one.Incarnation})
 		}
 	}
 }
--- a/instance/operate.go
+++ b/core/operate.go
@@ -1,16 +1,12 @@
-package instance
+package core
 
 import (
 	"context"
 	"fmt"
-	"net"
 	"sort"
 	"strconv"
 	"time"
 
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-
 	"github.com/turmericdoor/turmericdoor/drain"
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/news"
@@ -20,8 +16,8 @@
 )
 
 // Ready reports whether a balancer should send requests here, and if not, why.
-func (in *Instance) Ready() (bool, string) {
-	switch in.gate.Phase() {
+func (cr *Core) Ready() (bool, string) {
+	switch cr.gate.Phase() {
 	case drain.Serving:
 		return true, ""
 	case drain.Starting:
@@ -32,44 +28,55 @@
 	return false, "unknown phase"
 }
 
-// Stop makes Run stop gracefully; it may be called more than once.
-func (in *Instance) Stop() {
-	in.stopOnce.Do(func() { close(in.stop) })
+// Stop asks for a graceful stop; it may be called more than once.
+func (cr *Core) Stop() {
+	cr.stopOnce.Do(func() { close(cr.stop) })
+}
+
+// StopAsked is closed once an operator has asked for a stop.
+func (cr *Core) StopAsked() <-chan struct{} {
+	return cr.stop
+}
+
+// Notice makes the instance no longer ready; it still serves.
+func (cr *Core) Notice() {
+	cr.events.Record(&wire.Event{Kind: wire.EventKind_EventStopping})
+	cr.gate.Advance(drain.Noticed)
 }
 
 const (
-	// noticeTime is how long a balancer has to see that the instance is no longer ready.
-	noticeTime = 2 * time.Second
 	// farewellTime is how long the instance tries to tell its partners that it leaves.
 	farewellTime = 500 * time.Millisecond
 	// settleTime is how long the instance waits for kept answers to be written.
 	settleTime = 5 * time.Second
+	// settleInterval is the time between two looks at answers that are still to be written.
+	settleInterval = 10 * time.Millisecond
 )
 
-// shutdown ends the service without cutting off what is in flight, however long that takes.
-func (in *Instance) shutdown(ctx context.Context) {
-	in.events.Record(&wire.Event{Kind: wire.EventKind_EventStopping})
-	in.gate.Advance(drain.Noticed)
-	in.caller.SetKeepAlivesEnabled(false)
-	_ = in.timers.Sleep(ctx, noticeTime)
-	// Shutdown closes the listener and idle connections, and waits for the others without a limit.
-	_ = in.caller.Shutdown(ctx)
-	_ = in.gate.Wait(ctx, in.timers)
-	in.gate.Advance(drain.Closed)
-	in.settleClaims(ctx)
-	farewell, cancel := context.WithTimeout(ctx, farewellTime)
+// Finish waits for all that is in flight, however long that takes, says farewell and ends every part.
+func (cr *Core) Finish() {
+	_ = cr.gate.Wait(cr.lifetime, cr.timers)
+	cr.gate.Advance(drain.Closed)
+	cr.settleClaims(cr.lifetime)
+	farewell, cancel := context.WithTimeout(cr.lifetime, farewellTime)
 	defer cancel()
-	in.peer.Leave(farewell)
-	in.peerCalls.Stop()
-	_ = in.operator.Close()
+	cr.peer.Leave(farewell)
+	cr.events.Record(&wire.Event{Kind: wire.EventKind_EventStopped})
+	cr.Kill()
+}
+
+// Kill ends every part at once.
+func (cr *Core) Kill() {
+	cr.end()
+	cr.await()
 }
 
 // settleClaims waits for answers of claimed requests to be kept; without that they stay Unknown, which is safe.
-func (in *Instance) settleClaims(ctx context.Context) {
+func (cr *Core) settleClaims(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
-	for in.claimant.Owed() > 0 {
-		if in.timers.Sleep(ctx, 10*time.Millisecond) != nil {
+	for cr.claimant.Owed() > 0 {
+		if cr.timers.Sleep(ctx, settleInterval) != nil {
 			return
 		}
 	}
@@ -87,21 +94,21 @@
 
 // LeaveUpstream takes an upstream out of use on all instances; stored says whether the platform keeps it
 // for instances that start later without meeting a peer.
-func (in *Instance) LeaveUpstream(ctx context.Context, name string) (stored bool, err error) {
-	current := in.holder.Current()
+func (cr *Core) LeaveUpstream(ctx context.Context, name string) (stored bool, err error) {
+	current := cr.holder.Current()
 	if current == nil || current.Upstreams[name] == nil {
 		return false, UnknownUpstreamError{Name: name}
 	}
 	incarnation := current.Upstreams[name].Incarnation
-	in.peer.ReportLeaving(news.Leaving{Upstream: name, Incarnation: incarnation})
-	return in.storeLeaving(ctx, name, incarnation), nil
+	cr.peer.ReportLeaving(news.Leaving{Upstream: name, Incarnation: incarnation})
+	return cr.storeLeaving(ctx, name, incarnation), nil
 }
 
-func (in *Instance) storeLeaving(ctx context.Context, name string, incarnation int64) bool {
-	ctx, cancel := context.WithTimeout(ctx, milliseconds(in.settings.GetPlatform().GetCallTimeoutMs()))
+func (cr *Core) storeLeaving(ctx context.Context, name string, incarnation int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, milliseconds(cr.settings.GetPlatform().GetCallTimeoutMs()))
 	defer cancel()
 	key := leavingPrefix + name
-	rows, read := in.store.Read(ctx, key).(table.Rows)
+	rows, read := cr.store.Read(ctx, key).(table.Rows)
 	if !read {
 		return false
 	}
@@ -109,7 +116,7 @@
 	if incarnationOf(row.Value) >= incarnation {
 		return true
 	}
-	outcome := in.store.Commit(ctx, table.Transaction{
+	outcome := cr.store.Commit(ctx, table.Transaction{
 		Conditions: []table.Condition{{Key: key, Version: row.Version}},
 		Writes:     []table.Write{{Key: key, Value: []byte(strconv.FormatInt(incarnation, 10))}},
 	})
@@ -118,17 +125,17 @@
 }
 
 // Status is what the instance says of itself and of the others.
-func (in *Instance) Status(ctx context.Context) operator.Status {
-	own := in.settings.GetInstance()
+func (cr *Core) Status(ctx context.Context) operator.Status {
+	own := cr.settings.GetInstance()
 	status := operator.Status{
-		ID: own.GetId(), FailureDomain: own.GetFailureDomain(), Phase: in.gate.Phase().String(),
-		Revision: in.holder.Revision(), InFlight: in.gate.InFlight(), PlatformUp: in.up.Load(),
-		ClaimsOwed: in.claimant.Owed(), Members: in.memberStatuses(ctx),
+		ID: own.GetId(), FailureDomain: own.GetFailureDomain(), Phase: cr.gate.Phase().String(),
+		Revision: cr.holder.Revision(), InFlight: cr.gate.InFlight(), PlatformUp: cr.up.Load(),
+		ClaimsOwed: cr.claimant.Owed(), Members: cr.memberStatuses(ctx),
 	}
-	for _, item := range in.peer.Leaving() {
+	for _, item := range cr.peer.Leaving() {
 		status.Leaving = append(status.Leaving, fmt.Sprintf("%s/%d", item.Upstream, item.Incarnation))
 	}
-	for name, each := range *in.pools.Load() {
+	for name, each := range *cr.pools.Load() {
 		upstreams, waiting := each.Statuses()
 		status.Pools = append(status.Pools, operator.PoolStatus{Name: name, Waiting: waiting, Upstreams: upstreams})
 	}
@@ -136,10 +143,10 @@
 	return status
 }
 
-func (in *Instance) memberStatuses(ctx context.Context) []operator.MemberStatus {
-	revisions := in.peer.Revisions(ctx)
+func (cr *Core) memberStatuses(ctx context.Context) []operator.MemberStatus {
+	revisions := cr.peer.Revisions(ctx)
 	list := []operator.MemberStatus{}
-	for _, mb := range in.peer.Members() {
+	for _, mb := range cr.peer.Members() {
 		known, answered := revisions[mb.ID]
 		if !answered {
 			known = -1
@@ -152,20 +159,6 @@
 	return list
 }
 
-// dialPeer makes a link to another instance.
-func (in *Instance) dialPeer(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
-}
-
-func (in *Instance) peerServer() (*grpc.Server, error) {
-	return grpc.NewServer(), nil
-}
-
-// secure puts TLS on the listeners if the settings ask for it.
-func (in *Instance) secure(callers, operators net.Listener) (net.Listener, net.Listener, error) {
-	return callers, operators, nil
-}
-
 // meteredStore counts the calls to the table service.
 type meteredStore struct {
 	next    table.Store
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"sort"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/section"
 	"github.com/turmericdoor/turmericdoor/table"
 	"github.com/turmericdoor/turmericdoor/timer"
@@ -95,11 +95,12 @@
 type Editor struct {
 	store  table.Store
 	timers *timer.Service
+	chance *entropy.Source
 }
 
 // New returns an editor of the document in store.
-func New(store table.Store, timers *timer.Service) *Editor {
-	return &Editor{store: store, timers: timers}
+func New(store table.Store, timers *timer.Service, chance *entropy.Source) *Editor {
+	return &Editor{store: store, timers: timers, chance: chance}
 }
 
 // snapshot is the document as read, with the versions of its rows.
@@ -224,7 +225,7 @@
 		if lost, isLost := outcome.(Undecided); isLost {
 			unknown = lost.Cause
 		}
-		if ed.timers.Sleep(ctx, time.Duration(rand.Int64N(int64(raceDelay)<<try))) != nil {
+		if ed.timers.Sleep(ctx, ed.chance.Within(raceDelay<<try)) != nil {
 			break
 		}
 	}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -5,9 +5,8 @@
 	"encoding/json"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/turmericdoor/turmericdoor/digest"
+	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/news"
 	"github.com/turmericdoor/turmericdoor/quarantine"
 	"github.com/turmericdoor/turmericdoor/runner"
@@ -31,6 +30,7 @@
 	Store       table.Store
 	Timers      *timer.Service
 	Events      *timeline.Ring
+	Chance      *entropy.Source
 	Instance    string
 	CallTimeout time.Duration
 }
@@ -132,7 +132,7 @@
 		}
 	}
 	gd.Reports.ReportCrash(quarantine.Crash{
-		Fingerprint: fingerprint, Upstream: upstream, ID: uuid.NewString(), At: gd.Timers.Now(),
+		Fingerprint: fingerprint, Upstream: upstream, ID: gd.Chance.Name(), At: gd.Timers.Now(),
 	})
 	gd.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventRequestQuarantined, RequestId: requestID, Upstream: upstream, Detail: fingerprint.String(),
--- a/news/news.go
+++ b/news/news.go
@@ -91,7 +91,7 @@
 	for _, item := range bd.leaving {
 		list = append(list, item.leaving)
 	}
-	sort.Slice(list, func(left, right int) bool { return list[left].Upstream < list[right].Upstream })
+	sortLeaving(list)
 	return list
 }
 
@@ -101,13 +101,21 @@
 	for _, item := range bd.crashes {
 		list = append(list, item.crash)
 	}
+	sortCrashes(list)
+	return list
+}
+
+func sortLeaving(list []Leaving) {
+	sort.Slice(list, func(left, right int) bool { return list[left].Upstream < list[right].Upstream })
+}
+
+func sortCrashes(list []quarantine.Crash) {
 	sort.Slice(list, func(left, right int) bool {
 		if list[left].At.Equal(list[right].At) {
 			return list[left].ID < list[right].ID
 		}
 		return list[left].At.Before(list[right].At)
 	})
-	return list
 }
 
 // Outgoing returns the items that the next message carries.
@@ -119,6 +127,7 @@
 			leaving = append(leaving, item.leaving)
 		}
 	}
+	sortLeaving(leaving)
 	crashes := []quarantine.Crash{}
 	for _, item := range bd.crashes {
 		if item.sends > 0 {
@@ -126,5 +135,6 @@
 			crashes = append(crashes, item.crash)
 		}
 	}
+	sortCrashes(crashes)
 	return leaving, crashes
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
-	"google.golang.org/grpc"
-
 	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/news"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -50,7 +47,7 @@
 
 // nextBeat spreads heartbeats by a tenth, so that instances started together drift apart.
 func (pr *Peer) nextBeat() time.Duration {
-	return pr.config.Heartbeat - time.Duration(rand.Int64N(int64(pr.config.Heartbeat)/10+1))
+	return pr.config.Heartbeat - pr.chance.Within(pr.config.Heartbeat/10)
 }
 
 func (pr *Peer) tick() {
@@ -96,7 +93,7 @@
 		return
 	}
 	if len(pr.config.Seeds) > 0 {
-		seed := pr.config.Seeds[rand.IntN(len(pr.config.Seeds))]
+		seed := pr.config.Seeds[pr.chance.Below(len(pr.config.Seeds))]
 		if seed != pr.selfAddress {
 			pr.send(ctx, seed, "", false)
 		}
@@ -330,16 +327,22 @@
 	return reply.GetSender().GetRevision()
 }
 
-// link is a kept connection to another instance.
-type link struct {
-	connection *grpc.ClientConn
-	used       time.Time
+// Link is a kept connection to another instance.
+type Link interface {
+	wire.PeerClient
+	Close() error
+}
+
+// keptLink is a link and when it was last used.
+type keptLink struct {
+	Link
+	used time.Time
 }
 
 // linkLife is how long a link that no heartbeat uses is kept.
 const linkLife = time.Minute
 
-// client returns a client on the kept link to an address.
+// client returns the kept link to an address.
 func (pr *Peer) client(address string) (wire.PeerClient, error) {
 	pr.mu.Lock()
 	defer pr.mu.Unlock()
@@ -349,11 +352,11 @@
 		if err != nil {
 			return nil, err
 		}
-		kept = &link{connection: fresh}
+		kept = &keptLink{Link: fresh}
 		pr.links[address] = kept
 	}
 	kept.used = pr.timers.Now()
-	return wire.NewPeerClient(kept.connection), nil
+	return kept, nil
 }
 
 // closeLinks closes the links that were not used for longer than life.
@@ -362,7 +365,7 @@
 	defer pr.mu.Unlock()
 	for address, kept := range pr.links {
 		if pr.timers.Now().Sub(kept.used) >= life {
-			_ = kept.connection.Close()
+			_ = kept.Close()
 			delete(pr.links, address)
 		}
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -6,10 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	"google.golang.org/grpc"
-
 	"github.com/turmericdoor/turmericdoor/digest"
 	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/hlc"
 	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/news"
@@ -40,12 +39,13 @@
 	selfID      string
 	selfAddress string
 	dialer      Dialer
+	chance      *entropy.Source
 	mu          sync.Mutex
 	members     *member.Table
 	board       *news.Board
 	crashes     *quarantine.Registry
 	standings   atomic.Pointer[map[digest.Sum]bool]
-	links       map[string]*link
+	links       map[string]*keptLink
 	urgent      chan struct{}
 	lastFull    time.Time
 	fetching    atomic.Bool
@@ -60,7 +60,7 @@
 }
 
 // Dialer makes a link to another instance's address.
-type Dialer func(address string) (*grpc.ClientConn, error)
+type Dialer func(address string) (Link, error)
 
 // Parts are what a peer works with.
 type Parts struct {
@@ -71,14 +71,15 @@
 	Listener Listener
 	Members  *member.Table
 	Dialer   Dialer
+	Chance   *entropy.Source
 }
 
 // New returns a peer that knows nobody but its seeds; Run must be running.
 func New(parts Parts, config Config) *Peer {
 	pr := &Peer{
 		timers: parts.Timers, clock: parts.Clock, events: parts.Events, holder: parts.Holder,
-		listener: parts.Listener, config: config, dialer: parts.Dialer, members: parts.Members,
-		board: news.New(), crashes: quarantine.New(), links: map[string]*link{},
+		listener: parts.Listener, config: config, dialer: parts.Dialer, chance: parts.Chance, members: parts.Members,
+		board: news.New(), crashes: quarantine.New(), links: map[string]*keptLink{},
 		urgent: make(chan struct{}, 1), selfID: parts.Members.Self().ID, selfAddress: parts.Members.Self().Address,
 	}
 	pr.standings.Store(&map[digest.Sum]bool{})
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -1,8 +1,9 @@
 package retry
 
 import (
-	"math/rand/v2"
 	"time"
+
+	"github.com/turmericdoor/turmericdoor/entropy"
 )
 
 // Budget is the retries and hedges that one pool may spend; it is not safe for concurrent use.
@@ -51,7 +52,6 @@
 )
 
 // Delay draws the wait before a retry: uniform up to a bound that doubles with each failed attempt.
-func Delay(random *rand.Rand, failures int) time.Duration {
-	bound := min(firstDelay<<min(failures, maxDoubles), maxDelay)
-	return time.Duration(random.Int64N(int64(bound) + 1))
+func Delay(chance *entropy.Source, failures int) time.Duration {
+	return chance.Within(min(firstDelay<<min(failures, maxDoubles), maxDelay))
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -1,12 +1,12 @@
 package retry_test
 
 import (
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/retry"
 )
 
@@ -44,9 +44,9 @@
 }
 
 func TestDelay(t *testing.T) {
-	random := rand.New(rand.NewPCG(1, 2))
+	chance := entropy.New(1)
 	for failures := range 100 {
-		delay := retry.Delay(random, failures)
+		delay := retry.Delay(chance, failures)
 		must.Between(t, 0, delay, 500*time.Millisecond)
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +9,7 @@
 	"github.com/turmericdoor/turmericdoor/answer"
 	"github.com/turmericdoor/turmericdoor/attempt"
 	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timeline"
@@ -24,6 +24,7 @@
 	Pools         Pools
 	Guard         Guard
 	Events        *timeline.Ring
+	Chance        *entropy.Source
 	lastID        atomic.Uint64
 }
 
@@ -187,8 +188,3 @@
 		Attempt: number, Outcome: outcome, Detail: detail, DurationMicros: took.Microseconds(),
 	})
 }
-
-// jitter draws from the process's generator, since delays need not be repeatable across processes.
-func jitter() *rand.Rand {
-	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-}
--- /dev/null
+++ b/upstream/control.go
@@ -0,0 +1,66 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/turmericdoor/turmericdoor/order"
+)
+
+// OrderBody is the body of POST /v1/models and of the answer to GET /v1/models of an engine.
+type OrderBody struct {
+	Fence    int64    `json:"fence"`
+	Model    string   `json:"model"`
+	Adapters []string `json:"adapters"`
+}
+
+// StatusError is an engine's answer other than 200.
+type StatusError struct {
+	Status int
+}
+
+// Error names the status.
+func (se StatusError) Error() string {
+	return "engine answered with status " + strconv.Itoa(se.Status)
+}
+
+// ReadEngine returns what an engine holds.
+func (cl *Client) ReadEngine(ctx context.Context, address string) (order.State, error) {
+	body := OrderBody{}
+	err := cl.control(ctx, http.MethodGet, address, nil, &body)
+	return order.State{Model: body.Model, Adapters: body.Adapters}, err
+}
+
+// OrderEngine tells an engine what to hold. The order has a connection of its own: nothing may send it again.
+func (cl *Client) OrderEngine(ctx context.Context, address string, fence int64, wanted order.State) error {
+	encoded, err := json.Marshal(OrderBody{Fence: fence, Model: wanted.Model, Adapters: wanted.Adapters})
+	if err != nil {
+		return err
+	}
+	return cl.control(ctx, http.MethodPost, address, encoded, &OrderBody{})
+}
+
+func (cl *Client) control(ctx context.Context, method, address string, encoded []byte, body *OrderBody) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/v1/models", bytes.NewReader(encoded))
+	if err != nil {
+		return err
+	}
+	request.GetBody = nil
+	response, err := cl.single.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return StatusError{Status: response.StatusCode}
+	}
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, body)
+}
