--- a/core/core.go
+++ b/core/core.go
@@ -100,7 +100,7 @@
 		CallTimeout: callTimeout, Members: cr.peer, Chance: cr.chance.Fork("controller"),
 	})
 	cr.runner = &runner.Runner{
-		Timers: cr.timers, FailureDomain: cr.settings.GetInstance().GetFailureDomain(), Caller: parts.Caller, Pools: cr,
+		Timers: cr.timers, FailureDomain: cr.settings.GetInstance().GetFailureDomain(), Caller: parts.Caller, Pools: cr, Leavings: cr,
 		Events: cr.events, Chance: cr.chance.Fork("runner"), Guard: &guard.Guard{
 			Reports: cr.peer, Store: cr.store, Timers: cr.timers, Events: cr.events, Chance: cr.chance.Fork("guard"),
 			Instance: id, CallTimeout: callTimeout,
--- a/core/operate.go
+++ b/core/operate.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/drain"
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/news"
@@ -104,6 +105,18 @@
 	return cr.storeLeaving(ctx, name, incarnation), nil
 }
 
+// UpstreamSaysLeaving takes an upstream out of use on all instances on its own word. The platform is told
+// once, in the background: the peers carry the news meanwhile.
+func (cr *Core) UpstreamSaysLeaving(up *document.Upstream) {
+	if !cr.peer.ReportLeaving(news.Leaving{Upstream: up.Name, Incarnation: up.Incarnation}) {
+		return
+	}
+	cr.start(func(ctx context.Context, done chan<- struct{}) {
+		defer close(done)
+		cr.storeLeaving(ctx, up.Name, up.Incarnation)
+	})
+}
+
 func (cr *Core) storeLeaving(ctx context.Context, name string, incarnation int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, milliseconds(cr.settings.GetPlatform().GetCallTimeoutMs()))
 	defer cancel()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -116,16 +116,16 @@
 	return pr.board.Leaving()
 }
 
-// ReportLeaving tells all instances that an upstream is leaving.
-func (pr *Peer) ReportLeaving(item news.Leaving) {
+// ReportLeaving tells all instances that an upstream is leaving, and reports whether that was news here.
+func (pr *Peer) ReportLeaving(item news.Leaving) bool {
 	pr.mu.Lock()
 	fresh := pr.board.AddLeaving(item)
 	pr.mu.Unlock()
-	if !fresh {
-		return
+	if fresh {
+		pr.announceLeaving(item)
+		pr.push()
 	}
-	pr.announceLeaving(item)
-	pr.push()
+	return fresh
 }
 
 func (pr *Peer) announceLeaving(item news.Leaving) {
--- /dev/null
+++ b/promise/result_test.go
@@ -0,0 +1,105 @@
+package promise
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/answer"
+)
+
+// checkWhole returns what is wrong with the reply to a draft: an answer must be the whole of its own.
+func checkWhole(query string, got reply) []string {
+	if got.Cut || got.Outcome != answer.Answered {
+		return nil
+	}
+	if textOf(got) != wanted(query) {
+		return []string{fmt.Sprintf("query %q got %q", query, textOf(got))}
+	}
+	if len(got.Tokens) > 0 && strings.Join(got.Tokens, "") != wanted(query) {
+		return []string{fmt.Sprintf("query %q streamed %q", query, got.Tokens)}
+	}
+	return nil
+}
+
+// askMany sends count drafts at once and returns what was wrong and how many were answered.
+func (fl *fleet) askMany(count int, stream bool) (wrong []string, whole int) {
+	mu, group := sync.Mutex{}, sync.WaitGroup{}
+	nodes := fl.live()
+	for at := range count {
+		group.Go(func() {
+			asked := draft(fmt.Sprintf("query %d", at))
+			asked.body.Stream = stream
+			got := fl.ask(nodes[at%len(nodes)], asked)
+			mu.Lock()
+			defer mu.Unlock()
+			wrong = append(wrong, checkWhole(fmt.Sprintf("query %d", at), got)...)
+			if got.Outcome == answer.Answered {
+				whole++
+			}
+		})
+		time.Sleep(5 * time.Millisecond)
+	}
+	group.Wait()
+	return wrong, whole
+}
+
+// TestResults has every fault of a stage's answers, one at a time, and expects whole answers throughout.
+func TestResults(t *testing.T) {
+	faults := map[string]func(fl *fleet){
+		"none": func(*fleet) {},
+		"an upstream answers an earlier call": func(fl *fleet) {
+			fl.byName["encoders-0"].set(func(up *fakeUpstream) { up.answerOther = true })
+		},
+		"an upstream answers garbage": func(fl *fleet) {
+			fl.byName["rerankers-1"].set(func(up *fakeUpstream) { up.garbage = true })
+		},
+		"streams break after five tokens": func(fl *fleet) {
+			fl.byName["engines-0"].set(func(up *fakeUpstream) { up.breakAfter = 5 })
+			fl.byName["engines-1"].set(func(up *fakeUpstream) { up.breakAfter = 1 })
+		},
+		"a slow upstream's hedges lose and win": func(fl *fleet) {
+			fl.byName["encoders-0"].set(func(up *fakeUpstream) { up.slowFactor = 20 })
+			fl.byName["retrievers-2"].set(func(up *fakeUpstream) { up.slowFactor = 20 })
+		},
+	}
+	for name, fault := range faults {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, stream %t", name, stream), func(t *testing.T) {
+				withFleet(t, 1, 3, func(fl *fleet) {
+					fault(fl)
+					wrong, whole := fl.askMany(120, stream)
+					must.SliceEmpty(fl.t, wrong)
+					must.GreaterEq(fl.t, 108, whole)
+				})
+			})
+		}
+	}
+	t.Run("the check finds an upstream that answers with another request's content", func(t *testing.T) {
+		withFleet(t, 1, 3, func(fl *fleet) {
+			fl.byName["engines-0"].set(func(up *fakeUpstream) { up.lieContent = true })
+			wrong, _ := fl.askMany(120, false)
+			must.SliceNotEmpty(fl.t, wrong)
+		})
+	})
+}
+
+func TestKilledInstance(t *testing.T) {
+	withFleet(t, 2, 3, func(fl *fleet) {
+		victim := fl.live()[0]
+		got := make(chan reply, 1)
+		go func() {
+			asked := draft("cut")
+			asked.body.Stream = true
+			got <- fl.ask(victim, asked)
+		}()
+		time.Sleep(60 * time.Millisecond)
+		victim.kill()
+		must.True(fl.t, (<-got).Cut)
+		answered(fl.t, "again", fl.ask(fl.live()[0], draft("again")))
+	})
+}
--- a/runner/judge.go
+++ b/runner/judge.go
@@ -35,7 +35,7 @@
 		failure := sr.refusal(answer.UpstreamFailed, minRetryAfter, "the upstream could not be reached")
 		return judgement{result: result{failure, true}, verdict: dispatch.Failed, name: "NotSent", detail: ended.Cause, load: -1}
 	case upstream.Refused:
-		return sr.judgeRefusal(id, ended)
+		return sr.judgeRefusal(id, up, ended)
 	case upstream.Broken:
 		return sr.judgeBroken(ctx, id, up, ended)
 	case upstream.Rejected:
@@ -63,6 +63,7 @@
 	verdict := judgement{verdict: dispatch.Succeeded, name: "Replied", payload: reply.Payload, waited: reply.Waited, load: reply.Load}
 	if reply.Leaving {
 		verdict.verdict = dispatch.Leaving
+		sr.runner.Leavings.UpstreamSaysLeaving(up)
 	}
 	rejection := sr.ledger.Accept(reply.Identity)
 	if rejection == attempt.Accepted && reply.Identity == id {
@@ -81,10 +82,11 @@
 
 // judgeRefusal handles an upstream that has no room or is leaving. A plain service's word that it did not
 // act is only taken if it says so in the protocol's own terms.
-func (sr *stageRun) judgeRefusal(id attempt.Identity, refused upstream.Refused) judgement {
+func (sr *stageRun) judgeRefusal(id attempt.Identity, up *document.Upstream, refused upstream.Refused) judgement {
 	verdict := judgement{verdict: dispatch.Busy, name: "Refused", load: refused.Load}
 	if refused.Leaving {
 		verdict.verdict, verdict.name = dispatch.Leaving, "Leaving"
+		sr.runner.Leavings.UpstreamSaysLeaving(up)
 	}
 	if !sr.request.Pipeline.Idempotent && !refused.NotRun {
 		sr.ledger.End(id)
--- a/runner/request.go
+++ b/runner/request.go
@@ -58,6 +58,11 @@
 
 func (Denied) permit() {}
 
+// Leavings is told which upstreams say that they are leaving.
+type Leavings interface {
+	UpstreamSaysLeaving(up *document.Upstream)
+}
+
 // Guard decides which contents may run after crashes.
 type Guard interface {
 	Permit(ctx context.Context, fingerprint digest.Sum) Permit
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -23,6 +23,7 @@
 	Caller        Caller
 	Pools         Pools
 	Guard         Guard
+	Leavings      Leavings
 	Events        *timeline.Ring
 	Chance        *entropy.Source
 	lastID        atomic.Uint64
