Prove documents, orders, poison, separation and platform outages over fakes

Causes found and mended, each by a test that first failed: - an accepted edit was not in force until the next poll of the platform, and never if the platform went down before; the instance that accepted it now installs and passes it on (within 2 s on 8 instances, 5% of messages lost); - one wrong value of a rank brought a second, spurious fault; - a failure domain that was cut off sent calls to upstreams it could not reach, since chance differences of service times outweighed the distance, and used up its retries on them. Own upstreams now go first until others are clearly quicker, and an upstream that takes no connection is ejected at once.

--- a/choice/candidate.go
+++ b/choice/candidate.go
@@ -65,6 +65,9 @@
 	smoothing = 0.2
 	// domainPenalty is the added time of a call into another failure domain.
 	domainPenalty = float64(2 * time.Millisecond)
+	// spillShare is the part of the pool's mean service time that an upstream of another failure domain must
+	// be quicker by; it keeps chance differences from sending calls over links that may be cut.
+	spillShare = 0.5
 	// failuresToEject is how many calls in a row must fail before an upstream is ejected.
 	failuresToEject = 3
 	// firstEjection is the length of a first ejection; it doubles with each further one.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -94,6 +94,15 @@
 	return true
 }
 
+// Unreachable notes that an upstream took no connection, and ejects it at once. Any number may be ejected
+// for this: they were not reached at all, so that sending them work can't be of use.
+func (ch *Chooser) Unreachable(now time.Time, cd *Candidate) {
+	at := since(ch.base, now)
+	if !cd.ejectedAt(at) {
+		cd.eject(at)
+	}
+}
+
 // Pick returns the best upstream with room, or nil when there is none.
 func (ch *Chooser) Pick(now time.Time, wish *Wish) *Candidate {
 	count := len(ch.candidates)
@@ -160,7 +169,7 @@
 	load := (float64(cd.InFlight) + cd.othersNow(now)) / float64(cd.Slots)
 	score := service * (1 + load) * cd.ramp(now)
 	if cd.FailureDomain != wish.FailureDomain {
-		score += domainPenalty
+		score += domainPenalty + spillShare*ch.mean
 	}
 	return score - prefillShare*service*cd.hitChance(now, wish.Prefix)
 }
--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -53,10 +53,11 @@
 // Verdict says how a call ended, as far as the upstream is concerned.
 type Verdict int
 
-// The verdicts: an answer, no answer, no room at the upstream, given up by this side, or taken back unsent.
+// The verdicts: an answer, no answer, no connection, no room, given up by this side, or the upstream is leaving.
 const (
 	Succeeded Verdict = iota
 	Failed
+	Unreachable
 	Busy
 	Cancelled
 	Leaving
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -195,6 +195,8 @@
 		cd.Report(now, cd.Slots)
 	case Failed:
 		ds.chooser.Failed(now, cd)
+	case Unreachable:
+		ds.chooser.Unreachable(now, cd)
 	case Cancelled:
 		cd.Slow(now, result.Elapsed)
 	case Leaving:
--- a/document/parse.go
+++ b/document/parse.go
@@ -46,6 +46,7 @@
 	team    string
 	section section.Section
 	message proto.Message
+	faulty  bool
 }
 
 // parser collects sections first and links them afterwards, since teams refer to each other.
@@ -119,7 +120,9 @@
 		ps.fault(bd, "", "", "a name that team "+other.team+" does not already use")
 		return
 	}
-	ps.faults = append(ps.faults, sc.Bind(team, bd.message)...)
+	faults := sc.Bind(team, bd.message)
+	ps.faults = append(ps.faults, faults...)
+	bd.faulty = len(faults) > 0
 	ps.bound[id] = bd
 	ps.order = append(ps.order, id)
 }
@@ -167,7 +170,7 @@
 func (ps *parser) linkRank(name string, bd bound) {
 	message, _ := bd.message.(*parts.Rank)
 	for _, other := range ps.document.Ranks {
-		if other.Precedence == message.GetPrecedence() {
+		if other.Precedence == message.GetPrecedence() && !bd.faulty {
 			ps.fault(bd, "Precedence", "", "a value that rank "+other.Name+" does not already use")
 		}
 	}
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -29,9 +29,11 @@
 	outcome()
 }
 
-// Accepted says that the edit is part of the document from the revision on.
+// Accepted says that the edit is part of the document from the revision on. Text is the document of that
+// revision, unless the edit was found to have been accepted before.
 type Accepted struct {
 	Revision int64
+	Text     *document.Text
 }
 
 func (Accepted) outcome() {}
@@ -281,7 +283,7 @@
 	}
 	switch ended := ed.store.Commit(ctx, ed.transaction(edit, sn, next)).(type) {
 	case table.Committed:
-		return Accepted{Revision: next.Revision}, false
+		return Accepted{Revision: next.Revision, Text: &next}, false
 	case table.Conflict:
 		return Unavailable{}, true
 	case table.Unknown:
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -25,6 +25,7 @@
 	Status(ctx context.Context) Status
 	Ready() (bool, string)
 	LeaveUpstream(ctx context.Context, name string) (stored bool, err error)
+	DocumentFetched(text document.Text)
 	Stop()
 }
 
@@ -232,6 +233,9 @@
 	outcome := hd.Editor.Put(request.Context(), editor.Edit{
 		ID: edit.EditID, Team: team, Expected: edit.Expected, Text: edit.Text, Author: edit.Author,
 	})
+	if accepted, isAccepted := outcome.(editor.Accepted); isAccepted && accepted.Text != nil {
+		hd.Instance.DocumentFetched(*accepted.Text)
+	}
 	status, result := resultOf(outcome)
 	replyStatus(writer, status, result)
 }
--- a/promise/fakes_test.go
+++ b/promise/fakes_test.go
@@ -162,6 +162,7 @@
 type fakeUpstream struct {
 	mu          sync.Mutex
 	name        string
+	domain      string
 	kind        document.Kind
 	service     time.Duration
 	down        bool
@@ -206,6 +207,10 @@
 		pause(ctx, time.Millisecond)
 		return upstream.NotSent{Cause: "fake: no route"}
 	}
+	if cl.node.fleet.isCut(cl.node.domain, up.domain) {
+		pause(ctx, 500*time.Millisecond)
+		return upstream.NotSent{Cause: "fake: no answer to the connection"}
+	}
 	cl.node.holdWhileFrozen()
 	return up.do(ctx, call, cl.all.chance)
 }
--- a/promise/fleet_test.go
+++ b/promise/fleet_test.go
@@ -229,10 +229,7 @@
 		return nil
 	}
 	to := nodes[number]
-	pl.fleet.mu.Lock()
-	cut := pl.fleet.cut[[2]string{pl.from.domain, to.domain}]
-	pl.fleet.mu.Unlock()
-	if cut || to.dead.Load() || pl.from.dead.Load() {
+	if pl.fleet.isCut(pl.from.domain, to.domain) || to.dead.Load() || pl.from.dead.Load() {
 		return nil
 	}
 	to.holdWhileFrozen()
@@ -241,9 +238,13 @@
 }
 
 func (pl peerLink) back(to *node) bool {
-	pl.fleet.mu.Lock()
-	defer pl.fleet.mu.Unlock()
-	return !pl.fleet.cut[[2]string{to.domain, pl.from.domain}]
+	return !pl.fleet.isCut(to.domain, pl.from.domain)
+}
+
+func (fl *fleet) isCut(from, to string) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.cut[[2]string{from, to}]
 }
 
 func (pl peerLink) Exchange(ctx context.Context, in *wire.Heartbeat, _ ...grpc.CallOption) (*wire.Heartbeat, error) {
@@ -303,7 +304,7 @@
 		upName, address := fmt.Sprintf("%s-%d", name, at), fmt.Sprintf("10.1.%d.%d:1", len(fl.upstreams.byAddress)/200, len(fl.upstreams.byAddress)%200)
 		fmt.Fprintf(text, "[Upstream %s]\nPool = %s\nAddress = %s\nFailureDomain = %s\nSlots = %d\n", upName, name, address, domains[at%len(domains)], slots)
 		up := &fakeUpstream{
-			name: upName, kind: kind, service: service, ids: map[string]bool{}, effects: map[string]int{},
+			name: upName, domain: domains[at%len(domains)], kind: kind, service: service, ids: map[string]bool{}, effects: map[string]int{},
 			running: map[*upstream.Call]chan struct{}{}, checksFence: at%2 == 0, revive: 10 * time.Second,
 		}
 		if kind == document.Engine {
--- a/runner/judge.go
+++ b/runner/judge.go
@@ -33,7 +33,7 @@
 	case upstream.NotSent:
 		sr.ledger.NotSent(id)
 		failure := sr.refusal(answer.UpstreamFailed, minRetryAfter, "the upstream could not be reached")
-		return judgement{result: result{failure, true}, verdict: dispatch.Failed, name: "NotSent", detail: ended.Cause, load: -1}
+		return judgement{result: result{failure, true}, verdict: dispatch.Unreachable, name: "NotSent", detail: ended.Cause, load: -1}
 	case upstream.Refused:
 		return sr.judgeRefusal(id, up, ended)
 	case upstream.Broken:
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -33,6 +33,8 @@
 	maxReply = 8 << 20
 	// maxIdlePerUpstream is how many connections to one upstream are kept.
 	maxIdlePerUpstream = 64
+	// dialTimeout is how long an upstream has to take a connection; one that is cut off takes none.
+	dialTimeout = 500 * time.Millisecond
 	// probeTimeout is how long an upstream that broke off has to take a connection.
 	probeTimeout = 200 * time.Millisecond
 )
@@ -46,7 +48,7 @@
 
 // New returns a client whose connections come from the machine's network.
 func New() *Client {
-	dialer := &net.Dialer{Timeout: 2 * time.Second}
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	shared := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerUpstream, DisableCompression: true}
 	// A call that must not run twice gets a connection of its own: net/http may send a request again on a
 	// new connection when a kept one turns out to be stale, which RFC 9110, section 9.2.2, allows only for
