--- /dev/null
+++ b/document/document_test.go
@@ -0,0 +1,84 @@
+package document_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/digest"
+	"github.com/turmericdoor/turmericdoor/document"
+)
+
+const ranks = "[Rank Urgent]\nPrecedence = 0\nDeadlineMs = 4000\n"
+
+var organisation = "[Organisation guild]\nKeyDigests = " + digest.OfKey("guild-key").String() + "\n"
+
+const models = `[Pool engines]
+Kind = Engine
+StageMs = 100
+[Upstream e1]
+Pool = engines
+Address = 127.0.0.1:1
+FailureDomain = a
+[Stage generate]
+Pool = engines
+[Pipeline draft]
+Stages = generate
+`
+
+func parse(texts ...string) (*document.Document, string) {
+	whole := document.Text{Revision: 1}
+	for at, text := range texts {
+		whole = whole.With(document.TeamText{Team: string(rune('a' + at)), Revision: 1, Text: text})
+	}
+	parsed, faults := document.Parse(whole)
+	lines := []string{}
+	for _, fault := range faults {
+		lines = append(lines, fault.String())
+	}
+	return parsed, strings.Join(lines, "\n")
+}
+
+func TestParse(t *testing.T) {
+	t.Run("sections of several teams make one document", func(t *testing.T) {
+		parsed, faults := parse(ranks+organisation, models)
+		must.Eq(t, "", faults)
+		must.Eq(t, "e1", parsed.Pipelines["draft"].Stages[0].Pool.Upstreams[0].Name)
+		found, known := parsed.OrganisationByKey("guild-key")
+		must.True(t, known)
+		must.Eq(t, "guild", found.Name)
+		_, known = parsed.OrganisationByKey("other-key")
+		must.False(t, known)
+	})
+	cases := map[string]struct{ text, fault string }{
+		"a cycle of stages":                 {strings.Replace(models, "Stages = generate", "Stages = generate, generate", 1), "a repeated stage makes a cycle"},
+		"a dangling stage":                  {strings.Replace(models, "Stages = generate", "Stages = nowhere", 1), `b:11: [Pipeline draft] Stages = "nowhere": expected the name of a [Stage] section`},
+		"a dangling pool":                   {models + "[Stage other]\nPool = nowhere\n", `[Stage other] Pool = "nowhere"`},
+		"a pool without upstreams":          {models + "[Pool empty]\nKind = Encoder\n[Stage s]\nPool = empty\n[Pipeline p]\nStages = s\n", "has at least one upstream"},
+		"a deadline that no stage can meet": {strings.Replace(models, "StageMs = 100", "StageMs = 9000", 1), "stages of at most 4s together"},
+		"another team's keys":               {models + "[Team a]\n", "a team may only state its own keys"},
+		"another team's name":               {models + ranks, "a name that team a does not already use"},
+		"an address twice":                  {models + "[Upstream e2]\nPool = engines\nAddress = 127.0.0.1:1\nFailureDomain = a\n", "an address that upstream e1 does not already use"},
+		"a chain that may not run twice":    {models + "[Stage two]\nPool = engines\n[Pipeline p]\nStages = generate, two\nIdempotent = false\n", "a single stage"},
+		"an unknown kind":                   {models + "[Colour red]\n", "expected a kind of section"},
+		"a service without a path":          {models + "[Pool s]\nKind = Service\n", "the path of the call"},
+		"floors over the whole":             {models + "[Rank B]\nPrecedence = 1\nDeadlineMs = 1\nFloorPercent = 60\n[Rank C]\nPrecedence = 2\nDeadlineMs = 1\nFloorPercent = 60\n", "floors of at most 90 percent"},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, faults := parse(ranks+organisation, one.text)
+			must.StrContains(t, faults, one.fault)
+		})
+	}
+}
+
+// FuzzParse looks for text that stops the reader.
+func FuzzParse(f *testing.F) {
+	f.Add(ranks + organisation + models)
+	f.Add("[Pool p]\nKind = Engine\n[Stage s]\nPool = p\n[Pipeline q]\nStages = s,,\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		parsed, _ := document.Parse(document.Text{Revision: 1, Teams: []document.TeamText{{Team: "t", Text: text}}})
+		must.NotNil(t, parsed)
+	})
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -90,14 +90,11 @@
 	return nil
 }
 
-// noticeTime is how long a balancer has to see that the instance is no longer ready.
-const noticeTime = 2 * time.Second
-
 // shutdown ends the service without cutting off what is in flight, however long that takes.
 func (in *Instance) shutdown() {
 	in.core.Notice()
 	in.caller.SetKeepAlivesEnabled(false)
-	_ = in.timers.Sleep(context.Background(), noticeTime)
+	_ = in.timers.Sleep(context.Background(), milliseconds(in.settings.GetInstance().GetNoticeMs()))
 	// Shutdown closes the listener and idle connections, and waits for the others without a limit.
 	_ = in.caller.Shutdown(context.Background())
 	in.core.Finish()
--- /dev/null
+++ b/instance/instance_test.go
@@ -0,0 +1,216 @@
+package instance_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/answer"
+	"github.com/turmericdoor/turmericdoor/emulator"
+	"github.com/turmericdoor/turmericdoor/operator"
+)
+
+func plain(*cluster) {}
+
+// rollingRestart replaces every instance in turn under load and returns what failed.
+func rollingRestart(cl *cluster, end func(one *running)) *balancer {
+	bl := &balancer{cl: cl, ready: cl.ready()}
+	ctx, cancel := context.WithCancel(context.Background())
+	watched, loaded := make(chan struct{}), make(chan struct{})
+	go func() { defer close(watched); bl.watch(ctx) }()
+	go func() { defer close(loaded); bl.load(ctx) }()
+	for _, one := range append([]*running{}, cl.members...) {
+		before := len(cl.ready())
+		end(one)
+		cl.start()
+		cl.eventually("the replacement is ready", func() bool { return len(cl.ready()) >= before })
+	}
+	cancel()
+	<-watched
+	<-loaded
+	return bl
+}
+
+func (bl *balancer) load(ctx context.Context) {
+	group := sync.WaitGroup{}
+	for ctx.Err() == nil {
+		group.Go(bl.send)
+		time.Sleep(10 * time.Millisecond)
+	}
+	group.Wait()
+}
+
+func TestGracefulStop(t *testing.T) {
+	t.Run("a rolling restart under load fails no request", func(t *testing.T) {
+		withCluster(t, 3, plain, func(cl *cluster) {
+			bl := rollingRestart(cl, func(one *running) {
+				one.stop()
+				must.NoError(t, <-one.done)
+				one.done <- nil
+			})
+			must.SliceEmpty(t, bl.fails)
+			must.Positive(t, bl.whole)
+		})
+	})
+	t.Run("the check finds instances that give their balancer no notice", func(t *testing.T) {
+		hasty := func(cl *cluster) { cl.noticeMs, cl.watching = 0, 200*time.Millisecond }
+		withCluster(t, 3, hasty, func(cl *cluster) {
+			bl := rollingRestart(cl, func(one *running) {
+				one.stop()
+				must.NoError(t, <-one.done)
+				one.done <- nil
+			})
+			must.SliceNotEmpty(t, bl.fails)
+		})
+	})
+	t.Run("a stream that is longer than the notice is finished", func(t *testing.T) {
+		withCluster(t, 1, plain, func(cl *cluster) {
+			for _, one := range cl.standins {
+				one.SetFaults(emulator.Faults{SlowMs: 20})
+			}
+			answered := make(chan string, 1)
+			go func() {
+				_, got, err := cl.post(cl.members[0], "draft-commission", "kumasi-guild-key", `{"Rank":"Background","Input":"long"}`)
+				answered <- fmt.Sprint(got.Outcome, err)
+			}()
+			cl.eventually("the request is in flight", func() bool {
+				return cl.standins["drafting-1"].Calls()+cl.standins["drafting-2"].Calls()+cl.standins["drafting-3"].Calls() > 0
+			})
+			cl.members[0].stop()
+			must.Eq(t, "Answered<nil>", <-answered)
+		})
+	})
+	t.Run("an operator's stop ends the instance", func(t *testing.T) {
+		withCluster(t, 1, plain, func(cl *cluster) {
+			must.NoError(t, cl.operate(cl.members[0], http.MethodPost, "/v1/stop", "fleet-key", nil, &struct{}{}))
+			must.NoError(t, <-cl.members[0].done)
+			cl.members[0].done <- nil
+		})
+	})
+}
+
+// TestBadInput sends what callers get wrong; each is refused unrun, with a code of its own.
+func TestBadInput(t *testing.T) {
+	withCluster(t, 1, plain, func(cl *cluster) {
+		cases := map[string]struct {
+			pipeline, key, body string
+			status              int
+			code                answer.Code
+		}{
+			"a wrong key":              {"draft-commission", "nope", `{}`, 401, answer.UnknownKey},
+			"malformed JSON":           {"draft-commission", "kumasi-guild-key", `{"Rank":`, 400, answer.BadRequest},
+			"an unknown field":         {"draft-commission", "kumasi-guild-key", `{"Colour":1}`, 400, answer.BadRequest},
+			"two values":               {"draft-commission", "kumasi-guild-key", `{} {}`, 400, answer.BadRequest},
+			"a missing rank":           {"draft-commission", "kumasi-guild-key", `{"Input":"a"}`, 400, answer.UnknownRank},
+			"no such pipeline":         {"nowhere", "kumasi-guild-key", `{"Rank":"Urgent","Input":"a"}`, 404, answer.UnknownPipeline},
+			"a past deadline":          {"draft-commission", "kumasi-guild-key", `{"Rank":"Urgent","Input":"a","DeadlineMs":-1}`, 400, answer.DeadlinePassed},
+			"an impossible deadline":   {"draft-commission", "kumasi-guild-key", `{"Rank":"Urgent","Input":"a","DeadlineMs":1}`, 504, answer.TooLate},
+			"an input that is no text": {"draft-commission", "kumasi-guild-key", `{"Rank":"Urgent","Input":1}`, 400, answer.BadRequest},
+			"no idempotency key":       {"record-deposit", "kumasi-guild-key", `{"Rank":"Urgent","Input":1}`, 400, answer.KeyMissing},
+			"an odd request id":        {"draft-commission", "kumasi-guild-key", `{"Rank":"Urgent","Input":"a","RequestId":"a b"}`, 400, answer.BadRequest},
+			"a body that is too large": {"draft-commission", "kumasi-guild-key", `{"Rank":"Urgent","Input":"` + strings.Repeat("a", 1<<17) + `"}`, 413, answer.BodyTooLarge},
+		}
+		for name, one := range cases {
+			t.Run(name, func(t *testing.T) {
+				status, got, err := cl.post(cl.members[0], one.pipeline, one.key, one.body)
+				must.NoError(t, err)
+				must.Eq(t, one.status, status)
+				must.Eq(t, answer.NotRun, got.Outcome)
+				must.Eq(t, one.code, got.Error.Code)
+				must.NotEq(t, "", got.Error.Message)
+			})
+		}
+	})
+}
+
+func TestUpstreamFaults(t *testing.T) {
+	withCluster(t, 1, plain, func(cl *cluster) {
+		ask := func() (int, answer.Outcome) {
+			status, got, err := cl.post(cl.members[0], "draft-commission", "kumasi-guild-key", `{"Rank":"Urgent","Input":"a dial"}`)
+			must.NoError(t, err)
+			return status, got.Outcome
+		}
+		faults := map[string]emulator.Faults{
+			"garbage": {Garbage: true}, "answers cut short": {CutShort: true}, "another call's answers": {AnswerOther: true},
+		}
+		for name, fault := range faults {
+			t.Run(name+" from every encoder is a failure and no answer", func(t *testing.T) {
+				ask()
+				for _, encoder := range []string{"encoder-1", "encoder-2", "encoder-3"} {
+					cl.standins[encoder].SetFaults(fault)
+				}
+				_, outcome := ask()
+				must.Eq(t, answer.Failed, outcome)
+				for _, encoder := range []string{"encoder-1", "encoder-2", "encoder-3"} {
+					cl.standins[encoder].SetFaults(emulator.Faults{})
+				}
+				cl.eventually("answers come again", func() bool { _, outcome := ask(); return outcome == answer.Answered })
+			})
+		}
+	})
+}
+
+// TestSlowReader opens a connection that never sends a whole request: it is closed after the read timeout.
+func TestSlowReader(t *testing.T) {
+	withCluster(t, 1, func(cl *cluster) { cl.readLimit = 100 }, func(cl *cluster) {
+		connection, err := net.Dial("tcp", cl.members[0].settings.GetInstance().GetCallerAddress())
+		must.NoError(t, err)
+		defer connection.Close()
+		_, err = connection.Write([]byte("POST /v1/pipelines/x HTTP/1.1\r\nHost: a\r\n"))
+		must.NoError(t, err)
+		buffer := make([]byte, 512)
+		for err == nil {
+			_, err = connection.Read(buffer)
+		}
+		must.Error(t, err)
+	})
+}
+
+func TestOperators(t *testing.T) {
+	withCluster(t, 2, plain, func(cl *cluster) {
+		t.Run("a team edits its own sections only", func(t *testing.T) {
+			failure := operator.Failure{}
+			must.NoError(t, cl.operate(cl.members[0], http.MethodPut, "/v1/document/teams/platform", "models-team-key", operator.Edit{EditID: "x"}, &failure))
+			must.Eq(t, "NotYourSection", failure.Code)
+			result := operator.EditResult{}
+			must.NoError(t, cl.operate(cl.members[0], http.MethodPut, "/v1/document/teams/models", "models-team-key", operator.Edit{EditID: "y", Expected: 99}, &result))
+			must.Eq(t, "Conflict", result.Outcome)
+		})
+		t.Run("an unknown key sees nothing", func(t *testing.T) {
+			for _, path := range []string{"/v1/status", "/v1/document", "/v1/timeline", "/v1/document/history"} {
+				failure := operator.Failure{}
+				must.NoError(t, cl.operate(cl.members[0], http.MethodGet, path, "nope", nil, &failure))
+				must.Eq(t, "UnknownKey", failure.Code)
+			}
+		})
+		t.Run("a team's key does not stop an instance", func(t *testing.T) {
+			failure := operator.Failure{}
+			must.NoError(t, cl.operate(cl.members[0], http.MethodPost, "/v1/stop", "models-team-key", nil, &failure))
+			must.Eq(t, "UnknownKey", failure.Code)
+		})
+		t.Run("the time line has the events of a request in order of cause", func(t *testing.T) {
+			_, _, err := cl.post(cl.members[1], "draft-commission", "kumasi-guild-key", `{"Rank":"Urgent","Input":"a","RequestId":"one"}`)
+			must.NoError(t, err)
+			line := operator.TimelineReply{}
+			must.NoError(t, cl.operate(cl.members[0], http.MethodGet, "/v1/timeline?RequestId=one", "fleet-key", nil, &line))
+			must.Len(t, 10, line.Events)
+			must.SliceEmpty(t, line.Silent)
+			must.StrContains(t, string(line.Events[0]), "EventRequestArrived")
+			must.StrContains(t, string(line.Events[9]), "EventRequestEnded")
+		})
+		t.Run("an instance names the members and the revision they have", func(t *testing.T) {
+			cl.eventually("both are alive", func() bool {
+				status := operator.Status{}
+				must.NoError(t, cl.operate(cl.members[0], http.MethodGet, "/v1/status", "fleet-key", nil, &status))
+				return len(status.Members) == 2 && status.Members[1].Revision == 3
+			})
+		})
+	})
+}
--- a/promise/fakes_test.go
+++ b/promise/fakes_test.go
@@ -180,7 +180,6 @@
 	ids         map[string]bool
 	effects     map[string]int
 	arrivals    []time.Time
-	starts      map[string][]time.Time
 	state       order.State
 	fence       int64
 	checksFence bool
