--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,10 @@
 
 clean:
 	rm -rf $(BUILD)
+
+# A long randomised run: make soak SEED=7 STEPS=8000; the same seed gives the same run.
+SEED ?= 7
+STEPS ?= 8000
+soak:
+	@echo "seed $(SEED) steps $(STEPS)"
+	go test -count=1 -timeout 1h ./promise -run 'TestSoak$$' -v -seed $(SEED) -steps $(STEPS)
--- a/promise/document_test.go
+++ b/promise/document_test.go
@@ -18,6 +18,7 @@
 	fl       *fleet
 	team     string
 	accepted []string
+	turn     chan struct{}
 }
 
 // edit makes one change from the text as it is and reports the outcome, repeating an undecided one.
--- a/promise/fakes_test.go
+++ b/promise/fakes_test.go
@@ -185,6 +185,7 @@
 	checksFence bool
 	accepted    []int64
 	crashes     int
+	crashedOn   map[string]int
 	running     map[*upstream.Call]chan struct{}
 }
 
@@ -227,6 +228,7 @@
 	fu.arrivals = append(fu.arrivals, time.Now())
 	key := contentOf(call)
 	if fu.crashOn != "" && strings.Contains(key, fu.crashOn) {
+		fu.crashedOn[key]++
 		fu.crash()
 		fu.mu.Unlock()
 		return upstream.Broken{Cause: "fake: died", Died: true}
@@ -306,14 +308,14 @@
 	case fu.actThenDie:
 		return upstream.Broken{Cause: "fake: closed after acting"}
 	case call.Kind == document.Engine:
-		return fu.stream(call, answered, identity)
+		return fu.stream(call, answered)
 	default:
 		return upstream.Replied{Identity: identity, Payload: computed(answered), Load: int64(len(fu.running)) - 1}
 	}
 }
 
 // stream sends an engine's tokens, breaking off once for each request if that fault is on.
-func (fu *fakeUpstream) stream(call, answered *upstream.Call, identity any) upstream.Outcome {
+func (fu *fakeUpstream) stream(call, answered *upstream.Call) upstream.Outcome {
 	payload := computed(answered)
 	had := len(call.Payload.Tokens)
 	last := len(payload.Tokens)
--- a/promise/fleet_test.go
+++ b/promise/fleet_test.go
@@ -14,16 +14,12 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"google.golang.org/grpc"
 
-	"github.com/turmericdoor/turmericdoor/answer"
-	"github.com/turmericdoor/turmericdoor/caller"
 	"github.com/turmericdoor/turmericdoor/core"
 	"github.com/turmericdoor/turmericdoor/digest"
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/operator"
-	"github.com/turmericdoor/turmericdoor/peer"
 	"github.com/turmericdoor/turmericdoor/schema/settings"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timer"
@@ -42,6 +38,7 @@
 	end              context.CancelFunc
 	dead             atomic.Bool
 	frozen           atomic.Pointer[chan struct{}]
+	wasFrozen        atomic.Bool
 	cutFromPlatform  atomic.Bool
 	cutFromUpstreams atomic.Bool
 }
@@ -56,6 +53,7 @@
 func (nd *node) freeze() {
 	thawed := make(chan struct{})
 	nd.frozen.Store(&thawed)
+	nd.wasFrozen.Store(true)
 }
 
 func (nd *node) thaw() {
@@ -147,6 +145,14 @@
 	return lowest
 }
 
+func (fl *fleet) newestRevision() int64 {
+	newest := int64(0)
+	for _, nd := range fl.live() {
+		newest = max(newest, nd.core.Revision())
+	}
+	return newest
+}
+
 // eventually waits in fake time and fails the test if the condition never holds.
 func (fl *fleet) eventually(within time.Duration, what string, holds func() bool) time.Duration {
 	fl.t.Helper()
@@ -203,100 +209,6 @@
 	nd.core.Kill()
 }
 
-// peerLink carries calls from one node to another through the fleet's faults.
-type peerLink struct {
-	fleet *fleet
-	from  *node
-	to    string
-}
-
-func (fl *fleet) dialer(from *node) peer.Dialer {
-	return func(address string) (peer.Link, error) { return peerLink{fleet: fl, from: from, to: address}, nil }
-}
-
-func (peerLink) Close() error { return nil }
-
-// reach waits for the way to the other node and returns it, or nil if the message is lost.
-func (pl peerLink) reach(ctx context.Context) *node {
-	number := 0
-	_, _ = fmt.Sscanf(pl.to, "10.0.0.%d:1", &number)
-	nodes := pl.fleet.all()
-	pl.fleet.mu.Lock()
-	lost := pl.fleet.loss > 0 && pl.fleet.chance.Below(100) < pl.fleet.loss
-	delay := time.Millisecond + pl.fleet.chance.Within(time.Millisecond)
-	pl.fleet.mu.Unlock()
-	if !pause(ctx, delay) || number >= len(nodes) || lost {
-		return nil
-	}
-	to := nodes[number]
-	if pl.fleet.isCut(pl.from.domain, to.domain) || to.dead.Load() || pl.from.dead.Load() {
-		return nil
-	}
-	to.holdWhileFrozen()
-	pl.from.holdWhileFrozen()
-	return to
-}
-
-func (pl peerLink) back(to *node) bool {
-	return !pl.fleet.isCut(to.domain, pl.from.domain)
-}
-
-func (fl *fleet) isCut(from, to string) bool {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	return fl.cut[[2]string{from, to}]
-}
-
-func (pl peerLink) Exchange(ctx context.Context, in *wire.Heartbeat, _ ...grpc.CallOption) (*wire.Heartbeat, error) {
-	to := pl.reach(ctx)
-	if to == nil {
-		return nil, context.DeadlineExceeded
-	}
-	reply, err := to.core.Peer().Exchange(ctx, in)
-	if !pl.back(to) {
-		return nil, context.DeadlineExceeded
-	}
-	return reply, err
-}
-
-func (pl peerLink) FetchDocument(ctx context.Context, in *wire.FetchDocumentRequest, _ ...grpc.CallOption) (*wire.FetchDocumentReply, error) {
-	to := pl.reach(ctx)
-	if to == nil || !pl.back(to) {
-		return nil, context.DeadlineExceeded
-	}
-	reply, err := to.core.Peer().FetchDocument(ctx, in)
-	pl.fleet.keepDocument(reply.GetDocument())
-	if old := pl.fleet.oldDocument(); old != nil {
-		reply.Document = old
-	}
-	return reply, err
-}
-
-func (fl *fleet) keepDocument(text *wire.DocumentText) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	if text != nil {
-		fl.documents = append(fl.documents, text)
-	}
-}
-
-func (fl *fleet) oldDocument() *wire.DocumentText {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	if len(fl.documents) == 0 || fl.chance.Below(100) >= fl.stale {
-		return nil
-	}
-	return fl.documents[fl.chance.Below(len(fl.documents))]
-}
-
-func (pl peerLink) FetchEvents(ctx context.Context, in *wire.FetchEventsRequest, _ ...grpc.CallOption) (*wire.FetchEventsReply, error) {
-	to := pl.reach(ctx)
-	if to == nil || !pl.back(to) {
-		return nil, context.DeadlineExceeded
-	}
-	return to.core.Peer().FetchEvents(ctx, in)
-}
-
 // addPool writes a pool's sections and makes its upstreams, one in each failure domain in turn.
 func (fl *fleet) addPool(text *strings.Builder, name string, kind document.Kind, count, slots int, service time.Duration, extra string) {
 	fmt.Fprintf(text, "[Pool %s]\nKind = %s\nStageMs = %d\n%s\n", name, kind, max(service.Milliseconds(), 1), extra)
@@ -305,7 +217,8 @@
 		fmt.Fprintf(text, "[Upstream %s]\nPool = %s\nAddress = %s\nFailureDomain = %s\nSlots = %d\n", upName, name, address, domains[at%len(domains)], slots)
 		up := &fakeUpstream{
 			name: upName, domain: domains[at%len(domains)], kind: kind, service: service, ids: map[string]bool{}, effects: map[string]int{},
-			running: map[*upstream.Call]chan struct{}{}, checksFence: at%2 == 0, revive: 10 * time.Second,
+			crashedOn: map[string]int{},
+			running:   map[*upstream.Call]chan struct{}{}, checksFence: at%2 == 0, revive: 10 * time.Second,
 		}
 		if kind == document.Engine {
 			fmt.Fprintf(text, "Model = base\nChecksFence = %t\n", up.checksFence)
@@ -366,156 +279,3 @@
 	nd.operators.ServeHTTP(recorder, request)
 	_ = json.Unmarshal(recorder.Body.Bytes(), result)
 }
-
-// ask sends a caller's request to a node and waits for its answer; Cut says that the node died meanwhile.
-type ask struct {
-	pipeline     string
-	organisation string
-	body         caller.RequestBody
-}
-
-// reply is what the caller saw.
-type reply struct {
-	caller.AnswerBody
-	Cut    bool
-	Tokens []string
-}
-
-func draft(query string) ask {
-	input, _ := json.Marshal(query)
-	return ask{pipeline: "draft", organisation: "guild", body: caller.RequestBody{Rank: "Urgent", Input: input}}
-}
-
-func deposit(key, content string) ask {
-	input, _ := json.Marshal(content)
-	return ask{pipeline: "deposit", organisation: "guild", body: caller.RequestBody{Rank: "Urgent", Input: input, IdempotencyKey: key}}
-}
-
-func (fl *fleet) ask(nd *node, asked ask) reply {
-	encoded, _ := json.Marshal(asked.body)
-	request := httptest.NewRequestWithContext(nd.lifetime, http.MethodPost, "/v1/pipelines/"+asked.pipeline, strings.NewReader(string(encoded)))
-	request.Header.Set("Authorization", "Bearer "+keyOf(asked.organisation))
-	recorder := httptest.NewRecorder()
-	nd.callers.ServeHTTP(recorder, request)
-	if nd.dead.Load() {
-		return reply{Cut: true}
-	}
-	return read(recorder, asked.body.Stream)
-}
-
-// read understands an answer or a stream of events.
-func read(recorder *httptest.ResponseRecorder, stream bool) reply {
-	got := reply{}
-	if !stream || !strings.HasPrefix(recorder.Header().Get("Content-Type"), "text/event-stream") {
-		got.Cut = json.Unmarshal(recorder.Body.Bytes(), &got.AnswerBody) != nil
-		return got
-	}
-	got.Cut = true
-	for _, event := range strings.Split(recorder.Body.String(), "\n\n") {
-		name, data, _ := strings.Cut(strings.TrimPrefix(event, "event: "), "\ndata: ")
-		switch name {
-		case "Token":
-			token := caller.TokenBody{}
-			_ = json.Unmarshal([]byte(data), &token)
-			got.Tokens = append(got.Tokens, token.Text)
-		case "End":
-			got.Cut = json.Unmarshal([]byte(data), &got.AnswerBody) != nil
-		}
-	}
-	return got
-}
-
-// wanted is the whole answer to a draft.
-func wanted(query string) string {
-	payload := upstream.Payload{Query: query}
-	for _, call := range []upstream.Call{
-		{Kind: document.Encoder},
-		{Kind: document.Retriever, Candidates: 6},
-		{Kind: document.Reranker, Candidates: 3},
-		{Kind: document.Engine, MaxTokens: 12},
-	} {
-		call.Payload = payload
-		payload = computed(&call)
-	}
-	return strings.Join(payload.Tokens, "")
-}
-
-// textOf is the text of an answered draft.
-func textOf(got reply) string {
-	output := struct{ Text string }{}
-	_ = json.Unmarshal(got.Output, &output)
-	return output.Text
-}
-
-// effects counts how often a content was carried out by all back ends of a pool.
-func (fl *fleet) effects(content string) int {
-	encoded, _ := json.Marshal(content)
-	total := 0
-	for _, up := range fl.byName {
-		up.mu.Lock()
-		total += up.effects[string(encoded)]
-		up.mu.Unlock()
-	}
-	return total
-}
-
-// pool returns the back ends of a pool.
-func (fl *fleet) pool(name string) []*fakeUpstream {
-	list := []*fakeUpstream{}
-	for at := 0; fl.byName[fmt.Sprintf("%s-%d", name, at)] != nil; at++ {
-		list = append(list, fl.byName[fmt.Sprintf("%s-%d", name, at)])
-	}
-	return list
-}
-
-// set changes a back end under its lock.
-func (fu *fakeUpstream) set(change func(fu *fakeUpstream)) {
-	fu.mu.Lock()
-	defer fu.mu.Unlock()
-	change(fu)
-}
-
-// setTable changes the table service under its lock.
-func (fl *fleet) setTable(change func(ft *fakeTable)) {
-	fl.table.mu.Lock()
-	defer fl.table.mu.Unlock()
-	change(fl.table)
-}
-
-// cutDomains stops messages between failure domains, both ways or one way.
-func (fl *fleet) cutDomains(from, to string, bothWays bool) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	fl.cut[[2]string{from, to}] = true
-	if bothWays {
-		fl.cut[[2]string{to, from}] = true
-	}
-}
-
-func (fl *fleet) heal() {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	fl.cut = map[[2]string]bool{}
-}
-
-// answered fails the test unless the reply is the whole answer to the query.
-func answered(t *testing.T, query string, got reply) {
-	t.Helper()
-	must.Eq(t, answer.Answered, got.Outcome, must.Sprintf("%+v", got.Error))
-	must.Eq(t, wanted(query), textOf(got))
-}
-
-// text returns a team's text as the platform holds it.
-func (fl *fleet) text(team string) document.TeamText {
-	whole := document.Text{}
-	fl.operate(fl.live()[0], http.MethodGet, "/v1/document", nil, &whole)
-	found, _ := whole.Team(team)
-	return found
-}
-
-// raiseIncarnation has an operator bring back an upstream that had left.
-func (fl *fleet) raiseIncarnation(name string) {
-	team := fl.text("models")
-	text := strings.Replace(team.Text, "[Upstream "+name+"]\n", "[Upstream "+name+"]\nIncarnation = 2\n", 1)
-	must.Eq(fl.t, "Accepted", fl.put(fl.live()[0], "models", team.Revision, text, "raise-"+name).Outcome)
-}
--- a/promise/leaving_test.go
+++ b/promise/leaving_test.go
@@ -94,6 +94,10 @@
 			})
 		})
 	}
+}
+
+func TestLeavingForGood(t *testing.T) {
+	up := func(fl *fleet) *fakeUpstream { return fl.byName["engines-2"] }
 	t.Run("an instance that starts later and meets no peer learns it from the platform", func(t *testing.T) {
 		withFleet(t, 11, 3, func(fl *fleet) {
 			began := time.Now()
--- /dev/null
+++ b/promise/link_test.go
@@ -0,0 +1,105 @@
+package promise
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/peer"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"google.golang.org/grpc"
+)
+
+// peerLink carries calls from one node to another through the fleet's faults.
+type peerLink struct {
+	fleet *fleet
+	from  *node
+	to    string
+}
+
+func (fl *fleet) dialer(from *node) peer.Dialer {
+	return func(address string) (peer.Link, error) { return peerLink{fleet: fl, from: from, to: address}, nil }
+}
+
+func (peerLink) Close() error { return nil }
+
+// reach waits for the way to the other node and returns it, or nil if the message is lost.
+func (pl peerLink) reach(ctx context.Context) *node {
+	number := 0
+	_, _ = fmt.Sscanf(pl.to, "10.0.0.%d:1", &number)
+	nodes := pl.fleet.all()
+	pl.fleet.mu.Lock()
+	lost := pl.fleet.loss > 0 && pl.fleet.chance.Below(100) < pl.fleet.loss
+	delay := time.Millisecond + pl.fleet.chance.Within(time.Millisecond)
+	pl.fleet.mu.Unlock()
+	if !pause(ctx, delay) || number >= len(nodes) || lost {
+		return nil
+	}
+	to := nodes[number]
+	if pl.fleet.isCut(pl.from.domain, to.domain) || to.dead.Load() || pl.from.dead.Load() {
+		return nil
+	}
+	to.holdWhileFrozen()
+	pl.from.holdWhileFrozen()
+	return to
+}
+
+func (pl peerLink) back(to *node) bool {
+	return !pl.fleet.isCut(to.domain, pl.from.domain)
+}
+
+func (fl *fleet) isCut(from, to string) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.cut[[2]string{from, to}]
+}
+
+func (pl peerLink) Exchange(ctx context.Context, in *wire.Heartbeat, _ ...grpc.CallOption) (*wire.Heartbeat, error) {
+	to := pl.reach(ctx)
+	if to == nil {
+		return nil, context.DeadlineExceeded
+	}
+	reply, err := to.core.Peer().Exchange(ctx, in)
+	if !pl.back(to) {
+		return nil, context.DeadlineExceeded
+	}
+	return reply, err
+}
+
+func (pl peerLink) FetchDocument(ctx context.Context, in *wire.FetchDocumentRequest, _ ...grpc.CallOption) (*wire.FetchDocumentReply, error) {
+	to := pl.reach(ctx)
+	if to == nil || !pl.back(to) {
+		return nil, context.DeadlineExceeded
+	}
+	reply, err := to.core.Peer().FetchDocument(ctx, in)
+	pl.fleet.keepDocument(reply.GetDocument())
+	if old := pl.fleet.oldDocument(); old != nil {
+		reply.Document = old
+	}
+	return reply, err
+}
+
+func (fl *fleet) keepDocument(text *wire.DocumentText) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if text != nil {
+		fl.documents = append(fl.documents, text)
+	}
+}
+
+func (fl *fleet) oldDocument() *wire.DocumentText {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if len(fl.documents) == 0 || fl.chance.Below(100) >= fl.stale {
+		return nil
+	}
+	return fl.documents[fl.chance.Below(len(fl.documents))]
+}
+
+func (pl peerLink) FetchEvents(ctx context.Context, in *wire.FetchEventsRequest, _ ...grpc.CallOption) (*wire.FetchEventsReply, error) {
+	to := pl.reach(ctx)
+	if to == nil || !pl.back(to) {
+		return nil, context.DeadlineExceeded
+	}
+	return to.core.Peer().FetchEvents(ctx, in)
+}
--- a/promise/poison_test.go
+++ b/promise/poison_test.go
@@ -70,6 +70,9 @@
 			}
 		})
 	})
+}
+
+func TestPoisonKnown(t *testing.T) {
 	t.Run("an upstream that is leaving says nothing about what it ran", func(t *testing.T) {
 		withFleet(t, 43, 3, func(fl *fleet) {
 			fl.poisonEngines()
