--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,15 @@
 clean:
 	rm -rf $(BUILD)
 
+# The policy's figures over fakes with fake time: docs/figures.md and its plots.
+figures: build
+	$(BUILD)/experiment experiments 5 docs/figures.md
+
+# The points behind the slopes of docs/CAPACITY.md: over fakes, and with 60 real processes on loopback.
+capacity: build
+	go test -count=1 -timeout 30m ./promise -run 'TestCapacityFigures$$' -v -figures | grep -E 'size [0-9]'
+	scripts/many-processes 60 30
+
 # A long randomised run: make soak SEED=7 STEPS=8000; the same seed gives the same run.
 SEED ?= 7
 STEPS ?= 8000
--- /dev/null
+++ b/cmd/experiment/main.go
@@ -0,0 +1,26 @@
+// Command experiment runs every scenario of a folder on both users' documents and writes the report.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/turmericdoor/turmericdoor/experiment"
+)
+
+func main() {
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: experiment SCENARIOS-FOLDER SEEDS REPORT.md")
+		os.Exit(2)
+	}
+	seeds, err := strconv.Atoi(os.Args[2])
+	if err != nil || seeds < 1 {
+		fmt.Fprintln(os.Stderr, "SEEDS must be a whole number of at least 1")
+		os.Exit(2)
+	}
+	if err := experiment.Write(os.Args[1], "examples", seeds, os.Args[3]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/core/core.go
+++ b/core/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,8 @@
 	poolsMu    sync.Mutex
 	live       atomic.Int64
 	up         atomic.Bool
+	registered time.Time
+	looks      int
 	stop       chan struct{}
 	stopOnce   sync.Once
 	lifetime   context.Context
@@ -103,7 +106,7 @@
 		Timers: cr.timers, FailureDomain: cr.settings.GetInstance().GetFailureDomain(), Caller: parts.Caller, Pools: cr, Leavings: cr,
 		Events: cr.events, Chance: cr.chance.Fork("runner"), Guard: &guard.Guard{
 			Reports: cr.peer, Store: cr.store, Timers: cr.timers, Events: cr.events, Chance: cr.chance.Fork("guard"),
-			Instance: id, CallTimeout: callTimeout,
+			Instance: id, CallTimeout: callTimeout, Background: cr.start,
 		},
 	}
 	cr.gauges()
@@ -154,11 +157,21 @@
 func (cr *Core) start(run func(context.Context, chan<- struct{})) {
 	done := make(chan struct{})
 	cr.partsMu.Lock()
-	cr.ends = append(cr.ends, done)
+	cr.ends = append(slices.DeleteFunc(cr.ends, ended), done)
 	cr.partsMu.Unlock()
 	go run(cr.lifetime, done)
 }
 
+// ended reports whether a part has reported its end.
+func ended(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
 // await returns once every part has reported its end.
 func (cr *Core) await() {
 	cr.partsMu.Lock()
--- a/core/document.go
+++ b/core/document.go
@@ -146,6 +146,8 @@
 		cr.DocumentFetched(text)
 	}
 	cr.readListing(ctx)
+	cr.register(ctx)
+	cr.discover(ctx)
 	return true
 }
 
--- /dev/null
+++ b/experiment/plot.go
@@ -0,0 +1,44 @@
+package experiment
+
+import (
+	"os"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// plotScenario draws the answers in time each second, for the first user and the first seed.
+func plotScenario(path string, scenario *Scenario, rows []*row) error {
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	chart := plot.New()
+	chart.Title.Text = scenario.Config.GetTitle() + ", asante"
+	chart.X.Label.Text = "second"
+	chart.Y.Label.Text = "answers in time a second"
+	chart.Y.Min = 0
+	lines := []any{}
+	for _, one := range rows {
+		if one.scenario == scenario && one.user.name == "asante" {
+			lines = append(lines, one.policy.Name(), one.points())
+		}
+	}
+	if err := plotutil.AddLines(chart, lines...); err != nil {
+		return err
+	}
+	chart.Legend.Top = true
+	return chart.Save(14*vg.Centimeter, 8*vg.Centimeter, path)
+}
+
+func (rw *row) points() plotter.XYs {
+	points := plotter.XYs{}
+	for second, answers := range rw.results[0].PerSecond() {
+		if float64(second) < rw.results[0].seconds {
+			points = append(points, plotter.XY{X: float64(second), Y: answers})
+		}
+	}
+	return points
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -33,6 +33,8 @@
 	Chance      *entropy.Source
 	Instance    string
 	CallTimeout time.Duration
+	// Background runs work that an answer does not wait for; done is closed at its end.
+	Background func(run func(ctx context.Context, done chan<- struct{}))
 }
 
 // record is the row of a suspect content: who tries it, and whether it is condemned.
@@ -100,12 +102,20 @@
 	return committed
 }
 
-// end writes how a trial ended. If that fails, others wait until the trial's row is old.
+// end notes how a trial ended, here at once and for the others in the background.
 func (gd *Guard) end(fingerprint digest.Sum, passed bool) {
 	if passed {
 		gd.Reports.Passed(fingerprint)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), gd.CallTimeout)
+	gd.Background(func(ctx context.Context, done chan<- struct{}) {
+		defer close(done)
+		gd.writeEnd(ctx, fingerprint)
+	})
+}
+
+// writeEnd writes how a trial ended. If that fails, others wait until the trial's row is old.
+func (gd *Guard) writeEnd(ctx context.Context, fingerprint digest.Sum) {
+	ctx, cancel := context.WithTimeout(ctx, gd.CallTimeout)
 	defer cancel()
 	key := prefix + fingerprint.String()
 	rows, read := gd.Store.Read(ctx, key).(table.Rows)
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -83,6 +83,11 @@
 	}
 }
 
+// Introduce exchanges all that is known with an address that may be an instance's.
+func (pr *Peer) Introduce(ctx context.Context, address string) {
+	pr.send(context.WithoutCancel(ctx), address, "", true)
+}
+
 // beatLost tries a member that is gone, or a seed: a cut may have healed.
 func (pr *Peer) beatLost(ctx context.Context) {
 	pr.mu.Lock()
--- a/promise/domain_test.go
+++ b/promise/domain_test.go
@@ -132,3 +132,15 @@
 		must.SliceEmpty(fl.t, lg.check())
 	})
 }
+
+// TestSeedsReplaced starts an instance whose seeds are all gone: it finds the others by the platform.
+func TestSeedsReplaced(t *testing.T) {
+	withFleet(t, 52, 6, func(fl *fleet) {
+		for _, nd := range fl.all()[:3] {
+			nd.kill()
+		}
+		time.Sleep(5 * time.Minute)
+		fresh := fl.startNode()
+		fl.eventually(30*time.Second, "the new instance knows the others", func() bool { return len(fresh.core.Peer().Live()) == 4 })
+	})
+}
--- a/promise/fakes_test.go
+++ b/promise/fakes_test.go
@@ -22,7 +22,6 @@
 // fakeTable is the table service with its faults. Chances are in percent.
 type fakeTable struct {
 	mu       sync.Mutex
-	chance   *entropy.Source
 	rows     map[string]table.Row
 	versions int64
 	down     bool
@@ -36,8 +35,8 @@
 	reads, commits   int
 }
 
-func newFakeTable(chance *entropy.Source) *fakeTable {
-	return &fakeTable{chance: chance, rows: map[string]table.Row{}}
+func newFakeTable() *fakeTable {
+	return &fakeTable{rows: map[string]table.Row{}}
 }
 
 func (ft *fakeTable) get(pick func(key string) bool) []table.Row {
@@ -84,12 +83,12 @@
 	down, lose, isLate bool
 }
 
-func (ft *fakeTable) fate() fate {
+func (ft *fakeTable) fate(chance *entropy.Source) fate {
 	ft.mu.Lock()
 	defer ft.mu.Unlock()
 	return fate{
-		delay: ft.slow + time.Millisecond + ft.chance.Within(time.Millisecond), down: ft.down,
-		lose: ft.chance.Below(100) < ft.loseAnswer, isLate: ft.chance.Below(100) < ft.landLate,
+		delay: ft.slow + time.Millisecond + chance.Within(time.Millisecond), down: ft.down,
+		lose: chance.Below(100) < ft.loseAnswer, isLate: chance.Below(100) < ft.landLate,
 	}
 }
 
@@ -100,7 +99,7 @@
 }
 
 func (tl tableLink) call(ctx context.Context) (fate, bool) {
-	drawn := tl.table.fate()
+	drawn := tl.table.fate(tl.node.chance)
 	if drawn.down || tl.node.cutFromPlatform.Load() || tl.node.dead.Load() {
 		pause(ctx, time.Millisecond)
 		return drawn, false
@@ -192,7 +191,6 @@
 // fakeUpstreams are all back ends, by address.
 type fakeUpstreams struct {
 	byAddress map[string]*fakeUpstream
-	chance    *entropy.Source
 }
 
 // callerLink is the back ends as one node reaches them.
@@ -212,10 +210,10 @@
 		return upstream.NotSent{Cause: "fake: no answer to the connection"}
 	}
 	cl.node.holdWhileFrozen()
-	return up.do(ctx, call, cl.all.chance)
+	return up.do(ctx, call)
 }
 
-func (fu *fakeUpstream) do(ctx context.Context, call *upstream.Call, chance *entropy.Source) upstream.Outcome {
+func (fu *fakeUpstream) do(ctx context.Context, call *upstream.Call) upstream.Outcome {
 	fu.mu.Lock()
 	if fu.down {
 		fu.mu.Unlock()
@@ -235,7 +233,7 @@
 	}
 	died := make(chan struct{})
 	fu.running[call] = died
-	length := fu.service/2 + chance.Within(fu.service)
+	length := fu.service/2 + drawn(call, fu.service)
 	if fu.slowFactor > 0 {
 		length *= time.Duration(fu.slowFactor)
 	}
@@ -257,6 +255,12 @@
 	}
 }
 
+// drawn is a time of up to longest that depends on the call alone.
+func drawn(call *upstream.Call, longest time.Duration) time.Duration {
+	share := hashOf(call.Identity.RequestID, call.Identity.Stage, fmt.Sprint(call.Identity.Attempt)) % 1e6
+	return longest * time.Duration(share) / 1e6
+}
+
 func (fu *fakeUpstream) forget(call *upstream.Call) {
 	fu.mu.Lock()
 	defer fu.mu.Unlock()
--- a/promise/fleet_test.go
+++ b/promise/fleet_test.go
@@ -34,6 +34,7 @@
 	core             *core.Core
 	callers          http.Handler
 	operators        http.Handler
+	chance           *entropy.Source
 	lifetime         context.Context
 	end              context.CancelFunc
 	dead             atomic.Bool
@@ -50,6 +51,20 @@
 	}
 }
 
+// awaitThaw waits for the node to answer, and reports whether it does before ctx ends.
+func (nd *node) awaitThaw(ctx context.Context) bool {
+	thawed := nd.frozen.Load()
+	if thawed == nil {
+		return true
+	}
+	select {
+	case <-*thawed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (nd *node) freeze() {
 	thawed := make(chan struct{})
 	nd.frozen.Store(&thawed)
@@ -80,6 +95,7 @@
 	// stale is the chance in percent that a peer is answered with an old document.
 	stale     int
 	documents []*wire.DocumentText
+	traffic   traffic
 }
 
 const fleetKey = "fleet-key"
@@ -103,8 +119,8 @@
 func newFleet(t *testing.T, seed uint64) *fleet {
 	chance := entropy.New(seed)
 	fl := &fleet{
-		t: t, chance: chance, table: newFakeTable(chance.Fork("table")), listing: &fakeListing{},
-		upstreams: &fakeUpstreams{byAddress: map[string]*fakeUpstream{}, chance: chance.Fork("upstreams")},
+		t: t, chance: chance, table: newFakeTable(), listing: &fakeListing{},
+		upstreams: &fakeUpstreams{byAddress: map[string]*fakeUpstream{}},
 		byName:    map[string]*fakeUpstream{}, cut: map[[2]string]bool{},
 	}
 	return fl
@@ -175,6 +191,7 @@
 	fl.started++
 	fl.mu.Unlock()
 	nd := &node{fleet: fl, id: fmt.Sprintf("n%d", number), domain: domains[number%len(domains)]}
+	nd.chance = fl.chance.Fork("fakes of " + nd.id)
 	nd.lifetime, nd.end = context.WithCancel(context.Background())
 	seeds := []string{}
 	for at := range 3 {
--- a/promise/link_test.go
+++ b/promise/link_test.go
@@ -5,20 +5,25 @@
 	"fmt"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/peer"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 )
 
 // peerLink carries calls from one node to another through the fleet's faults.
 type peerLink struct {
-	fleet *fleet
-	from  *node
-	to    string
+	fleet  *fleet
+	from   *node
+	to     string
+	chance *entropy.Source
 }
 
 func (fl *fleet) dialer(from *node) peer.Dialer {
-	return func(address string) (peer.Link, error) { return peerLink{fleet: fl, from: from, to: address}, nil }
+	return func(address string) (peer.Link, error) {
+		return peerLink{fleet: fl, from: from, to: address, chance: from.chance.Fork(address)}, nil
+	}
 }
 
 func (peerLink) Close() error { return nil }
@@ -29,8 +34,8 @@
 	_, _ = fmt.Sscanf(pl.to, "10.0.0.%d:1", &number)
 	nodes := pl.fleet.all()
 	pl.fleet.mu.Lock()
-	lost := pl.fleet.loss > 0 && pl.fleet.chance.Below(100) < pl.fleet.loss
-	delay := time.Millisecond + pl.fleet.chance.Within(time.Millisecond)
+	lost := pl.fleet.loss > 0 && pl.chance.Below(100) < pl.fleet.loss
+	delay := time.Millisecond + pl.chance.Within(time.Millisecond)
 	pl.fleet.mu.Unlock()
 	if !pause(ctx, delay) || number >= len(nodes) || lost {
 		return nil
@@ -39,8 +44,11 @@
 	if pl.fleet.isCut(pl.from.domain, to.domain) || to.dead.Load() || pl.from.dead.Load() {
 		return nil
 	}
-	to.holdWhileFrozen()
+	answers := to.awaitThaw(ctx)
 	pl.from.holdWhileFrozen()
+	if !answers {
+		return nil
+	}
 	return to
 }
 
@@ -60,6 +68,8 @@
 		return nil, context.DeadlineExceeded
 	}
 	reply, err := to.core.Peer().Exchange(ctx, in)
+	pl.fleet.count(proto.Size(in))
+	pl.fleet.count(proto.Size(reply))
 	if !pl.back(to) {
 		return nil, context.DeadlineExceeded
 	}
@@ -73,7 +83,8 @@
 	}
 	reply, err := to.core.Peer().FetchDocument(ctx, in)
 	pl.fleet.keepDocument(reply.GetDocument())
-	if old := pl.fleet.oldDocument(); old != nil {
+	pl.fleet.count(proto.Size(reply))
+	if old := pl.fleet.oldDocument(pl.chance); old != nil {
 		reply.Document = old
 	}
 	return reply, err
@@ -87,13 +98,13 @@
 	}
 }
 
-func (fl *fleet) oldDocument() *wire.DocumentText {
+func (fl *fleet) oldDocument(chance *entropy.Source) *wire.DocumentText {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	if len(fl.documents) == 0 || fl.chance.Below(100) >= fl.stale {
+	if len(fl.documents) == 0 || chance.Below(100) >= fl.stale {
 		return nil
 	}
-	return fl.documents[fl.chance.Below(len(fl.documents))]
+	return fl.documents[chance.Below(len(fl.documents))]
 }
 
 func (pl peerLink) FetchEvents(ctx context.Context, in *wire.FetchEventsRequest, _ ...grpc.CallOption) (*wire.FetchEventsReply, error) {
--- a/promise/poison_test.go
+++ b/promise/poison_test.go
@@ -85,6 +85,20 @@
 			must.Eq(fl.t, 0, fl.crashes())
 		})
 	})
+	t.Run("an answer does not wait until the end of its trial is written", func(t *testing.T) {
+		withFleet(t, 46, 3, func(fl *fleet) {
+			fl.poisonEngines()
+			fl.setTable(func(ft *fakeTable) { ft.slow = 600 * time.Millisecond })
+			began := time.Now()
+			go func() {
+				fl.eventually(time.Second, "an engine crashes", func() bool { return fl.crashes() == 1 })
+				each(fl.pool("engines"), func(up *fakeUpstream) { up.crashOn = "" })
+			}()
+			answered(fl.t, "poisonous at first", fl.ask(fl.live()[0], draft("poisonous at first")))
+			// Two calls before the trial and the stages themselves, but not two more calls after it.
+			must.Less(fl.t, 2*time.Second, time.Since(began))
+		})
+	})
 	t.Run("an instance that starts later knows it", func(t *testing.T) {
 		withFleet(t, 44, 3, func(fl *fleet) {
 			fl.poisonEngines()
--- a/promise/soak_test.go
+++ b/promise/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"runtime"
 	"sort"
 	"strings"
 	"sync"
@@ -40,6 +41,7 @@
 	severed  bool
 	edits    int
 	left     int
+	sent     int
 }
 
 type activeFault struct {
@@ -59,6 +61,8 @@
 // runSoak makes a run and returns it for its counts to be read.
 func runSoak(t *testing.T, seed uint64, steps int) (run *soak) {
 	t.Helper()
+	// One processor, so that goroutines which are ready at the same fake instant take the same turns again.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	withFleet(t, seed, soakNodes, func(fl *fleet) {
 		run = &soak{
 			fl: fl, chance: fl.chance.Fork("soak"), ledger: newLedger(fl), outcomes: map[string]int{},
@@ -106,8 +110,15 @@
 	return nodes[sk.chance.Below(len(nodes))]
 }
 
+// nextID names a request, so that its draws do not depend on which of two others comes first.
+func (sk *soak) nextID() string {
+	sk.sent++
+	return fmt.Sprint("r", sk.sent)
+}
+
 // watch sends a request in the background and books its outcome and how late its answer is.
 func (sk *soak) watch(nd *node, asked ask, check func(got reply)) {
+	asked.body.RequestID = sk.nextID()
 	sk.group.Go(func() {
 		began := time.Now()
 		got := sk.fl.ask(nd, asked)
@@ -168,10 +179,13 @@
 func (sk *soak) sendPoison() {
 	content := fmt.Sprint("poison ", sk.chance.Below(1<<30))
 	sk.poisons[content] = true
+	first := sk.chance.Below(soakNodes)
 	sk.group.Go(func() {
-		for range 8 {
+		for at := range 8 {
+			nodes := sk.fl.live()
 			asked := draft(content)
-			sk.fl.ask(sk.node(), asked)
+			asked.body.RequestID = fmt.Sprint(content[len("poison "):], "-", at)
+			sk.fl.ask(nodes[(first+at)%len(nodes)], asked)
 			time.Sleep(time.Second)
 		}
 	})
@@ -244,7 +258,7 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			run := runSoak(t, seed, *soakSteps)
 			t.Logf("seed %d steps %d: %s", seed, *soakSteps, run.summary())
-			must.SliceEmpty(t, run.wrong)
+			must.SliceEmpty(t, run.wrong, must.Sprint(strings.Join(run.wrong, "\n")))
 		})
 	}
 }
--- a/runner/stage.go
+++ b/runner/stage.go
@@ -62,7 +62,7 @@
 		if !sr.pool.MayRetry() {
 			return failure
 		}
-		delay := retry.Delay(sr.runner.Chance, sr.failures)
+		delay := retry.Delay(sr.runner.Chance.Fork(sr.request.ID+config.Name), sr.failures)
 		if sr.runner.Timers.Now().Add(delay).After(sr.request.Deadline) || sr.runner.Timers.Sleep(ctx, delay) != nil {
 			return failure
 		}
