--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,10 @@
 clean:
 	rm -rf $(BUILD)
 
+# The whole system on loopback, in under a minute.
+demo: build
+	scripts/demo
+
 # The policy's figures over fakes with fake time: docs/figures.md and its plots.
 figures: build
 	$(BUILD)/experiment experiments 5 docs/figures.md
--- /dev/null
+++ b/command/ask.go
@@ -0,0 +1,84 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/turmericdoor/turmericdoor/answer"
+	"github.com/turmericdoor/turmericdoor/caller"
+)
+
+func askFlags(op *options, sub *flaggy.Subcommand) {
+	remoteFlags(op, sub)
+	sub.String(&op.pipeline, "p", "pipeline", "Pipeline to call")
+	sub.String(&op.rank, "n", "rank", "Rank of the request")
+	sub.String(&op.input, "i", "input", "Input: text, or JSON with --raw")
+	sub.Bool(&op.raw, "w", "raw", "The input is JSON, as plain services take it")
+	sub.String(&op.idempotencyKey, "d", "idempotency-key", "Key that a non-idempotent pipeline needs")
+	sub.String(&op.request, "r", "request", "Id of the request; drawn at random if empty")
+	sub.Bool(&op.stream, "s", "stream", "Print the answer as it is generated")
+}
+
+// ask sends a caller's request to the caller address of an instance and prints its answer.
+func (tb *Table) ask() error {
+	input := json.RawMessage(tb.options.input)
+	if !tb.options.raw {
+		input, _ = json.Marshal(tb.options.input)
+	}
+	encoded, err := json.Marshal(caller.RequestBody{
+		RequestID: tb.options.request, Rank: tb.options.rank, Input: input,
+		IdempotencyKey: tb.options.idempotencyKey, Stream: tb.options.stream,
+	})
+	if err != nil {
+		return coded(ExitBadInput, "--input is not JSON: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(tb.options.timeoutMs)*time.Millisecond)
+	defer cancel()
+	path := tb.base() + "/v1/pipelines/" + url.PathEscape(tb.options.pipeline)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, path, bytes.NewReader(encoded))
+	if err != nil {
+		return coded(ExitBadInput, "bad address %q", tb.options.address)
+	}
+	request.Header.Set("Authorization", "Bearer "+tb.options.key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return coded(ExitUnreachable, "instance %s can't be reached: %v", tb.options.address, err)
+	}
+	defer response.Body.Close()
+	return tb.printAnswer(response)
+}
+
+// printAnswer copies the answer and turns its outcome into an exit code.
+func (tb *Table) printAnswer(response *http.Response) error {
+	if tb.options.stream && response.StatusCode == http.StatusOK {
+		_, err := io.Copy(tb.out, response.Body)
+		return err
+	}
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return coded(ExitUnreachable, "answer cut short: %v", err)
+	}
+	fmt.Fprintln(tb.out, string(raw))
+	got := caller.AnswerBody{}
+	if json.Unmarshal(raw, &got) != nil {
+		return coded(ExitFailed, "answer is not JSON")
+	}
+	switch got.Outcome {
+	case answer.Answered:
+		return nil
+	case answer.NotRun:
+		return coded(ExitRefused, "not run: %s", got.Error.Code)
+	case answer.Unknown:
+		return coded(ExitUndecided, "not known whether it ran: %s", got.Error.Code)
+	default:
+		return coded(ExitFailed, "failed: %s", got.Error.Code)
+	}
+}
--- a/command/table.go
+++ b/command/table.go
@@ -33,24 +33,30 @@
 
 // options are the flags of all commands; each command states those it has.
 type options struct {
-	settings     string
-	address      string
-	key          string
-	team         string
-	file         string
-	editID       string
-	author       string
-	upstream     string
-	request      string
-	organisation string
-	kind         string
-	expected     int64
-	revision     int64
-	limit        int64
-	timeoutMs    int64
-	wait         bool
-	json         bool
-	directory    string
+	settings       string
+	address        string
+	key            string
+	team           string
+	file           string
+	editID         string
+	author         string
+	upstream       string
+	request        string
+	organisation   string
+	kind           string
+	expected       int64
+	revision       int64
+	limit          int64
+	timeoutMs      int64
+	wait           bool
+	json           bool
+	directory      string
+	pipeline       string
+	rank           string
+	input          string
+	raw            bool
+	idempotencyKey string
+	stream         bool
 }
 
 // entry is one command.
@@ -92,6 +98,7 @@
 			{name: "reference", help: "Print the reference of all settings and document sections", run: (*Table).reference},
 		}},
 		{name: "document", alias: "doc", help: "Work on the shared document", children: documentCommands()},
+		{name: "ask", help: "Send a request as a caller and print its answer; --address is a caller address", flags: askFlags, run: (*Table).ask},
 		{name: "leave", help: "Take an upstream out of use on all instances", flags: leaveFlags, run: (*Table).leave},
 		{name: "stop", help: "Stop an instance gracefully", flags: remoteFlags, run: (*Table).stop},
 		{name: "status", alias: "st", help: "Show an instance, its members and its pools", flags: remoteFlags, run: (*Table).status},
--- /dev/null
+++ b/load/plan.go
@@ -0,0 +1,44 @@
+package load
+
+import (
+	"os"
+
+	"github.com/turmericdoor/turmericdoor/configuration"
+	"github.com/turmericdoor/turmericdoor/schema/plan"
+	"github.com/turmericdoor/turmericdoor/section"
+)
+
+// stream is one kind of request with its name in reports.
+type stream struct {
+	name   string
+	config *plan.Stream
+}
+
+// readPlan reads a load file; the error lists every fault.
+func readPlan(path string) (*plan.Load, []stream, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	sections, faults := section.Read(path, string(text))
+	config, streams := &plan.Load{}, []stream{}
+	for _, sc := range sections {
+		switch sc.Kind {
+		case "Load":
+			faults = append(faults, sc.Bind(path, config)...)
+		case "Stream":
+			one := stream{name: sc.Name, config: &plan.Stream{}}
+			faults = append(faults, sc.Bind(path, one.config)...)
+			streams = append(streams, one)
+		default:
+			faults = append(faults, section.Fault{Source: path, Line: sc.Line, Section: sc.Title(), Expected: "Load or Stream NAME"})
+		}
+	}
+	if len(streams) == 0 {
+		faults = append(faults, section.Fault{Source: path, Line: 1, Expected: "at least one section [Stream NAME]"})
+	}
+	if len(faults) > 0 {
+		return nil, nil, configuration.FaultsError{Faults: faults}
+	}
+	return config, streams, nil
+}
