--- a/experiment/result.go
+++ b/experiment/result.go
@@ -38,7 +38,6 @@
 	retries   int
 	seconds   float64
 	capacity  float64
-	usefulEnd float64
 }
 
 func newResult() *Result {
