--- /dev/null
+++ b/layers_test.go
@@ -0,0 +1,98 @@
+// Package turmericdoor holds the tests of the module as a whole.
+package turmericdoor
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const module = "github.com/turmericdoor/turmericdoor/"
+
+// ground packages know nothing of the others; core packages decide and do no I/O; all others are outside.
+var (
+	ground = []string{"timer", "hlc", "invariant", "digest", "entropy", "timeline", "section", "schema"}
+	core   = []string{
+		"answer", "document", "share", "limit", "choice", "retry", "dispatch", "admission", "attempt", "claim", "lease",
+		"order", "quarantine", "member", "news", "revision", "drain", "table",
+	}
+)
+
+func layer(path string) int {
+	first, _, _ := strings.Cut(path, "/")
+	for _, name := range ground {
+		if first == name {
+			return 0
+		}
+	}
+	for _, name := range core {
+		if first == name {
+			return 1
+		}
+	}
+	return 2
+}
+
+// forbidden are packages that a core package has no use for.
+var forbidden = []string{"net", "net/http", "os", "sync/atomic"}
+
+// imports returns the paths that a file imports.
+func imports(t *testing.T, path string) []string {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+	must.NoError(t, err)
+	list := []string{}
+	for _, one := range file.Imports {
+		unquoted, err := strconv.Unquote(one.Path.Value)
+		must.NoError(t, err)
+		list = append(list, unquoted)
+	}
+	return list
+}
+
+// eachFile visits the module's own files outside tests.
+func eachFile(t *testing.T, visit func(path string)) {
+	t.Helper()
+	must.NoError(t, filepath.WalkDir(".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && (path == "build" || path == "tools" || strings.HasPrefix(path, ".") && path != ".") {
+			return filepath.SkipDir
+		}
+		if strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
+			visit(path)
+		}
+		return nil
+	}))
+}
+
+func TestImportsPointOneWay(t *testing.T) {
+	eachFile(t, func(path string) {
+		own := layer(filepath.ToSlash(path))
+		for _, imported := range imports(t, path) {
+			inside, isOurs := strings.CutPrefix(imported, module)
+			if isOurs {
+				must.LessEq(t, own, layer(inside), must.Sprintf("%s imports %s", path, inside))
+			}
+		}
+	})
+}
+
+func TestCoreDoesNoIO(t *testing.T) {
+	allowed := map[string]bool{"revision/revision.go": true, "drain/drain.go": true}
+	eachFile(t, func(path string) {
+		if layer(filepath.ToSlash(path)) != 1 || allowed[filepath.ToSlash(path)] {
+			return
+		}
+		for _, imported := range imports(t, path) {
+			must.SliceNotContains(t, forbidden, imported, must.Sprint(path))
+		}
+	})
+}
