--- a/Makefile
+++ b/Makefile
@@ -66,3 +66,12 @@
 soak:
 	@echo "seed $(SEED) steps $(STEPS)"
 	go test -count=1 -timeout 1h ./promise -run 'TestSoak$$' -v -seed $(SEED) -steps $(STEPS)
+
+# Each reader of outside bytes against random input, for FUZZTIME.
+FUZZTIME ?= 30s
+fuzz:
+	go test -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) ./configuration
+	go test -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) ./document
+	go test -run xxx -fuzz FuzzParseBody -fuzztime $(FUZZTIME) ./caller
+	go test -run xxx -fuzz FuzzReply -fuzztime $(FUZZTIME) ./upstream
+	go test -run xxx -fuzz FuzzJudge -fuzztime $(FUZZTIME) ./claim
--- /dev/null
+++ b/caller/body_test.go
@@ -0,0 +1,20 @@
+package caller_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/caller"
+)
+
+// FuzzParseBody looks for a body that stops the reader, or that is neither read nor refused.
+func FuzzParseBody(f *testing.F) {
+	f.Add([]byte(`{"Rank":"Urgent","Input":"a"}`))
+	f.Add([]byte(`{"Input":{"a":[1,2,{"b":null}]},"DeadlineMs":-1}`))
+	f.Add([]byte("{}{}"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		body, refusal := caller.ParseBody(raw)
+		must.True(t, (body == nil) == (refusal.Code != ""))
+	})
+}
--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -10,8 +10,12 @@
 )
 
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == "scale" {
+		experiment.Scale(os.Stdout)
+		return
+	}
 	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: experiment SCENARIOS-FOLDER SEEDS REPORT.md")
+		fmt.Fprintln(os.Stderr, "usage: experiment SCENARIOS-FOLDER SEEDS REPORT.md, or experiment scale")
 		os.Exit(2)
 	}
 	seeds, err := strconv.Atoi(os.Args[2])
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -113,6 +113,8 @@
 	sd.mu.Lock()
 	defer sd.mu.Unlock()
 	if sd.server != nil {
+		// The listener is closed by itself: a server that has not begun to serve does not know it yet.
+		_ = sd.listener.Close()
 		_ = sd.server.Close()
 		sd.server = nil
 	}
--- a/experiment/door.go
+++ b/experiment/door.go
@@ -13,7 +13,7 @@
 	"github.com/turmericdoor/turmericdoor/share"
 )
 
-// Policy is how entry instances decide; Baseline and Decisions are its variants.
+// Policy is how entry instances decide; Baseline, Oracle and Decisions are its variants.
 type Policy interface {
 	// Name names the policy in reports.
 	Name() string
@@ -26,10 +26,18 @@
 // Name names the policy in reports.
 func (Baseline) Name() string { return "baseline" }
 
-// Decisions is the program's own decision packages with a way of finding limits.
+// Oracle sends each call at once to the upstream with the least work, which no instance can know.
+type Oracle struct{}
+
+// Name names the policy in reports.
+func (Oracle) Name() string { return "full knowledge" }
+
+// Decisions is the program's own decision packages with a way of finding limits. Subset, unless 0, is how many
+// upstreams of a pool each instance uses.
 type Decisions struct {
-	Title string
-	Limit limit.Policy
+	Title  string
+	Limit  limit.Policy
+	Subset int
 }
 
 // Name names the policy in reports.
@@ -70,12 +78,16 @@
 	dr := &door{world: wd, domain: domain, pools: map[string]*dispatch.Dispatcher{}, requests: map[uint64]*request{}, turn: map[string]int{}}
 	decisions, decides := wd.policy.(Decisions)
 	if !decides {
+		// Each instance begins its turns at another upstream, so that they do not all follow each other.
+		for _, stage := range wd.pipeline.Stages {
+			dr.turn[stage.Pool.Name] = wd.random.IntN(len(stage.Pool.Upstreams))
+		}
 		return dr
 	}
 	for _, stage := range wd.pipeline.Stages {
 		random := rand.New(rand.NewPCG(wd.random.Uint64(), uint64(number)))
 		pool := dispatch.New(decisions.Limit, random, maxQueue, stage.Pool.StageTime)
-		pool.Update(wd.clock(), stage.Pool, wd.document.RankOrder, nil)
+		pool.Update(wd.clock(), wd.partOf(stage.Pool, number, decisions.Subset), wd.document.RankOrder, nil)
 		dr.pools[stage.Pool.Name] = pool
 	}
 	return dr
@@ -255,6 +267,9 @@
 	ups := stage.Pool.Upstreams
 	name := ups[dr.turn[stage.Pool.Name]%len(ups)].Name
 	dr.turn[stage.Pool.Name]++
+	if _, knows := dr.world.policy.(Oracle); knows {
+		name = dr.world.leastLoaded(stage.Pool)
+	}
 	rq.call = dr.world.upstreams[name].send(0, func(outcome callOutcome) {
 		rq.call = nil
 		if rq.over || dr.dead {
@@ -317,6 +332,9 @@
 		rq.door.unreserve(rq, stage)
 	}
 	rq.door.world.result.ended(rq, outcome, rq.door.world.now)
+	if outcome == whole {
+		rq.door.world.result.latencies = append(rq.door.world.result.latencies, rq.door.world.now-rq.began)
+	}
 	if outcome != late {
 		delete(rq.door.requests, rq.id)
 	}
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"slices"
 	"time"
 )
 
@@ -36,6 +37,7 @@
 	busy      map[string]float64
 	perSecond []float64
 	retries   int
+	latencies []time.Duration
 	seconds   float64
 	capacity  float64
 }
@@ -120,5 +122,15 @@
 	return total / float64(rs.outcomes[whole])
 }
 
+// Latency is the time within which a part of the answers was given.
+func (rs *Result) Latency(part float64) time.Duration {
+	if len(rs.latencies) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(rs.latencies)
+	slices.Sort(sorted)
+	return sorted[int(part*float64(len(sorted)-1))]
+}
+
 // PerSecond is the answers given in each second of the run.
 func (rs *Result) PerSecond() []float64 { return rs.perSecond }
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -55,6 +55,7 @@
 	doors     []*door
 	requests  uint64
 	capacity  float64
+	instances int
 	result    *Result
 }
 
@@ -80,6 +81,7 @@
 	wd := &world{
 		document: parsed, pipeline: longest(parsed), scenario: scenario, policy: policy,
 		random: rand.New(rand.NewPCG(seed, 7)), upstreams: map[string]*back{}, result: newResult(),
+		instances: instances,
 	}
 	for _, name := range sortedNames(parsed.Upstreams) {
 		up := parsed.Upstreams[name]
--- a/instance/cluster_test.go
+++ b/instance/cluster_test.go
@@ -33,6 +33,7 @@
 	t         *testing.T
 	platform  *emulator.Standin
 	standins  map[string]*emulator.Standin
+	mu        sync.Mutex
 	members   []*running
 	tls       *settings.Tls
 	client    *http.Client
@@ -110,10 +111,19 @@
 	one.stop = cancel
 	in := instance.New(one.settings, log.New(io.Discard))
 	go func() { one.done <- in.Run(ctx) }()
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
 	cl.members = append(cl.members, one)
 	return one
 }
 
+// all returns the instances that were ever started.
+func (cl *cluster) all() []*running {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return append([]*running{}, cl.members...)
+}
+
 func (cl *cluster) close() {
 	for _, one := range cl.members {
 		one.stop()
@@ -141,7 +151,7 @@
 // ready returns the instances that a balancer would send requests to.
 func (cl *cluster) ready() []*running {
 	list := []*running{}
-	for _, one := range cl.members {
+	for _, one := range cl.all() {
 		response, err := cl.client.Get(cl.scheme + "://" + one.settings.GetInstance().GetOperatorAddress() + "/readyz")
 		if err != nil {
 			continue
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -26,7 +26,7 @@
 	watched, loaded := make(chan struct{}), make(chan struct{})
 	go func() { defer close(watched); bl.watch(ctx) }()
 	go func() { defer close(loaded); bl.load(ctx) }()
-	for _, one := range append([]*running{}, cl.members...) {
+	for _, one := range cl.all() {
 		before := len(cl.ready())
 		end(one)
 		cl.start()
