Take an upstream's unknown load for the pool's mean and not for nothing

Cause: reports of the other instances' load aged to zero, so that upstreams of which nothing was heard lately looked idle and were chosen by several instances at once.

--- a/choice/candidate.go
+++ b/choice/candidate.go
@@ -82,13 +82,14 @@
 	cd.reportedAt = since(cd.base, now)
 }
 
-// othersNow is the other instances' load, aged by its lag.
-func (cd *Candidate) othersNow(now instant) float64 {
+// othersNow is the other instances' load: as reported at first, and with the report's age more and more the
+// mean over the pool, since an upstream of which nothing was heard lately is no idler than the others.
+func (cd *Candidate) othersNow(now instant, mean float64) float64 {
 	age := now - cd.reportedAt
 	if age >= reportLife {
-		return 0
+		return mean
 	}
-	return float64(cd.others) * float64(reportLife-age) / float64(reportLife)
+	return mean + (float64(cd.others)-mean)*float64(reportLife-age)/float64(reportLife)
 }
 
 // Succeeded notes an answer and its service time.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,6 +20,7 @@
 	candidates []*Candidate
 	random     *rand.Rand
 	mean       float64
+	others     float64
 	base       time.Time
 }
 
@@ -68,6 +69,12 @@
 // meanSmoothing is the weight of one call in the pool's mean.
 const meanSmoothing = 0.02
 
+// Report notes the load that an upstream stated on an answer.
+func (ch *Chooser) Report(now time.Time, cd *Candidate, load int64) {
+	cd.Report(now, load)
+	ch.others += meanSmoothing * (float64(cd.others) - ch.others)
+}
+
 // Served notes an answer's service time for the upstream and for the pool.
 func (ch *Chooser) Served(now time.Time, cd *Candidate, service time.Duration) {
 	cd.Succeeded(now, service)
@@ -166,7 +173,7 @@
 // score is the expected time of a call, in nanoseconds.
 func (ch *Chooser) score(now instant, wish *Wish, cd *Candidate) float64 {
 	service := cd.expected(now, ch.mean)
-	load := (float64(cd.InFlight) + cd.othersNow(now)) / float64(cd.Slots)
+	load := (float64(cd.InFlight) + cd.othersNow(now, ch.others)) / float64(cd.Slots)
 	score := service * (1 + load) * cd.ramp(now)
 	if cd.FailureDomain != wish.FailureDomain {
 		score += domainPenalty + spillShare*ch.mean
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -180,7 +180,7 @@
 	cd.InFlight = max(cd.InFlight-1, 0)
 	cd.Exclusive = cd.Exclusive && cd.InFlight > 0
 	if result.Load >= 0 {
-		cd.Report(now, result.Load)
+		ds.chooser.Report(now, cd, result.Load)
 	}
 	sample := limit.Sample{InFlight: inFlight, Waited: result.Waited, Service: result.Elapsed - result.Waited}
 	switch result.Verdict {
--- a/experiment/back.go
+++ b/experiment/back.go
@@ -27,6 +27,7 @@
 	rank    int
 	number  int
 	seat    int
+	share   float64
 	began   time.Duration
 	started time.Duration
 	over    bool
@@ -73,10 +74,10 @@
 // refusalTime is how long a machine without the process takes to refuse a connection.
 const refusalTime = time.Millisecond
 
-// send brings a call to the upstream.
-func (up *back) send(rank int, done func(callOutcome)) *call {
+// send brings a call to the upstream; share is the part of the work that it asks for.
+func (up *back) send(rank int, share float64, done func(callOutcome)) *call {
 	up.arrived++
-	one := &call{up: up, rank: rank, number: up.arrived, seat: -1, began: up.world.now, done: done}
+	one := &call{up: up, rank: rank, number: up.arrived, seat: -1, share: share, began: up.world.now, done: done}
 	if up.dead {
 		up.world.after(refusalTime, func() { one.end(callOutcome{unreachable: true, load: -1}) })
 		return one
@@ -100,7 +101,7 @@
 	}
 	up.running[one] = true
 	one.started = up.world.now
-	length := time.Duration((0.5 + up.world.random.Float64()) * float64(up.service))
+	length := time.Duration((0.5 + up.world.random.Float64()) * one.share * float64(up.service))
 	if up.factor > 0 {
 		length = time.Duration(up.factor * float64(length))
 	}
--- a/promise/fakes_test.go
+++ b/promise/fakes_test.go
@@ -284,6 +284,13 @@
 	}
 }
 
+// arrived counts the calls so far.
+func (fu *fakeUpstream) arrived() int {
+	fu.mu.Lock()
+	defer fu.mu.Unlock()
+	return len(fu.arrivals)
+}
+
 // act counts the effect of a plain service's call.
 func (fu *fakeUpstream) act(call *upstream.Call, key string) {
 	fu.mu.Lock()
@@ -416,6 +423,12 @@
 	at time.Time
 }
 
+func (fl *fakeListing) setLag(lag time.Duration) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.lag = lag
+}
+
 func (fl *fakeListing) leave(name string, incarnation int64) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
