Give each instance a part of a large pool's upstreams

Cause: at 380 instances before 600 engines an instance sees 2 of an engine's 8 calls a minute, so that its own calls and answers say nothing about load. Pools below 64 upstreams are used whole, as today's are.

--- a/core/document.go
+++ b/core/document.go
@@ -15,6 +15,7 @@
 	"github.com/turmericdoor/turmericdoor/news"
 	"github.com/turmericdoor/turmericdoor/pool"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/subset"
 	"github.com/turmericdoor/turmericdoor/table"
 )
 
@@ -31,7 +32,7 @@
 		if after[name] == nil {
 			after[name] = cr.newPool(fresh.Pools[name])
 		}
-		after[name].Update(fresh.Pools[name], fresh.RankOrder)
+		after[name].Update(cr.partOf(fresh.Pools[name]), fresh.RankOrder)
 	}
 	cr.pools.Store(&after)
 	cr.controller.Wanted(fresh)
@@ -61,6 +62,49 @@
 	for _, each := range *cr.pools.Load() {
 		each.SetPeers(live)
 	}
+	cr.dealAgain()
+}
+
+const (
+	// subsetFrom is the size of a pool from which on each instance uses a part of it.
+	subsetFrom = 64
+	// subsetSize is about how many upstreams of its own failure domain an instance uses of such a pool.
+	subsetSize = 16
+)
+
+// partOf is the part of a pool that this instance uses.
+func (cr *Core) partOf(part *document.Pool) *document.Pool {
+	if len(part.Upstreams) < subsetFrom {
+		return part
+	}
+	instances, upstreams := []subset.Place{}, []subset.Place{}
+	for _, mb := range cr.peer.Live() {
+		instances = append(instances, subset.Place{Name: mb.ID, FailureDomain: mb.FailureDomain})
+	}
+	for _, up := range part.Upstreams {
+		upstreams = append(upstreams, subset.Place{Name: up.Name, FailureDomain: up.FailureDomain})
+	}
+	own := cr.settings.GetInstance()
+	self := subset.Place{Name: own.GetId(), FailureDomain: own.GetFailureDomain()}
+	chosen := subset.Of(self, instances, upstreams, subsetSize)
+	dealt := *part
+	dealt.Upstreams = slices.DeleteFunc(slices.Clone(part.Upstreams), func(up *document.Upstream) bool {
+		return !slices.Contains(chosen, up.Name)
+	})
+	return &dealt
+}
+
+// dealAgain brings the parts of large pools in line with the members; poolsMu is held.
+func (cr *Core) dealAgain() {
+	current := cr.holder.Current()
+	if current == nil {
+		return
+	}
+	for name, part := range current.Pools {
+		if each := (*cr.pools.Load())[name]; each != nil && len(part.Upstreams) >= subsetFrom {
+			each.Update(cr.partOf(part), current.RankOrder)
+		}
+	}
 }
 
 // UpstreamLeaving takes an upstream out of use.
--- a/document/document_test.go
+++ b/document/document_test.go
@@ -1,6 +1,7 @@
 package document_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -82,3 +83,34 @@
 		must.NotNil(t, parsed)
 	})
 }
+
+// letterSized is a document of the size that the letter gives: 600 engines, 260 organisations, 36 pipelines.
+func letterSized(engines, organisations, pipelines int) document.Text {
+	text := &strings.Builder{}
+	text.WriteString(ranks + "[Pool engines]\nKind = Engine\nStageMs = 500\n")
+	for at := range engines {
+		fmt.Fprintf(text, "[Upstream e%d]\nPool = engines\nAddress = 10.0.%d.%d:9000\nFailureDomain = d%d\nSlots = 8\nModel = base\n", at, at/250, at%250, at%4)
+	}
+	for at := range organisations {
+		fmt.Fprintf(text, "[Organisation o%d]\nKeyDigests = %s\n", at, digest.OfKey(fmt.Sprint("key ", at)))
+	}
+	for at := range pipelines {
+		fmt.Fprintf(text, "[Stage s%d]\nPool = engines\n[Pipeline p%d]\nStages = s%d\n", at, at, at)
+	}
+	return document.Text{Revision: 1, Teams: []document.TeamText{{Team: "t", Revision: 1, Text: text.String()}}}
+}
+
+func BenchmarkParse(b *testing.B) {
+	for _, size := range []struct{ engines, organisations, pipelines int }{{26, 5, 5}, {150, 65, 9}, {600, 260, 36}} {
+		b.Run(fmt.Sprintf("%d engines", size.engines), func(b *testing.B) {
+			text := letterSized(size.engines, size.organisations, size.pipelines)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, faults := document.Parse(text); len(faults) > 0 {
+					b.Fatal(faults[0])
+				}
+			}
+			b.ReportMetric(float64(len(text.Teams[0].Text)), "text-bytes")
+		})
+	}
+}
--- a/experiment/scale.go
+++ b/experiment/scale.go
@@ -8,6 +8,7 @@
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/limit"
 	"github.com/turmericdoor/turmericdoor/schema/plan"
+	"github.com/turmericdoor/turmericdoor/subset"
 )
 
 // partOf returns the part of a pool that the instance at a place uses.
@@ -15,18 +16,27 @@
 	if size == 0 || size >= len(pool.Upstreams) {
 		return pool
 	}
-	names := []string{}
+	ups, instances := []subset.Place{}, []subset.Place{}
 	for _, up := range pool.Upstreams {
-		names = append(names, up.Name)
+		ups = append(ups, subset.Place{Name: up.Name, FailureDomain: up.FailureDomain})
+	}
+	for at := range wd.instances {
+		instances = append(instances, subset.Place{Name: fmt.Sprint("i", at), FailureDomain: wd.domainOf(at)})
 	}
 	part := *pool
 	part.Upstreams = nil
-	for _, name := range subsetOf(names, place, wd.instances, size) {
+	for _, name := range subset.Of(instances[place%wd.instances], instances, ups, size) {
 		part.Upstreams = append(part.Upstreams, wd.document.Upstreams[name])
 	}
 	return &part
 }
 
+// domainOf is the failure domain of the instance at a place.
+func (wd *world) domainOf(place int) string {
+	domains := failureDomains(wd.document)
+	return domains[place%len(domains)]
+}
+
 // leastLoaded returns the live upstream with the least work.
 func (wd *world) leastLoaded(pool *document.Pool) string {
 	best := pool.Upstreams[0].Name
--- a/layers_test.go
+++ b/layers_test.go
@@ -20,7 +20,7 @@
 	ground = []string{"timer", "hlc", "invariant", "digest", "entropy", "timeline", "section", "schema"}
 	core   = []string{
 		"answer", "document", "share", "limit", "choice", "retry", "dispatch", "admission", "attempt", "claim", "lease",
-		"order", "quarantine", "member", "news", "revision", "drain", "table",
+		"order", "quarantine", "subset", "member", "news", "revision", "drain", "table",
 	}
 )
 
