Go on without a stage that may be left out; fetch only the texts that changed

A stage with Brownout = Skip is now left out when its pool can't be used or fails, and an unreachable upstream is tried again after 2 s at the latest.

A peer that fetches a document names the texts it has: an edit of one team sends that team's text only (TestFetchSendsChanges first failed without it).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -29,10 +29,11 @@
 func (Refuse) verdict() {}
 
 // Stage is what the request would meet at one stage; Droppable is the part of its service time that the
-// document allows to be left out.
+// document allows to be left out, and Skippable says that this is all of it.
 type Stage struct {
 	Estimate  dispatch.Estimate
 	Droppable time.Duration
+	Skippable bool
 }
 
 const (
@@ -46,8 +47,14 @@
 // of queues the narrowest holds back the others, so that their waits do not add up.
 func Decide(left time.Duration, stages []Stage) Verdict {
 	work, droppable, narrowest := time.Duration(0), time.Duration(0), time.Duration(0)
+	missing := false
 	for _, stage := range stages {
-		if !stage.Estimate.Usable {
+		switch {
+		case stage.Estimate.Usable:
+		case stage.Skippable:
+			missing = true
+			continue
+		default:
 			return Refuse{Reason: dispatch.NoUpstream, RetryAfter: noUpstreamRetry}
 		}
 		work += stage.Estimate.Service
@@ -57,7 +64,7 @@
 	expected := work + narrowest
 	switch {
 	case expected <= left:
-		return Admit{Expected: expected}
+		return Admit{Expected: expected, Brownout: missing}
 	case expected-droppable <= left:
 		return Admit{Expected: expected - droppable, Brownout: true}
 	case work-droppable > left:
--- a/choice/candidate.go
+++ b/choice/candidate.go
@@ -72,8 +72,10 @@
 	failuresToEject = 3
 	// firstEjection is the length of a first ejection; it doubles with each further one.
 	firstEjection = instant(time.Second)
-	// maxEjectionDoubles bounds how often the length of an ejection doubles.
+	// maxEjectionDoubles bounds how often the length of an ejection after failures doubles.
 	maxEjectionDoubles = 5
+	// maxUnreachableDoubles bounds it for upstreams that took no connection: to try one costs little.
+	maxUnreachableDoubles = 1
 )
 
 // Report notes the load that an upstream stated on an answer, less this instance's own calls.
@@ -121,8 +123,8 @@
 }
 
 // eject takes the upstream out of use for a while.
-func (cd *Candidate) eject(now instant) {
-	length := firstEjection << min(cd.ejections, maxEjectionDoubles)
+func (cd *Candidate) eject(now instant, maxDoubles int) {
+	length := firstEjection << min(cd.ejections, maxDoubles)
 	cd.ejections++
 	cd.failures = failuresToEject - 1
 	cd.ejectedTill = now + length
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -97,7 +97,7 @@
 	if float64(out) > maxEjectedShare*float64(len(ch.candidates)) {
 		return false
 	}
-	cd.eject(at)
+	cd.eject(at, maxEjectionDoubles)
 	return true
 }
 
@@ -106,7 +106,7 @@
 func (ch *Chooser) Unreachable(now time.Time, cd *Candidate) {
 	at := since(ch.base, now)
 	if !cd.ejectedAt(at) {
-		cd.eject(at)
+		cd.eject(at, maxUnreachableDoubles)
 	}
 }
 
--- a/experiment/door.go
+++ b/experiment/door.go
@@ -112,9 +112,9 @@
 	stages := []admission.Stage{}
 	for _, stage := range dr.world.pipeline.Stages {
 		estimate := dr.pools[stage.Pool.Name].Estimate(dr.world.clock(), rq.rank.Index, rq.organisation.Name, rq.organisation.Weight)
-		part := admission.Stage{Estimate: estimate, Droppable: droppable(stage, estimate.Service)}
+		part := admission.Stage{Estimate: estimate, Droppable: droppable(stage, estimate.Service), Skippable: stage.Brownout == document.Skip}
 		if dr.whole {
-			part.Droppable = 0
+			part.Droppable, part.Skippable = 0, false
 		}
 		stages = append(stages, part)
 	}
@@ -209,7 +209,7 @@
 		case dispatch.Refuse:
 			rq := dr.requests[decided.ID]
 			rq.waiting = false
-			rq.end(dropped)
+			dr.fail(rq, dropped)
 		}
 	}
 }
@@ -247,7 +247,7 @@
 	}
 	rq.avoid = append(rq.avoid, name)
 	if !decider.MayRetry() {
-		rq.end(failed)
+		dr.fail(rq, failed)
 		return
 	}
 	dr.world.result.retries++
@@ -263,6 +263,16 @@
 	return 1
 }
 
+// fail ends a request, or leaves its stage out if the document lets it.
+func (dr *door) fail(rq *request, outcome string) {
+	if dr.whole || rq.stageOf().Brownout != document.Skip || dr.world.now >= rq.deadline {
+		rq.end(outcome)
+		return
+	}
+	rq.brownout = true
+	dr.advance(rq)
+}
+
 // advance brings a request to its next stage, or to its answer.
 func (dr *door) advance(rq *request) {
 	rq.stage++
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -113,8 +113,8 @@
 // Cost is the busy seconds of all stages for each answer.
 func (rs *Result) Cost() float64 {
 	total := 0.0
-	for _, seconds := range rs.busy {
-		total += seconds
+	for _, pool := range sortedNames(rs.busy) {
+		total += rs.busy[pool]
 	}
 	if rs.outcomes[whole] == 0 {
 		return 0
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -75,12 +75,43 @@
 	return converted
 }
 
-func fromWireDocument(text *wire.DocumentText) document.Text {
+// fromWireDocument converts a document and takes the texts that were left out from the known one. It
+// reports whether all of them were there.
+func fromWireDocument(text *wire.DocumentText, known document.Text) (document.Text, bool) {
 	converted := document.Text{Revision: text.GetRevision()}
 	for _, team := range text.GetTeams() {
-		converted.Teams = append(converted.Teams, document.TeamText{
-			Team: team.GetTeam(), Revision: team.GetRevision(), Text: team.GetText(),
-		})
+		one := document.TeamText{Team: team.GetTeam(), Revision: team.GetRevision(), Text: team.GetText()}
+		if team.GetUnchanged() {
+			have, found := known.Team(one.Team)
+			if !found || have.Revision != one.Revision {
+				return document.Text{}, false
+			}
+			one = have
+		}
+		converted.Teams = append(converted.Teams, one)
 	}
-	return converted
+	return converted, true
+}
+
+// toWireKnown names the teams' revisions of a document.
+func toWireKnown(text document.Text) []*wire.TeamText {
+	known := []*wire.TeamText{}
+	for _, team := range text.Teams {
+		known = append(known, &wire.TeamText{Team: team.Team, Revision: team.Revision})
+	}
+	return known
+}
+
+// leaveOut takes the texts that the other side has out of a document.
+func leaveOut(text *wire.DocumentText, known []*wire.TeamText) *wire.DocumentText {
+	revisions := map[string]int64{}
+	for _, team := range known {
+		revisions[team.GetTeam()] = team.GetRevision()
+	}
+	for _, team := range text.GetTeams() {
+		if revision, has := revisions[team.GetTeam()]; has && revision == team.GetRevision() {
+			team.Text, team.Unchanged = "", true
+		}
+	}
+	return text
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/news"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -240,12 +241,20 @@
 		if err != nil {
 			return
 		}
-		reply, err := client.FetchDocument(limited, &wire.FetchDocumentRequest{Stamp: pr.stamp(), Above: pr.holder.Revision()})
+		known := document.Text{}
+		if current := pr.holder.Current(); current != nil {
+			known = current.Text
+		}
+		reply, err := client.FetchDocument(limited, &wire.FetchDocumentRequest{
+			Stamp: pr.stamp(), Above: known.Revision, Known: toWireKnown(known),
+		})
 		if err != nil || reply.GetDocument() == nil {
 			return
 		}
 		pr.observe(reply.GetStamp())
-		pr.listener.DocumentFetched(fromWireDocument(reply.GetDocument()))
+		if fetched, whole := fromWireDocument(reply.GetDocument(), known); whole {
+			pr.listener.DocumentFetched(fetched)
+		}
 	})
 }
 
@@ -257,7 +266,7 @@
 	pr.observe(request.GetStamp())
 	reply := &wire.FetchDocumentReply{Stamp: pr.stamp()}
 	if current := pr.holder.Current(); current != nil && current.Revision > request.GetAbove() {
-		reply.Document = toWireDocument(current.Text)
+		reply.Document = leaveOut(toWireDocument(current.Text), request.GetKnown())
 	}
 	return reply, nil
 }
--- a/promise/document_test.go
+++ b/promise/document_test.go
@@ -215,3 +215,17 @@
 		})
 	})
 }
+
+// TestFetchSendsChanges looks whether an edit of one team's text sends the other teams' texts around.
+func TestFetchSendsChanges(t *testing.T) {
+	withFleet(t, 27, 4, func(fl *fleet) {
+		team := fl.text("models")
+		fl.takeTraffic()
+		base := fl.text("base")
+		result := fl.put(fl.live()[0], "base", base.Revision, base.Text+"; small\n", "small")
+		fl.eventually(inForceWithin, "the revision is in force", func() bool { return fl.lowestRevision() >= result.Revision })
+		// Three instances fetch: sending them the unchanged text alone would take this much.
+		must.Less(fl.t, 3*len(team.Text), fl.takeTraffic().bytes)
+		must.Eq(fl.t, team.Text, fl.textFrom(fl.live()[3], "models").Text)
+	})
+}
--- a/promise/result_test.go
+++ b/promise/result_test.go
@@ -103,3 +103,23 @@
 		answered(fl.t, "again", fl.ask(fl.live()[0], draft("again")))
 	})
 }
+
+// TestBrownout has all rerankers down: a pipeline whose document lets the stage be left out is answered
+// without it, and one whose document doesn't is refused.
+func TestBrownout(t *testing.T) {
+	withFleet(t, 3, 3, func(fl *fleet) {
+		team := fl.text("models")
+		text := strings.Replace(team.Text, "[Stage rerank]\n", "[Stage optional]\nPool = rerankers\nBrownout = Skip\n[Pipeline short]\nStages = encode, retrieve, optional, generate\n[Stage rerank]\n", 1)
+		must.Eq(fl.t, "Accepted", fl.put(fl.live()[0], "models", team.Revision, text, "short").Outcome)
+		time.Sleep(time.Second)
+		each(fl.pool("rerankers"), func(up *fakeUpstream) { up.down = true })
+		for at := range 20 {
+			short := draft("short")
+			short.pipeline = "short"
+			got := fl.ask(fl.live()[at%3], short)
+			must.Eq(fl.t, answer.Answered, got.Outcome)
+			must.True(fl.t, got.Brownout)
+		}
+		must.NotEq(fl.t, answer.Answered, fl.ask(fl.live()[0], draft("whole")).Outcome)
+	})
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -48,7 +48,7 @@
 	stages := []admission.Stage{}
 	for _, stage := range request.Pipeline.Stages {
 		estimate := rn.Pools.Pool(stage.Pool.Name).Estimate(request.Rank.Index, request.Organisation.Name, request.Organisation.Weight)
-		stages = append(stages, admission.Stage{Estimate: estimate, Droppable: droppable(stage, estimate.Service)})
+		stages = append(stages, admission.Stage{Estimate: estimate, Droppable: droppable(stage, estimate.Service), Skippable: stage.Brownout == document.Skip})
 	}
 	left := request.Deadline.Sub(rn.Timers.Now())
 	switch verdict := admission.Decide(left, stages).(type) {
@@ -103,7 +103,7 @@
 		if run.skips(at) {
 			continue
 		}
-		if failure := run.stage(ctx, at, stage); failure != nil {
+		if failure := run.stage(ctx, at, stage); failure != nil && !run.goesOn(ctx, at) {
 			return run.finish(*failure)
 		}
 	}
@@ -126,6 +126,16 @@
 	return stage.Brownout == document.Skip && rr.short(at)
 }
 
+// goesOn reports whether the request goes on without a stage that failed: the document lets it be left out,
+// and the request still has time.
+func (rr *requestRun) goesOn(ctx context.Context, at int) bool {
+	if rr.request.Pipeline.Stages[at].Brownout != document.Skip || ctx.Err() != nil {
+		return false
+	}
+	rr.brownout = true
+	return true
+}
+
 // short reports whether the time left is less than the stages from here on are expected to take.
 func (rr *requestRun) short(at int) bool {
 	if rr.brownout {
