--- a/admission/admission.go
+++ b/admission/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/dispatch"
+	"github.com/turmericdoor/turmericdoor/document"
 )
 
 // Verdict is what becomes of a request at the door; Admit and Refuse are its variants.
@@ -36,6 +37,19 @@
 	Skippable bool
 }
 
+// StageOf adds to an estimate what the document allows to be left out of the stage.
+func StageOf(config *document.Stage, estimate dispatch.Estimate) Stage {
+	stage := Stage{Estimate: estimate}
+	switch config.Brownout {
+	case document.Skip:
+		stage.Droppable, stage.Skippable = estimate.Service, true
+	case document.Fewer, document.Shorter:
+		stage.Droppable = estimate.Service / 2
+	case document.KeepWhole:
+	}
+	return stage
+}
+
 const (
 	// minRetryAfter is the least wait that a refused caller is told.
 	minRetryAfter = 50 * time.Millisecond
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -52,7 +52,7 @@
 	listener net.Listener
 	address  string
 	handler  http.Handler
-	slots    slots
+	slots    *slots
 	rows     rows
 	effects  effects
 	orders   orders
@@ -70,8 +70,7 @@
 
 // New returns a stand-in that is not listening yet.
 func New(name string, config *plan.Standin) *Standin {
-	sd := &Standin{name: name, config: config, address: config.GetAddress()}
-	sd.slots.free = config.GetSlots()
+	sd := &Standin{name: name, config: config, address: config.GetAddress(), slots: newSlots(config.GetSlots())}
 	sd.rows.content = map[string]storedRow{}
 	sd.faults.Store(&Faults{})
 	sd.handler = sd.routes()
--- a/emulator/work.go
+++ b/emulator/work.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"container/heap"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -13,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/priority"
 	"github.com/turmericdoor/turmericdoor/upstream"
 )
 
@@ -22,7 +22,7 @@
 	free    int64
 	running int64
 	arrived int64
-	waiting waiters
+	waiting *priority.Queue[*waiter]
 }
 
 type waiter struct {
@@ -32,37 +32,21 @@
 	seat     int
 }
 
-type waiters []*waiter
-
-func (wt waiters) Len() int { return len(wt) }
-
-func (wt waiters) Less(left, right int) bool {
-	if wt[left].priority != wt[right].priority {
-		return wt[left].priority < wt[right].priority
-	}
-	return wt[left].arrived < wt[right].arrived
-}
-
-func (wt waiters) Swap(left, right int) {
-	wt[left], wt[right] = wt[right], wt[left]
-	wt[left].seat, wt[right].seat = left, right
-}
-
-func (wt *waiters) Push(value any) {
-	one, _ := value.(*waiter)
-	one.seat = len(*wt)
-	*wt = append(*wt, one)
-}
-
-func (wt *waiters) Pop() any {
-	last := (*wt)[len(*wt)-1]
-	*wt = (*wt)[:len(*wt)-1]
-	last.seat = -1
-	return last
+// newSlots lets count calls work at once.
+func newSlots(count int64) *slots {
+	return &slots{free: count, waiting: priority.New(
+		func(left, right *waiter) bool {
+			if left.priority != right.priority {
+				return left.priority < right.priority
+			}
+			return left.arrived < right.arrived
+		},
+		func(one *waiter, seat int) { one.seat = seat },
+	)}
 }
 
 // take waits for a slot and reports whether it got one before ctx ended.
-func (sl *slots) take(ctx context.Context, priority int) bool {
+func (sl *slots) take(ctx context.Context, rank int) bool {
 	sl.mu.Lock()
 	if sl.free > 0 {
 		sl.free--
@@ -71,8 +55,8 @@
 		return true
 	}
 	sl.arrived++
-	one := &waiter{priority: priority, arrived: sl.arrived, ready: make(chan struct{})}
-	heap.Push(&sl.waiting, one)
+	one := &waiter{priority: rank, arrived: sl.arrived, ready: make(chan struct{})}
+	sl.waiting.Push(one)
 	sl.mu.Unlock()
 	select {
 	case <-one.ready:
@@ -86,8 +70,8 @@
 func (sl *slots) giveUp(one *waiter) bool {
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
-	if one.seat >= 0 {
-		heap.Remove(&sl.waiting, one.seat)
+	if one.seat != priority.Gone {
+		sl.waiting.Remove(one.seat)
 		return false
 	}
 	sl.next()
@@ -102,19 +86,18 @@
 
 // next gives a slot to the first waiter, or frees it.
 func (sl *slots) next() {
-	if len(sl.waiting) == 0 {
+	if sl.waiting.Len() == 0 {
 		sl.free++
 		sl.running--
 		return
 	}
-	one, _ := heap.Pop(&sl.waiting).(*waiter)
-	close(one.ready)
+	close(sl.waiting.Pop().ready)
 }
 
 func (sl *slots) load() int64 {
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
-	return sl.running + int64(len(sl.waiting))
+	return sl.running + int64(sl.waiting.Len())
 }
 
 // call is one call of work.
@@ -138,8 +121,8 @@
 			return
 		}
 		began := time.Now()
-		priority, _ := strconv.Atoi(request.Header.Get(upstream.HeaderPriority))
-		if !sd.slots.take(request.Context(), priority) {
+		rank, _ := strconv.Atoi(request.Header.Get(upstream.HeaderPriority))
+		if !sd.slots.take(request.Context(), rank) {
 			return
 		}
 		defer sd.slots.put()
--- a/experiment/back.go
+++ b/experiment/back.go
@@ -1,12 +1,12 @@
 package experiment
 
 import (
-	"container/heap"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/priority"
 )
 
 // back is a fake upstream: so many calls at once, others wait by rank, then by arrival.
@@ -17,7 +17,7 @@
 	factor  float64
 	dead    bool
 	running map[*call]bool
-	waiting callHeap
+	waiting *priority.Queue[*call]
 	arrived int
 }
 
@@ -42,33 +42,20 @@
 	load        int64
 }
 
-type callHeap []*call
-
-func (hp callHeap) Len() int { return len(hp) }
-
-func (hp callHeap) Less(left, right int) bool {
-	if hp[left].rank != hp[right].rank {
-		return hp[left].rank < hp[right].rank
+// newBack returns a healthy upstream.
+func newBack(wd *world, config *document.Upstream) *back {
+	return &back{
+		world: wd, config: config, service: config.Pool.StageTime, running: map[*call]bool{},
+		waiting: priority.New(earlier, func(one *call, seat int) { one.seat = seat }),
 	}
-	return hp[left].number < hp[right].number
-}
-
-func (hp callHeap) Swap(left, right int) {
-	hp[left], hp[right] = hp[right], hp[left]
-	hp[left].seat, hp[right].seat = left, right
 }
 
-func (hp *callHeap) Push(value any) {
-	one, _ := value.(*call)
-	one.seat = len(*hp)
-	*hp = append(*hp, one)
-}
-
-func (hp *callHeap) Pop() any {
-	last := (*hp)[len(*hp)-1]
-	*hp = (*hp)[:len(*hp)-1]
-	last.seat = -1
-	return last
+// earlier orders waiting calls by rank, then by arrival.
+func earlier(left, right *call) bool {
+	if left.rank != right.rank {
+		return left.rank < right.rank
+	}
+	return left.number < right.number
 }
 
 // refusalTime is how long a machine without the process takes to refuse a connection.
@@ -77,28 +64,24 @@
 // send brings a call to the upstream; share is the part of the work that it asks for.
 func (up *back) send(rank int, share float64, done func(callOutcome)) *call {
 	up.arrived++
-	one := &call{up: up, rank: rank, number: up.arrived, seat: -1, share: share, began: up.world.now, done: done}
+	one := &call{up: up, rank: rank, number: up.arrived, seat: priority.Gone, share: share, began: up.world.now, done: done}
 	if up.dead {
 		up.world.after(refusalTime, func() { one.end(callOutcome{unreachable: true, load: -1}) })
 		return one
 	}
-	heap.Push(&up.waiting, one)
+	up.waiting.Push(one)
 	up.next()
 	return one
 }
 
 // next starts waiting calls while there is room.
 func (up *back) next() {
-	for !up.dead && len(up.waiting) > 0 && int64(len(up.running)) < up.config.Slots {
-		one, _ := heap.Pop(&up.waiting).(*call)
-		up.start(one)
+	for !up.dead && up.waiting.Len() > 0 && int64(len(up.running)) < up.config.Slots {
+		up.start(up.waiting.Pop())
 	}
 }
 
 func (up *back) start(one *call) {
-	if up.running == nil {
-		up.running = map[*call]bool{}
-	}
 	up.running[one] = true
 	one.started = up.world.now
 	length := time.Duration((0.5 + up.world.random.Float64()) * one.share * float64(up.service))
@@ -112,7 +95,7 @@
 }
 
 func (up *back) load() int64 {
-	return int64(len(up.running) + len(up.waiting))
+	return int64(len(up.running) + up.waiting.Len())
 }
 
 // end tells a call's end once and gives its room to the next.
@@ -123,7 +106,7 @@
 	one.over = true
 	delete(one.up.running, one)
 	if one.seat >= 0 {
-		heap.Remove(&one.up.waiting, one.seat)
+		one.up.waiting.Remove(one.seat)
 	}
 	one.up.next()
 	one.done(outcome)
@@ -138,7 +121,7 @@
 // die breaks off all calls.
 func (up *back) die() {
 	up.dead = true
-	calls := append(slices.Collect(maps.Keys(up.running)), up.waiting...)
+	calls := append(slices.Collect(maps.Keys(up.running)), up.waiting.All()...)
 	slices.SortFunc(calls, func(left, right *call) int { return left.number - right.number })
 	for _, one := range calls {
 		up.world.after(0, func() { one.end(callOutcome{load: -1}) })
--- a/experiment/door.go
+++ b/experiment/door.go
@@ -112,7 +112,7 @@
 	stages := []admission.Stage{}
 	for _, stage := range dr.world.pipeline.Stages {
 		estimate := dr.pools[stage.Pool.Name].Estimate(dr.world.clock(), rq.rank.Index, rq.organisation.Name, rq.organisation.Weight)
-		part := admission.Stage{Estimate: estimate, Droppable: droppable(stage, estimate.Service), Skippable: stage.Brownout == document.Skip}
+		part := admission.StageOf(stage, estimate)
 		if dr.whole {
 			part.Droppable, part.Skippable = 0, false
 		}
@@ -132,18 +132,6 @@
 	dr.submit(rq)
 }
 
-func droppable(stage *document.Stage, service time.Duration) time.Duration {
-	switch stage.Brownout {
-	case document.Skip:
-		return service
-	case document.Fewer, document.Shorter:
-		return service / 2
-	case document.KeepWhole:
-		return 0
-	}
-	return 0
-}
-
 // stageOf returns the stage that a request is at.
 func (rq *request) stageOf() *document.Stage {
 	return rq.door.world.pipeline.Stages[rq.stage]
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -1,12 +1,12 @@
 package experiment
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/priority"
 	"github.com/turmericdoor/turmericdoor/schema/plan"
 )
 
@@ -17,28 +17,17 @@
 	run   func()
 }
 
-type agenda []event
-
-func (ag agenda) Len() int { return len(ag) }
-
-func (ag agenda) Less(left, right int) bool {
-	if ag[left].at != ag[right].at {
-		return ag[left].at < ag[right].at
-	}
-	return ag[left].order < ag[right].order
-}
-
-func (ag agenda) Swap(left, right int) { ag[left], ag[right] = ag[right], ag[left] }
-
-func (ag *agenda) Push(value any) {
-	one, _ := value.(event)
-	*ag = append(*ag, one)
-}
-
-func (ag *agenda) Pop() any {
-	last := (*ag)[len(*ag)-1]
-	*ag = (*ag)[:len(*ag)-1]
-	return last
+// newAgenda orders events by time.
+func newAgenda() *priority.Queue[event] {
+	return priority.New(
+		func(left, right event) bool {
+			if left.at != right.at {
+				return left.at < right.at
+			}
+			return left.order < right.order
+		},
+		func(event, int) {},
+	)
 }
 
 // world is one run: the document's upstreams, the entry instances, and what is planned.
@@ -49,7 +38,7 @@
 	policy    Policy
 	random    *rand.Rand
 	now       time.Duration
-	agenda    agenda
+	agenda    *priority.Queue[event]
 	planned   int
 	upstreams map[string]*back
 	doors     []*door
@@ -69,7 +58,7 @@
 // at plans something; times that have passed are now.
 func (wd *world) at(when time.Duration, run func()) {
 	wd.planned++
-	heap.Push(&wd.agenda, event{at: max(when, wd.now), order: wd.planned, run: run})
+	wd.agenda.Push(event{at: max(when, wd.now), order: wd.planned, run: run})
 }
 
 func (wd *world) after(length time.Duration, run func()) {
@@ -81,11 +70,11 @@
 	wd := &world{
 		document: parsed, pipeline: longest(parsed), scenario: scenario, policy: policy,
 		random: rand.New(rand.NewPCG(seed, 7)), upstreams: map[string]*back{}, result: newResult(),
-		instances: instances,
+		instances: instances, agenda: newAgenda(),
 	}
 	for _, name := range sortedNames(parsed.Upstreams) {
 		up := parsed.Upstreams[name]
-		wd.upstreams[name] = &back{world: wd, config: up, service: up.Pool.StageTime}
+		wd.upstreams[name] = newBack(wd, up)
 	}
 	wd.capacity = wd.narrowest()
 	domains := failureDomains(parsed)
@@ -96,8 +85,8 @@
 	wd.planLoad()
 	wd.planFaults()
 	end := milliseconds(scenario.Config.GetDurationMs())
-	for len(wd.agenda) > 0 {
-		next, _ := heap.Pop(&wd.agenda).(event)
+	for wd.agenda.Len() > 0 {
+		next := wd.agenda.Pop()
 		wd.now = next.at
 		next.run()
 		if wd.now > end+maxTail {
--- a/layers_test.go
+++ b/layers_test.go
@@ -17,7 +17,7 @@
 
 // ground packages know nothing of the others; core packages decide and do no I/O; all others are outside.
 var (
-	ground = []string{"timer", "hlc", "invariant", "digest", "entropy", "timeline", "section", "schema"}
+	ground = []string{"timer", "priority", "hlc", "invariant", "digest", "entropy", "timeline", "section", "schema"}
 	core   = []string{
 		"answer", "document", "share", "limit", "choice", "retry", "dispatch", "admission", "attempt", "claim", "lease",
 		"order", "quarantine", "subset", "member", "news", "revision", "drain", "table",
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -48,7 +48,7 @@
 	stages := []admission.Stage{}
 	for _, stage := range request.Pipeline.Stages {
 		estimate := rn.Pools.Pool(stage.Pool.Name).Estimate(request.Rank.Index, request.Organisation.Name, request.Organisation.Weight)
-		stages = append(stages, admission.Stage{Estimate: estimate, Droppable: droppable(stage, estimate.Service), Skippable: stage.Brownout == document.Skip})
+		stages = append(stages, admission.StageOf(stage, estimate))
 	}
 	left := request.Deadline.Sub(rn.Timers.Now())
 	switch verdict := admission.Decide(left, stages).(type) {
@@ -61,19 +61,6 @@
 	return nil, answer.Answer{}
 }
 
-// droppable is the part of a stage's time that its brownout saves.
-func droppable(stage *document.Stage, service time.Duration) time.Duration {
-	switch stage.Brownout {
-	case document.Skip:
-		return service
-	case document.Fewer, document.Shorter:
-		return service / 2
-	case document.KeepWhole:
-		return 0
-	}
-	return 0
-}
-
 func (rn *Runner) reserve(request *Request, brownout bool) *Admitted {
 	admitted := &Admitted{request: request, brownout: brownout, release: map[string]func(){}}
 	for at, stage := range request.Pipeline.Stages {
--- a/share/rank.go
+++ b/share/rank.go
@@ -1,14 +1,15 @@
 package share
 
 import (
-	"container/heap"
 	"time"
+
+	"github.com/turmericdoor/turmericdoor/priority"
 )
 
 // tenant is one organisation's waiting work inside a rank; start and finish are virtual times.
 type tenant struct {
 	name    string
-	waiting deadlineHeap
+	waiting *priority.Queue[*Ticket]
 	weight  int64
 	cost    time.Duration
 	start   float64
@@ -19,7 +20,7 @@
 // rankQueue shares one rank among organisations by start-time fair queueing.
 type rankQueue struct {
 	tenants     map[string]*tenant
-	active      tenantHeap
+	active      *priority.Queue[*tenant]
 	virtual     float64
 	backlog     int
 	backlogCost time.Duration
@@ -31,13 +32,17 @@
 // idleTenants bounds how many organisations without waiting work are remembered.
 const idleTenants = 4096
 
+func newRankQueue() rankQueue {
+	return rankQueue{tenants: map[string]*tenant{}, active: newActive()}
+}
+
 func (rq *rankQueue) push(ticket *Ticket) {
 	owner := rq.tenant(ticket)
-	heap.Push(&owner.waiting, ticket)
+	owner.waiting.Push(ticket)
 	owner.cost += ticket.Cost
 	rq.backlog++
 	rq.backlogCost += ticket.Cost
-	if len(owner.waiting) == 1 {
+	if owner.waiting.Len() == 1 {
 		rq.activate(owner)
 	}
 }
@@ -47,10 +52,10 @@
 	owner, known := rq.tenants[ticket.Organisation]
 	if !known {
 		rq.forgetIdle()
-		owner = &tenant{name: ticket.Organisation}
+		owner = &tenant{name: ticket.Organisation, waiting: newWaiting()}
 		rq.tenants[ticket.Organisation] = owner
 	}
-	if len(owner.waiting) == 0 {
+	if owner.waiting.Len() == 0 {
 		owner.weight = max(ticket.Weight, 1)
 	}
 	return owner
@@ -62,7 +67,7 @@
 		return
 	}
 	for name, owner := range rq.tenants {
-		if len(owner.waiting) == 0 && owner.cost == 0 && owner.finish <= rq.virtual {
+		if owner.waiting.Len() == 0 && owner.cost == 0 && owner.finish <= rq.virtual {
 			delete(rq.tenants, name)
 		}
 	}
@@ -72,12 +77,12 @@
 func (rq *rankQueue) activate(owner *tenant) {
 	owner.start = max(rq.virtual, owner.finish)
 	rq.activeShare += owner.weight
-	heap.Push(&rq.active, owner)
+	rq.active.Push(owner)
 }
 
 func (rq *rankQueue) pop() *Ticket {
-	owner := rq.active[0]
-	ticket, _ := heap.Pop(&owner.waiting).(*Ticket)
+	owner := rq.active.First()
+	ticket := owner.waiting.Pop()
 	rq.virtual = max(rq.virtual, owner.start)
 	owner.finish = owner.start + float64(ticket.Cost)/float64(owner.weight)
 	owner.start = owner.finish
@@ -87,7 +92,7 @@
 
 func (rq *rankQueue) remove(ticket *Ticket) {
 	owner := rq.tenants[ticket.Organisation]
-	heap.Remove(&owner.waiting, ticket.seat)
+	owner.waiting.Remove(ticket.seat)
 	rq.settle(owner, ticket)
 }
 
@@ -96,11 +101,11 @@
 	owner.cost -= ticket.Cost
 	rq.backlog--
 	rq.backlogCost -= ticket.Cost
-	if len(owner.waiting) > 0 {
-		heap.Fix(&rq.active, owner.seat)
+	if owner.waiting.Len() > 0 {
+		rq.active.Moved(owner.seat)
 		return
 	}
-	heap.Remove(&rq.active, owner.seat)
+	rq.active.Remove(owner.seat)
 	rq.activeShare -= owner.weight
 }
 
@@ -111,9 +116,9 @@
 		return
 	}
 	owner.finish += float64(actual-ticket.Cost) / float64(max(ticket.Weight, 1))
-	if len(owner.waiting) > 0 {
+	if owner.waiting.Len() > 0 {
 		owner.start = max(owner.finish, rq.virtual)
-		heap.Fix(&rq.active, owner.seat)
+		rq.active.Moved(owner.seat)
 	}
 }
 
@@ -130,7 +135,7 @@
 	own := time.Duration(0)
 	if owner, known := rq.tenants[organisation]; known {
 		own = owner.cost
-		if len(owner.waiting) > 0 {
+		if owner.waiting.Len() > 0 {
 			share -= owner.weight
 		}
 	}
@@ -139,92 +144,35 @@
 	return own + min(others, fair)
 }
 
-// deadlineHeap orders tickets by deadline.
-type deadlineHeap []*Ticket
-
-func (hp deadlineHeap) Len() int { return len(hp) }
-
-func (hp deadlineHeap) Less(left, right int) bool {
-	if hp[left].Deadline.Equal(hp[right].Deadline) {
-		return hp[left].ID < hp[right].ID
-	}
-	return hp[left].Deadline.Before(hp[right].Deadline)
-}
-
-func (hp deadlineHeap) Swap(left, right int) {
-	hp[left], hp[right] = hp[right], hp[left]
-	hp[left].seat, hp[right].seat = left, right
-}
-
-func (hp *deadlineHeap) Push(value any) {
-	ticket, _ := value.(*Ticket)
-	ticket.seat = len(*hp)
-	*hp = append(*hp, ticket)
-}
-
-func (hp *deadlineHeap) Pop() any {
-	old := *hp
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*hp = old[:len(old)-1]
-	return last
-}
-
-// expiryHeap orders tickets by the last moment at which they are of use.
-type expiryHeap []*Ticket
-
-func (hp expiryHeap) Len() int { return len(hp) }
-
-func (hp expiryHeap) Less(left, right int) bool {
-	return hp[left].LatestStart.Before(hp[right].LatestStart)
-}
-
-func (hp expiryHeap) Swap(left, right int) {
-	hp[left], hp[right] = hp[right], hp[left]
-	hp[left].expirySeat, hp[right].expirySeat = left, right
-}
-
-func (hp *expiryHeap) Push(value any) {
-	ticket, _ := value.(*Ticket)
-	ticket.expirySeat = len(*hp)
-	*hp = append(*hp, ticket)
-}
-
-func (hp *expiryHeap) Pop() any {
-	old := *hp
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*hp = old[:len(old)-1]
-	return last
+// newWaiting orders an organisation's tickets by deadline.
+func newWaiting() *priority.Queue[*Ticket] {
+	return priority.New(sooner, func(ticket *Ticket, seat int) { ticket.seat = seat })
 }
 
-// tenantHeap orders organisations by virtual start time.
-type tenantHeap []*tenant
-
-func (hp tenantHeap) Len() int { return len(hp) }
-
-func (hp tenantHeap) Less(left, right int) bool {
-	if hp[left].start == hp[right].start {
-		return hp[left].name < hp[right].name
+func sooner(left, right *Ticket) bool {
+	if left.Deadline.Equal(right.Deadline) {
+		return left.ID < right.ID
 	}
-	return hp[left].start < hp[right].start
-}
-
-func (hp tenantHeap) Swap(left, right int) {
-	hp[left], hp[right] = hp[right], hp[left]
-	hp[left].seat, hp[right].seat = left, right
-}
-
-func (hp *tenantHeap) Push(value any) {
-	owner, _ := value.(*tenant)
-	owner.seat = len(*hp)
-	*hp = append(*hp, owner)
-}
-
-func (hp *tenantHeap) Pop() any {
-	old := *hp
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*hp = old[:len(old)-1]
-	return last
+	return left.Deadline.Before(right.Deadline)
+}
+
+// newExpiries orders tickets by the last moment at which they are of use.
+func newExpiries() *priority.Queue[*Ticket] {
+	return priority.New(
+		func(left, right *Ticket) bool { return left.LatestStart.Before(right.LatestStart) },
+		func(ticket *Ticket, seat int) { ticket.expirySeat = seat },
+	)
+}
+
+// newActive orders organisations by virtual start time.
+func newActive() *priority.Queue[*tenant] {
+	return priority.New(
+		func(left, right *tenant) bool {
+			if left.start == right.start {
+				return left.name < right.name
+			}
+			return left.start < right.start
+		},
+		func(owner *tenant, seat int) { owner.seat = seat },
+	)
 }
--- a/share/share.go
+++ b/share/share.go
@@ -1,8 +1,9 @@
 package share
 
 import (
-	"container/heap"
 	"time"
+
+	"github.com/turmericdoor/turmericdoor/priority"
 )
 
 // Ticket is one piece of work that waits; LatestStart is the last moment at which starting it is of use.
@@ -22,13 +23,13 @@
 // Queue is the waiting work of one pool; it is not safe for concurrent use.
 type Queue struct {
 	ranks    []rankQueue
-	expiries expiryHeap
+	expiries *priority.Queue[*Ticket]
 	count    int
 }
 
 // New returns an empty queue with one floor in percent for each rank, first served first.
 func New(floorPercents []int64) *Queue {
-	qu := &Queue{}
+	qu := &Queue{expiries: newExpiries()}
 	qu.SetFloors(floorPercents)
 	return qu
 }
@@ -36,7 +37,7 @@
 // SetFloors replaces the floors and adds ranks as needed; waiting work stays.
 func (qu *Queue) SetFloors(floorPercents []int64) {
 	for len(qu.ranks) < len(floorPercents) {
-		qu.ranks = append(qu.ranks, rankQueue{tenants: map[string]*tenant{}})
+		qu.ranks = append(qu.ranks, newRankQueue())
 	}
 	for at := range qu.ranks {
 		qu.ranks[at].floor = 0
@@ -56,14 +57,14 @@
 // Push adds a ticket; its rank must be one that New or SetFloors made.
 func (qu *Queue) Push(ticket *Ticket) {
 	qu.ranks[ticket.Rank].push(ticket)
-	heap.Push(&qu.expiries, ticket)
+	qu.expiries.Push(ticket)
 	qu.count++
 }
 
 // Remove takes out a ticket that is still waiting.
 func (qu *Queue) Remove(ticket *Ticket) {
 	qu.ranks[ticket.Rank].remove(ticket)
-	heap.Remove(&qu.expiries, ticket.expirySeat)
+	qu.expiries.Remove(ticket.expirySeat)
 	qu.count--
 }
 
@@ -74,7 +75,7 @@
 	}
 	rank := &qu.ranks[qu.nextRank()]
 	ticket := rank.pop()
-	heap.Remove(&qu.expiries, ticket.expirySeat)
+	qu.expiries.Remove(ticket.expirySeat)
 	qu.count--
 	qu.charge(ticket)
 	return ticket
@@ -82,20 +83,20 @@
 
 // PopLate takes out a ticket that can no longer be started in time, or returns nil when there is none.
 func (qu *Queue) PopLate(now time.Time) *Ticket {
-	if len(qu.expiries) == 0 || !qu.expiries[0].LatestStart.Before(now) {
+	if qu.expiries.Len() == 0 || !qu.expiries.First().LatestStart.Before(now) {
 		return nil
 	}
-	ticket := qu.expiries[0]
+	ticket := qu.expiries.First()
 	qu.Remove(ticket)
 	return ticket
 }
 
 // NextExpiry returns when the next ticket becomes late, and whether any waits.
 func (qu *Queue) NextExpiry() (time.Time, bool) {
-	if len(qu.expiries) == 0 {
+	if qu.expiries.Len() == 0 {
 		return time.Time{}, false
 	}
-	return qu.expiries[0].LatestStart, true
+	return qu.expiries.First().LatestStart, true
 }
 
 // nextRank returns the first rank with work, unless a later one is owed its floor.
