--- a/instance/cluster_test.go
+++ b/instance/cluster_test.go
@@ -75,9 +75,26 @@
 	defer cl.close()
 	cl.putDocument()
 	cl.eventually("all instances are ready", func() bool { return len(cl.ready()) == count })
+	cl.eventually("all instances have the whole document", func() bool { return cl.inForce(documentTeams) == count })
 	test(cl)
 }
 
+// documentTeams is the number of teams, and so of edits, of the demo's document.
+const documentTeams = 3
+
+// inForce counts the instances that the first one hears to have a revision in force.
+func (cl *cluster) inForce(revision int64) int {
+	revisions := map[string]int64{}
+	must.NoError(cl.t, cl.operate(cl.members[0], http.MethodGet, "/v1/document/revisions", "fleet-key", nil, &revisions))
+	count := 0
+	for _, has := range revisions {
+		if has >= revision {
+			count++
+		}
+	}
+	return count
+}
+
 func (cl *cluster) standin(name string, config *plan.Standin) *emulator.Standin {
 	config.Address = "127.0.0.1:0"
 	one := emulator.New(name, config)
--- a/instance/secure_test.go
+++ b/instance/secure_test.go
@@ -97,9 +97,11 @@
 			_, got, err := cl.post(cl.members[1], "draft-commission", "kumasi-guild-key", draftBody)
 			must.NoError(t, err)
 			must.Eq(t, answer.Answered, got.Outcome)
-			status := operator.Status{}
-			must.NoError(t, cl.operate(cl.members[0], http.MethodGet, "/v1/status", "fleet-key", nil, &status))
-			must.Len(t, 2, status.Members)
+			cl.eventually("the first instance knows the second", func() bool {
+				status := operator.Status{}
+				must.NoError(t, cl.operate(cl.members[0], http.MethodGet, "/v1/status", "fleet-key", nil, &status))
+				return len(status.Members) == 2
+			})
 		})
 		t.Run("plain text to a TLS port is refused", func(t *testing.T) {
 			response, err := http.Get("http://" + cl.members[0].settings.GetInstance().GetCallerAddress() + "/")
--- a/runner/stage.go
+++ b/runner/stage.go
@@ -150,9 +150,21 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ended := make(chan result, 2)
+	hedge := sr.hedgeTimer()
+	if hedge == nil {
+		// Without a hedge there is nothing to wait for beside the call, and a goroutine of its own would cost a switch.
+		sr.attempt(ctx, id, first, ended)
+		return <-ended
+	}
+	return sr.callHedged(ctx, cancel, id, first, hedge, ended)
+}
+
+// callHedged makes the attempt and, once it takes long, a second one; the first result ends both.
+func (sr *stageRun) callHedged(
+	ctx context.Context, cancel context.CancelFunc, id uint64, first *document.Upstream, hedge <-chan time.Time, ended chan result,
+) result {
 	outstanding := 1
 	go sr.attempt(ctx, id, first, ended)
-	hedge := sr.hedgeTimer()
 	last := result{}
 	for outstanding > 0 {
 		select {
