--- a/experiment/report.go
+++ b/experiment/report.go
@@ -52,6 +52,7 @@
 	runAll(rows, seeds)
 	text := &strings.Builder{}
 	text.WriteString(heading(seeds))
+	writeTargets(text, rows)
 	plots := strings.TrimSuffix(report, ".md")
 	for _, scenario := range scenarios {
 		writeScenario(text, scenario, rows, filepath.Base(plots))
@@ -139,10 +140,9 @@
 Written by `+"`make figures`"+`: the decision packages over small fakes with fake time, %d seeds, both users'
 deployments, the same arrivals for each policy. *baseline* sends each call to the next upstream in turn,
 first come first served, with no limits, refusals or retries. *divided* and *adaptive* are the program's
-decisions with each of the two ways of limiting calls on an upstream; *divided* is the first version of the
-program, *adaptive* the one that runs now, and *no brownout* the same without leaving anything out when time
-is short. The instances' balancer is uneven:
-the first instance gets 30%% of the load beyond its share.
+decisions with each of the two ways of limiting calls on an upstream; *divided* gives each instance
+an equal part of an upstream's slots, *adaptive* is what runs now, and *no brownout* the same without leaving
+anything out when time is short. The instances' balancer is uneven: the first instance gets 30%% of the load beyond its share.
 
 Each cell is the median over the seeds with the lowest and the highest. *urgent*, *standard* and
 *background* are the parts of the ordinary requests of each rank answered within the rank's deadline, with
