--- a/core/core.go
+++ b/core/core.go
@@ -91,7 +91,7 @@
 	callTimeout := milliseconds(cr.settings.GetPlatform().GetCallTimeoutMs())
 	clock := hlc.New(cr.timers)
 	cr.events = timeline.New(id, clock, cr.settings.GetLimits().GetTimelineEvents(), parts.Log)
-	cr.store = meteredStore{next: parts.Store, metrics: cr.metrics}
+	cr.store = meteredStore{next: parts.Store, metrics: cr.metrics, answered: func() { cr.platformUp(true) }}
 	cr.holder = revision.New(cr.documentInstalled)
 	cr.editor = editor.New(cr.store, cr.timers, cr.chance.Fork("editor"))
 	cr.claimant = claimant.New(lifetime, cr.store, cr.timers, cr.chance.Fork("claimant"), id, callTimeout)
--- a/core/document.go
+++ b/core/document.go
@@ -144,7 +144,6 @@
 	for {
 		if cr.look(ctx) {
 			wait = interval
-			cr.platformUp(true)
 		} else {
 			wait = min(2*wait, max(maxBackoff, interval))
 			cr.platformUp(false)
--- a/core/operate.go
+++ b/core/operate.go
@@ -172,14 +172,20 @@
 	return list
 }
 
-// meteredStore counts the calls to the table service.
+// meteredStore counts the calls to the table service and tells when it answers.
 type meteredStore struct {
-	next    table.Store
-	metrics *metric.Set
+	next     table.Store
+	metrics  *metric.Set
+	answered func()
 }
 
 func (ms meteredStore) book(call string, outcome table.Outcome) table.Outcome {
 	ms.metrics.TableCall(call, fmt.Sprintf("%T", outcome)[len("table."):])
+	switch outcome.(type) {
+	case table.Rows, table.Committed, table.Conflict:
+		ms.answered()
+	case table.Unknown, table.Unavailable:
+	}
 	return outcome
 }
 
--- a/experiment/plot.go
+++ b/experiment/plot.go
@@ -30,6 +30,8 @@
 		return err
 	}
 	chart.Legend.Top = true
+	// Room for the legend above the lines.
+	chart.Y.Max *= 1.4
 	return chart.Save(14*vg.Centimeter, 8*vg.Centimeter, path)
 }
 
--- a/load/report.go
+++ b/load/report.go
@@ -37,6 +37,7 @@
 	inTime       int64
 	outcomes     map[string]int64
 	latency      *hdrhistogram.Histogram
+	refusals     *hdrhistogram.Histogram
 	perSecond    []float64
 }
 
@@ -94,7 +95,8 @@
 	if !known {
 		gr = &group{
 			rank: one.config.GetRank(), organisation: one.config.GetOrganisation(), outcomes: map[string]int64{},
-			latency: hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
+			latency:  hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
+			refusals: hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
 		}
 		rp.groups[key] = gr
 	}
@@ -109,11 +111,15 @@
 func (gr *group) add(ended outcomeOf) {
 	gr.sent++
 	gr.outcomes[ended.outcome]++
+	micros := min(ended.took.Microseconds()+1, maxLatencyMicros)
+	if ended.outcome == string(answer.NotRun) {
+		_ = gr.refusals.RecordValue(micros)
+	}
 	if ended.outcome != string(answer.Answered) {
 		return
 	}
 	gr.answered++
-	_ = gr.latency.RecordValue(min(ended.took.Microseconds()+1, maxLatencyMicros))
+	_ = gr.latency.RecordValue(micros)
 	if ended.deadline > 0 && ended.took > ended.deadline {
 		return
 	}
@@ -167,8 +173,9 @@
 	return 1
 }
 
-func (gr *group) quantile(percent float64) float64 {
-	return float64(gr.latency.ValueAtQuantile(percent)) / 1000
+// quantile is a quantile of latencies, in milliseconds.
+func quantile(of *hdrhistogram.Histogram, percent float64) string {
+	return fmt.Sprintf("%.2f", float64(of.ValueAtQuantile(percent))/1000)
 }
 
 func (gr *group) attainment() float64 {
@@ -176,14 +183,14 @@
 }
 
 // columns are the heads of the table and the CSV.
-var columns = []string{"rank", "organisation", "sent", "answered", "in-time-%", "not-run", "unknown", "failed", "none", "p50-ms", "p95-ms", "p99-ms"}
+var columns = []string{"rank", "organisation", "sent", "answered", "in-time-%", "not-run", "unknown", "failed", "none", "p50-ms", "p95-ms", "p99-ms", "refused-p99-ms"}
 
 func (gr *group) cells() []string {
 	none := gr.sent - gr.outcomes["Answered"] - gr.outcomes["NotRun"] - gr.outcomes["Unknown"] - gr.outcomes["Failed"]
 	return []string{
 		gr.rank, gr.organisation, number(gr.sent), number(gr.answered), fmt.Sprintf("%.2f", gr.attainment()),
 		number(gr.outcomes["NotRun"]), number(gr.outcomes["Unknown"]), number(gr.outcomes["Failed"]), number(none),
-		fmt.Sprintf("%.2f", gr.quantile(50)), fmt.Sprintf("%.2f", gr.quantile(95)), fmt.Sprintf("%.2f", gr.quantile(99)),
+		quantile(gr.latency, 50), quantile(gr.latency, 95), quantile(gr.latency, 99), quantile(gr.refusals, 99),
 	}
 }
 
--- a/promise/outage_test.go
+++ b/promise/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"runtime"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericdoor/turmericdoor/answer"
+	"github.com/turmericdoor/turmericdoor/operator"
 )
 
 // attained sends drafts for a while and returns how many were asked and answered in time.
@@ -75,3 +77,21 @@
 		return fl.ask(fl.live()[0], deposit(fmt.Sprint("back ", time.Now()), "back")).Outcome == answer.Answered
 	})
 }
+
+// TestPlatformSeenBack looks whether an instance sees the platform by any call that it answers, and not only
+// by its next look, which may be half a minute away.
+func TestPlatformSeenBack(t *testing.T) {
+	withFleet(t, 61, 1, func(fl *fleet) {
+		up := func() bool {
+			status := operator.Status{}
+			fl.operate(fl.live()[0], http.MethodGet, "/v1/status", nil, &status)
+			return status.PlatformUp
+		}
+		fl.setTable(func(ft *fakeTable) { ft.down = true })
+		fl.eventually(time.Minute, "the platform is seen down", func() bool { return !up() })
+		time.Sleep(5 * time.Minute)
+		fl.setTable(func(ft *fakeTable) { ft.down = false })
+		must.Eq(fl.t, answer.Answered, fl.ask(fl.live()[0], deposit("seen", "seen")).Outcome)
+		must.True(fl.t, up())
+	})
+}
--- a/promise/result_test.go
+++ b/promise/result_test.go
@@ -123,3 +123,29 @@
 		must.NotEq(fl.t, answer.Answered, fl.ask(fl.live()[0], draft("whole")).Outcome)
 	})
 }
+
+// TestCallerLeaves has a caller close its connection mid-request: what runs for it is cancelled.
+func TestCallerLeaves(t *testing.T) {
+	withFleet(t, 4, 2, func(fl *fleet) {
+		each(fl.pool("engines"), func(up *fakeUpstream) { up.slowFactor = 30 })
+		nd := fl.live()[0]
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			fl.ask(nd, draft("leaves"))
+		}()
+		busy := func() int {
+			total := 0
+			for _, up := range fl.pool("engines") {
+				up.mu.Lock()
+				total += len(up.running)
+				up.mu.Unlock()
+			}
+			return total
+		}
+		fl.eventually(time.Second, "an engine works on it", func() bool { return busy() == 1 })
+		nd.end()
+		<-done
+		must.Eq(fl.t, 0, busy())
+	})
+}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,56 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/digest"
+	"github.com/turmericdoor/turmericdoor/quarantine"
+)
+
+var (
+	start   = time.Unix(100000, 0)
+	content = digest.OfKey("content")
+)
+
+// withCrashes makes a registry that was told of a crash on each upstream.
+func withCrashes(upstreams ...string) *quarantine.Registry {
+	rg := quarantine.New()
+	for at, up := range upstreams {
+		rg.Report(start, quarantine.Crash{Fingerprint: content, Upstream: up, ID: string(rune('a' + at)), At: start})
+	}
+	return rg
+}
+
+func TestStanding(t *testing.T) {
+	cases := map[string]struct {
+		registry *quarantine.Registry
+		want     quarantine.Standing
+	}{
+		"nothing known":               {withCrashes(), quarantine.Clear},
+		"one crash":                   {withCrashes("u0"), quarantine.Suspect},
+		"two crashes of one upstream": {withCrashes("u0", "u0"), quarantine.Suspect},
+		"two upstreams":               {withCrashes("u0", "u1"), quarantine.Condemned},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) { must.Eq(t, one.want, one.registry.Standing(start, content)) })
+	}
+	t.Run("a report counts once", func(t *testing.T) {
+		rg := withCrashes("u0")
+		must.False(t, rg.Report(start, quarantine.Crash{Fingerprint: content, Upstream: "u1", ID: "a", At: start}))
+	})
+	t.Run("a suspect that ran alone is cleared", func(t *testing.T) {
+		rg := withCrashes("u0")
+		rg.Passed(start.Add(time.Second), content)
+		must.Eq(t, quarantine.Clear, rg.Standing(start.Add(2*time.Second), content))
+	})
+	t.Run("a crash is forgotten in the end", func(t *testing.T) {
+		rg := withCrashes("u0", "u1")
+		later := start.Add(quarantine.Life + time.Second)
+		must.Eq(t, quarantine.Clear, rg.Standing(later, content))
+		rg.Forget(later)
+		must.SliceEmpty(t, rg.Crashes(later))
+	})
+}
