Refuse a document whose last stage may be left out

Cause: with a stage that fails now being left out where its Brownout is Skip, a pipeline of that one stage would have been answered without an answer.

--- a/document/document_test.go
+++ b/document/document_test.go
@@ -62,6 +62,7 @@
 		"another team's name":               {models + ranks, "a name that team a does not already use"},
 		"an address twice":                  {models + "[Upstream e2]\nPool = engines\nAddress = 127.0.0.1:1\nFailureDomain = a\n", "an address that upstream e1 does not already use"},
 		"a chain that may not run twice":    {models + "[Stage two]\nPool = engines\n[Pipeline p]\nStages = generate, two\nIdempotent = false\n", "a single stage"},
+		"a last stage that may be skipped":  {strings.Replace(models, "[Stage generate]\n", "[Stage generate]\nBrownout = Skip\n", 1), "it makes the answer"},
 		"an unknown kind":                   {models + "[Colour red]\n", "expected a kind of section"},
 		"a service without a path":          {models + "[Pool s]\nKind = Service\n", "the path of the call"},
 		"floors over the whole":             {models + "[Rank B]\nPrecedence = 1\nDeadlineMs = 1\nFloorPercent = 60\n[Rank C]\nPrecedence = 2\nDeadlineMs = 1\nFloorPercent = 60\n", "floors of at most 90 percent"},
