Try an upstream that was ejected with one call, once the others are loaded

Each return let a full limit of calls through. Now one call is let through, and only once the others are about full.

--- a/choice/candidate.go
+++ b/choice/candidate.go
@@ -26,6 +26,7 @@
 	failures    int
 	ejections   int
 	ejectedTill instant
+	onTrial     bool
 	addedAt     instant
 	prefixes    [prefixSlots]prefixUse
 }
@@ -68,6 +69,9 @@
 	// spillShare is the part of the pool's mean service time that an upstream of another failure domain must
 	// be quicker by; it keeps chance differences from sending calls over links that may be cut.
 	spillShare = 0.5
+	// trialShare is the same for an upstream that was ejected and has not answered since: it is tried again once
+	// the others are about as loaded as they may be, and not with each request of a quiet time.
+	trialShare = 1.0
 	// failuresToEject is how many calls in a row must fail before an upstream is ejected.
 	failuresToEject = 3
 	// firstEjection is the length of a first ejection; it doubles with each further one.
@@ -98,6 +102,7 @@
 func (cd *Candidate) Succeeded(now time.Time, service time.Duration) {
 	cd.failures = 0
 	cd.ejections = 0
+	cd.onTrial = false
 	cd.measured(now, service)
 }
 
@@ -127,6 +132,7 @@
 	length := firstEjection << min(cd.ejections, maxDoubles)
 	cd.ejections++
 	cd.failures = failuresToEject - 1
+	cd.onTrial = true
 	cd.ejectedTill = now + length
 }
 
@@ -149,7 +155,23 @@
 	if alone {
 		return cd.InFlight == 0
 	}
-	return cd.InFlight < cd.Limit.Current()
+	return cd.InFlight < cd.allowed()
+}
+
+// allowed is how many calls may be in flight: one after an ejection, until it has been answered.
+func (cd *Candidate) allowed() int64 {
+	if cd.onTrial {
+		return 1
+	}
+	return cd.Limit.Current()
+}
+
+// room is what the upstream adds to the room of its pool; a call that is a trial already leaves none.
+func (cd *Candidate) room() int64 {
+	if cd.onTrial {
+		return max(1-cd.InFlight, 0)
+	}
+	return cd.Limit.Current()
 }
 
 // Remember notes that a prompt prefix is computed on the upstream.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -178,6 +178,9 @@
 	if cd.FailureDomain != wish.FailureDomain {
 		score += domainPenalty + spillShare*ch.mean
 	}
+	if cd.onTrial {
+		score += trialShare * ch.mean
+	}
 	return score - prefillShare*service*cd.hitChance(now, wish.Prefix)
 }
 
@@ -187,7 +190,7 @@
 	total := int64(0)
 	for _, cd := range ch.candidates {
 		if !cd.Leaving && !cd.ejectedAt(at) {
-			total += cd.Limit.Current()
+			total += cd.room()
 		}
 	}
 	return total
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -103,6 +103,33 @@
 	must.False(t, ch.All()[0].Ejected(start.Add(2*time.Second)))
 }
 
+func TestTrial(t *testing.T) {
+	ch := withChooser(1)
+	cd := ch.All()[0]
+	ch.Unreachable(start, cd)
+	must.Nil(t, ch.Pick(start, &choice.Wish{FailureDomain: "a"}))
+	later := start.Add(3 * time.Second)
+	must.Eq(t, 1, ch.Room(later))
+	must.Eq(t, "u0", pick(t, ch, later, choice.Wish{}))
+	cd.InFlight++
+	must.Eq(t, 0, ch.Room(later))
+	must.Nil(t, ch.Pick(later, &choice.Wish{FailureDomain: "a"}))
+	cd.InFlight--
+	ch.Served(later, cd, time.Millisecond)
+	must.Eq(t, 8, ch.Room(later))
+}
+
+func TestTrialAfterOthers(t *testing.T) {
+	ch := withChooser(2)
+	ch.Unreachable(start, ch.All()[0])
+	later := start.Add(3 * time.Second)
+	for range 100 {
+		must.Eq(t, "u1", pick(t, ch, later, choice.Wish{}))
+	}
+	ch.All()[1].InFlight = 8
+	must.Eq(t, "u0", pick(t, ch, later, choice.Wish{}))
+}
+
 // BenchmarkPick compares the chooser with picking at random, at three sizes.
 func BenchmarkPick(b *testing.B) {
 	for _, size := range []int{10, 150, 600} {
