Probe upstreams that were left out, in place of trying them with callers' requests

Cause: an upstream that took no connection came back after 2 s by a caller's request, which failed after its first stages had run. A probe is a bare connection; after it, the upstream still gets a single call before its full limit.

--- a/choice/candidate.go
+++ b/choice/candidate.go
@@ -27,6 +27,8 @@
 	ejections   int
 	ejectedTill instant
 	onTrial     bool
+	probeFirst  bool
+	reached     bool
 	addedAt     instant
 	prefixes    [prefixSlots]prefixUse
 }
@@ -133,6 +135,7 @@
 	cd.ejections++
 	cd.failures = failuresToEject - 1
 	cd.onTrial = true
+	cd.reached = false
 	cd.ejectedTill = now + length
 }
 
@@ -153,23 +156,28 @@
 // hasRoom reports whether a call fits this instance's limit; alone asks for an idle upstream.
 func (cd *Candidate) hasRoom(alone bool) bool {
 	if alone {
-		return cd.InFlight == 0
+		return cd.InFlight == 0 && cd.allowed() > 0
 	}
 	return cd.InFlight < cd.allowed()
 }
 
-// allowed is how many calls may be in flight: one after an ejection, until it has been answered.
+// allowed is how many calls may be in flight: one after an ejection, until it has been answered, and none
+// before a probe has reached the upstream, where there are probes.
 func (cd *Candidate) allowed() int64 {
-	if cd.onTrial {
+	switch {
+	case !cd.onTrial:
+		return cd.Limit.Current()
+	case cd.probeFirst && !cd.reached:
+		return 0
+	default:
 		return 1
 	}
-	return cd.Limit.Current()
 }
 
 // room is what the upstream adds to the room of its pool; a call that is a trial already leaves none.
 func (cd *Candidate) room() int64 {
 	if cd.onTrial {
-		return max(1-cd.InFlight, 0)
+		return max(cd.allowed()-cd.InFlight, 0)
 	}
 	return cd.Limit.Current()
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,6 +22,7 @@
 	mean       float64
 	others     float64
 	base       time.Time
+	probeFirst bool
 }
 
 const (
@@ -44,6 +45,7 @@
 		ch.base = now
 	}
 	cd.base = ch.base
+	cd.probeFirst = ch.probeFirst
 	cd.addedAt = since(ch.base, now)
 	if warm {
 		cd.addedAt -= slowStart
@@ -110,6 +112,33 @@
 	}
 }
 
+// ProbeFirst makes upstreams that were ejected wait for a probe that reaches them before they get a call; it is
+// to be called before any upstream is added.
+func (ch *Chooser) ProbeFirst() {
+	ch.probeFirst = true
+}
+
+// ToProbe returns the upstreams whose ejection is over and that no probe has reached since.
+func (ch *Chooser) ToProbe(now time.Time) []*Candidate {
+	at := since(ch.base, now)
+	list := []*Candidate{}
+	for _, cd := range ch.candidates {
+		if cd.onTrial && !cd.reached && !cd.Leaving && !cd.ejectedAt(at) {
+			list = append(list, cd)
+		}
+	}
+	return list
+}
+
+// Probed notes whether a probe reached an upstream.
+func (ch *Chooser) Probed(now time.Time, cd *Candidate, reached bool) {
+	if reached {
+		cd.reached = true
+		return
+	}
+	ch.Unreachable(now, cd)
+}
+
 // Pick returns the best upstream with room, or nil when there is none.
 func (ch *Chooser) Pick(now time.Time, wish *Wish) *Candidate {
 	count := len(ch.candidates)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -119,6 +119,24 @@
 	must.Eq(t, 8, ch.Room(later))
 }
 
+func TestProbeFirst(t *testing.T) {
+	ch := choice.New(rand.New(rand.NewPCG(1, 2)), 10*time.Millisecond)
+	ch.ProbeFirst()
+	cd := &choice.Candidate{Name: "u0", FailureDomain: "a", Slots: 8, Limit: limit.New(limit.Divided{}, 8, 1)}
+	ch.Add(start, cd, true)
+	ch.Unreachable(start, cd)
+	must.SliceEmpty(t, ch.ToProbe(start))
+	later := start.Add(3 * time.Second)
+	must.Eq(t, 0, ch.Room(later))
+	must.Eq(t, []*choice.Candidate{cd}, ch.ToProbe(later))
+	ch.Probed(later, cd, false)
+	must.SliceEmpty(t, ch.ToProbe(later))
+	again := later.Add(3 * time.Second)
+	ch.Probed(again, cd, true)
+	must.Eq(t, 1, ch.Room(again))
+	must.Eq(t, "u0", pick(t, ch, again, choice.Wish{}))
+}
+
 func TestTrialAfterOthers(t *testing.T) {
 	ch := withChooser(2)
 	ch.Unreachable(start, ch.All()[0])
--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -29,6 +29,8 @@
 	return order.State{}, nil
 }
 
+func (instantUpstream) Reachable(context.Context, string) bool { return true }
+
 func (instantUpstream) OrderEngine(context.Context, string, int64, order.State) error { return nil }
 
 // emptyStore has no rows.
@@ -68,7 +70,7 @@
 			Limits:    &settings.Limits{MaxBodyBytes: 1 << 20, MaxWaiting: 100, TimelineEvents: 1024},
 		},
 		Timers: timer.New(), Chance: entropy.New(1), Store: emptyStore{}, Caller: instantUpstream{},
-		Control: instantUpstream{}, Dialer: func(string) (peer.Link, error) { return nil, context.Canceled },
+		Control: instantUpstream{}, Prober: instantUpstream{}, Dialer: func(string) (peer.Link, error) { return nil, context.Canceled },
 	})
 	cr.Start()
 	defer cr.Kill()
--- a/core/core.go
+++ b/core/core.go
@@ -46,6 +46,7 @@
 	Listing  Listing
 	Caller   runner.Caller
 	Control  controller.Control
+	Prober   pool.Prober
 	Dialer   peer.Dialer
 	Log      func(*wire.Event)
 }
@@ -59,6 +60,7 @@
 	metrics    *metric.Set
 	store      table.Store
 	listing    Listing
+	prober     pool.Prober
 	gate       *drain.Gate
 	holder     *revision.Holder
 	editor     *editor.Editor
@@ -85,7 +87,7 @@
 	lifetime, end := context.WithCancel(context.Background())
 	cr := &Core{
 		settings: parts.Settings, timers: parts.Timers, chance: parts.Chance, metrics: metric.New(), gate: drain.New(),
-		listing: parts.Listing, stop: make(chan struct{}), lifetime: lifetime, end: end,
+		listing: parts.Listing, prober: parts.Prober, stop: make(chan struct{}), lifetime: lifetime, end: end,
 	}
 	id := cr.settings.GetInstance().GetId()
 	callTimeout := milliseconds(cr.settings.GetPlatform().GetCallTimeoutMs())
--- a/core/document.go
+++ b/core/document.go
@@ -49,8 +49,9 @@
 	for _, item := range cr.peer.Leaving() {
 		decider.Leave(item.Upstream, item.Incarnation)
 	}
-	made := pool.New(cr.timers, decider)
+	made := pool.New(cr.timers, decider, cr.prober)
 	cr.start(made.Run)
+	cr.start(made.Probe)
 	return made
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -88,6 +88,28 @@
 	ds.chooser.Add(now, fresh, warm)
 }
 
+// ProbeFirst makes upstreams that were ejected wait for a probe; it is to be called before Update.
+func (ds *Dispatcher) ProbeFirst() {
+	ds.chooser.ProbeFirst()
+}
+
+// ToProbe returns the names of the upstreams that a probe should try.
+func (ds *Dispatcher) ToProbe(now time.Time) []string {
+	names := []string{}
+	for _, cd := range ds.chooser.ToProbe(now) {
+		names = append(names, cd.Name)
+	}
+	return names
+}
+
+// Probed notes whether a probe reached an upstream, and starts what now fits.
+func (ds *Dispatcher) Probed(now time.Time, name string, reached bool, out []Action) []Action {
+	if cd, known := ds.byName[name]; known {
+		ds.chooser.Probed(now, cd, reached)
+	}
+	return ds.fill(now, out)
+}
+
 // SetPeers takes note of how many instances are live, this one included.
 func (ds *Dispatcher) SetPeers(peers int) {
 	ds.peers = peers
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -47,7 +47,7 @@
 	client := upstream.New()
 	parts := core.Parts{
 		Settings: loaded, Timers: in.timers, Chance: entropy.NewRandom(),
-		Store: platform.New(loaded.GetPlatform().GetTableAddress()), Caller: client, Control: client,
+		Store: platform.New(loaded.GetPlatform().GetTableAddress()), Caller: client, Control: client, Prober: client,
 		Dialer: in.dialPeer, Log: in.logEvent,
 	}
 	if address := loaded.GetPlatform().GetListingAddress(); address != "" {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -17,15 +17,18 @@
 	timers    *timer.Service
 	mu        sync.Mutex
 	decider   *dispatch.Dispatcher
+	prober    Prober
 	waiters   map[uint64]chan dispatch.Action
 	wake      chan struct{}
 	upstreams map[string]*document.Upstream
 }
 
-// New returns a pool around a dispatcher; Run must be running for late work to be refused on time.
-func New(timers *timer.Service, decider *dispatch.Dispatcher) *Pool {
+// New returns a pool around a dispatcher; Run must be running for late work to be refused on time, and Probe
+// for upstreams that were ejected to come back.
+func New(timers *timer.Service, decider *dispatch.Dispatcher, prober Prober) *Pool {
+	decider.ProbeFirst()
 	return &Pool{
-		timers: timers, decider: decider, waiters: map[uint64]chan dispatch.Action{},
+		timers: timers, decider: decider, prober: prober, waiters: map[uint64]chan dispatch.Action{},
 		wake: make(chan struct{}, 1), upstreams: map[string]*document.Upstream{},
 	}
 }
--- a/promise/fakes_test.go
+++ b/promise/fakes_test.go
@@ -14,7 +14,6 @@
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/order"
-	"github.com/turmericdoor/turmericdoor/platform"
 	"github.com/turmericdoor/turmericdoor/table"
 	"github.com/turmericdoor/turmericdoor/upstream"
 )
@@ -346,6 +345,16 @@
 	return upstream.Replied{Identity: call.Identity, Payload: payload, Load: int64(len(fu.running)) - 1}
 }
 
+func (cl callerLink) Reachable(ctx context.Context, address string) bool {
+	up := cl.all.byAddress[address]
+	if cl.node.dead.Load() || cl.node.cutFromUpstreams.Load() || cl.node.fleet.isCut(cl.node.domain, up.domain) || !pause(ctx, time.Millisecond) {
+		return false
+	}
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	return !up.down
+}
+
 func (cl callerLink) ReadEngine(ctx context.Context, address string) (order.State, error) {
 	up := cl.all.byAddress[address]
 	if cl.node.dead.Load() || !pause(ctx, time.Millisecond) {
@@ -410,39 +419,3 @@
 	}
 	return payload
 }
-
-// fakeListing is the platform's instance list, which shows what was so a while ago.
-type fakeListing struct {
-	mu      sync.Mutex
-	lag     time.Duration
-	entries []listedAt
-}
-
-type listedAt struct {
-	platform.ListedInstance
-	at time.Time
-}
-
-func (fl *fakeListing) setLag(lag time.Duration) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	fl.lag = lag
-}
-
-func (fl *fakeListing) leave(name string, incarnation int64) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	fl.entries = append(fl.entries, listedAt{platform.ListedInstance{Name: name, Incarnation: incarnation, Leaving: true}, time.Now()})
-}
-
-func (fl *fakeListing) Instances(context.Context) ([]platform.ListedInstance, error) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	list := []platform.ListedInstance{}
-	for _, one := range fl.entries {
-		if time.Since(one.at) >= fl.lag {
-			list = append(list, one.ListedInstance)
-		}
-	}
-	return list, nil
-}
--- a/promise/fleet_test.go
+++ b/promise/fleet_test.go
@@ -207,7 +207,7 @@
 	link := callerLink{all: fl.upstreams, node: nd}
 	nd.core = core.New(core.Parts{
 		Settings: config, Timers: timer.New(), Chance: fl.chance.Fork(nd.id), Store: tableLink{table: fl.table, node: nd},
-		Listing: fl.listing, Caller: link, Control: link, Dialer: fl.dialer(nd),
+		Listing: fl.listing, Caller: link, Control: link, Prober: link, Dialer: fl.dialer(nd),
 	})
 	nd.callers, nd.operators = nd.core.Callers(), nd.core.Operators()
 	fl.mu.Lock()
--- a/promise/result_test.go
+++ b/promise/result_test.go
@@ -149,3 +149,26 @@
 		must.Eq(fl.t, 0, busy())
 	})
 }
+
+// TestPoolDown has all engines down for a minute: requests are refused unrun but for the first few, and are
+// answered again soon after the engines are back.
+func TestPoolDown(t *testing.T) {
+	withFleet(t, 5, 3, func(fl *fleet) {
+		each(fl.pool("engines"), func(up *fakeUpstream) { up.down = true })
+		failed := 0
+		for at := range 300 {
+			got := fl.ask(fl.live()[at%3], draft(fmt.Sprint("down ", at)))
+			if got.Outcome == answer.Failed {
+				failed++
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		// Each of three instances finds out about each of six engines once.
+		must.LessEq(fl.t, 18, failed)
+		each(fl.pool("engines"), func(up *fakeUpstream) { up.down = false })
+		time.Sleep(4 * time.Second)
+		for at := range 30 {
+			answered(fl.t, fmt.Sprint("back ", at), fl.ask(fl.live()[at%3], draft(fmt.Sprint("back ", at))))
+		}
+	})
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -131,6 +131,16 @@
 	return false
 }
 
+// Reachable reports whether an upstream takes a connection.
+func (cl *Client) Reachable(ctx context.Context, address string) bool {
+	connection, err := cl.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = connection.Close()
+	return true
+}
+
 func refusal(response *http.Response) Outcome {
 	detail, _ := io.ReadAll(io.LimitReader(response.Body, maxDetail))
 	switch response.StatusCode {
