Send operators' and callers' requests in one place; convert milliseconds in one place

Two commands built, authorised and sent a request alike, and five packages had the same conversion of settings.

--- a/command/ask.go
+++ b/command/ask.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -42,15 +41,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(tb.options.timeoutMs)*time.Millisecond)
 	defer cancel()
-	path := tb.base() + "/v1/pipelines/" + url.PathEscape(tb.options.pipeline)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, path, bytes.NewReader(encoded))
+	response, err := tb.send(ctx, http.MethodPost, "/v1/pipelines/"+url.PathEscape(tb.options.pipeline), encoded)
 	if err != nil {
-		return coded(ExitBadInput, "bad address %q", tb.options.address)
-	}
-	request.Header.Set("Authorization", "Bearer "+tb.options.key)
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return coded(ExitUnreachable, "instance %s can't be reached: %v", tb.options.address, err)
+		return err
 	}
 	defer response.Body.Close()
 	return tb.printAnswer(response)
--- a/command/remote.go
+++ b/command/remote.go
@@ -32,14 +32,9 @@
 	if err != nil {
 		return 0, err
 	}
-	request, err := http.NewRequestWithContext(ctx, method, tb.base()+path, bytes.NewReader(encoded))
-	if err != nil {
-		return 0, coded(ExitBadInput, "bad address %q", tb.options.address)
-	}
-	request.Header.Set("Authorization", "Bearer "+tb.options.key)
-	response, err := http.DefaultClient.Do(request)
+	response, err := tb.send(ctx, method, path, encoded)
 	if err != nil {
-		return 0, coded(ExitUnreachable, "instance %s can't be reached: %v", tb.options.address, err)
+		return 0, err
 	}
 	defer response.Body.Close()
 	raw, err := io.ReadAll(response.Body)
@@ -53,6 +48,20 @@
 	return response.StatusCode, json.Unmarshal(raw, result)
 }
 
+// send makes a request with the key of the options; the caller closes the answer's body.
+func (tb *Table) send(ctx context.Context, method, path string, encoded []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, tb.base()+path, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, coded(ExitBadInput, "bad address %q", tb.options.address)
+	}
+	request.Header.Set("Authorization", "Bearer "+tb.options.key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, coded(ExitUnreachable, "instance %s can't be reached: %v", tb.options.address, err)
+	}
+	return response, nil
+}
+
 func (tb *Table) base() string {
 	if strings.Contains(tb.options.address, "://") {
 		return tb.options.address
--- a/core/core.go
+++ b/core/core.go
@@ -90,7 +90,7 @@
 		listing: parts.Listing, prober: parts.Prober, stop: make(chan struct{}), lifetime: lifetime, end: end,
 	}
 	id := cr.settings.GetInstance().GetId()
-	callTimeout := milliseconds(cr.settings.GetPlatform().GetCallTimeoutMs())
+	callTimeout := timer.Milliseconds(cr.settings.GetPlatform().GetCallTimeoutMs())
 	clock := hlc.New(cr.timers)
 	cr.events = timeline.New(id, clock, cr.settings.GetLimits().GetTimelineEvents(), parts.Log)
 	cr.store = meteredStore{next: parts.Store, metrics: cr.metrics, answered: func() { cr.platformUp(true) }}
@@ -115,16 +115,12 @@
 	return cr
 }
 
-func milliseconds(count int64) time.Duration {
-	return time.Duration(count) * time.Millisecond
-}
-
 func (cr *Core) newPeer(clock *hlc.Clock, dialer peer.Dialer) *peer.Peer {
 	own, peers := cr.settings.GetInstance(), cr.settings.GetPeers()
-	heartbeat := milliseconds(peers.GetHeartbeatMs())
+	heartbeat := timer.Milliseconds(peers.GetHeartbeatMs())
 	config := member.Config{
-		Heartbeat: heartbeat, SuspectAfter: milliseconds(peers.GetSuspectAfterMs()),
-		DeadAfter: milliseconds(peers.GetDeadAfterMs()), Partners: int(peers.GetPartners()),
+		Heartbeat: heartbeat, SuspectAfter: timer.Milliseconds(peers.GetSuspectAfterMs()),
+		DeadAfter: timer.Milliseconds(peers.GetDeadAfterMs()), Partners: int(peers.GetPartners()),
 	}
 	now := cr.timers.Now()
 	self := member.Member{
--- a/core/document.go
+++ b/core/document.go
@@ -17,6 +17,7 @@
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/subset"
 	"github.com/turmericdoor/turmericdoor/table"
+	"github.com/turmericdoor/turmericdoor/timer"
 )
 
 // documentInstalled brings the pools in line with a document that has just come into force.
@@ -140,7 +141,7 @@
 // missed.
 func (cr *Core) poll(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
-	interval := milliseconds(cr.settings.GetPlatform().GetPollIntervalMs())
+	interval := timer.Milliseconds(cr.settings.GetPlatform().GetPollIntervalMs())
 	wait := interval
 	for {
 		if cr.look(ctx) {
@@ -173,7 +174,7 @@
 // look reads the document's head, the leaving upstreams and the instance list; it reports whether the table
 // service answered.
 func (cr *Core) look(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, 3*milliseconds(cr.settings.GetPlatform().GetCallTimeoutMs()))
+	ctx, cancel := context.WithTimeout(ctx, 3*timer.Milliseconds(cr.settings.GetPlatform().GetCallTimeoutMs()))
 	defer cancel()
 	revision, err := cr.editor.Head(ctx)
 	if err != nil {
--- a/core/operate.go
+++ b/core/operate.go
@@ -14,6 +14,7 @@
 	"github.com/turmericdoor/turmericdoor/operator"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/table"
+	"github.com/turmericdoor/turmericdoor/timer"
 )
 
 // Ready reports whether a balancer should send requests here, and if not, why.
@@ -118,7 +119,7 @@
 }
 
 func (cr *Core) storeLeaving(ctx context.Context, name string, incarnation int64) bool {
-	ctx, cancel := context.WithTimeout(ctx, milliseconds(cr.settings.GetPlatform().GetCallTimeoutMs()))
+	ctx, cancel := context.WithTimeout(ctx, timer.Milliseconds(cr.settings.GetPlatform().GetCallTimeoutMs()))
 	defer cancel()
 	key := leavingPrefix + name
 	rows, read := cr.store.Read(ctx, key).(table.Rows)
--- a/document/parse.go
+++ b/document/parse.go
@@ -2,13 +2,13 @@
 
 import (
 	"sort"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/turmericdoor/turmericdoor/digest"
 	"github.com/turmericdoor/turmericdoor/schema/parts"
 	"github.com/turmericdoor/turmericdoor/section"
+	"github.com/turmericdoor/turmericdoor/timer"
 )
 
 // Parse reads, links and checks a document, and reports every fault of every team at once.
@@ -158,10 +158,6 @@
 	return list
 }
 
-func milliseconds(count int64) time.Duration {
-	return time.Duration(count) * time.Millisecond
-}
-
 func (ps *parser) linkTeam(name string, bd bound) {
 	message, _ := bd.message.(*parts.Team)
 	ps.document.Teams[name] = &Team{Name: name, KeyDigests: sums(message.GetKeyDigests())}
@@ -176,7 +172,7 @@
 	}
 	ps.document.Ranks[name] = &Rank{
 		Name: name, Precedence: message.GetPrecedence(),
-		Deadline: milliseconds(message.GetDeadlineMs()), FloorPercent: message.GetFloorPercent(),
+		Deadline: timer.Milliseconds(message.GetDeadlineMs()), FloorPercent: message.GetFloorPercent(),
 	}
 }
 
@@ -187,9 +183,9 @@
 		ps.fault(bd, "Path", "", "the path of the call, since the pool is a plain service")
 	}
 	ps.document.Pools[name] = &Pool{
-		Name: name, Kind: kind, StageTime: milliseconds(message.GetStageMs()),
-		RetryPercent: message.GetRetryPercent(), HedgeAfter: milliseconds(message.GetHedgeAfterMs()),
-		AttemptTimeout: milliseconds(message.GetAttemptTimeoutMs()), Path: message.GetPath(),
+		Name: name, Kind: kind, StageTime: timer.Milliseconds(message.GetStageMs()),
+		RetryPercent: message.GetRetryPercent(), HedgeAfter: timer.Milliseconds(message.GetHedgeAfterMs()),
+		AttemptTimeout: timer.Milliseconds(message.GetAttemptTimeoutMs()), Path: message.GetPath(),
 	}
 }
 
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -8,6 +8,7 @@
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/priority"
 	"github.com/turmericdoor/turmericdoor/schema/plan"
+	"github.com/turmericdoor/turmericdoor/timer"
 )
 
 // event is something that happens at a time; order keeps events of one time in the order they were planned.
@@ -84,7 +85,7 @@
 	wd.tellPeers()
 	wd.planLoad()
 	wd.planFaults()
-	end := milliseconds(scenario.Config.GetDurationMs())
+	end := timer.Milliseconds(scenario.Config.GetDurationMs())
 	for wd.agenda.Len() > 0 {
 		next := wd.agenda.Pop()
 		wd.now = next.at
@@ -101,10 +102,6 @@
 // maxTail is how long a run goes on for what began in it.
 const maxTail = 150 * time.Second
 
-func milliseconds(count int64) time.Duration {
-	return time.Duration(count) * time.Millisecond
-}
-
 func sortedNames[T any](from map[string]T) []string {
 	names := []string{}
 	for name := range from {
@@ -181,7 +178,7 @@
 
 // planFlow plans arrivals at random times of a mean rate a second.
 func (wd *world) planFlow(rate float64, fromMs, toMs int64, rank func() *document.Rank, organisation func() *document.Organisation) {
-	end := milliseconds(toMs)
+	end := timer.Milliseconds(toMs)
 	arrive := func() {}
 	arrive = func() {
 		if wd.now >= end {
@@ -190,7 +187,7 @@
 		wd.arrive(rank(), organisation(), fromMs > 0 || toMs < wd.scenario.Config.GetDurationMs())
 		wd.after(time.Duration(wd.random.ExpFloat64()/rate*float64(time.Second)), arrive)
 	}
-	wd.at(milliseconds(fromMs), arrive)
+	wd.at(timer.Milliseconds(fromMs), arrive)
 }
 
 // ordinaryRank draws a rank: two fifths of the first, the others alike.
@@ -239,9 +236,9 @@
 		if to == 0 {
 			to = wd.scenario.Config.GetDurationMs()
 		}
-		wd.at(milliseconds(fault.GetFromMs()), func() { wd.begin(fault) })
+		wd.at(timer.Milliseconds(fault.GetFromMs()), func() { wd.begin(fault) })
 		if fault.GetKind() != "Replace" {
-			wd.at(milliseconds(to), func() { wd.end(fault) })
+			wd.at(timer.Milliseconds(to), func() { wd.end(fault) })
 		}
 	}
 }
@@ -300,7 +297,7 @@
 
 // replace kills an instance each second; another takes its place at once and meets the others.
 func (wd *world) replace() {
-	if wd.now >= milliseconds(wd.scenario.Config.GetDurationMs()) {
+	if wd.now >= timer.Milliseconds(wd.scenario.Config.GetDurationMs()) {
 		return
 	}
 	victim := wd.liveDoors()[wd.random.IntN(len(wd.liveDoors()))]
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/charmbracelet/log"
 	"google.golang.org/grpc"
@@ -60,10 +59,6 @@
 // servers is how many servers an instance runs.
 const servers = 3
 
-func milliseconds(count int64) time.Duration {
-	return time.Duration(count) * time.Millisecond
-}
-
 // logEvent writes an event of the time line to the log: those of single requests at debug level only.
 func (in *Instance) logEvent(event *wire.Event) {
 	level := log.InfoLevel
@@ -100,7 +95,7 @@
 func (in *Instance) shutdown() {
 	in.core.Notice()
 	in.caller.SetKeepAlivesEnabled(false)
-	_ = in.timers.Sleep(context.Background(), milliseconds(in.settings.GetInstance().GetNoticeMs()))
+	_ = in.timers.Sleep(context.Background(), timer.Milliseconds(in.settings.GetInstance().GetNoticeMs()))
 	// Shutdown closes the listener and idle connections, and waits for the others without a limit.
 	_ = in.caller.Shutdown(context.Background())
 	in.core.Finish()
@@ -148,8 +143,8 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler: handler, Protocols: protocols,
-		ReadHeaderTimeout: milliseconds(limits.GetReadTimeoutMs()), ReadTimeout: milliseconds(limits.GetReadTimeoutMs()),
-		IdleTimeout: milliseconds(limits.GetIdleTimeoutMs()), MaxHeaderBytes: int(limits.GetMaxHeaderBytes()),
+		ReadHeaderTimeout: timer.Milliseconds(limits.GetReadTimeoutMs()), ReadTimeout: timer.Milliseconds(limits.GetReadTimeoutMs()),
+		IdleTimeout: timer.Milliseconds(limits.GetIdleTimeoutMs()), MaxHeaderBytes: int(limits.GetMaxHeaderBytes()),
 		ErrorLog: in.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 }
--- a/instance/secure.go
+++ b/instance/secure.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/turmericdoor/turmericdoor/credential"
+	"github.com/turmericdoor/turmericdoor/timer"
 )
 
 // loadCredentials loads the certificates that the settings name and watches their files.
@@ -39,7 +40,7 @@
 	}
 	done := make(chan struct{})
 	in.watches = append(in.watches, done)
-	go loader.Watch(in.lifetime, milliseconds(in.settings.GetTls().GetReloadIntervalMs()), done)
+	go loader.Watch(in.lifetime, timer.Milliseconds(in.settings.GetTls().GetReloadIntervalMs()), done)
 	return loader, nil
 }
 
--- a/load/load.go
+++ b/load/load.go
@@ -14,6 +14,7 @@
 	"github.com/turmericdoor/turmericdoor/answer"
 	"github.com/turmericdoor/turmericdoor/caller"
 	"github.com/turmericdoor/turmericdoor/schema/plan"
+	"github.com/turmericdoor/turmericdoor/timer"
 )
 
 // Run is one load run.
@@ -50,12 +51,12 @@
 	random := rand.New(rand.NewPCG(uint64(rn.config.GetSeed()), 1))
 	due := make([]time.Duration, len(rn.streams))
 	for at, one := range rn.streams {
-		due[at] = milliseconds(one.config.GetFromMs()) + gap(random, one)
+		due[at] = timer.Milliseconds(one.config.GetFromMs()) + gap(random, one)
 	}
 	shown := rn.began
 	for ctx.Err() == nil {
 		at := earliest(due)
-		if due[at] >= milliseconds(rn.config.GetDurationMs()) {
+		if due[at] >= timer.Milliseconds(rn.config.GetDurationMs()) {
 			break
 		}
 		intended := rn.began.Add(due[at])
@@ -72,10 +73,6 @@
 	rn.group.Wait()
 }
 
-func milliseconds(count int64) time.Duration {
-	return time.Duration(count) * time.Millisecond
-}
-
 // gap draws the time until a stream's next request.
 func gap(random *rand.Rand, one stream) time.Duration {
 	rate := float64(one.config.GetRatePerMinute()) / 60
@@ -93,8 +90,8 @@
 }
 
 func (rn *Run) isDue(one stream, at time.Duration) bool {
-	to := milliseconds(one.config.GetToMs())
-	return at >= milliseconds(one.config.GetFromMs()) && (to == 0 || at < to)
+	to := timer.Milliseconds(one.config.GetToMs())
+	return at >= timer.Milliseconds(one.config.GetFromMs()) && (to == 0 || at < to)
 }
 
 // send makes one request without waiting for its answer.
@@ -110,7 +107,7 @@
 		got, stages := rn.ask(ctx, target, one, number)
 		rn.report.ended(one, outcomeOf{
 			outcome: got, took: time.Since(intended), at: intended.Sub(rn.began), stages: stages,
-			deadline: milliseconds(one.config.GetDeadlineMs()),
+			deadline: timer.Milliseconds(one.config.GetDeadlineMs()),
 		})
 	})
 }
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -6,6 +6,11 @@
 	"time"
 )
 
+// Milliseconds converts a setting in milliseconds.
+func Milliseconds(count int64) time.Duration {
+	return time.Duration(count) * time.Millisecond
+}
+
 // Service tells the time and wakes its subscribers; it is driven by the clock or by hand.
 type Service struct {
 	mu      sync.Mutex
