--- /dev/null
+++ b/batch/batch.go
@@ -0,0 +1,346 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Group is the items of one request's stage, which are waited for together.
+type Group struct {
+	Ticket uint64
+	Stage  int
+	Count  int
+	Rank   int
+	// Due is when the results are wanted for the request to be on time, Expires when they are of no more use.
+	Due         time.Time
+	Expires     time.Time
+	ResultBytes int64
+}
+
+// Item names one item of a group.
+type Item struct {
+	Ticket uint64
+	Index  int
+}
+
+// Terms describe the upstreams of the pool.
+type Terms struct {
+	Slots       int
+	Batch       int
+	CallTime    time.Duration
+	ItemTime    time.Duration
+	ResultRoom  int64
+	ResultsKept time.Duration
+}
+
+// Upstream is one that calls can be sent to.
+type Upstream struct {
+	Name          string
+	FailureDomain string
+}
+
+// Action is what the pool asks for; Send, Drop and Wake are its variants.
+type Action interface {
+	action()
+}
+
+// Send asks for a call; Ended must follow with its number.
+type Send struct {
+	Call     uint64
+	Upstream string
+	Items    []Item
+	Expected time.Duration
+	// Repeated is how many of the items were sent before.
+	Repeated int
+}
+
+func (Send) action() {}
+
+// Drop says that a group has no more chance to be finished in time.
+type Drop struct {
+	Ticket uint64
+}
+
+func (Drop) action() {}
+
+// Wake asks for a Step at a time.
+type Wake struct {
+	At time.Time
+}
+
+func (Wake) action() {}
+
+// Pool is the state of the calls of one stage pool; it is not safe for concurrent use.
+type Pool struct {
+	terms     Terms
+	groups    map[uint64]*group
+	order     []*group
+	upstreams map[string]*upstream
+	names     []string
+	calls     map[uint64]*call
+	nextCall  uint64
+	itemTime  float64
+}
+
+// group is a Group with the items that are still to be sent.
+type group struct {
+	Group
+	waiting []int
+	sent    map[int]int
+}
+
+// call is one call under way.
+type call struct {
+	upstream *upstream
+	items    []Item
+	bytes    int64
+	started  time.Time
+	expected time.Duration
+}
+
+// New returns a pool without upstreams.
+func New(terms Terms) *Pool {
+	return &Pool{
+		terms: terms, groups: map[uint64]*group{}, upstreams: map[string]*upstream{}, calls: map[uint64]*call{},
+		itemTime: float64(terms.ItemTime),
+	}
+}
+
+// SetTerms replaces the description of the upstreams.
+func (pl *Pool) SetTerms(terms Terms) {
+	if terms.ItemTime != pl.terms.ItemTime {
+		pl.itemTime = float64(terms.ItemTime)
+	}
+	pl.terms = terms
+}
+
+// SetUpstreams replaces the upstreams; calls under way to others go on.
+func (pl *Pool) SetUpstreams(list []Upstream) {
+	fresh := map[string]*upstream{}
+	pl.names = pl.names[:0]
+	for _, one := range list {
+		known, found := pl.upstreams[one.Name]
+		if !found {
+			known = &upstream{name: one.Name, domain: one.FailureDomain, factor: 1, results: map[string]result{}}
+		}
+		fresh[one.Name] = known
+		pl.names = append(pl.names, one.Name)
+	}
+	slices.Sort(pl.names)
+	pl.upstreams = fresh
+}
+
+// Submit enters a group.
+func (pl *Pool) Submit(added Group) {
+	entered := &group{Group: added, sent: map[int]int{}}
+	for index := range added.Count {
+		entered.waiting = append(entered.waiting, index)
+	}
+	pl.groups[added.Ticket] = entered
+	at, _ := slices.BinarySearchFunc(pl.order, entered, before)
+	pl.order = slices.Insert(pl.order, at, entered)
+}
+
+// rankOffset is how much earlier than a request of the next lower rank one counts as due.
+const rankOffset = 400 * time.Millisecond
+
+// urgency is the time by which groups are ordered. A lower rank is only put off, so that none starves.
+func (gr *group) urgency() time.Time {
+	return gr.Due.Add(time.Duration(gr.Rank) * rankOffset)
+}
+
+func before(left, right *group) int {
+	if order := left.urgency().Compare(right.urgency()); order != 0 {
+		return order
+	}
+	return cmp.Compare(left.Ticket, right.Ticket)
+}
+
+// Withdraw forgets a group whose results are no longer wanted.
+func (pl *Pool) Withdraw(ticket uint64) {
+	if known, found := pl.groups[ticket]; found {
+		delete(pl.groups, ticket)
+		pl.order = slices.DeleteFunc(pl.order, func(other *group) bool { return other == known })
+	}
+}
+
+// CallEnd tells how a call went; Unsent are the items that the upstream did not take, Failed those that it ended
+// without a result.
+type CallEnd struct {
+	Call    uint64
+	Outcome Outcome
+	Results map[Item]string
+	Unsent  []Item
+	Failed  []Item
+}
+
+// Outcome is how a call ended for the upstream's standing.
+type Outcome int
+
+// The outcomes of a call.
+const (
+	// Answered is a call that the upstream worked on.
+	Answered Outcome = iota
+	// Full is a call that the upstream had no room for.
+	Full
+	// Unreachable is a call for which there was no connection.
+	Unreachable
+	// Broken is a call without an answer.
+	Broken
+)
+
+// Ended takes note of a call's end and enters the items that have to be sent again.
+func (pl *Pool) Ended(now time.Time, end CallEnd) {
+	ended, found := pl.calls[end.Call]
+	if !found {
+		return
+	}
+	delete(pl.calls, end.Call)
+	pl.observe(now, ended, end.Outcome)
+	for item, handle := range end.Results {
+		if known := pl.groups[item.Ticket]; known != nil {
+			ended.upstream.results[handle] = result{bytes: known.ResultBytes, until: now.Add(pl.terms.ResultsKept)}
+		}
+	}
+	for _, item := range slices.Concat(end.Unsent, end.Failed) {
+		if known := pl.groups[item.Ticket]; known != nil {
+			known.waiting = append(known.waiting, item.Index)
+		}
+	}
+	for _, item := range end.Unsent {
+		if known := pl.groups[item.Ticket]; known != nil && known.sent[item.Index] > 0 && end.Outcome == Unreachable {
+			known.sent[item.Index]--
+		}
+	}
+}
+
+// Released forgets a result that was freed.
+func (pl *Pool) Released(handle string) {
+	for _, one := range pl.upstreams {
+		delete(one.results, handle)
+	}
+}
+
+// Step returns what is to be done now; allowed bounds the items that may be sent a second time.
+func (pl *Pool) Step(now time.Time, allowed int) []Action {
+	actions := pl.dropExpired(now)
+	wake := time.Time{}
+	for _, name := range pl.byReadiness(now) {
+		one := pl.upstreams[name]
+		if one.calls >= max(pl.terms.Slots, 1) {
+			continue
+		}
+		if now.Before(one.outUntil) {
+			wake = earliest(wake, one.outUntil)
+			continue
+		}
+		if pl.waiting() == 0 {
+			continue
+		}
+		if pl.betterElsewhere(now, one) {
+			wake = earliest(wake, now.Add(slowRetry))
+			continue
+		}
+		sent := pl.fill(now, one, &allowed)
+		if sent == nil {
+			wake = earliest(wake, now.Add(roomRetry))
+			continue
+		}
+		actions = append(actions, *sent)
+	}
+	if pl.waiting() > 0 {
+		wake = earliest(wake, pl.nextExpiry())
+	}
+	if !wake.IsZero() {
+		actions = append(actions, Wake{At: wake})
+	}
+	return actions
+}
+
+const (
+	// roomRetry is when to look again for room for results at an upstream.
+	roomRetry = 30 * time.Millisecond
+	// slowRetry is when to look again whether a slow upstream is worth a call.
+	slowRetry = 50 * time.Millisecond
+)
+
+func earliest(known, other time.Time) time.Time {
+	if known.IsZero() || !other.IsZero() && other.Before(known) {
+		return other
+	}
+	return known
+}
+
+// dropExpired gives up groups that no call can finish in time any more.
+func (pl *Pool) dropExpired(now time.Time) []Action {
+	actions := []Action{}
+	for _, known := range slices.Clone(pl.order) {
+		if len(known.waiting) > 0 && now.Add(pl.terms.CallTime).After(known.Expires) {
+			actions = append(actions, Drop{Ticket: known.Ticket})
+			pl.Withdraw(known.Ticket)
+		}
+	}
+	return actions
+}
+
+func (pl *Pool) nextExpiry() time.Time {
+	next := time.Time{}
+	for _, known := range pl.order {
+		if len(known.waiting) > 0 {
+			next = earliest(next, known.Expires.Add(-pl.terms.CallTime+time.Millisecond))
+		}
+	}
+	return next
+}
+
+// waiting counts the items that are not sent.
+func (pl *Pool) waiting() int {
+	count := 0
+	for _, known := range pl.order {
+		count += len(known.waiting)
+	}
+	return count
+}
+
+// fill makes the next call for an upstream out of the most urgent items, or nil if there is no room for any.
+func (pl *Pool) fill(now time.Time, one *upstream, allowed *int) *Send {
+	limit := pl.terms.Batch
+	if one.factor > trialFactor {
+		limit = max(limit/trialShare, 1)
+	}
+	room := pl.terms.ResultRoom - one.held(now)
+	if pl.terms.ResultRoom == 0 {
+		room = int64(limit) * maxResultBytes
+	}
+	made := &call{upstream: one, started: now}
+	repeated := 0
+	for _, known := range pl.order {
+		for len(made.items) < limit && len(known.waiting) > 0 && made.bytes+known.ResultBytes <= room {
+			index := known.waiting[0]
+			if known.sent[index] > 0 {
+				if *allowed <= 0 {
+					break
+				}
+				*allowed--
+				repeated++
+			}
+			known.waiting = known.waiting[1:]
+			known.sent[index]++
+			made.items = append(made.items, Item{Ticket: known.Ticket, Index: index})
+			made.bytes += known.ResultBytes
+		}
+	}
+	if len(made.items) == 0 {
+		return nil
+	}
+	pl.nextCall++
+	made.expected = pl.expected(one, len(made.items))
+	pl.calls[pl.nextCall] = made
+	one.calls++
+	one.pending += made.bytes
+	return &Send{Call: pl.nextCall, Upstream: one.name, Items: made.items, Expected: made.expected, Repeated: repeated}
+}
+
+// maxResultBytes stands for the size of a result where a pool names no room for results.
+const maxResultBytes = 1 << 40
--- /dev/null
+++ b/command/front.go
@@ -0,0 +1,32 @@
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/turmericdoor/turmericdoor/entrypoint"
+	"github.com/turmericdoor/turmericdoor/platform"
+)
+
+// front runs an entry instance on the users' platform. A second signal changes nothing.
+func (tb *Table) front() error {
+	adapter := platform.NewAdapter(tb.options.platformSettings)
+	settings, err := adapter.Load()
+	if err != nil {
+		return inputError(err)
+	}
+	logger := log.NewWithOptions(os.Stdout, log.Options{
+		Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+	}).With("instance", settings.Instance)
+	return entrypoint.New(adapter, settings, logger).Run()
+}
+
+func (tb *Table) checkFront() error {
+	if _, err := platform.LoadSettings(tb.options.platformSettings); err != nil {
+		return inputError(err)
+	}
+	fmt.Fprintf(tb.out, "%s: settings are right\n", tb.options.platformSettings)
+	return nil
+}
--- a/command/table.go
+++ b/command/table.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 
 	"github.com/turmericdoor/turmericdoor/configuration"
+	"github.com/turmericdoor/turmericdoor/platform"
 )
 
 // Version is the version that the command line prints.
@@ -33,30 +34,32 @@
 
 // options are the flags of all commands; each command states those it has.
 type options struct {
-	settings       string
-	address        string
-	key            string
-	team           string
-	file           string
-	editID         string
-	author         string
-	upstream       string
-	request        string
-	organisation   string
-	kind           string
-	expected       int64
-	revision       int64
-	limit          int64
-	timeoutMs      int64
-	wait           bool
-	json           bool
-	directory      string
-	pipeline       string
-	rank           string
-	input          string
-	raw            bool
-	idempotencyKey string
-	stream         bool
+	settings string
+	// platformSettings is the path of the platform's settings file.
+	platformSettings string
+	address          string
+	key              string
+	team             string
+	file             string
+	editID           string
+	author           string
+	upstream         string
+	request          string
+	organisation     string
+	kind             string
+	expected         int64
+	revision         int64
+	limit            int64
+	timeoutMs        int64
+	wait             bool
+	json             bool
+	directory        string
+	pipeline         string
+	rank             string
+	input            string
+	raw              bool
+	idempotencyKey   string
+	stream           bool
 }
 
 // entry is one command.
@@ -73,7 +76,7 @@
 func New(out io.Writer) *Table {
 	return &Table{out: out, options: options{
 		address: environment("TURMERICDOOR_ADDRESS", "127.0.0.1:7101"), key: environment("TURMERICDOOR_KEY", ""),
-		settings: "turmericdoor.ini", limit: defaultEvents, timeoutMs: defaultTimeoutMs,
+		platformSettings: environment(platform.SettingsVariable, ""), settings: "turmericdoor.ini", limit: defaultEvents, timeoutMs: defaultTimeoutMs,
 	}}
 }
 
@@ -93,8 +96,10 @@
 func commands() []entry {
 	return []entry{
 		{name: "serve", help: "Run an entry instance until it is told to stop", flags: settingsFlag, run: (*Table).serve},
+		{name: "front", help: "Run an entry instance on the users' platform until it is told to stop", flags: frontFlags, run: (*Table).front},
 		{name: "settings", help: "Work on the settings file", children: []entry{
 			{name: "check", help: "Check a settings file and list everything that is wrong with it", flags: settingsFlag, run: (*Table).checkSettings},
+			{name: "check-platform", help: "Check a settings file of the users' platform", flags: frontFlags, run: (*Table).checkFront},
 			{name: "reference", help: "Print the reference of all settings and document sections", run: (*Table).reference},
 		}},
 		{name: "document", alias: "doc", help: "Work on the shared document", children: documentCommands()},
@@ -122,6 +127,10 @@
 	sub.String(&op.settings, "s", "settings", "Path of the settings file")
 }
 
+func frontFlags(op *options, sub *flaggy.Subcommand) {
+	sub.String(&op.platformSettings, "s", "settings", "Path of the platform's settings file; "+platform.SettingsVariable+" is used if it is not given")
+}
+
 func directoryFlag(op *options, sub *flaggy.Subcommand) {
 	sub.String(&op.directory, "d", "directory", "Folder with one file NAME.ini for each team")
 }
--- a/core/core.go
+++ b/core/core.go
@@ -21,20 +21,20 @@
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/operator"
 	"github.com/turmericdoor/turmericdoor/peer"
-	"github.com/turmericdoor/turmericdoor/platform"
 	"github.com/turmericdoor/turmericdoor/pool"
 	"github.com/turmericdoor/turmericdoor/revision"
 	"github.com/turmericdoor/turmericdoor/runner"
 	"github.com/turmericdoor/turmericdoor/schema/settings"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/table"
+	"github.com/turmericdoor/turmericdoor/tableservice"
 	"github.com/turmericdoor/turmericdoor/timeline"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
 
 // Listing is the platform's list of instances.
 type Listing interface {
-	Instances(ctx context.Context) ([]platform.ListedInstance, error)
+	Instances(ctx context.Context) ([]tableservice.ListedInstance, error)
 }
 
 // Parts are what surrounds a core. Listing may be nil.
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/turmericdoor/turmericdoor/platform"
 	"github.com/turmericdoor/turmericdoor/table"
+	"github.com/turmericdoor/turmericdoor/tableservice"
 )
 
 // rows is the content of the table service.
@@ -39,7 +39,7 @@
 	return Counts{Reads: sd.rows.reads, Writes: sd.rows.writes}
 }
 
-func (rw *rows) read(request platform.ReadRequest) []table.Row {
+func (rw *rows) read(request tableservice.ReadRequest) []table.Row {
 	rw.mu.Lock()
 	defer rw.mu.Unlock()
 	rw.reads++
@@ -94,18 +94,18 @@
 // list is the instance list with its lag.
 type list struct {
 	mu      sync.Mutex
-	current []platform.ListedInstance
-	before  []platform.ListedInstance
+	current []tableservice.ListedInstance
+	before  []tableservice.ListedInstance
 	changed time.Time
 }
 
-func (ls *list) set(fresh []platform.ListedInstance) {
+func (ls *list) set(fresh []tableservice.ListedInstance) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	ls.before, ls.current, ls.changed = ls.current, fresh, time.Now()
 }
 
-func (ls *list) get(lag time.Duration) []platform.ListedInstance {
+func (ls *list) get(lag time.Duration) []tableservice.ListedInstance {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	if time.Since(ls.changed) < lag {
@@ -122,7 +122,7 @@
 		reply(writer, sd.list.get(time.Duration(sd.faults.Load().LagMs)*time.Millisecond))
 	})
 	mux.HandleFunc("POST /instances", func(writer http.ResponseWriter, request *http.Request) {
-		fresh := []platform.ListedInstance{}
+		fresh := []tableservice.ListedInstance{}
 		if json.NewDecoder(request.Body).Decode(&fresh) == nil {
 			sd.list.set(fresh)
 		}
@@ -146,13 +146,13 @@
 }
 
 func (sd *Standin) postRead(writer http.ResponseWriter, request *http.Request) {
-	asked := platform.ReadRequest{}
+	asked := tableservice.ReadRequest{}
 	if json.NewDecoder(request.Body).Decode(&asked) != nil {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	if sd.hold(writer, request) {
-		reply(writer, platform.ReadReply{Rows: sd.rows.read(asked)})
+		reply(writer, tableservice.ReadReply{Rows: sd.rows.read(asked)})
 	}
 }
 
@@ -170,5 +170,5 @@
 		hangUp(writer)
 		return
 	}
-	reply(writer, platform.CommitReply{Committed: len(conflicts) == 0, Conflicts: conflicts})
+	reply(writer, tableservice.CommitReply{Committed: len(conflicts) == 0, Conflicts: conflicts})
 }
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,239 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/turmericdoor/turmericdoor/catalog"
+	"github.com/turmericdoor/turmericdoor/drain"
+	"github.com/turmericdoor/turmericdoor/entropy"
+	"github.com/turmericdoor/turmericdoor/gateway"
+	"github.com/turmericdoor/turmericdoor/gather"
+	"github.com/turmericdoor/turmericdoor/hlc"
+	"github.com/turmericdoor/turmericdoor/logbook"
+	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/metric"
+	"github.com/turmericdoor/turmericdoor/peer"
+	"github.com/turmericdoor/turmericdoor/revision"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+	"github.com/turmericdoor/turmericdoor/watch"
+)
+
+// Parts are what an entry instance works with; the adapters of a platform implement them.
+type Parts struct {
+	Settings Settings
+	Logger   *log.Logger
+	Timers   *timer.Service
+	Chance   *entropy.Source
+	Source   watch.Source
+	Decoder  catalog.Decoder
+	Tables   catalog.Tables
+	Sender   gateway.Sender
+	Caller   gather.Caller
+	// PeerDialer and BatchDialer make links to other instances.
+	PeerDialer  peer.Dialer
+	BatchDialer gather.Dialer
+}
+
+// Entry is an entry instance without its sockets.
+type Entry struct {
+	settings Settings
+	timers   *timer.Service
+	events   *timeline.Ring
+	logbook  *logbook.Logbook
+	metrics  *metric.Set
+	gate     *drain.Gate
+	catalog  *catalog.Catalog
+	watches  []*watch.Watch
+	peer     *peer.Peer
+	pools    *gateway.Pools
+	gateway  *gateway.Gateway
+	gatherer *gather.Gatherer
+	items    *gather.Client
+	batches  *gather.Server
+
+	lifetime context.Context
+	end      context.CancelFunc
+	logLife  context.Context
+	endLog   context.CancelFunc
+	mu       sync.Mutex
+	ends     []<-chan struct{}
+	logEnd   chan struct{}
+}
+
+const (
+	// timelineEvents is how many events are kept in memory.
+	timelineEvents = 4096
+	heartbeat      = 700 * time.Millisecond
+	// suspectAfter is the silence after which another instance is suspected, deadAfter how long that stands unrefuted.
+	suspectAfter = 2 * time.Second
+	deadAfter    = 1500 * time.Millisecond
+	// partners is how many instances get heartbeats from each.
+	partners = 4
+)
+
+// New builds an entry instance that is not running yet.
+func New(parts Parts) *Entry {
+	en := &Entry{
+		settings: parts.Settings, timers: parts.Timers, metrics: metric.New(), gate: drain.New(),
+		logbook: logbook.New(parts.Logger, parts.Timers), logEnd: make(chan struct{}),
+	}
+	en.lifetime, en.end = context.WithCancel(context.Background())
+	en.logLife, en.endLog = context.WithCancel(context.Background())
+	clock := hlc.New(parts.Timers)
+	en.events = timeline.New(en.settings.Instance, clock, timelineEvents, en.logbook.Write)
+	en.catalog = catalog.New(parts.Decoder, parts.Tables, parts.Timers, en.events)
+	for _, table := range []string{parts.Tables.Configuration, parts.Tables.Registrations} {
+		en.watches = append(en.watches, watch.New(table, parts.Source, parts.Timers, parts.Chance.Fork(table), changes{en}))
+	}
+	en.peer = en.newPeer(parts, clock)
+	en.pools = gateway.NewPools(parts.Timers, parts.Settings.Budget, func() int { return len(en.peer.Live()) })
+	en.gatherer = gather.New(en.lifetime, gather.Parts{
+		View: en.catalog, Caller: parts.Caller, Repeats: en.pools, Timers: parts.Timers, Events: en.events,
+	})
+	en.items = gather.NewClient(gather.ClientParts{
+		Self: en.settings.Instance, Gatherer: en.gatherer, View: en.catalog, Members: en.peer, Dialer: parts.BatchDialer,
+		Timers: parts.Timers, Events: en.events,
+	})
+	en.batches = gather.NewServer(en.gatherer, en.items, parts.Timers)
+	en.gateway = gateway.New(gateway.Parts{
+		FailureDomain: en.settings.FailureDomain, Catalog: en.catalog, Pools: en.pools, Items: en.items, Sender: parts.Sender,
+		Crashes: en.peer, Timers: parts.Timers, Events: en.events, Metrics: en.metrics,
+	})
+	en.gauges()
+	return en
+}
+
+func (en *Entry) newPeer(parts Parts, clock *hlc.Clock) *peer.Peer {
+	now := parts.Timers.Now()
+	config := member.Config{Heartbeat: heartbeat, SuspectAfter: suspectAfter, DeadAfter: deadAfter, Partners: partners}
+	self := member.Member{
+		ID: en.settings.Instance, Address: en.settings.PeerAddress, FailureDomain: en.settings.FailureDomain,
+		Incarnation: uint64(now.UnixMilli()),
+	}
+	return peer.New(peer.Parts{
+		Timers: parts.Timers, Clock: clock, Events: en.events, Holder: revision.New(nil), Listener: listener{},
+		Members: member.New(self, config, parts.Chance.Generator("member"), now), Dialer: parts.PeerDialer,
+		Chance: parts.Chance.Fork("peer"), Rows: replicas{en},
+	}, peer.Config{Member: config, Seeds: en.settings.Seeds, Heartbeat: heartbeat})
+}
+
+func (en *Entry) gauges() {
+	en.metrics.Gauge("requests_in_flight", func() float64 { return float64(en.gate.InFlight()) })
+	en.metrics.Gauge("members_live", func() float64 { return float64(len(en.peer.Live())) })
+	en.metrics.Gauge("configuration_revision", func() float64 {
+		if table := en.catalog.Table(); table != nil {
+			return float64(table.Revision)
+		}
+		return 0
+	})
+}
+
+// Start starts every part.
+func (en *Entry) Start() {
+	go en.logbook.Run(en.logLife, en.logEnd)
+	en.events.Record(&wire.Event{Kind: wire.EventKind_EventStarted, Detail: en.settings.FailureDomain})
+	en.start(en.peer.Run)
+	en.start(en.catalog.Run)
+	en.start(en.gatherer.Run)
+	en.start(en.items.Exchange)
+	for _, each := range en.watches {
+		en.start(each.Run)
+	}
+	en.gate.Advance(drain.Serving)
+}
+
+func (en *Entry) start(run func(context.Context, chan<- struct{})) {
+	done := make(chan struct{})
+	en.mu.Lock()
+	en.ends = append(en.ends, done)
+	en.mu.Unlock()
+	go run(en.lifetime, done)
+}
+
+// Notice makes the instance not ready while it still serves.
+func (en *Entry) Notice() {
+	en.gate.Advance(drain.Noticed)
+	en.events.Record(&wire.Event{Kind: wire.EventKind_EventStopping})
+}
+
+// Finish ends every part, once nothing is in flight.
+func (en *Entry) Finish() {
+	en.gate.Advance(drain.Closed)
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeat)
+	en.peer.Leave(ctx)
+	cancel()
+	en.events.Record(&wire.Event{Kind: wire.EventKind_EventStopped})
+	en.end()
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	for _, done := range en.ends {
+		<-done
+	}
+	en.endLog()
+	<-en.logEnd
+}
+
+// Ready reports whether the instance should get new connections.
+func (en *Entry) Ready() bool {
+	return en.gate.Phase() == drain.Serving && en.catalog.Complete()
+}
+
+// Stopping reports whether callers should leave their connections.
+func (en *Entry) Stopping() bool {
+	return en.gate.Phase() >= drain.Noticed
+}
+
+// firstBodyLimit bounds bodies before a configuration says how large they may be, in bytes.
+const firstBodyLimit = 4 << 20
+
+// BodyLimit is the largest body that is read, in bytes.
+func (en *Entry) BodyLimit() int64 {
+	if table := en.catalog.Table(); table != nil && table.Limits.BodyBytes > 0 {
+		return table.Limits.BodyBytes
+	}
+	return firstBodyLimit
+}
+
+// Serve takes a caller's request to its end.
+func (en *Entry) Serve(request *http.Request, decoded *gateway.Request, sink gateway.Sink) gateway.Outcome {
+	if !en.gate.Enter() {
+		return gateway.Refused{RetryAfter: closedRetry, Cause: "closed"}
+	}
+	defer en.gate.Leave()
+	return en.gateway.Serve(request.Context(), decoded, sink)
+}
+
+// closedRetry is when to come back to another instance.
+const closedRetry = 50 * time.Millisecond
+
+// Peer returns the part that other instances call for membership and rows.
+func (en *Entry) Peer() *peer.Peer {
+	return en.peer
+}
+
+// Batches returns the part that other instances call to have items gathered.
+func (en *Entry) Batches() *gather.Server {
+	return en.batches
+}
+
+// Metrics returns the figures of the instance.
+func (en *Entry) Metrics() *metric.Set {
+	return en.metrics
+}
+
+// Catalog returns the configuration and the upstreams in force.
+func (en *Entry) Catalog() *catalog.Catalog {
+	return en.catalog
+}
+
+// Reloaded records that the settings were read again.
+func (en *Entry) Reloaded(detail string) {
+	en.events.Record(&wire.Event{Kind: wire.EventKind_EventReloaded, Detail: detail})
+}
--- /dev/null
+++ b/entry/replicas.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/news"
+	"github.com/turmericdoor/turmericdoor/replica"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+)
+
+// changes hands changed rows to the catalog, and has other instances told of those that came from the store.
+type changes struct {
+	entry *Entry
+}
+
+// RowsChanged takes changed rows.
+func (ch changes) RowsChanged(table string, rows []replica.Row, version int64, fromPeer bool) {
+	ch.entry.catalog.RowsChanged(table, rows, version, fromPeer)
+	ch.entry.peer.Announce()
+}
+
+// StoreLost takes note of an outage.
+func (ch changes) StoreLost(table string, cause error) {
+	ch.entry.catalog.StoreLost(table, cause)
+}
+
+// StoreBack takes note of the end of an outage.
+func (ch changes) StoreBack(table string) {
+	ch.entry.catalog.StoreBack(table)
+}
+
+// replicas are the watches as other instances see them.
+type replicas struct {
+	entry *Entry
+}
+
+// Versions returns how far the replicas have come.
+func (rp replicas) Versions() []*wire.TableVersion {
+	list := []*wire.TableVersion{}
+	for _, each := range rp.entry.watches {
+		list = append(list, &wire.TableVersion{Table: each.Table(), Version: each.Version(), Newest: each.Newest()})
+	}
+	return list
+}
+
+// Since returns what changed in a table after a version.
+func (rp replicas) Since(table string, version int64) *wire.FetchRowsReply {
+	reply := &wire.FetchRowsReply{}
+	for _, each := range rp.entry.watches {
+		if each.Table() != table {
+			continue
+		}
+		page := each.Since(version)
+		reply.Version, reply.Whole = page.Version, page.Whole
+		for _, row := range page.Rows {
+			reply.Rows = append(reply.Rows, &wire.TableRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
+		}
+	}
+	return reply
+}
+
+// Behind takes note of how far another instance has come, and reports whether rows should be fetched from it.
+func (rp replicas) Behind(version *wire.TableVersion) bool {
+	for _, each := range rp.entry.watches {
+		if each.Table() == version.GetTable() && version.GetNewest() > each.Version() {
+			each.Behind(version.GetNewest())
+			return true
+		}
+	}
+	return false
+}
+
+// Take applies rows that another instance sent.
+func (rp replicas) Take(table string, reply *wire.FetchRowsReply) {
+	page := replica.Page{Version: reply.GetVersion(), Whole: reply.GetWhole()}
+	for _, row := range reply.GetRows() {
+		page.Rows = append(page.Rows, replica.Row{
+			Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Deleted: row.GetDeleted(),
+		})
+	}
+	for _, each := range rp.entry.watches {
+		if each.Table() == table && page.Version > 0 {
+			each.Take(page)
+		}
+	}
+}
+
+// listener hears of membership; live instances are counted where they are needed.
+type listener struct{}
+
+// MembersChanged needs nothing done.
+func (listener) MembersChanged([]member.Change, int) {}
+
+// UpstreamLeaving needs nothing done: upstreams that leave stand in the registrations.
+func (listener) UpstreamLeaving(news.Leaving) {}
+
+// DocumentFetched needs nothing done: the configuration comes as rows.
+func (listener) DocumentFetched(document.Text) {}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,23 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/allowance"
+)
+
+// Settings are what an entry instance starts from.
+type Settings struct {
+	Instance       string
+	FailureDomain  string
+	CallerAddress  string
+	ReadyAddress   string
+	PeerAddress    string
+	MetricsAddress string
+	Seeds          []string
+	StoreAddress   string
+	// Grace is the time between the signal to stop and the end of the process.
+	Grace       time.Duration
+	MemoryBytes int64
+	Budget      allowance.Terms
+}
--- /dev/null
+++ b/entrypoint/entrypoint.go
@@ -0,0 +1,183 @@
+package entrypoint
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"google.golang.org/grpc"
+
+	"github.com/turmericdoor/turmericdoor/entry"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timer"
+)
+
+// Adapter is what a platform adds to an entry instance.
+type Adapter interface {
+	// Parts returns what an entry instance with these settings works with; sockets are filled in.
+	Parts(settings entry.Settings) entry.Parts
+	// Handler returns the handler of callers' requests.
+	Handler(en *entry.Entry) http.Handler
+	// Load reads the settings file.
+	Load() (entry.Settings, error)
+	// Reload takes over what can change while the instance runs.
+	Reload(settings entry.Settings)
+}
+
+// Entrypoint is the sockets of one entry instance.
+type Entrypoint struct {
+	adapter  Adapter
+	settings entry.Settings
+	logger   *log.Logger
+	timers   *timer.Service
+	entry    *entry.Entry
+	callers  *http.Server
+	ready    *http.Server
+	metrics  *http.Server
+	peers    *grpc.Server
+	failed   chan error
+	modified time.Time
+}
+
+const (
+	// memoryShare is the part of the memory limit that the runtime keeps to.
+	memoryShare = 0.7
+	// garbagePercent trades memory for processor time.
+	garbagePercent = 200
+	// noticeTime is how long a stopping instance still takes connections, so that its balancer notices.
+	noticeTime = 2500 * time.Millisecond
+	// endSlack is how long before the end of the grace time the instance ends what is still in flight.
+	endSlack = 150 * time.Millisecond
+	// headerTimeout and idleTimeout bound callers' connections.
+	headerTimeout = 20 * time.Second
+	idleTimeout   = 90 * time.Second
+	maxHeader     = 256 << 10
+	servers       = 4
+)
+
+// New returns an entry point that is not running yet.
+func New(adapter Adapter, settings entry.Settings, logger *log.Logger) *Entrypoint {
+	ep := &Entrypoint{
+		adapter: adapter, settings: settings, logger: logger, timers: timer.New(), failed: make(chan error, servers),
+	}
+	parts := adapter.Parts(settings)
+	parts.Settings, parts.Logger, parts.Timers = settings, logger, ep.timers
+	parts.PeerDialer, parts.BatchDialer = dialPeer, dialBatches
+	ep.entry = entry.New(parts)
+	return ep
+}
+
+// Run serves until a signal to stop, then stops gracefully.
+func (ep *Entrypoint) Run() error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	debug.SetMemoryLimit(int64(float64(ep.settings.MemoryBytes) * memoryShare))
+	debug.SetGCPercent(garbagePercent)
+	if err := ep.listen(); err != nil {
+		return err
+	}
+	ep.entry.Start()
+	failure := ep.await(signals)
+	if failure != nil {
+		ep.logger.Error("server ended", "err", failure)
+	}
+	ep.shutdown(ep.timers.Now())
+	return failure
+}
+
+// await follows signals and the settings file until the instance is to stop.
+func (ep *Entrypoint) await(signals <-chan os.Signal) error {
+	for {
+		select {
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				return nil
+			}
+			ep.reload("signal")
+		case err := <-ep.failed:
+			return err
+		}
+	}
+}
+
+// reload reads the settings again. Settings that are wrong change nothing.
+func (ep *Entrypoint) reload(cause string) {
+	fresh, err := ep.adapter.Load()
+	if err != nil {
+		ep.entry.Reloaded(cause + ": refused: " + err.Error())
+		return
+	}
+	ep.adapter.Reload(fresh)
+	ep.entry.Reloaded(cause)
+}
+
+// shutdown ends the service without cutting off what is in flight, within the grace time.
+func (ep *Entrypoint) shutdown(began time.Time) {
+	ep.entry.Notice()
+	_ = ep.timers.Sleep(context.Background(), noticeTime)
+	ctx, cancel := context.WithTimeout(context.Background(), max(ep.settings.Grace-endSlack-ep.timers.Now().Sub(began), 0))
+	defer cancel()
+	if err := ep.callers.Shutdown(ctx); err != nil {
+		ep.logger.Warn("requests were cut off", "err", err)
+	}
+	ep.entry.Finish()
+	ep.peers.Stop()
+	_ = ep.ready.Close()
+	_ = ep.metrics.Close()
+}
+
+// listen opens all addresses before anything is served, so that a start fails whole.
+func (ep *Entrypoint) listen() error {
+	ep.callers = &http.Server{
+		Handler: ep.adapter.Handler(ep.entry), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: ep.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	ep.ready = &http.Server{Handler: http.HandlerFunc(ep.answerReady), ReadHeaderTimeout: headerTimeout}
+	ep.metrics = &http.Server{Handler: http.HandlerFunc(ep.answerMetrics), ReadHeaderTimeout: headerTimeout}
+	ep.peers = newPeerServer()
+	wire.RegisterPeerServer(ep.peers, ep.entry.Peer())
+	wire.RegisterBatchesServer(ep.peers, ep.entry.Batches())
+	starts := []struct {
+		name    string
+		address string
+		serve   func(net.Listener) error
+	}{
+		{"CallerAddress", ep.settings.CallerAddress, ep.callers.Serve},
+		{"ReadyAddress", ep.settings.ReadyAddress, ep.ready.Serve},
+		{"PeerAddress", ep.settings.PeerAddress, ep.peers.Serve},
+		{"MetricsAddress", ep.settings.MetricsAddress, ep.metrics.Serve},
+	}
+	for _, each := range starts {
+		listener, err := net.Listen("tcp", each.address)
+		if err != nil {
+			return fmt.Errorf("%s: %w", each.name, err)
+		}
+		go func() { ep.report(each.serve(listener)) }()
+	}
+	return nil
+}
+
+// report passes on that a server ended by itself.
+func (ep *Entrypoint) report(err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
+		ep.failed <- err
+	}
+}
+
+func (ep *Entrypoint) answerReady(writer http.ResponseWriter, _ *http.Request) {
+	if !ep.entry.Ready() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (ep *Entrypoint) answerMetrics(writer http.ResponseWriter, _ *http.Request) {
+	ep.entry.Metrics().Write(writer)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/catalog"
+	"github.com/turmericdoor/turmericdoor/digest"
+	"github.com/turmericdoor/turmericdoor/gather"
+	"github.com/turmericdoor/turmericdoor/metric"
+	"github.com/turmericdoor/turmericdoor/quarantine"
+	"github.com/turmericdoor/turmericdoor/route"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+)
+
+// Crashes tells and knows the contents that crash upstreams.
+type Crashes interface {
+	Standing(fingerprint digest.Sum) quarantine.Standing
+	ReportCrash(crash quarantine.Crash)
+	Passed(fingerprint digest.Sum)
+}
+
+// Items has the items of stages made.
+type Items interface {
+	Run(ctx context.Context, domain string, work gather.Work) gather.Result
+	Expect(pool, preferred string, margin time.Duration) (string, time.Duration)
+	Release(ctx context.Context, pool, domain string, handles []string)
+}
+
+// Parts are what a gateway works with.
+type Parts struct {
+	FailureDomain string
+	Catalog       *catalog.Catalog
+	Pools         *Pools
+	Items         Items
+	Sender        Sender
+	Crashes       Crashes
+	Timers        *timer.Service
+	Events        *timeline.Ring
+	Metrics       *metric.Set
+}
+
+// Gateway serves requests; it is safe for concurrent use.
+type Gateway struct {
+	Parts
+}
+
+// New returns a gateway.
+func New(parts Parts) *Gateway {
+	return &Gateway{Parts: parts}
+}
+
+// run is one request on its way.
+type run struct {
+	*Gateway
+	request      *Request
+	sink         Sink
+	table        *route.Table
+	pipeline     *route.Pipeline
+	pool         route.Pool
+	organisation route.Organisation
+	rank         int
+	fingerprint  digest.Sum
+	// end is when the final answer is due, due when it is late.
+	end time.Time
+	due time.Time
+	// sent counts the sends that may have run, passed says that a part of the answer went to the sink.
+	sent   int
+	passed bool
+	// cause is what decided the outcome, for the log.
+	cause string
+}
+
+// errTime cancels a request whose time is over.
+var errTime = errors.New("time is over")
+
+// Serve takes a request to its end. The answer of an upstream goes to sink; any other outcome is for the caller
+// to be told.
+func (gw *Gateway) Serve(ctx context.Context, request *Request, sink Sink) Outcome {
+	rn := &run{Gateway: gw, request: request, sink: sink}
+	outcome := rn.serve(ctx)
+	rn.record(outcome)
+	return outcome
+}
+
+func (rn *run) serve(ctx context.Context) Outcome {
+	if refusal := rn.admitRoute(); refusal != nil {
+		return refusal
+	}
+	left := rn.end.Sub(rn.Timers.Now())
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := rn.after(left, func() { cancel(errTime) })
+	defer stop()
+	if refusal := rn.admitLoad(); refusal != nil {
+		return refusal
+	}
+	rn.Pools.Request(rn.pool.Name)
+	return rn.execute(ctx)
+}
+
+// after calls what once the time is over, unless it is stopped before.
+func (rn *run) after(wait time.Duration, what func()) func() {
+	timer := time.AfterFunc(max(wait, 0), what)
+	return func() { timer.Stop() }
+}
+
+// defaultPatience stands for the patience of a caller that did not say.
+const defaultPatience = 10 * time.Second
+
+// admitRoute finds the pipeline and the organisation of a request.
+func (rn *run) admitRoute() Outcome {
+	rn.table = rn.Catalog.Table()
+	if rn.table == nil {
+		return rn.refuse(unreadyRetry, "no configuration yet")
+	}
+	rn.pipeline = rn.table.Find(rn.request.Host, rn.request.Path)
+	if rn.pipeline == nil {
+		return NotFound{}
+	}
+	known := false
+	rn.organisation, known = rn.table.Organisations[rn.request.Key]
+	if !known && !rn.pipeline.Public && len(rn.table.Organisations) > 0 {
+		return Unauthorised{}
+	}
+	rn.pool, known = rn.table.PoolOf(rn.pipeline, rn.request.ID)
+	if !known {
+		return rn.refuse(unreadyRetry, "no pool")
+	}
+	rn.rank = route.RankOf(rn.pipeline, rn.organisation)
+	patience := rn.request.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if rn.pipeline.Timeout > 0 {
+		patience = min(patience, rn.pipeline.Timeout)
+	}
+	rn.end = rn.request.Arrived.Add(patience)
+	rn.due = rn.request.Arrived.Add(rn.pipeline.Target)
+	rn.fingerprint = digest.Of([]byte(rn.request.Path), []byte(rn.organisation.Name), rn.request.Body)
+	if rn.Crashes.Standing(rn.fingerprint) == quarantine.Condemned {
+		return rn.refuse(0, "this request crashes upstreams")
+	}
+	return nil
+}
+
+const (
+	// unreadyRetry is when to come back to an instance that knows no configuration or upstream yet.
+	unreadyRetry = 500 * time.Millisecond
+	// minRetry is the shortest time after which a refused caller should come back.
+	minRetry = 100 * time.Millisecond
+)
+
+func (rn *run) refuse(retryAfter time.Duration, cause string) Outcome {
+	rn.cause = cause
+	return Refused{RetryAfter: retryAfter, Cause: cause}
+}
+
+// admitLoad refuses a request whose stages can't be done in the time that it has.
+func (rn *run) admitLoad() Outcome {
+	now := rn.Timers.Now()
+	expected := rn.expectStages() + rn.engineTime()
+	rn.cause = fmt.Sprintf("expected=%dms left=%dms", expected.Milliseconds(), rn.end.Sub(now).Milliseconds())
+	if late := expected - rn.end.Sub(now); late > 0 && len(rn.activeStages()) > 0 {
+		return rn.refuse(max(late, minRetry), rn.cause+" too long")
+	}
+	rn.Events.Record(&wire.Event{
+		Kind: wire.EventKind_EventAdmitted, RequestId: rn.request.ID, Organisation: rn.organisation.Name,
+		Pipeline: rn.pipeline.Name, Revision: rn.table.Revision, Detail: rn.cause,
+	})
+	return nil
+}
+
+// promptTokensPerMs is how many prompt tokens an engine reads in a millisecond, at the least.
+const promptTokensPerMs = 40
+
+// engineTime is the expected time until a model engine's first event.
+func (rn *run) engineTime() time.Duration {
+	if rn.pool.Engine == nil {
+		return 0
+	}
+	return baseAnswer + time.Duration(rn.request.Prompt.ownTokens()/promptTokensPerMs)*time.Millisecond
+}
+
+// record writes what became of the request.
+func (rn *run) record(outcome Outcome) {
+	took := rn.Timers.Now().Sub(rn.request.Arrived)
+	event := &wire.Event{
+		Kind: wire.EventKind_EventRequestEnded, RequestId: rn.request.ID, Organisation: rn.organisation.Name,
+		Outcome: OutcomeName(outcome), Detail: rn.cause, DurationMicros: took.Microseconds(), Attempt: int64(rn.sent),
+	}
+	name := ""
+	if rn.pipeline != nil {
+		name = rn.pipeline.Name
+		event.Pipeline, event.Revision = name, rn.table.Revision
+	}
+	rn.Events.Record(event)
+	_, answered := outcome.(Answered)
+	rn.Metrics.Ended(metric.Request{
+		Rank: fmt.Sprint(rn.rank), Organisation: rn.organisation.Name, Pipeline: name, Outcome: OutcomeName(outcome),
+		Attained: answered && !rn.Timers.Now().After(rn.end), Took: took,
+	})
+}
--- /dev/null
+++ b/gateway/pools.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/allowance"
+	"github.com/turmericdoor/turmericdoor/placement"
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/timer"
+)
+
+// Pools is what the instance knows of each pool: its upstreams' standing and the repeated sends that are left. It
+// is safe for concurrent use.
+type Pools struct {
+	timers *timer.Service
+	terms  allowance.Terms
+	live   func() int
+
+	mu         sync.Mutex
+	placements map[string]*placement.Pool
+	allowances map[string]*allowance.Allowance
+}
+
+// NewPools returns pools of which nothing is known; live returns the number of live instances.
+func NewPools(timers *timer.Service, terms allowance.Terms, live func() int) *Pools {
+	return &Pools{
+		timers: timers, terms: terms, live: live,
+		placements: map[string]*placement.Pool{}, allowances: map[string]*allowance.Allowance{},
+	}
+}
+
+func (pl *Pools) allowance(pool string) *allowance.Allowance {
+	known, found := pl.allowances[pool]
+	if !found {
+		known = allowance.New(pl.terms)
+		pl.allowances[pool] = known
+	}
+	return known
+}
+
+// Request books a request of a pool.
+func (pl *Pools) Request(pool string) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.allowance(pool).Request(pl.timers.Now())
+}
+
+// Left returns how many repeated sends a pool may still get from here.
+func (pl *Pools) Left(pool string) int {
+	live := pl.live()
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return pl.allowance(pool).Left(pl.timers.Now(), live)
+}
+
+// Spend takes one repeated send of a pool and reports whether there was one.
+func (pl *Pools) Spend(pool string) bool {
+	live := pl.live()
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return pl.allowance(pool).Spend(pl.timers.Now(), live)
+}
+
+// baseAnswer is the time in which an idle upstream answers before it has been measured.
+const baseAnswer = 60 * time.Millisecond
+
+// with runs a decision on a pool's placement.
+func (pl *Pools) with(pool string, decide func(now time.Time, known *placement.Pool)) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	known, found := pl.placements[pool]
+	if !found {
+		known = placement.New(baseAnswer)
+		pl.placements[pool] = known
+	}
+	decide(pl.timers.Now(), known)
+}
+
+func (pl *Pools) pick(pool string, list []*roster.Upstream, want placement.Want, tokens int) (placement.Choice, bool) {
+	choice, found := placement.Choice{}, false
+	pl.with(pool, func(now time.Time, known *placement.Pool) {
+		known.Keep(list)
+		if choice, found = known.Pick(now, list, want); found {
+			known.Started(choice.Upstream.Incarnation(), tokens)
+		}
+	})
+	return choice, found
+}
+
+// first returns the upstream that a session belongs to.
+func (pl *Pools) first(pool string, list []*roster.Upstream, session uint64) (*roster.Upstream, bool) {
+	found, any := (*roster.Upstream)(nil), false
+	pl.with(pool, func(_ time.Time, known *placement.Pool) { found, any = known.First(list, session) })
+	return found, any
+}
--- /dev/null
+++ b/gateway/stages.go
@@ -0,0 +1,266 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/gather"
+	"github.com/turmericdoor/turmericdoor/route"
+)
+
+const (
+	// farMargin is how much sooner another failure domain must have results for items to go there.
+	farMargin = 50 * time.Millisecond
+	// farMarginLarge is the same for results that are costly to move.
+	farMarginLarge = 200 * time.Millisecond
+	// largeResult is the size from which a result is costly to move, in bytes.
+	largeResult = 500_000
+	// stageWaitShare is the part of a call's time that items usually wait for it.
+	stageWaitShare = 2
+)
+
+// stageRun is one stage of a request on its way.
+type stageRun struct {
+	index  int
+	stage  route.Stage
+	count  int
+	domain string
+	done   chan struct{}
+	result gather.Result
+	// readers is how many other stages read the results.
+	readers  int
+	released atomic.Bool
+}
+
+// activeStages returns the stages that the request has items for.
+func (rn *run) activeStages() []int {
+	active := []int{}
+	for index := range rn.pipeline.Stages {
+		if index < len(rn.request.ItemCounts) && rn.request.ItemCounts[index] > 0 {
+			active = append(active, index)
+		}
+	}
+	return active
+}
+
+// callTime is how long a stage takes without a wait.
+func (rn *run) callTime(index int) time.Duration {
+	pool := rn.table.Pools[rn.pipeline.Stages[index].Pool]
+	if pool.Items == nil {
+		return 0
+	}
+	count := min(rn.request.ItemCounts[index], pool.Items.Batch)
+	return pool.Items.CallTime + time.Duration(count)*pool.Items.ItemTime
+}
+
+// after returns the time that the longest chain of stages behind a stage takes.
+func (rn *run) afterStage(index int, active []int) time.Duration {
+	longest := time.Duration(0)
+	for _, later := range active {
+		if slices.Contains(rn.pipeline.Stages[later].After, index) {
+			longest = max(longest, rn.callTime(later)+rn.callTime(later)/stageWaitShare+rn.afterStage(later, active))
+		}
+	}
+	return longest
+}
+
+// expectStages returns the time that the longest chain of stages is expected to take, with the waits as they are.
+func (rn *run) expectStages() time.Duration {
+	active := rn.activeStages()
+	finish := map[int]time.Duration{}
+	longest := time.Duration(0)
+	for _, index := range active {
+		start := time.Duration(0)
+		for _, earlier := range rn.pipeline.Stages[index].After {
+			start = max(start, finish[earlier])
+		}
+		_, wait := rn.Items.Expect(rn.pipeline.Stages[index].Pool, rn.FailureDomain, farMargin)
+		finish[index] = start + max(wait-start, rn.callTime(index))
+		longest = max(longest, finish[index])
+	}
+	return longest
+}
+
+// stageError says why the stages have no result.
+type stageError struct {
+	refused bool
+	wait    time.Duration
+	cause   string
+}
+
+// Error returns the cause.
+func (se stageError) Error() string {
+	return se.cause
+}
+
+// stages carries out the stages of a request.
+type stages struct {
+	run  *run
+	runs map[int]*stageRun
+}
+
+// runStages has all stages of the request done. Those that read no other's results start together.
+func (rn *run) runStages(ctx context.Context) (*stages, error) {
+	st := &stages{run: rn, runs: map[int]*stageRun{}}
+	active := rn.activeStages()
+	for _, index := range active {
+		st.runs[index] = &stageRun{
+			index: index, stage: rn.pipeline.Stages[index], count: rn.request.ItemCounts[index], done: make(chan struct{}),
+		}
+	}
+	for _, each := range st.runs {
+		for _, earlier := range each.stage.After {
+			if st.runs[earlier] != nil {
+				st.runs[earlier].readers++
+			}
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan *stageRun, len(active))
+	for _, index := range active {
+		go func() {
+			defer func() { ended <- st.runs[index] }()
+			st.execute(ctx, st.runs[index], active)
+		}()
+	}
+	failure := error(nil)
+	for range active {
+		each := <-ended
+		if err := failureOf(each); err != nil && failure == nil {
+			failure = err
+			cancel()
+		}
+	}
+	if failure != nil {
+		st.releaseAll()
+		return nil, failure
+	}
+	return st, nil
+}
+
+func failureOf(each *stageRun) error {
+	switch result := each.result.(type) {
+	case gather.Finished:
+		return nil
+	case gather.Refused:
+		return stageError{refused: true, wait: result.Wait, cause: each.stage.Pool + ": " + result.Cause}
+	case gather.Unfinished:
+		return stageError{cause: each.stage.Pool + ": " + result.Cause}
+	}
+	return stageError{cause: each.stage.Pool + ": not begun"}
+}
+
+// execute waits for the stages before and has the items of one stage made.
+func (st *stages) execute(ctx context.Context, each *stageRun, active []int) {
+	defer close(each.done)
+	inputs := []string{}
+	for _, earlier := range each.stage.After {
+		before := st.runs[earlier]
+		if before == nil {
+			continue
+		}
+		select {
+		case <-before.done:
+		case <-ctx.Done():
+			return
+		}
+		finished, whole := before.result.(gather.Finished)
+		if !whole {
+			return
+		}
+		inputs = append(inputs, handles(finished.Items)...)
+	}
+	rn := st.run
+	margin, preferred := farMargin, rn.FailureDomain
+	if each.stage.ResultBytes >= largeResult {
+		margin, preferred = farMarginLarge, rn.engineDomain()
+	}
+	each.domain, _ = rn.Items.Expect(each.stage.Pool, preferred, margin)
+	tail := rn.afterStage(each.index, active) + rn.engineTime()
+	work := gather.Work{
+		Pool: each.stage.Pool, Request: rn.request.ID, Stage: each.index, Count: each.count, Inputs: inputs, Rank: rn.rank,
+		Due: rn.due.Add(-tail), Expires: rn.end.Add(-rn.engineTime()), ResultBytes: each.stage.ResultBytes,
+	}
+	if len(each.stage.After) == 0 {
+		work.Key = rn.request.ItemKey
+	}
+	each.result = rn.Items.Run(ctx, each.domain, work)
+	st.releaseRead(each)
+}
+
+// engineDomain is the failure domain of the engine that the request's session belongs to.
+func (rn *run) engineDomain() string {
+	list := rn.Catalog.Upstreams(rn.pool.Name, "")
+	if up, found := rn.Pools.first(rn.pool.Name, list, rn.request.Prompt.session()); found && rn.request.Prompt.session() != 0 {
+		return up.FailureDomain
+	}
+	return rn.FailureDomain
+}
+
+func handles(items []gather.ItemResult) []string {
+	list := []string{}
+	for _, item := range items {
+		if item.Handle != "" {
+			list = append(list, item.Handle)
+		}
+	}
+	return list
+}
+
+// releaseRead frees the results of stages that no other stage reads than the one that has ended.
+func (st *stages) releaseRead(each *stageRun) {
+	for _, earlier := range each.stage.After {
+		if before := st.runs[earlier]; before != nil && before.readers == 1 {
+			st.release(before)
+		}
+	}
+}
+
+// releaseAll frees all results that are not freed yet.
+func (st *stages) releaseAll() {
+	for _, each := range st.runs {
+		st.release(each)
+	}
+}
+
+// release frees the results of a stage once.
+func (st *stages) release(each *stageRun) {
+	list := []string{}
+	switch result := each.result.(type) {
+	case gather.Finished:
+		list = handles(result.Items)
+	case gather.Unfinished:
+		list = handles(result.Results)
+	case gather.Refused, nil:
+	}
+	if len(list) > 0 && each.released.CompareAndSwap(false, true) {
+		go st.run.Items.Release(context.Background(), each.stage.Pool, each.domain, list)
+	}
+}
+
+// inputs returns the results that the request itself reads, and the failure domain where most of their bytes lie.
+func (st *stages) inputs() ([]string, string, int64) {
+	list := []string{}
+	bytes := map[string]int64{}
+	for _, index := range st.run.pipeline.LastStages() {
+		each := st.runs[index]
+		if each == nil {
+			continue
+		}
+		finished, _ := each.result.(gather.Finished)
+		for _, item := range finished.Items {
+			list = append(list, item.Handle)
+			bytes[item.FailureDomain] += each.stage.ResultBytes
+		}
+	}
+	domain, most := st.run.FailureDomain, int64(0)
+	for each, size := range bytes {
+		if size > most || size == most && each < domain {
+			domain, most = each, size
+		}
+	}
+	return list, domain, most
+}
--- /dev/null
+++ b/gather/client.go
@@ -0,0 +1,395 @@
+package gather
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+)
+
+// Link is a connection to another instance.
+type Link interface {
+	wire.BatchesClient
+	Close() error
+}
+
+// Dialer makes a link to another instance's address.
+type Dialer func(address string) (Link, error)
+
+// Members tells the instances that are live, the own one included.
+type Members interface {
+	Live() []member.Member
+}
+
+// Client hands work to the instances that gather it; it is safe for concurrent use.
+type Client struct {
+	self     string
+	gatherer *Gatherer
+	view     View
+	members  Members
+	dialer   Dialer
+	timers   *timer.Service
+	events   *timeline.Ring
+
+	mu     sync.Mutex
+	links  map[string]Link
+	silent map[string]time.Time
+	loads  map[Place]load
+}
+
+// load is what is known of a place's wait, as of a time.
+type load struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// ClientParts are what a client works with.
+type ClientParts struct {
+	Self     string
+	Gatherer *Gatherer
+	View     View
+	Members  Members
+	Dialer   Dialer
+	Timers   *timer.Service
+	Events   *timeline.Ring
+}
+
+// NewClient returns a client that knows no loads yet.
+func NewClient(parts ClientParts) *Client {
+	return &Client{
+		self: parts.Self, gatherer: parts.Gatherer, view: parts.View, members: parts.Members, dialer: parts.Dialer,
+		timers: parts.Timers, events: parts.Events,
+		links: map[string]Link{}, silent: map[string]time.Time{}, loads: map[Place]load{},
+	}
+}
+
+const (
+	// acceptTimeout is how long an instance has to accept work before another is asked.
+	acceptTimeout = 220 * time.Millisecond
+	// silentFor is how long an instance that did not accept work in time is passed over.
+	silentFor = 1500 * time.Millisecond
+	// resultSlack is how much longer than expected results may take before the work is done elsewhere.
+	resultSlack = 900 * time.Millisecond
+	// resultPatience is how many times longer than expected results may take, beside resultSlack.
+	resultPatience = 2
+	// maxTries is how many instances are asked for one work.
+	maxTries = 4
+)
+
+// Expect returns the shortest expected wait for a pool's results, and the failure domain that has it. One that is
+// longer by less than margin in the preferred failure domain goes first.
+func (cl *Client) Expect(pool, preferred string, margin time.Duration) (string, time.Duration) {
+	now := cl.timers.Now()
+	best, lowest := preferred, time.Duration(-1)
+	for _, domain := range cl.domains(pool) {
+		wait := cl.waitAt(now, Place{Pool: pool, FailureDomain: domain})
+		compared := wait
+		if domain != preferred {
+			compared += margin
+		}
+		if lowest < 0 || compared < lowest {
+			best, lowest = domain, compared
+		}
+	}
+	if best != preferred {
+		lowest -= margin
+	}
+	return best, max(lowest, 0)
+}
+
+// domains returns the failure domains that have upstreams of a pool.
+func (cl *Client) domains(pool string) []string {
+	list := []string{}
+	for _, up := range cl.view.Upstreams(pool, "") {
+		if !slices.Contains(list, up.FailureDomain) {
+			list = append(list, up.FailureDomain)
+		}
+	}
+	return list
+}
+
+// waitAt is the wait at a place: as it was told, less the time since, but at least that of a call alone.
+func (cl *Client) waitAt(now time.Time, at Place) time.Duration {
+	alone := time.Duration(0)
+	if pool, known := cl.view.Pool(at.Pool); known && pool.Items != nil {
+		alone = pool.Items.CallTime + pool.Items.ItemTime
+	}
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	known := cl.loads[at]
+	return max(known.wait-now.Sub(known.at), alone)
+}
+
+func (cl *Client) learn(pool string, loads []*wire.PoolLoad) {
+	now := cl.timers.Now()
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for _, each := range loads {
+		at := Place{Pool: pool, FailureDomain: each.GetFailureDomain()}
+		asOf := now.Add(-timer.Milliseconds(each.GetAgeMs()))
+		if cl.loads[at].at.Before(asOf) {
+			cl.loads[at] = load{wait: timer.Milliseconds(each.GetWaitMs()), at: asOf}
+		}
+	}
+}
+
+// loadsOf returns what is known of a pool's places.
+func (cl *Client) loadsOf(pool string) []*wire.PoolLoad {
+	now := cl.timers.Now()
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	list := []*wire.PoolLoad{}
+	for at, known := range cl.loads {
+		if at.Pool == pool && now.Sub(known.at) < loadLife {
+			list = append(list, &wire.PoolLoad{
+				FailureDomain: at.FailureDomain, WaitMs: known.wait.Milliseconds(), AgeMs: now.Sub(known.at).Milliseconds(),
+			})
+		}
+	}
+	return list
+}
+
+// loadLife is how long a told load is passed on.
+const loadLife = 3 * time.Second
+
+// owners returns the instances that may gather for a place, the one whose turn it is first. All instances order
+// them by the same hash, those of the place's failure domain before the others.
+func (cl *Client) owners(at Place) []member.Member {
+	live := cl.members.Live()
+	slices.SortFunc(live, func(left, right member.Member) int {
+		leftNear, rightNear := left.FailureDomain == at.FailureDomain, right.FailureDomain == at.FailureDomain
+		if leftNear != rightNear {
+			if leftNear {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(ownerWeight(at, right.ID), ownerWeight(at, left.ID))
+	})
+	return live
+}
+
+func ownerWeight(at Place, id string) uint64 {
+	return xxhash.Sum64String(at.Pool + "/" + at.FailureDomain + "/" + id)
+}
+
+// Run has the work done in the given failure domain, or in another when that one refuses, and waits for it.
+func (cl *Client) Run(ctx context.Context, domain string, work Work) Result {
+	refused := Refused{Cause: "no instance takes the items"}
+	tried := map[string]bool{}
+	for try := range maxTries {
+		at := Place{Pool: work.Pool, FailureDomain: domain}
+		owner, found := cl.owner(at, tried)
+		if !found {
+			break
+		}
+		result := cl.runAt(ctx, owner, at, work, try > 0)
+		cl.record(work, owner, at, result)
+		switch result := result.(type) {
+		case Finished:
+			return result
+		case Refused:
+			refused = result
+			if other, wait := cl.Expect(work.Pool, domain, 0); other != domain && cl.timers.Now().Add(wait).Before(work.Expires) {
+				domain = other
+				continue
+			}
+			return refused
+		case Unfinished:
+			if result.Cause != causeSilent {
+				return result
+			}
+			tried[owner.ID] = true
+		}
+		if ctx.Err() != nil {
+			return Unfinished{Cause: ctx.Err().Error()}
+		}
+	}
+	return refused
+}
+
+func (cl *Client) record(work Work, owner member.Member, at Place, result Result) {
+	outcome, detail := "Finished", ""
+	switch result := result.(type) {
+	case Finished:
+	case Refused:
+		outcome, detail = "Refused", result.Cause
+	case Unfinished:
+		outcome, detail = "Unfinished", result.Cause
+	}
+	cl.events.Record(&wire.Event{
+		Kind: wire.EventKind_EventItemsHanded, RequestId: work.Request, Stage: work.Pool, Attempt: int64(work.Count),
+		Outcome: outcome, Detail: "gatherer=" + owner.ID + " domain=" + at.FailureDomain + " " + detail,
+	})
+}
+
+// causeSilent is the cause of work whose gatherer did not answer.
+const causeSilent = "gatherer is silent"
+
+// owner returns the first gatherer of a place that is not silent; when all are, the own instance gathers.
+func (cl *Client) owner(at Place, tried map[string]bool) (member.Member, bool) {
+	now := cl.timers.Now()
+	own, found := member.Member{}, false
+	for _, each := range cl.owners(at) {
+		if each.ID == cl.self {
+			own, found = each, true
+		}
+		cl.mu.Lock()
+		silent := now.Before(cl.silent[each.ID])
+		cl.mu.Unlock()
+		if !silent && !tried[each.ID] {
+			return each, true
+		}
+	}
+	return own, found && !tried[cl.self]
+}
+
+func (cl *Client) runAt(ctx context.Context, owner member.Member, at Place, work Work, final bool) Result {
+	if owner.ID == cl.self {
+		return cl.runHere(ctx, at, work)
+	}
+	link, err := cl.link(owner.Address)
+	if err != nil {
+		return Unfinished{Cause: causeSilent}
+	}
+	result := cl.runThere(ctx, link, at, work, final)
+	if unfinished, is := result.(Unfinished); is && unfinished.Cause == causeSilent && ctx.Err() == nil {
+		cl.drop(owner)
+	}
+	return result
+}
+
+// runHere gathers the work in this instance.
+func (cl *Client) runHere(ctx context.Context, at Place, work Work) Result {
+	ticket, refused := cl.gatherer.Submit(at.FailureDomain, work)
+	if refused != nil {
+		cl.learn(at.Pool, []*wire.PoolLoad{{FailureDomain: at.FailureDomain, WaitMs: refused.Wait.Milliseconds()}})
+		return *refused
+	}
+	cl.learn(at.Pool, []*wire.PoolLoad{{FailureDomain: at.FailureDomain, WaitMs: ticket.Wait.Milliseconds()}})
+	select {
+	case result := <-ticket.Done:
+		return result
+	case <-ctx.Done():
+		ticket.Withdraw()
+		return Unfinished{Cause: ctx.Err().Error()}
+	}
+}
+
+// runThere hands the work to another instance.
+func (cl *Client) runThere(ctx context.Context, link Link, at Place, work Work, final bool) Result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := newWatchdog(cl.timers, cancel, acceptTimeout)
+	defer watchdog.stop()
+	stream, err := link.Gather(ctx, cl.request(at, work, final))
+	if err != nil {
+		return cl.lost(ctx, err)
+	}
+	for {
+		reply, err := stream.Recv()
+		if err != nil {
+			return cl.lost(ctx, err)
+		}
+		cl.learn(at.Pool, reply.GetLoads())
+		switch {
+		case reply.GetRefused():
+			return Refused{Wait: timer.Milliseconds(reply.GetWaitMs()), Cause: "refused by the gatherer"}
+		case reply.GetAccepted():
+			watchdog.extend(resultPatience*timer.Milliseconds(reply.GetWaitMs()) + resultSlack)
+		case reply.GetFailed() != "":
+			return Unfinished{Cause: reply.GetFailed(), Results: fromWireResults(reply.GetResults())}
+		default:
+			return Finished{Items: fromWireResults(reply.GetResults())}
+		}
+	}
+}
+
+// errSilent cancels a call to an instance that does not answer.
+var errSilent = errors.New(causeSilent)
+
+// lost tells a silent gatherer from a caller that has left.
+func (cl *Client) lost(ctx context.Context, err error) Result {
+	code := status.Code(err)
+	if errors.Is(context.Cause(ctx), errSilent) || code == codes.Unavailable || code == codes.Unimplemented || code == codes.Internal {
+		return Unfinished{Cause: causeSilent}
+	}
+	return Unfinished{Cause: err.Error()}
+}
+
+func (cl *Client) request(at Place, work Work, final bool) *wire.GatherRequest {
+	now := cl.timers.Now()
+	return &wire.GatherRequest{
+		Pool: at.Pool, FailureDomain: at.FailureDomain, RequestId: work.Request, Stage: int64(work.Stage),
+		Items: int64(work.Count), Key: work.Key, Inputs: work.Inputs, Rank: int64(work.Rank),
+		DueMs: work.Due.Sub(now).Milliseconds(), ExpiresMs: work.Expires.Sub(now).Milliseconds(),
+		ResultBytes: work.ResultBytes, Final: final,
+	}
+}
+
+func (cl *Client) link(address string) (Link, error) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if known := cl.links[address]; known != nil {
+		return known, nil
+	}
+	fresh, err := cl.dialer(address)
+	if err != nil {
+		return nil, err
+	}
+	cl.links[address] = fresh
+	return fresh, nil
+}
+
+// drop passes an instance over for a while and closes its connection, which may be dead.
+func (cl *Client) drop(owner member.Member) {
+	cl.mu.Lock()
+	known := cl.links[owner.Address]
+	delete(cl.links, owner.Address)
+	cl.silent[owner.ID] = cl.timers.Now().Add(silentFor)
+	cl.mu.Unlock()
+	cl.events.Record(&wire.Event{Kind: wire.EventKind_EventCallFailed, Detail: "gatherer " + owner.ID + " is silent"})
+	if known != nil {
+		_ = known.Close()
+	}
+}
+
+// Close ends all links.
+func (cl *Client) Close() {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for _, each := range cl.links {
+		_ = each.Close()
+	}
+	cl.links = map[string]Link{}
+}
+
+// Release frees results that no one reads any more, in the background of the caller.
+func (cl *Client) Release(ctx context.Context, pool, domain string, handles []string) {
+	owner, found := cl.owner(Place{Pool: pool, FailureDomain: domain}, nil)
+	if !found || owner.ID == cl.self {
+		cl.gatherer.Release(pool, handles)
+		return
+	}
+	link, err := cl.link(owner.Address)
+	if err != nil {
+		cl.gatherer.Release(pool, handles)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	if _, err := link.Release(ctx, &wire.ReleaseRequest{Pool: pool, Handles: handles}); err != nil {
+		cl.gatherer.Release(pool, handles)
+	}
+}
--- /dev/null
+++ b/gather/doc.go
@@ -0,0 +1,2 @@
+// Package gather hands the items of stages to the instance that fills an upstream's calls, and fills them here.
+package gather
--- /dev/null
+++ b/gather/exchange.go
@@ -0,0 +1,56 @@
+package gather
+
+import (
+	"context"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+)
+
+const (
+	// exchangeInterval is how often gatherers of one pool tell each other their loads.
+	exchangeInterval = 200 * time.Millisecond
+	// exchangeAfterWork is how long a place without new work still tells its load.
+	exchangeAfterWork = time.Second
+)
+
+// Exchange tells the gatherers of the same pools the own loads until ctx ends; done is closed at the end.
+func (cl *Client) Exchange(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	defer cl.Close()
+	for cl.timers.Sleep(ctx, exchangeInterval) == nil {
+		for at, wait := range cl.gatherer.Active(cl.timers.Now().Add(-exchangeAfterWork)) {
+			own := &wire.PoolLoad{FailureDomain: at.FailureDomain, WaitMs: wait.Milliseconds()}
+			cl.learn(at.Pool, []*wire.PoolLoad{own})
+			for _, domain := range cl.domains(at.Pool) {
+				if domain != at.FailureDomain {
+					cl.tell(ctx, Place{Pool: at.Pool, FailureDomain: domain}, own)
+				}
+			}
+		}
+	}
+}
+
+// tell sends a load to a place's gatherer and takes its load.
+func (cl *Client) tell(ctx context.Context, at Place, own *wire.PoolLoad) {
+	owner, found := cl.owner(at, nil)
+	if !found || owner.ID == cl.self {
+		return
+	}
+	link, err := cl.link(owner.Address)
+	if err != nil {
+		return
+	}
+	cl.gatherer.parts.Go(func() {
+		limited, cancel := context.WithTimeout(ctx, acceptTimeout)
+		defer cancel()
+		reply, err := link.Load(limited, &wire.LoadRequest{Pool: at.Pool, Load: own})
+		if err != nil {
+			// A silent gatherer is found by the next work that is handed to it.
+			return
+		}
+		if reply.GetLoad() != nil {
+			cl.learn(at.Pool, []*wire.PoolLoad{reply.GetLoad()})
+		}
+	})
+}
--- /dev/null
+++ b/gather/gatherer.go
@@ -0,0 +1,188 @@
+package gather
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/batch"
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/route"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+)
+
+// Repeats is the budget of items that are sent a second time.
+type Repeats interface {
+	Request(pool string)
+	Left(pool string) int
+	Spend(pool string) bool
+}
+
+// View is what the gatherer reads of the configuration and the registrations.
+type View interface {
+	Pool(name string) (route.Pool, bool)
+	Upstreams(pool, failureDomain string) []*roster.Upstream
+	MayWork(incarnation roster.Incarnation) bool
+	Find(id string) *roster.Upstream
+}
+
+// Gatherer fills the calls to the stage pools of failure domains; it is safe for concurrent use.
+type Gatherer struct {
+	view    View
+	caller  Caller
+	repeats Repeats
+	timers  *timer.Service
+	events  *timeline.Ring
+
+	mu     sync.Mutex
+	places map[Place]*place
+	ctx    context.Context
+	parts  sync.WaitGroup
+}
+
+// Place is the upstreams of one pool in one failure domain.
+type Place struct {
+	Pool          string
+	FailureDomain string
+}
+
+// Parts are what a gatherer works with.
+type Parts struct {
+	View    View
+	Caller  Caller
+	Repeats Repeats
+	Timers  *timer.Service
+	Events  *timeline.Ring
+}
+
+// New returns a gatherer whose work ends with ctx.
+func New(ctx context.Context, parts Parts) *Gatherer {
+	return &Gatherer{
+		view: parts.View, caller: parts.Caller, repeats: parts.Repeats, timers: parts.Timers, events: parts.Events,
+		places: map[Place]*place{}, ctx: ctx,
+	}
+}
+
+// Run waits for the end of ctx and of all that is under way; done is closed at the end.
+func (gt *Gatherer) Run(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	<-ctx.Done()
+	gt.parts.Wait()
+}
+
+// place returns the state of a place, or nil if the configuration has no such pool.
+func (gt *Gatherer) place(at Place) *place {
+	pool, known := gt.view.Pool(at.Pool)
+	if !known || pool.Items == nil {
+		return nil
+	}
+	gt.mu.Lock()
+	defer gt.mu.Unlock()
+	if found := gt.places[at]; found != nil {
+		return found
+	}
+	fresh := &place{gatherer: gt, at: at, pool: batch.New(termsOf(pool)), jobs: map[uint64]*job{}, kick: make(chan struct{}, 1)}
+	gt.places[at] = fresh
+	gt.parts.Go(func() { fresh.run(gt.ctx) })
+	return fresh
+}
+
+func termsOf(pool route.Pool) batch.Terms {
+	items := pool.Items
+	return batch.Terms{
+		Slots: items.Slots, Batch: items.Batch, CallTime: items.CallTime, ItemTime: items.ItemTime,
+		ResultRoom: items.ResultRoom, ResultsKept: items.ResultsKept,
+	}
+}
+
+// Active returns the places that had work lately, with the wait of a new item.
+func (gt *Gatherer) Active(since time.Time) map[Place]time.Duration {
+	gt.mu.Lock()
+	places := []*place{}
+	for _, each := range gt.places {
+		places = append(places, each)
+	}
+	gt.mu.Unlock()
+	active := map[Place]time.Duration{}
+	for _, each := range places {
+		if wait, busy := each.load(since); busy {
+			active[each.at] = wait
+		}
+	}
+	return active
+}
+
+// Ticket is work that was accepted; Done delivers its result.
+type Ticket struct {
+	Wait  time.Duration
+	Done  <-chan Result
+	place *place
+	id    uint64
+}
+
+// Withdraw gives the work up: what was not sent yet never is.
+func (tk *Ticket) Withdraw() {
+	tk.place.withdraw(tk.id)
+}
+
+// Submit enters work at a place, or returns Refused when its results can't be there in time.
+func (gt *Gatherer) Submit(failureDomain string, work Work) (*Ticket, *Refused) {
+	found := gt.place(Place{Pool: work.Pool, FailureDomain: failureDomain})
+	if found == nil {
+		return nil, &Refused{Cause: "no such pool"}
+	}
+	return found.submit(work)
+}
+
+// Release frees results that lie at upstreams of a pool.
+func (gt *Gatherer) Release(pool string, handles []string) {
+	gt.mu.Lock()
+	places := []*place{}
+	for at, each := range gt.places {
+		if at.Pool == pool {
+			places = append(places, each)
+		}
+	}
+	gt.mu.Unlock()
+	left := handles
+	for _, each := range places {
+		left = each.release(left)
+	}
+	if len(left) > 0 {
+		gt.freeUnknown(pool, left)
+	}
+}
+
+// freeUnknown frees results of calls that another instance made: their upstream is found by its address.
+func (gt *Gatherer) freeUnknown(pool string, handles []string) {
+	byUpstream := map[string][]string{}
+	for _, handle := range handles {
+		for _, up := range gt.view.Upstreams(pool, "") {
+			if len(handle) > len(up.Address) && handle[:len(up.Address)+1] == up.Address+"/" {
+				byUpstream[up.ID] = append(byUpstream[up.ID], handle)
+			}
+		}
+	}
+	for id, list := range byUpstream {
+		gt.free(id, list)
+	}
+}
+
+// freeTimeout bounds a call that frees results; an upstream frees them by itself some seconds later.
+const freeTimeout = time.Second
+
+func (gt *Gatherer) free(id string, handles []string) {
+	gt.parts.Go(func() {
+		up := gt.view.Find(id)
+		if up == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(gt.ctx, freeTimeout)
+		defer cancel()
+		if err := gt.caller.FreeResults(ctx, up, handles); err != nil && gt.ctx.Err() == nil {
+			gt.events.Record(&wire.Event{Kind: wire.EventKind_EventCallFailed, Upstream: id, Detail: "free results: " + err.Error()})
+		}
+	})
+}
--- /dev/null
+++ b/gather/place.go
@@ -0,0 +1,342 @@
+package gather
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/batch"
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+)
+
+// place is the calls to the upstreams of one pool in one failure domain.
+type place struct {
+	gatherer *Gatherer
+	at       Place
+	kick     chan struct{}
+
+	mu       sync.Mutex
+	pool     *batch.Pool
+	jobs     map[uint64]*job
+	next     uint64
+	lastWork time.Time
+	toFree   map[string][]string
+	makers   map[string]string
+}
+
+// job is one work that was accepted.
+type job struct {
+	work    Work
+	results []ItemResult
+	missing int
+	errors  int
+	done    chan Result
+}
+
+// maxItemErrors is how many items of one work may fail before the work does.
+const maxItemErrors = 3
+
+func (pc *place) submit(work Work) (*Ticket, *Refused) {
+	now := pc.gatherer.timers.Now()
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	pc.refresh()
+	wait := pc.pool.Wait(now, work.Due, work.Rank, work.Count)
+	if now.Add(wait).After(work.Expires) {
+		return nil, &Refused{Wait: wait, Cause: fmt.Sprintf("wait of %d ms", wait.Milliseconds())}
+	}
+	pc.next++
+	id := pc.next
+	accepted := &job{work: work, results: make([]ItemResult, work.Count), missing: work.Count, done: make(chan Result, 1)}
+	pc.jobs[id] = accepted
+	pc.lastWork = now
+	pc.gatherer.repeats.Request(work.Pool)
+	pc.pool.Submit(batch.Group{
+		Ticket: id, Stage: work.Stage, Count: work.Count, Rank: work.Rank, Due: work.Due, Expires: work.Expires,
+		ResultBytes: work.ResultBytes,
+	})
+	pc.signal()
+	return &Ticket{Wait: wait, Done: accepted.done, place: pc, id: id}, nil
+}
+
+func (pc *place) withdraw(id uint64) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if pc.jobs[id] != nil {
+		delete(pc.jobs, id)
+		pc.pool.Withdraw(id)
+	}
+}
+
+func (pc *place) load(since time.Time) (time.Duration, bool) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if pc.lastWork.Before(since) {
+		return 0, false
+	}
+	now := pc.gatherer.timers.Now()
+	return pc.pool.Wait(now, now.Add(loadHorizon), 0, 1), true
+}
+
+// loadHorizon is the due time of the item whose wait stands for a place's load.
+const loadHorizon = time.Second
+
+func (pc *place) signal() {
+	select {
+	case pc.kick <- struct{}{}:
+	default:
+	}
+}
+
+// refresh takes over the pool's description and the upstreams that may get work.
+func (pc *place) refresh() {
+	if pool, known := pc.gatherer.view.Pool(pc.at.Pool); known && pool.Items != nil {
+		pc.pool.SetTerms(termsOf(pool))
+	}
+	list := []batch.Upstream{}
+	for _, up := range pc.gatherer.view.Upstreams(pc.at.Pool, pc.at.FailureDomain) {
+		list = append(list, batch.Upstream{Name: upstreamName(up), FailureDomain: up.FailureDomain})
+	}
+	pc.pool.SetUpstreams(list)
+}
+
+// upstreamName tells incarnations of one upstream apart.
+func upstreamName(up *roster.Upstream) string {
+	return fmt.Sprintf("%s@%d", up.ID, up.Born)
+}
+
+// run carries out what the pool asks for until ctx ends.
+func (pc *place) run(ctx context.Context) {
+	for {
+		wake := pc.advance(ctx)
+		if wake <= 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-pc.kick:
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-pc.kick:
+		case <-pc.gatherer.timers.After(wake):
+		}
+	}
+}
+
+// minWake bounds how often a place looks again.
+const minWake = 2 * time.Millisecond
+
+// advance makes the calls that are due and returns when to look again, or 0.
+func (pc *place) advance(ctx context.Context) time.Duration {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	pc.refresh()
+	wake := time.Duration(0)
+	now := pc.gatherer.timers.Now()
+	for _, action := range pc.pool.Step(now, pc.gatherer.repeats.Left(pc.at.Pool)) {
+		switch action := action.(type) {
+		case batch.Send:
+			pc.send(ctx, action)
+		case batch.Drop:
+			pc.give(action.Ticket, Unfinished{Cause: "no time left"})
+		case batch.Wake:
+			wake = max(action.At.Sub(now), minWake)
+		}
+	}
+	return wake
+}
+
+// give ends a job.
+func (pc *place) give(id uint64, result Result) {
+	ended := pc.jobs[id]
+	if ended == nil {
+		return
+	}
+	delete(pc.jobs, id)
+	pc.pool.Withdraw(id)
+	if unfinished, is := result.(Unfinished); is {
+		unfinished.Results = ended.results
+		result = unfinished
+	}
+	ended.done <- result
+}
+
+const (
+	// callPatience is how many times longer than expected a call may take, beside callSlack.
+	callPatience = 6
+	callSlack    = 300 * time.Millisecond
+)
+
+// send makes a call in the background.
+func (pc *place) send(ctx context.Context, action batch.Send) {
+	for range action.Repeated {
+		pc.gatherer.repeats.Spend(pc.at.Pool)
+	}
+	now := pc.gatherer.timers.Now()
+	up := pc.find(action.Upstream)
+	items := []Item{}
+	for _, item := range action.Items {
+		items = append(items, pc.item(now, item))
+	}
+	if up == nil || !pc.gatherer.view.MayWork(up.Incarnation()) {
+		pc.pool.Ended(now, batch.CallEnd{Call: action.Call, Outcome: batch.Unreachable, Unsent: action.Items})
+		pc.signal()
+		return
+	}
+	pc.gatherer.events.Record(&wire.Event{
+		Kind: wire.EventKind_EventBatchSent, Upstream: up.ID, Stage: pc.at.Pool, Attempt: int64(len(items)),
+		RequestId: items[0].Request, Detail: fmt.Sprintf("expected=%dms repeated=%d", action.Expected.Milliseconds(), action.Repeated),
+	})
+	pc.gatherer.parts.Go(func() {
+		limited, cancel := context.WithTimeout(ctx, callPatience*action.Expected+callSlack)
+		defer cancel()
+		outcome := pc.gatherer.caller.RunItems(limited, up, items)
+		pc.ended(up, action, outcome, pc.gatherer.timers.Now().Sub(now))
+	})
+}
+
+func (pc *place) find(name string) *roster.Upstream {
+	for _, up := range pc.gatherer.view.Upstreams(pc.at.Pool, pc.at.FailureDomain) {
+		if upstreamName(up) == name {
+			return up
+		}
+	}
+	return nil
+}
+
+func (pc *place) item(now time.Time, item batch.Item) Item {
+	work := pc.jobs[item.Ticket].work
+	return Item{
+		Request: work.Request, Stage: work.Stage, Piece: item.Index, Key: work.Key, Inputs: work.Inputs,
+		Remaining: max(work.Expires.Sub(now), time.Millisecond),
+	}
+}
+
+// ended takes a call's outcome over.
+func (pc *place) ended(up *roster.Upstream, action batch.Send, outcome Outcome, took time.Duration) {
+	pc.gatherer.events.Record(&wire.Event{
+		Kind: wire.EventKind_EventBatchEnded, Upstream: up.ID, Stage: pc.at.Pool, Attempt: int64(len(action.Items)),
+		Outcome: outcomeName(outcome), DurationMicros: took.Microseconds(),
+	})
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	now := pc.gatherer.timers.Now()
+	end := batch.CallEnd{Call: action.Call, Results: map[batch.Item]string{}}
+	switch outcome := outcome.(type) {
+	case Ran:
+		pc.takeResults(up, action.Items, outcome.Results, &end)
+	case NotRun:
+		end.Outcome, end.Unsent = batch.Full, action.Items
+		if outcome.Misdirected {
+			end.Outcome = batch.Broken
+		}
+	case NotSent:
+		end.Outcome, end.Unsent = batch.Unreachable, action.Items
+	case Lost:
+		end.Outcome, end.Failed = batch.Broken, action.Items
+	}
+	pc.pool.Ended(now, end)
+	for _, item := range action.Items {
+		if known := pc.jobs[item.Ticket]; known != nil && known.missing == 0 {
+			pc.give(item.Ticket, Finished{Items: known.results})
+		}
+	}
+	pc.signal()
+}
+
+func outcomeName(outcome Outcome) string {
+	switch outcome := outcome.(type) {
+	case Ran:
+		return "Ran"
+	case NotRun:
+		return "NotRun"
+	case NotSent:
+		return "NotSent: " + outcome.Cause
+	case Lost:
+		return "Lost: " + outcome.Cause
+	}
+	return ""
+}
+
+// takeResults enters the results of a call. A result that nobody waits for any more is freed.
+func (pc *place) takeResults(up *roster.Upstream, items []batch.Item, results []ItemResult, end *batch.CallEnd) {
+	orphans := []string{}
+	for at, item := range items {
+		one := results[at]
+		known := pc.jobs[item.Ticket]
+		switch {
+		case one.Reason == None && known == nil:
+			orphans = append(orphans, one.Handle)
+		case one.Reason == None:
+			one.FailureDomain = up.FailureDomain
+			known.results[item.Index] = one
+			known.missing--
+			end.Results[item] = one.Handle
+			pc.made(one.Handle, up.ID)
+		case known == nil:
+		case one.Reason == NoRoom:
+			end.Outcome = batch.Full
+			end.Failed = append(end.Failed, item)
+		case one.Reason == Error && known.errors < maxItemErrors:
+			known.errors++
+			end.Failed = append(end.Failed, item)
+		default:
+			pc.give(item.Ticket, Unfinished{Cause: string(one.Reason)})
+		}
+	}
+	if len(orphans) > 0 {
+		pc.gatherer.free(up.ID, orphans)
+	}
+}
+
+// maxMakers bounds how many results are remembered with their upstream.
+const maxMakers = 4096
+
+func (pc *place) made(handle, upstream string) {
+	if pc.makers == nil || len(pc.makers) >= maxMakers {
+		pc.makers = map[string]string{}
+	}
+	pc.makers[handle] = upstream
+}
+
+// freeDelay is how long freed results are collected before a call frees them together.
+const freeDelay = 40 * time.Millisecond
+
+// release frees the results that were made here and returns the others.
+func (pc *place) release(handles []string) []string {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	others := []string{}
+	for _, handle := range handles {
+		maker, known := pc.makers[handle]
+		if !known {
+			others = append(others, handle)
+			continue
+		}
+		delete(pc.makers, handle)
+		pc.pool.Released(handle)
+		if pc.toFree == nil {
+			pc.toFree = map[string][]string{}
+			pc.gatherer.parts.Go(pc.freeLater)
+		}
+		pc.toFree[maker] = append(pc.toFree[maker], handle)
+	}
+	pc.signal()
+	return others
+}
+
+func (pc *place) freeLater() {
+	_ = pc.gatherer.timers.Sleep(pc.gatherer.ctx, freeDelay)
+	pc.mu.Lock()
+	collected := pc.toFree
+	pc.toFree = nil
+	pc.mu.Unlock()
+	for id, handles := range collected {
+		pc.gatherer.free(id, handles)
+	}
+}
--- /dev/null
+++ b/gather/server.go
@@ -0,0 +1,106 @@
+package gather
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timer"
+)
+
+// Server answers the calls of other instances' clients.
+type Server struct {
+	wire.UnimplementedBatchesServer
+
+	gatherer *Gatherer
+	client   *Client
+	timers   *timer.Service
+}
+
+// NewServer returns a server for the gatherer; the client knows the loads of other places.
+func NewServer(gatherer *Gatherer, client *Client, timers *timer.Service) *Server {
+	return &Server{gatherer: gatherer, client: client, timers: timers}
+}
+
+// Gather accepts work, or refuses it, and then sends its results.
+func (sv *Server) Gather(request *wire.GatherRequest, stream grpc.ServerStreamingServer[wire.GatherReply]) error {
+	now := sv.timers.Now()
+	work := Work{
+		Pool: request.GetPool(), Request: request.GetRequestId(), Stage: int(request.GetStage()), Count: int(request.GetItems()),
+		Key: request.GetKey(), Inputs: request.GetInputs(), Rank: int(request.GetRank()),
+		Due: now.Add(timer.Milliseconds(request.GetDueMs())), Expires: now.Add(timer.Milliseconds(request.GetExpiresMs())),
+		ResultBytes: request.GetResultBytes(),
+	}
+	ticket, refused := sv.gatherer.Submit(request.GetFailureDomain(), work)
+	if refused != nil {
+		return stream.Send(&wire.GatherReply{Refused: true, WaitMs: refused.Wait.Milliseconds(), Loads: sv.loads(request, refused.Wait)})
+	}
+	err := stream.Send(&wire.GatherReply{Accepted: true, WaitMs: ticket.Wait.Milliseconds(), Loads: sv.loads(request, ticket.Wait)})
+	if err != nil {
+		ticket.Withdraw()
+		return err
+	}
+	select {
+	case result := <-ticket.Done:
+		return stream.Send(toWireReply(result))
+	case <-stream.Context().Done():
+		ticket.Withdraw()
+		return stream.Context().Err()
+	}
+}
+
+// loads returns the loads of all places of a pool, with the own one as it is now.
+func (sv *Server) loads(request *wire.GatherRequest, wait time.Duration) []*wire.PoolLoad {
+	own := &wire.PoolLoad{FailureDomain: request.GetFailureDomain(), WaitMs: wait.Milliseconds()}
+	sv.client.learn(request.GetPool(), []*wire.PoolLoad{own})
+	return sv.client.loadsOf(request.GetPool())
+}
+
+// Release frees results.
+func (sv *Server) Release(_ context.Context, request *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
+	sv.gatherer.Release(request.GetPool(), request.GetHandles())
+	return &wire.ReleaseReply{}, nil
+}
+
+// Load takes another gatherer's load and answers with the own one.
+func (sv *Server) Load(_ context.Context, request *wire.LoadRequest) (*wire.LoadReply, error) {
+	sv.client.learn(request.GetPool(), []*wire.PoolLoad{request.GetLoad()})
+	for at, wait := range sv.gatherer.Active(sv.timers.Now().Add(-loadLife)) {
+		if at.Pool == request.GetPool() {
+			return &wire.LoadReply{Load: &wire.PoolLoad{FailureDomain: at.FailureDomain, WaitMs: wait.Milliseconds()}}, nil
+		}
+	}
+	return &wire.LoadReply{}, nil
+}
+
+func toWireReply(result Result) *wire.GatherReply {
+	switch result := result.(type) {
+	case Finished:
+		return &wire.GatherReply{Results: toWireResults(result.Items)}
+	case Unfinished:
+		return &wire.GatherReply{Failed: result.Cause, Results: toWireResults(result.Results)}
+	case Refused:
+		return &wire.GatherReply{Refused: true, WaitMs: result.Wait.Milliseconds()}
+	}
+	return &wire.GatherReply{}
+}
+
+func toWireResults(list []ItemResult) []*wire.StageResult {
+	converted := []*wire.StageResult{}
+	for _, one := range list {
+		converted = append(converted, &wire.StageResult{Handle: one.Handle, Reason: string(one.Reason), FailureDomain: one.FailureDomain})
+	}
+	return converted
+}
+
+func fromWireResults(list []*wire.StageResult) []ItemResult {
+	converted := []ItemResult{}
+	for _, one := range list {
+		converted = append(converted, ItemResult{
+			Handle: one.GetHandle(), Reason: Reason(one.GetReason()), FailureDomain: one.GetFailureDomain(),
+		})
+	}
+	return converted
+}
--- /dev/null
+++ b/gather/work.go
@@ -0,0 +1,125 @@
+package gather
+
+import (
+	"context"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/roster"
+)
+
+// Work is the items of one request's stage.
+type Work struct {
+	Pool    string
+	Request string
+	Stage   int
+	Count   int
+	// Key goes with items of stages that read no results, Inputs are the results that the others read.
+	Key         string
+	Inputs      []string
+	Rank        int
+	Due         time.Time
+	Expires     time.Time
+	ResultBytes int64
+}
+
+// Item is one item of a call.
+type Item struct {
+	Request   string
+	Stage     int
+	Piece     int
+	Key       string
+	Inputs    []string
+	Remaining time.Duration
+}
+
+// Reason is why an upstream made no result of an item.
+type Reason string
+
+// The reasons that upstreams give; None is a result.
+const (
+	None Reason = ""
+	// Late is an item whose time was over at its turn.
+	Late Reason = "Late"
+	// InputGone is an item one of whose inputs no longer lies anywhere.
+	InputGone Reason = "InputGone"
+	// NoRoom is an item whose result had no room.
+	NoRoom Reason = "NoRoom"
+	// Error is any other failure.
+	Error Reason = "Error"
+)
+
+// ItemResult is where an item's result lies, or why there is none.
+type ItemResult struct {
+	Handle        string
+	FailureDomain string
+	Reason        Reason
+}
+
+// Outcome is how a call to an upstream ended; Ran, NotRun, NotSent and Lost are its variants.
+type Outcome interface {
+	outcome()
+}
+
+// Ran has one result for each item, in the order of the items.
+type Ran struct {
+	Results []ItemResult
+}
+
+func (Ran) outcome() {}
+
+// NotRun says that the upstream refused the call; Misdirected that another upstream has its address now.
+type NotRun struct {
+	Misdirected bool
+}
+
+func (NotRun) outcome() {}
+
+// NotSent says that there was no connection.
+type NotSent struct {
+	Cause string
+}
+
+func (NotSent) outcome() {}
+
+// Lost says that there was no usable answer.
+type Lost struct {
+	Cause string
+}
+
+func (Lost) outcome() {}
+
+// Caller makes calls to upstreams.
+type Caller interface {
+	// RunItems sends a call and returns Ran, NotRun, NotSent or Lost.
+	RunItems(ctx context.Context, upstream *roster.Upstream, items []Item) Outcome
+	// FreeResults gives up results that lie at an upstream.
+	FreeResults(ctx context.Context, upstream *roster.Upstream, handles []string) error
+}
+
+// Result is how work ended; Finished, Refused and Unfinished are its variants.
+type Result interface {
+	result()
+}
+
+// Finished has a result for each item.
+type Finished struct {
+	Items []ItemResult
+}
+
+func (Finished) result() {}
+
+// Refused says that none of the items was sent; Wait is when there is room.
+type Refused struct {
+	Wait  time.Duration
+	Cause string
+}
+
+func (Refused) result() {}
+
+// Unfinished says that some of the items have no result; Results holds those that were made.
+type Unfinished struct {
+	Cause   string
+	Results []ItemResult
+}
+
+func (Unfinished) result() {}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -14,9 +14,9 @@
 	"github.com/turmericdoor/turmericdoor/credential"
 	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/peer"
-	"github.com/turmericdoor/turmericdoor/platform"
 	"github.com/turmericdoor/turmericdoor/schema/settings"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/tableservice"
 	"github.com/turmericdoor/turmericdoor/timeline"
 	"github.com/turmericdoor/turmericdoor/timer"
 	"github.com/turmericdoor/turmericdoor/upstream"
@@ -46,11 +46,11 @@
 	client := upstream.New()
 	parts := core.Parts{
 		Settings: loaded, Timers: in.timers, Chance: entropy.NewRandom(),
-		Store: platform.New(loaded.GetPlatform().GetTableAddress()), Caller: client, Control: client, Prober: client,
+		Store: tableservice.New(loaded.GetPlatform().GetTableAddress()), Caller: client, Control: client, Prober: client,
 		Dialer: in.dialPeer, Log: in.logEvent,
 	}
 	if address := loaded.GetPlatform().GetListingAddress(); address != "" {
-		parts.Listing = platform.New(address)
+		parts.Listing = tableservice.New(address)
 	}
 	in.core = core.New(parts)
 	return in
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -119,6 +119,8 @@
 		}
 		reply, err := client.Exchange(limited, message)
 		if err != nil {
+			// The connection may be dead while new ones work.
+			pr.dropLink(address)
 			return
 		}
 		pr.take(ctx, reply)
@@ -139,10 +141,14 @@
 	}
 	self := toWireMember(pr.members.Self())
 	self.Revision = pr.holder.Revision()
-	return &wire.Heartbeat{
+	heartbeat := &wire.Heartbeat{
 		Stamp: pr.stamp(), Sender: self, Members: toWireMembers(members), Leaving: toWireLeaving(leaving),
 		Crashes: toWireCrashes(crashes), Digest: pr.members.Digest() ^ pr.board.Digest(), Full: full,
 	}
+	if pr.rows != nil {
+		heartbeat.Versions = pr.rows.Versions()
+	}
+	return heartbeat
 }
 
 // Exchange answers another instance's heartbeat.
@@ -177,6 +183,9 @@
 	if heartbeat.GetSender().GetRevision() > pr.holder.Revision() {
 		pr.fetch(ctx, sender.Address)
 	}
+	if pr.rows != nil {
+		pr.takeVersions(ctx, sender.Address, heartbeat.GetVersions())
+	}
 }
 
 func (pr *Peer) takeLeaving(list []*wire.Leaving) []news.Leaving {
@@ -374,6 +383,17 @@
 	return kept, nil
 }
 
+// dropLink closes the link to an address, so that the next call makes a new one.
+func (pr *Peer) dropLink(address string) {
+	pr.mu.Lock()
+	kept := pr.links[address]
+	delete(pr.links, address)
+	pr.mu.Unlock()
+	if kept != nil {
+		_ = kept.Close()
+	}
+}
+
 // closeLinks closes the links that were not used for longer than life.
 func (pr *Peer) closeLinks(life time.Duration) {
 	pr.mu.Lock()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -26,6 +26,18 @@
 	DocumentFetched(text document.Text)
 }
 
+// Rows are the replicas of the platform's tables that instances pass on to each other.
+type Rows interface {
+	// Versions returns how far the replicas have come.
+	Versions() []*wire.TableVersion
+	// Since returns what changed in a table after a version.
+	Since(table string, version int64) *wire.FetchRowsReply
+	// Behind takes note of how far another instance has come, and reports whether rows should be fetched from it.
+	Behind(version *wire.TableVersion) bool
+	// Take applies rows that another instance sent.
+	Take(table string, reply *wire.FetchRowsReply)
+}
+
 // Peer is this instance among the others.
 type Peer struct {
 	wire.UnimplementedPeerServer
@@ -35,6 +47,7 @@
 	events      *timeline.Ring
 	holder      *revision.Holder
 	listener    Listener
+	rows        Rows
 	config      Config
 	selfID      string
 	selfAddress string
@@ -62,8 +75,9 @@
 // Dialer makes a link to another instance's address.
 type Dialer func(address string) (Link, error)
 
-// Parts are what a peer works with.
+// Parts are what a peer works with; Rows may be nil.
 type Parts struct {
+	Rows     Rows
 	Timers   *timer.Service
 	Clock    *hlc.Clock
 	Events   *timeline.Ring
@@ -78,7 +92,7 @@
 func New(parts Parts, config Config) *Peer {
 	pr := &Peer{
 		timers: parts.Timers, clock: parts.Clock, events: parts.Events, holder: parts.Holder,
-		listener: parts.Listener, config: config, dialer: parts.Dialer, chance: parts.Chance, members: parts.Members,
+		listener: parts.Listener, rows: parts.Rows, config: config, dialer: parts.Dialer, chance: parts.Chance, members: parts.Members,
 		board: news.New(), crashes: quarantine.New(), links: map[string]*keptLink{},
 		urgent: make(chan struct{}, 1), selfID: parts.Members.Self().ID, selfAddress: parts.Members.Self().Address,
 	}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,250 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericdoor/turmericdoor/roster"
+)
+
+// Want is what a request needs of its upstream; Session is 0 for a request without a prompt.
+type Want struct {
+	FailureDomain string
+	Session       uint64
+	// SharedTokens of the PromptTokens need not be read by an engine that served the session before.
+	SharedTokens int
+	PromptTokens int
+	Avoid        []roster.Incarnation
+	// FarPenalty is what an upstream of another failure domain costs, as time.
+	FarPenalty time.Duration
+}
+
+// Choice is the chosen upstream with what decided it.
+type Choice struct {
+	Upstream *roster.Upstream
+	// Order is the place of the upstream in the order of the session, 0 being the first.
+	Order int
+	// Expected is the expected time until the first part of the answer.
+	Expected time.Duration
+}
+
+// End is how a request went at an upstream.
+type End int
+
+// The ends of a request at an upstream.
+const (
+	// Served is an answer of the upstream's own.
+	Served End = iota
+	// Rejected is a request that the upstream did not run.
+	Rejected
+	// Unreachable is a request for which there was no connection.
+	Unreachable
+	// Failed is a request that ended without a whole answer, or with an error.
+	Failed
+	// Abandoned is a request that the caller gave up; it says nothing of the upstream.
+	Abandoned
+)
+
+// Pool is what one instance knows of the upstreams of one pool; it is not safe for concurrent use.
+type Pool struct {
+	states map[roster.Incarnation]*state
+	base   time.Duration
+	perMs  float64
+	rotate uint64
+}
+
+// state is what is known of one upstream.
+type state struct {
+	running  int
+	reading  int
+	outUntil time.Time
+	outs     int
+	failing  float64
+	slow     float64
+	seenAt   time.Time
+}
+
+const (
+	// tokensPerMs is how many prompt tokens an engine reads in a millisecond.
+	tokensPerMs = 40
+	// runningCost is what each request under way at an upstream adds to the expected time.
+	runningCost = 4 * time.Millisecond
+	// halfLife is the time in which what was seen of an upstream loses half of its weight.
+	halfLife = 3 * time.Second
+	// endWeight is the weight of the newest request in what is known of an upstream.
+	endWeight = 0.3
+	// failingCost is the expected loss of time at an upstream that fails every request.
+	failingCost = 4 * time.Second
+	// firstOut is how long an upstream without a connection is left out; it doubles up to maxOuts times.
+	firstOut = 300 * time.Millisecond
+	maxOuts  = 4
+	// rejectedOut is how long an upstream that had no room is left out.
+	rejectedOut = 150 * time.Millisecond
+	// maxSlow bounds the slowness that is believed of an upstream.
+	maxSlow = 20
+)
+
+// New returns the state of a pool whose upstreams answer in about base when they are idle.
+func New(base time.Duration) *Pool {
+	return &Pool{states: map[roster.Incarnation]*state{}, base: base, perMs: tokensPerMs}
+}
+
+// Keep forgets upstreams that are no longer listed and have nothing under way.
+func (pl *Pool) Keep(list []*roster.Upstream) {
+	listed := map[roster.Incarnation]bool{}
+	for _, one := range list {
+		listed[one.Incarnation()] = true
+	}
+	for incarnation, known := range pl.states {
+		if !listed[incarnation] && known.running == 0 {
+			delete(pl.states, incarnation)
+		}
+	}
+}
+
+func (pl *Pool) state(incarnation roster.Incarnation) *state {
+	known, found := pl.states[incarnation]
+	if !found {
+		known = &state{slow: 1}
+		pl.states[incarnation] = known
+	}
+	return known
+}
+
+// decay returns the weight that is left of what was seen of an upstream.
+func (st *state) decay(now time.Time) float64 {
+	return math.Exp2(-float64(now.Sub(st.seenAt)) / float64(halfLife))
+}
+
+func (st *state) failingNow(now time.Time) float64 {
+	return st.failing * st.decay(now)
+}
+
+func (st *state) slowNow(now time.Time) float64 {
+	return 1 + (st.slow-1)*st.decay(now)
+}
+
+// Pick returns the best of the listed upstreams, or false if none may be used now.
+func (pl *Pool) Pick(now time.Time, list []*roster.Upstream, want Want) (Choice, bool) {
+	best, found := Choice{}, false
+	lowest := math.Inf(1)
+	pl.rotate++
+	for place, at := range pl.order(list, want.Session) {
+		up := list[at]
+		known := pl.state(up.Incarnation())
+		if now.Before(known.outUntil) || slices.Contains(want.Avoid, up.Incarnation()) {
+			continue
+		}
+		expected := pl.expected(now, known, up, want, place)
+		score := float64(expected) + known.failingNow(now)*float64(failingCost)
+		if up.FailureDomain != want.FailureDomain {
+			score += float64(want.FarPenalty)
+		}
+		if score < lowest {
+			best, lowest, found = Choice{Upstream: up, Order: place, Expected: expected}, score, true
+		}
+	}
+	return best, found
+}
+
+// order returns the places of the list in the order of the session, which all instances agree on; without a
+// session the order rotates.
+func (pl *Pool) order(list []*roster.Upstream, session uint64) []int {
+	places := make([]int, len(list))
+	weights := make([]uint64, len(list))
+	for at, up := range list {
+		places[at] = at
+		weights[at] = weight(session, up.ID)
+	}
+	if session == 0 {
+		for at := range places {
+			places[at] = (at + int(pl.rotate%uint64(len(list)))) % len(list)
+		}
+		return places
+	}
+	slices.SortFunc(places, func(left, right int) int { return cmp.Compare(weights[right], weights[left]) })
+	return places
+}
+
+func weight(session uint64, id string) uint64 {
+	mixed := (xxhash.Sum64String(id) ^ session) * 0x9E3779B97F4A7C15
+	return mixed ^ mixed>>29
+}
+
+// First returns the upstream that the session goes to when nothing speaks against it.
+func (pl *Pool) First(list []*roster.Upstream, session uint64) (*roster.Upstream, bool) {
+	if len(list) == 0 {
+		return nil, false
+	}
+	return list[pl.order(list, session)[0]], true
+}
+
+// expected is the time until the first part of the answer: the prompts that are read before, the own prompt, and
+// the requests that run beside it.
+func (pl *Pool) expected(now time.Time, known *state, up *roster.Upstream, want Want, place int) time.Duration {
+	tokens := want.PromptTokens + known.reading
+	if want.Session != 0 && place > 0 {
+		tokens += want.SharedTokens
+	}
+	reading := time.Duration(float64(tokens) / pl.perMs * float64(time.Millisecond))
+	beside := time.Duration(known.running) * runningCost
+	if up.Slots > 0 && known.running >= up.Slots {
+		beside += pl.base
+	}
+	expected := time.Duration(known.slowNow(now) * float64(pl.base+reading+beside))
+	if now.Before(up.WarmAt) {
+		expected *= 2
+	}
+	return expected
+}
+
+// Started books a request that is being sent; First or Ended must follow.
+func (pl *Pool) Started(incarnation roster.Incarnation, promptTokens int) {
+	known := pl.state(incarnation)
+	known.running++
+	known.reading += promptTokens
+}
+
+// Answering books the first part of an answer, which took that long and was expected to take expected.
+func (pl *Pool) Answering(now time.Time, incarnation roster.Incarnation, promptTokens int, took, expected time.Duration) {
+	known := pl.state(incarnation)
+	known.reading -= promptTokens
+	ratio := min(max(float64(took)/float64(max(expected, time.Millisecond)), 1), maxSlow)
+	known.slow = known.slowNow(now)*(1-endWeight) + ratio*endWeight
+	known.failing = known.failingNow(now) * (1 - endWeight)
+	known.seenAt = now
+}
+
+// Ended books the end of a request; answered says that Answering was called for it.
+func (pl *Pool) Ended(now time.Time, incarnation roster.Incarnation, promptTokens int, answered bool, end End) {
+	known := pl.state(incarnation)
+	known.running--
+	if !answered {
+		known.reading -= promptTokens
+	}
+	switch end {
+	case Served:
+		known.outs = 0
+	case Rejected:
+		known.outUntil = now.Add(rejectedOut)
+	case Unreachable:
+		known.outUntil = now.Add(firstOut << min(known.outs, maxOuts))
+		known.outs++
+	case Failed:
+		known.slow, known.failing = known.slowNow(now), known.failingNow(now)*(1-endWeight)+endWeight
+		known.seenAt = now
+	case Abandoned:
+	}
+}
+
+// Running returns the requests under way at an upstream.
+func (pl *Pool) Running(incarnation roster.Incarnation) int {
+	if known, found := pl.states[incarnation]; found {
+		return known.running
+	}
+	return 0
+}
--- a/promise/link_test.go
+++ b/promise/link_test.go
@@ -114,3 +114,11 @@
 	}
 	return to.core.Peer().FetchEvents(ctx, in)
 }
+
+func (pl peerLink) FetchRows(ctx context.Context, in *wire.FetchRowsRequest, _ ...grpc.CallOption) (*wire.FetchRowsReply, error) {
+	to := pl.reach(ctx)
+	if to == nil || !pl.back(to) {
+		return nil, context.DeadlineExceeded
+	}
+	return to.core.Peer().FetchRows(ctx, in)
+}
--- a/promise/listing_test.go
+++ b/promise/listing_test.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/turmericdoor/turmericdoor/platform"
+	"github.com/turmericdoor/turmericdoor/tableservice"
 )
 
 // fakeListing is the platform's instance list, which shows what was so a while ago.
@@ -16,7 +16,7 @@
 }
 
 type listedAt struct {
-	platform.ListedInstance
+	tableservice.ListedInstance
 	at time.Time
 }
 
@@ -29,13 +29,13 @@
 func (fl *fakeListing) leave(name string, incarnation int64) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	fl.entries = append(fl.entries, listedAt{platform.ListedInstance{Name: name, Incarnation: incarnation, Leaving: true}, time.Now()})
+	fl.entries = append(fl.entries, listedAt{tableservice.ListedInstance{Name: name, Incarnation: incarnation, Leaving: true}, time.Now()})
 }
 
-func (fl *fakeListing) Instances(context.Context) ([]platform.ListedInstance, error) {
+func (fl *fakeListing) Instances(context.Context) ([]tableservice.ListedInstance, error) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	list := []platform.ListedInstance{}
+	list := []tableservice.ListedInstance{}
 	for _, one := range fl.entries {
 		if time.Since(one.at) >= fl.lag {
 			list = append(list, one.ListedInstance)
--- /dev/null
+++ b/roster/doc.go
@@ -0,0 +1,2 @@
+// Package roster holds the upstreams that are registered, and which of them may get work.
+package roster
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,168 @@
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Upstream is one registered incarnation of a back end; Born is the Unix millisecond of its start, or 0.
+type Upstream struct {
+	ID            string
+	Pool          string
+	Address       string
+	FailureDomain string
+	Slots         int
+	Leaving       bool
+	Born          int64
+	WarmAt        time.Time
+}
+
+// Incarnation tells one start of an upstream from the next under the same id.
+type Incarnation struct {
+	ID   string
+	Born int64
+}
+
+// Incarnation returns the upstream's incarnation.
+func (up *Upstream) Incarnation() Incarnation {
+	return Incarnation{ID: up.ID, Born: up.Born}
+}
+
+// List is one state of the registrations; it is never changed once it is published.
+type List struct {
+	byID   map[string]*Upstream
+	byPool map[string][]*Upstream
+}
+
+// Roster follows the registrations; it is not safe for concurrent use, its lists are.
+type Roster struct {
+	entries     map[string]*entry
+	outageSince time.Time
+	graceUntil  time.Time
+}
+
+// entry is a registration; vanished is when it was removed, or zero.
+type entry struct {
+	upstream Upstream
+	vanished time.Time
+}
+
+const (
+	// lapseOutage is how long the store must have been away for registrations to have lapsed meanwhile.
+	lapseOutage = time.Second
+	// returnTime is how long upstreams have to register again after the store's return.
+	returnTime = 1900 * time.Millisecond
+)
+
+// New returns a roster without registrations.
+func New() *Roster {
+	return &Roster{entries: map[string]*entry{}}
+}
+
+// Put enters a registration or replaces it; one of an earlier start than the known one changes nothing.
+func (rs *Roster) Put(upstream Upstream) {
+	if known, found := rs.entries[upstream.ID]; found && known.upstream.Born > upstream.Born && known.vanished.IsZero() {
+		return
+	}
+	rs.entries[upstream.ID] = &entry{upstream: upstream}
+}
+
+// Remove takes a registration out: at once, or after the time in which upstreams come back when the store has
+// just returned from an outage.
+func (rs *Roster) Remove(now time.Time, id string) {
+	known, found := rs.entries[id]
+	if !found || !known.vanished.IsZero() {
+		return
+	}
+	if known.upstream.Leaving || !now.Before(rs.graceUntil) && rs.outageSince.IsZero() {
+		delete(rs.entries, id)
+		return
+	}
+	known.vanished = now
+}
+
+// StoreLost notes that the store stopped answering.
+func (rs *Roster) StoreLost(now time.Time) {
+	if rs.outageSince.IsZero() {
+		rs.outageSince = now
+	}
+}
+
+// StoreBack notes that the store answers again; registrations that are missing have until Due to come back.
+func (rs *Roster) StoreBack(now time.Time) {
+	if rs.outageSince.IsZero() {
+		return
+	}
+	if now.Sub(rs.outageSince) >= lapseOutage {
+		rs.graceUntil = now.Add(returnTime)
+	}
+	rs.outageSince = time.Time{}
+}
+
+// Due returns when Expire has something to do, or the zero time.
+func (rs *Roster) Due() time.Time {
+	if !rs.outageSince.IsZero() {
+		return time.Time{}
+	}
+	for _, known := range rs.entries {
+		if !known.vanished.IsZero() {
+			return rs.graceUntil
+		}
+	}
+	return time.Time{}
+}
+
+// Expire drops the registrations that did not come back in time and returns their ids.
+func (rs *Roster) Expire(now time.Time) []string {
+	dropped := []string{}
+	if !rs.outageSince.IsZero() || now.Before(rs.graceUntil) {
+		return dropped
+	}
+	for id, known := range rs.entries {
+		if !known.vanished.IsZero() {
+			delete(rs.entries, id)
+			dropped = append(dropped, id)
+		}
+	}
+	slices.Sort(dropped)
+	return dropped
+}
+
+// List returns the current state for readers.
+func (rs *Roster) List() *List {
+	list := &List{byID: map[string]*Upstream{}, byPool: map[string][]*Upstream{}}
+	for id, known := range rs.entries {
+		upstream := known.upstream
+		list.byID[id] = &upstream
+		if !upstream.Leaving {
+			list.byPool[upstream.Pool] = append(list.byPool[upstream.Pool], &upstream)
+		}
+	}
+	for _, each := range list.byPool {
+		slices.SortFunc(each, func(left, right *Upstream) int { return cmp.Compare(left.ID, right.ID) })
+	}
+	return list
+}
+
+// Usable returns the upstreams of a pool that may get new work, ordered by id.
+func (ls *List) Usable(pool string) []*Upstream {
+	return ls.byPool[pool]
+}
+
+// Find returns a registered upstream by id, or nil.
+func (ls *List) Find(id string) *Upstream {
+	return ls.byID[id]
+}
+
+// MayWork reports whether an incarnation is registered and not leaving.
+func (ls *List) MayWork(incarnation Incarnation) bool {
+	known := ls.byID[incarnation.ID]
+	return known != nil && !known.Leaving && known.Born == incarnation.Born
+}
+
+// IDs returns the ids of all registrations in order.
+func (ls *List) IDs() []string {
+	return slices.Sorted(maps.Keys(ls.byID))
+}
--- a/platform/platform.go
+++ b/tableservice/tableservice.go
@@ -1,4 +1,4 @@
-package platform
+package tableservice
 
 import (
 	"bytes"
