--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -166,14 +166,15 @@
 		}
 	}
 	for id, list := range byUpstream {
-		gt.free(id, list)
+		gt.free(id, list, func() {})
 	}
 }
 
 // freeTimeout bounds a call that frees results; an upstream frees them by itself some seconds later.
 const freeTimeout = time.Second
 
-func (gt *Gatherer) free(id string, handles []string) {
+// free frees results in the background and calls freed once the upstream has confirmed it.
+func (gt *Gatherer) free(id string, handles []string, freed func()) {
 	gt.parts.Go(func() {
 		up := gt.view.Find(id)
 		if up == nil {
@@ -181,8 +182,10 @@
 		}
 		ctx, cancel := context.WithTimeout(gt.ctx, freeTimeout)
 		defer cancel()
-		if err := gt.caller.FreeResults(ctx, up, handles); err != nil && gt.ctx.Err() == nil {
+		if err := gt.caller.FreeResults(ctx, up, handles); err != nil {
 			gt.events.Record(&wire.Event{Kind: wire.EventKind_EventCallFailed, Upstream: id, Detail: "free results: " + err.Error()})
+			return
 		}
+		freed()
 	})
 }
--- a/gather/place.go
+++ b/gather/place.go
@@ -290,7 +290,7 @@
 		}
 	}
 	if len(orphans) > 0 {
-		pc.gatherer.free(up.ID, orphans)
+		pc.gatherer.free(up.ID, orphans, func() {})
 	}
 }
 
@@ -305,7 +305,7 @@
 }
 
 // freeDelay is how long freed results are collected before a call frees them together.
-const freeDelay = 40 * time.Millisecond
+const freeDelay = 5 * time.Millisecond
 
 // release frees the results that were made here and returns the others.
 func (pc *place) release(handles []string) []string {
@@ -319,17 +319,16 @@
 			continue
 		}
 		delete(pc.makers, handle)
-		pc.pool.Released(handle)
 		if pc.toFree == nil {
 			pc.toFree = map[string][]string{}
 			pc.gatherer.parts.Go(pc.freeLater)
 		}
 		pc.toFree[maker] = append(pc.toFree[maker], handle)
 	}
-	pc.signal()
 	return others
 }
 
+// freeLater frees the collected results; they count as held until the upstream has confirmed that.
 func (pc *place) freeLater() {
 	_ = pc.gatherer.timers.Sleep(pc.gatherer.ctx, freeDelay)
 	pc.mu.Lock()
@@ -337,6 +336,15 @@
 	pc.toFree = nil
 	pc.mu.Unlock()
 	for id, handles := range collected {
-		pc.gatherer.free(id, handles)
+		pc.gatherer.free(id, handles, func() { pc.freed(handles) })
+	}
+}
+
+func (pc *place) freed(handles []string) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	for _, handle := range handles {
+		pc.pool.Released(handle)
 	}
+	pc.signal()
 }
