--- a/gather/client.go
+++ b/gather/client.go
@@ -79,10 +79,12 @@
 	acceptTimeout = 220 * time.Millisecond
 	// silentFor is how long an instance that did not accept work in time is passed over.
 	silentFor = 1500 * time.Millisecond
-	// resultSlack is how much longer than expected results may take before the work is done elsewhere.
-	resultSlack = 900 * time.Millisecond
-	// resultPatience is how many times longer than expected results may take, beside resultSlack.
-	resultPatience = 2
+	// aliveTimeout is how long an instance that accepted work may be silent; it says every aliveInterval that it
+	// is still there.
+	aliveTimeout  = 700 * time.Millisecond
+	aliveInterval = 250 * time.Millisecond
+	// drainTime is how long calls under way on a link that is no longer used may take.
+	drainTime = 10 * time.Second
 	// maxTries is how many instances are asked for one work.
 	maxTries = 4
 )
@@ -307,7 +309,7 @@
 		case reply.GetRefused():
 			return Refused{Wait: timer.Milliseconds(reply.GetWaitMs()), Cause: "refused by the gatherer"}
 		case reply.GetAccepted():
-			watchdog.extend(resultPatience*timer.Milliseconds(reply.GetWaitMs()) + resultSlack)
+			watchdog.extend(aliveTimeout)
 		case reply.GetFailed() != "":
 			return Unfinished{Cause: reply.GetFailed(), Results: fromWireResults(reply.GetResults())}
 		default:
@@ -352,7 +354,7 @@
 	return fresh, nil
 }
 
-// drop passes an instance over for a while and closes its connection, which may be dead.
+// drop passes an instance over for a while and makes no more calls on its connection, which may be dead.
 func (cl *Client) drop(owner member.Member) {
 	cl.mu.Lock()
 	known := cl.links[owner.Address]
@@ -361,7 +363,10 @@
 	cl.mu.Unlock()
 	cl.events.Record(&wire.Event{Kind: wire.EventKind_EventCallFailed, Detail: "gatherer " + owner.ID + " is silent"})
 	if known != nil {
-		_ = known.Close()
+		cl.gatherer.parts.Go(func() {
+			_ = cl.timers.Sleep(cl.gatherer.ctx, drainTime)
+			_ = known.Close()
+		})
 	}
 }
 
--- a/gather/server.go
+++ b/gather/server.go
@@ -42,12 +42,19 @@
 		ticket.Withdraw()
 		return err
 	}
-	select {
-	case result := <-ticket.Done:
-		return stream.Send(toWireReply(result))
-	case <-stream.Context().Done():
-		ticket.Withdraw()
-		return stream.Context().Err()
+	for {
+		select {
+		case result := <-ticket.Done:
+			return stream.Send(toWireReply(result))
+		case <-stream.Context().Done():
+			ticket.Withdraw()
+			return stream.Context().Err()
+		case <-sv.timers.After(aliveInterval):
+			if err := stream.Send(&wire.GatherReply{Accepted: true}); err != nil {
+				ticket.Withdraw()
+				return err
+			}
+		}
 	}
 }
 
--- a/gather/watchdog.go
+++ b/gather/watchdog.go
@@ -36,7 +36,10 @@
 
 // extend starts the time anew.
 func (wd *watchdog) extend(limit time.Duration) {
-	wd.extended <- limit
+	select {
+	case wd.extended <- limit:
+	case <-wd.ended:
+	}
 }
 
 func (wd *watchdog) stop() {
