--- a/batch/batch.go
+++ b/batch/batch.go
@@ -81,6 +81,8 @@
 	calls     map[uint64]*call
 	nextCall  uint64
 	itemTime  float64
+	// lastBytes is the size of a result of the newest group.
+	lastBytes int64
 }
 
 // group is a Group with the items that are still to be sent.
@@ -138,6 +140,7 @@
 		entered.waiting = append(entered.waiting, index)
 	}
 	pl.groups[added.Ticket] = entered
+	pl.lastBytes = added.ResultBytes
 	at, _ := slices.BinarySearchFunc(pl.order, entered, before)
 	pl.order = slices.Insert(pl.order, at, entered)
 }
@@ -309,7 +312,7 @@
 	if one.factor > trialFactor {
 		limit = max(limit/trialShare, 1)
 	}
-	room := pl.terms.ResultRoom - one.held(now)
+	room := pl.room(now, one)
 	if pl.terms.ResultRoom == 0 {
 		room = int64(limit) * maxResultBytes
 	}
--- a/batch/upstream.go
+++ b/batch/upstream.go
@@ -160,7 +160,7 @@
 			continue
 		}
 		frees = append(frees, pl.freeIn(now, one))
-		speed += 1 / one.slowness(now)
+		speed += pl.roomShare(now, one) / one.slowness(now)
 	}
 	if len(frees) == 0 {
 		return NoUpstream
@@ -171,5 +171,25 @@
 	return slices.Min(frees) + time.Duration(rounds*float64(full)) + own
 }
 
+// minRoomShare is the least share of a batch that an upstream is expected to have room for, as results are freed.
+const minRoomShare = 0.25
+
+// roomShare is the part of a batch for whose results there is room at an upstream.
+func (pl *Pool) roomShare(now time.Time, one *upstream) float64 {
+	if pl.terms.ResultRoom == 0 || pl.lastBytes == 0 {
+		return 1
+	}
+	free := float64(pl.room(now, one)) / float64(pl.lastBytes)
+	return min(max(free/float64(max(pl.terms.Batch, 1)), minRoomShare), 1)
+}
+
+// sizeMargin is the part of the room that is used: results differ from their stated size.
+const sizeMargin = 0.93
+
+// room returns the bytes that further results may take at an upstream.
+func (pl *Pool) room(now time.Time, one *upstream) int64 {
+	return int64(sizeMargin*float64(pl.terms.ResultRoom)) - one.held(now)
+}
+
 // longOut is how long an upstream must be out of use not to be counted on.
 const longOut = 400 * time.Millisecond
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -69,13 +69,14 @@
 	inputs, domain, bytes := done.inputs()
 	want := placement.Want{
 		FailureDomain: domain, Session: rn.request.Prompt.session(), SharedTokens: rn.request.Prompt.sharedTokens(),
-		PromptTokens: rn.request.Prompt.ownTokens(), FarPenalty: farPenalty(bytes),
+		PromptTokens: rn.request.Prompt.ownTokens(), FarBytes: bytes,
 	}
 	connects, rejections := 0, 0
 	for {
 		if failure := rn.timeLeft(ctx); failure != nil {
 			return failure, false
 		}
+		want.Slack = rn.due.Sub(rn.Timers.Now())
 		choice, found := rn.Pools.pick(rn.pool.Name, rn.Catalog.Upstreams(rn.pool.Name, ""), want, want.PromptTokens)
 		if !found {
 			return rn.noUpstream(), false
@@ -101,19 +102,6 @@
 	}
 }
 
-const (
-	// smallFarPenalty and largeFarPenalty are what reading results from another failure domain costs, as time.
-	smallFarPenalty = 5 * time.Millisecond
-	largeFarPenalty = 120 * time.Millisecond
-)
-
-func farPenalty(bytes int64) time.Duration {
-	if bytes >= largeResult {
-		return largeFarPenalty
-	}
-	return smallFarPenalty
-}
-
 // timeLeft returns the outcome of a request that is not worth sending any more, or nil.
 func (rn *run) timeLeft(ctx context.Context) Outcome {
 	if ctx.Err() == nil && rn.end.Sub(rn.Timers.Now()) > minSend {
@@ -314,6 +302,10 @@
 func (at *attempt) answering() {
 	rn := at.run
 	at.answered = true
+	rn.Events.Record(&wire.Event{
+		Kind: wire.EventKind_EventAnswerBegan, RequestId: rn.request.ID, Upstream: at.choice.Upstream.ID, Stage: rn.pool.Name,
+		Attempt: int64(rn.sent), DurationMicros: rn.Timers.Now().Sub(at.began).Microseconds(),
+	})
 	rn.Pools.with(rn.pool.Name, func(now time.Time, known *placement.Pool) {
 		known.Answering(now, at.choice.Upstream.Incarnation(), at.want.PromptTokens, now.Sub(at.began), at.choice.Expected)
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,8 @@
 type Items interface {
 	Run(ctx context.Context, domain string, work gather.Work) gather.Result
 	Expect(pool, preferred string, margin time.Duration) (string, time.Duration)
+	ExpectAt(pool, domain string) time.Duration
+	Domains(pool string) []string
 	Release(ctx context.Context, pool, domain string, handles []string)
 }
 
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -11,16 +11,20 @@
 )
 
 const (
-	// farMargin is how much sooner another failure domain must have results for items to go there.
-	farMargin = 50 * time.Millisecond
-	// farMarginLarge is the same for results that are costly to move.
-	farMarginLarge = 200 * time.Millisecond
-	// largeResult is the size from which a result is costly to move, in bytes.
-	largeResult = 500_000
+	// nearMargin is how much sooner another failure domain must have results for items to go there.
+	nearMargin = 10 * time.Millisecond
+	// moveCostPerMB is what moving results between failure domains costs, as time.
+	moveCostPerMB = 15 * time.Millisecond
+	megabyte      = 1e6
 	// stageWaitShare is the part of a call's time that items usually wait for it.
 	stageWaitShare = 2
 )
 
+// moveMargin is how much sooner another failure domain must have results for so many bytes to be moved there.
+func moveMargin(bytes int64) time.Duration {
+	return nearMargin + time.Duration(float64(bytes)/megabyte*float64(moveCostPerMB))
+}
+
 // stageRun is one stage of a request on its way.
 type stageRun struct {
 	index  int
@@ -76,7 +80,7 @@
 		for _, earlier := range rn.pipeline.Stages[index].After {
 			start = max(start, finish[earlier])
 		}
-		_, wait := rn.Items.Expect(rn.pipeline.Stages[index].Pool, rn.FailureDomain, farMargin)
+		_, wait := rn.Items.Expect(rn.pipeline.Stages[index].Pool, rn.FailureDomain, nearMargin)
 		finish[index] = start + max(wait-start, rn.callTime(index))
 		longest = max(longest, finish[index])
 	}
@@ -97,14 +101,15 @@
 
 // stages carries out the stages of a request.
 type stages struct {
-	run  *run
-	runs map[int]*stageRun
+	run    *run
+	runs   map[int]*stageRun
+	domain string
 }
 
 // runStages has all stages of the request done. Those that read no other's results start together.
 func (rn *run) runStages(ctx context.Context) (*stages, error) {
-	st := &stages{run: rn, runs: map[int]*stageRun{}}
 	active := rn.activeStages()
+	st := &stages{run: rn, runs: map[int]*stageRun{}, domain: rn.planDomain(active)}
 	for _, index := range active {
 		st.runs[index] = &stageRun{
 			index: index, stage: rn.pipeline.Stages[index], count: rn.request.ItemCounts[index], done: make(chan struct{}),
@@ -174,11 +179,6 @@
 		inputs = append(inputs, handles(finished.Items)...)
 	}
 	rn := st.run
-	margin, preferred := farMargin, rn.FailureDomain
-	if each.stage.ResultBytes >= largeResult {
-		margin, preferred = farMarginLarge, rn.engineDomain()
-	}
-	each.domain, _ = rn.Items.Expect(each.stage.Pool, preferred, margin)
 	tail := rn.afterStage(each.index, active) + rn.engineTime()
 	work := gather.Work{
 		Pool: each.stage.Pool, Request: rn.request.ID, Stage: each.index, Count: each.count, Inputs: inputs, Rank: rn.rank,
@@ -187,17 +187,78 @@
 	if len(each.stage.After) == 0 {
 		work.Key = rn.request.ItemKey
 	}
+	each.domain = st.place(each, work.Due)
 	each.result = rn.Items.Run(ctx, each.domain, work)
 	st.releaseRead(each)
 }
 
+// place chooses the failure domain of one stage: the planned one as long as its results are there in time, or as
+// long as no other has them so much sooner that moving bytes is worth it.
+func (st *stages) place(each *stageRun, due time.Time) string {
+	rn := st.run
+	if len(rn.Catalog.Upstreams(each.stage.Pool, st.domain)) > 0 &&
+		!rn.Timers.Now().Add(rn.Items.ExpectAt(each.stage.Pool, st.domain)).After(due) {
+		return st.domain
+	}
+	domain, _ := rn.Items.Expect(each.stage.Pool, st.domain, moveMargin(st.moved(each)))
+	return domain
+}
+
+// moved is how many bytes move when a stage is done in another failure domain than the others: what each of its
+// items reads, and what the engine reads of its results.
+func (st *stages) moved(each *stageRun) int64 {
+	bytes := int64(0)
+	for _, earlier := range each.stage.After {
+		if before := st.runs[earlier]; before != nil {
+			bytes += int64(each.count) * int64(before.count) * before.stage.ResultBytes
+		}
+	}
+	if each.readers == 0 {
+		bytes += int64(each.count) * each.stage.ResultBytes
+	}
+	return bytes
+}
+
+// planDomain chooses the failure domain in which all stages are to be done: the one that has the results of the
+// whole graph first, with the way of the last results to the session's engine.
+func (rn *run) planDomain(active []int) string {
+	if len(active) == 0 {
+		return rn.FailureDomain
+	}
+	engine := rn.engineDomain()
+	far := time.Duration(0)
+	for _, index := range rn.pipeline.LastStages() {
+		if index < len(rn.request.ItemCounts) {
+			far += moveMargin(int64(rn.request.ItemCounts[index]) * rn.pipeline.Stages[index].ResultBytes)
+		}
+	}
+	best, lowest := rn.FailureDomain, time.Duration(-1)
+	for _, domain := range rn.Items.Domains(rn.pipeline.Stages[active[0]].Pool) {
+		total := time.Duration(0)
+		for _, index := range active {
+			total += rn.Items.ExpectAt(rn.pipeline.Stages[index].Pool, domain)
+		}
+		if domain != engine {
+			total += far
+		}
+		if domain != rn.FailureDomain {
+			total += nearMargin
+		}
+		if lowest < 0 || total < lowest {
+			best, lowest = domain, total
+		}
+	}
+	return best
+}
+
 // engineDomain is the failure domain of the engine that the request's session belongs to.
 func (rn *run) engineDomain() string {
-	list := rn.Catalog.Upstreams(rn.pool.Name, "")
-	if up, found := rn.Pools.first(rn.pool.Name, list, rn.request.Prompt.session()); found && rn.request.Prompt.session() != 0 {
-		return up.FailureDomain
+	session := rn.request.Prompt.session()
+	up, found := rn.Pools.first(rn.pool.Name, rn.Catalog.Upstreams(rn.pool.Name, ""), session)
+	if !found || session == 0 {
+		return rn.FailureDomain
 	}
-	return rn.FailureDomain
+	return up.FailureDomain
 }
 
 func handles(items []gather.ItemResult) []string {
--- a/gather/client.go
+++ b/gather/client.go
@@ -94,7 +94,7 @@
 func (cl *Client) Expect(pool, preferred string, margin time.Duration) (string, time.Duration) {
 	now := cl.timers.Now()
 	best, lowest := preferred, time.Duration(-1)
-	for _, domain := range cl.domains(pool) {
+	for _, domain := range cl.Domains(pool) {
 		wait := cl.waitAt(now, Place{Pool: pool, FailureDomain: domain})
 		compared := wait
 		if domain != preferred {
@@ -110,8 +110,21 @@
 	return best, max(lowest, 0)
 }
 
-// domains returns the failure domains that have upstreams of a pool.
-func (cl *Client) domains(pool string) []string {
+// ExpectAt returns the expected wait for a pool's results in one failure domain; where it has no upstreams, in the
+// domain that has them first.
+func (cl *Client) ExpectAt(pool, domain string) time.Duration {
+	if len(cl.view.Upstreams(pool, domain)) == 0 {
+		_, wait := cl.Expect(pool, "", 0)
+		return wait + elsewhereCost
+	}
+	return cl.waitAt(cl.timers.Now(), Place{Pool: pool, FailureDomain: domain})
+}
+
+// elsewhereCost is added to the wait of a pool that a failure domain does not have.
+const elsewhereCost = 50 * time.Millisecond
+
+// Domains returns the failure domains that have upstreams of a pool.
+func (cl *Client) Domains(pool string) []string {
 	list := []string{}
 	for _, up := range cl.view.Upstreams(pool, "") {
 		if !slices.Contains(list, up.FailureDomain) {
@@ -186,6 +199,21 @@
 	return xxhash.Sum64String(at.Pool + "/" + at.FailureDomain + "/" + id)
 }
 
+// submitted adds work that was just handed over to what is known of a place's wait.
+func (cl *Client) submitted(at Place, count int) {
+	pool, known := cl.view.Pool(at.Pool)
+	upstreams := len(cl.view.Upstreams(at.Pool, at.FailureDomain))
+	if !known || pool.Items == nil || upstreams == 0 {
+		return
+	}
+	each := pool.Items.CallTime/time.Duration(max(pool.Items.Batch, 1)) + pool.Items.ItemTime
+	now := cl.timers.Now()
+	wait := cl.waitAt(now, at) + time.Duration(count)*each/time.Duration(upstreams)
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.loads[at] = load{wait: wait, at: now}
+}
+
 // Run has the work done in the given failure domain, or in another when that one refuses, and waits for it.
 func (cl *Client) Run(ctx context.Context, domain string, work Work) Result {
 	refused := Refused{Cause: "no instance takes the items"}
@@ -196,6 +224,7 @@
 		if !found {
 			break
 		}
+		cl.submitted(at, work.Count)
 		result := cl.runAt(ctx, owner, at, work, try > 0)
 		cl.record(work, owner, at, result)
 		switch result := result.(type) {
--- a/gather/exchange.go
+++ b/gather/exchange.go
@@ -22,7 +22,7 @@
 		for at, wait := range cl.gatherer.Active(cl.timers.Now().Add(-exchangeAfterWork)) {
 			own := &wire.PoolLoad{FailureDomain: at.FailureDomain, WaitMs: wait.Milliseconds()}
 			cl.learn(at.Pool, []*wire.PoolLoad{own})
-			for _, domain := range cl.domains(at.Pool) {
+			for _, domain := range cl.Domains(at.Pool) {
 				if domain != at.FailureDomain {
 					cl.tell(ctx, Place{Pool: at.Pool, FailureDomain: domain}, own)
 				}
--- a/gather/place.go
+++ b/gather/place.go
@@ -61,13 +61,23 @@
 	return &Ticket{Wait: wait, Done: accepted.done, place: pc, id: id}, nil
 }
 
+// withdraw gives a job up and frees the results that were made of it.
 func (pc *place) withdraw(id uint64) {
 	pc.mu.Lock()
-	defer pc.mu.Unlock()
-	if pc.jobs[id] != nil {
-		delete(pc.jobs, id)
-		pc.pool.Withdraw(id)
+	known := pc.jobs[id]
+	delete(pc.jobs, id)
+	pc.pool.Withdraw(id)
+	pc.mu.Unlock()
+	if known == nil {
+		return
+	}
+	made := []string{}
+	for _, one := range known.results {
+		if one.Handle != "" {
+			made = append(made, one.Handle)
+		}
 	}
+	pc.release(made)
 }
 
 func (pc *place) load(since time.Time) (time.Duration, bool) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -19,8 +19,10 @@
 	SharedTokens int
 	PromptTokens int
 	Avoid        []roster.Incarnation
-	// FarPenalty is what an upstream of another failure domain costs, as time.
-	FarPenalty time.Duration
+	// FarBytes are read by the upstream from FailureDomain.
+	FarBytes int64
+	// Slack is how much time is left for the first part of the answer to be in time.
+	Slack time.Duration
 }
 
 // Choice is the chosen upstream with what decided it.
@@ -73,6 +75,15 @@
 	tokensPerMs = 40
 	// runningCost is what each request under way at an upstream adds to the expected time.
 	runningCost = 4 * time.Millisecond
+	// timelyShare is what time within the slack counts, lateCost what time beyond it does.
+	timelyShare = 0.3
+	lateCost    = 4
+	// readAgainCost is what reading a shared token again costs, as time.
+	readAgainCost = 85 * time.Microsecond
+	// farCost and farCostPerMB are what an upstream of another failure domain costs, as time.
+	farCost      = 2 * time.Millisecond
+	farCostPerMB = 15 * time.Millisecond
+	megabyte     = 1e6
 	// halfLife is the time in which what was seen of an upstream loses half of its weight.
 	halfLife = 3 * time.Second
 	// endWeight is the weight of the newest request in what is known of an upstream.
@@ -140,9 +151,12 @@
 			continue
 		}
 		expected := pl.expected(now, known, up, want, place)
-		score := float64(expected) + known.failingNow(now)*float64(failingCost)
+		score := cost(expected, want.Slack) + known.failingNow(now)*float64(failingCost)
 		if up.FailureDomain != want.FailureDomain {
-			score += float64(want.FarPenalty)
+			score += float64(farCost) + float64(want.FarBytes)*float64(farCostPerMB)/megabyte
+		}
+		if want.Session != 0 && place > 0 {
+			score += float64(want.SharedTokens) * float64(readAgainCost)
 		}
 		if score < lowest {
 			best, lowest, found = Choice{Upstream: up, Order: place, Expected: expected}, score, true
@@ -151,6 +165,12 @@
 	return best, found
 }
 
+// cost weighs the expected time: little while the answer is in time, much beyond.
+func cost(expected, slack time.Duration) float64 {
+	late := max(expected-max(slack, 0), 0)
+	return timelyShare*float64(expected-late) + lateCost*float64(late)
+}
+
 // order returns the places of the list in the order of the session, which all instances agree on; without a
 // session the order rotates.
 func (pl *Pool) order(list []*roster.Upstream, session uint64) []int {
