--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -215,6 +215,20 @@
 	ct.events.Record(&wire.Event{Kind: wire.EventKind_EventPlatformBack, Stage: table})
 }
 
+// Grace returns how much longer registrations that lapsed in an outage may come back.
+func (ct *Catalog) Grace() time.Duration {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	return ct.roster.Grace(ct.timers.Now())
+}
+
+// ExtendGrace lets registrations that lapsed in an outage come back that much longer, as another instance has seen it.
+func (ct *Catalog) ExtendGrace(left time.Duration) {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	ct.roster.ExtendGrace(ct.timers.Now().Add(left))
+}
+
 func (ct *Catalog) signal() {
 	select {
 	case ct.due <- struct{}{}:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/turmericdoor/turmericdoor/catalog"
+	"github.com/turmericdoor/turmericdoor/deputy"
 	"github.com/turmericdoor/turmericdoor/drain"
 	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/gateway"
@@ -90,7 +91,7 @@
 	en.events = timeline.New(en.settings.Instance, clock, timelineEvents, en.logbook.Write)
 	en.catalog = catalog.New(parts.Decoder, parts.Tables, parts.Timers, en.events)
 	for _, table := range []string{parts.Tables.Configuration, parts.Tables.Registrations} {
-		en.watches = append(en.watches, watch.New(table, parts.Source, parts.Timers, parts.Chance.Fork(table), changes{en}))
+		en.watches = append(en.watches, watch.New(table, parts.Source, parts.Timers, parts.Chance.Fork(table), changes{en}, en.reads))
 	}
 	en.peer = en.newPeer(parts, clock)
 	en.pools = gateway.NewPools(parts.Timers, parts.Settings.Budget, func() int { return len(en.peer.Live()) })
@@ -124,6 +125,11 @@
 	}, peer.Config{Member: config, Seeds: en.settings.Seeds, Heartbeat: heartbeat})
 }
 
+// reads reports whether this instance reads the platform's store for the others.
+func (en *Entry) reads() bool {
+	return deputy.Is(en.settings.Instance, en.peer.Live())
+}
+
 func (en *Entry) gauges() {
 	en.metrics.Gauge("requests_in_flight", func() float64 { return float64(en.gate.InFlight()) })
 	en.metrics.Gauge("members_live", func() float64 { return float64(len(en.peer.Live())) })
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -6,6 +6,7 @@
 	"github.com/turmericdoor/turmericdoor/news"
 	"github.com/turmericdoor/turmericdoor/replica"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timer"
 )
 
 // changes hands changed rows to the catalog, and has other instances told of those that came from the store.
@@ -38,14 +39,16 @@
 func (rp replicas) Versions() []*wire.TableVersion {
 	list := []*wire.TableVersion{}
 	for _, each := range rp.entry.watches {
-		list = append(list, &wire.TableVersion{Table: each.Table(), Version: each.Version(), Newest: each.Newest()})
+		list = append(list, &wire.TableVersion{
+			Table: each.Table(), Version: each.Version(), Newest: each.Newest(), AgeMs: each.Age().Milliseconds(),
+		})
 	}
 	return list
 }
 
 // Since returns what changed in a table after a version.
 func (rp replicas) Since(table string, version int64) *wire.FetchRowsReply {
-	reply := &wire.FetchRowsReply{}
+	reply := &wire.FetchRowsReply{GraceMs: rp.entry.catalog.Grace().Milliseconds()}
 	for _, each := range rp.entry.watches {
 		if each.Table() != table {
 			continue
@@ -62,16 +65,21 @@
 // Behind takes note of how far another instance has come, and reports whether rows should be fetched from it.
 func (rp replicas) Behind(version *wire.TableVersion) bool {
 	for _, each := range rp.entry.watches {
-		if each.Table() == version.GetTable() && version.GetNewest() > each.Version() {
+		if each.Table() != version.GetTable() {
+			continue
+		}
+		if version.GetNewest() > each.Version() {
 			each.Behind(version.GetNewest())
 			return true
 		}
+		each.Heard(version.GetNewest(), timer.Milliseconds(version.GetAgeMs()))
 	}
 	return false
 }
 
 // Take applies rows that another instance sent.
 func (rp replicas) Take(table string, reply *wire.FetchRowsReply) {
+	rp.entry.catalog.ExtendGrace(timer.Milliseconds(reply.GetGraceMs()))
 	page := replica.Page{Version: reply.GetVersion(), Whole: reply.GetWhole()}
 	for _, row := range reply.GetRows() {
 		page.Rows = append(page.Rows, replica.Row{
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -101,6 +101,18 @@
 	rs.outageSince = time.Time{}
 }
 
+// Grace returns how much longer missing registrations may come back.
+func (rs *Roster) Grace(now time.Time) time.Duration {
+	return max(rs.graceUntil.Sub(now), 0)
+}
+
+// ExtendGrace lets missing registrations come back until a time; it never shortens it.
+func (rs *Roster) ExtendGrace(until time.Time) {
+	if until.After(rs.graceUntil) {
+		rs.graceUntil = until
+	}
+}
+
 // Due returns when Expire has something to do, or the zero time.
 func (rs *Roster) Due() time.Time {
 	if !rs.outageSince.IsZero() {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -40,12 +40,15 @@
 	timers   *timer.Service
 	chance   *entropy.Source
 	listener Listener
+	deputy   func() bool
 
 	mu      sync.Mutex
 	replica *replica.Replica
 	lost    bool
 	behind  int64
 	nudge   chan struct{}
+	// currentAt is when the store was last known to have nothing newer.
+	currentAt time.Time
 }
 
 const (
@@ -58,14 +61,21 @@
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
+	// coalesce is the pause after a change, so that changes that come together cost one call.
+	coalesce = 60 * time.Millisecond
+	// staleAfter is how old what other instances read may become before this one reads the store itself.
+	staleAfter = 4 * time.Second
+	// roleCheck is how often an instance that does not read the store looks whether it should.
+	roleCheck = 500 * time.Millisecond
 	// behindPause is how long the store has to deliver a change that another instance has already.
 	behindPause = 150 * time.Millisecond
 )
 
-// New returns a watch that knows nothing yet; Run must be running.
-func New(table string, source Source, timers *timer.Service, chance *entropy.Source, listener Listener) *Watch {
+// New returns a watch that knows nothing yet; Run must be running. It reads the store while deputy says so, and
+// else only when what other instances tell grows old.
+func New(table string, source Source, timers *timer.Service, chance *entropy.Source, listener Listener, deputy func() bool) *Watch {
 	return &Watch{
-		table: table, source: source, timers: timers, chance: chance, listener: listener,
+		table: table, source: source, timers: timers, chance: chance, listener: listener, deputy: deputy,
 		replica: replica.New(), nudge: make(chan struct{}, 1),
 	}
 }
@@ -96,6 +106,28 @@
 	return wt.replica.Since(version)
 }
 
+// Age returns how long ago the store was known to have nothing newer.
+func (wt *Watch) Age() time.Duration {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	return wt.timers.Now().Sub(wt.currentAt)
+}
+
+// Heard takes note that another instance's replica, which has nothing newer, was current that long ago.
+func (wt *Watch) Heard(newest int64, age time.Duration) {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	at := wt.timers.Now().Add(-age)
+	if newest <= wt.replica.Version() && at.After(wt.currentAt) {
+		wt.currentAt = at
+	}
+}
+
+// reads reports whether this instance is to read the store.
+func (wt *Watch) reads() bool {
+	return wt.Version() == 0 || wt.deputy() || wt.Age() > staleAfter
+}
+
 // Take applies a page that another instance sent.
 func (wt *Watch) Take(page replica.Page) {
 	wt.apply(page, true)
@@ -134,11 +166,19 @@
 	pause := firstPause
 	whole := true
 	for ctx.Err() == nil {
+		if !wt.reads() {
+			_ = wt.timers.Sleep(ctx, roleCheck)
+			continue
+		}
+		before := wt.Newest()
 		err := wt.step(ctx, whole)
 		switch {
 		case err == nil:
 			whole, pause = false, firstPause
 			wt.answered()
+			if wt.Newest() != before {
+				_ = wt.timers.Sleep(ctx, coalesce)
+			}
 			continue
 		case errors.Is(err, ErrHistoryGone):
 			whole = true
@@ -212,6 +252,7 @@
 func (wt *Watch) answered() {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
+	wt.currentAt = wt.timers.Now()
 	if wt.lost {
 		wt.lost = false
 		wt.listener.StoreBack(wt.table)
