--- a/batch/batch.go
+++ b/batch/batch.go
@@ -275,6 +275,29 @@
 	return known
 }
 
+// prefer orders the groups for a call: those that can still be on time first, by urgency, then the late ones.
+// Under overload this keeps most on time, where plain order of due times would make all of them late.
+func (pl *Pool) prefer(now time.Time) []*group {
+	timely, late := []*group{}, []*group{}
+	for _, known := range pl.order {
+		if len(known.waiting) == 0 {
+			continue
+		}
+		if now.Add(pl.terms.CallTime).After(known.Due) {
+			late = append(late, known)
+			continue
+		}
+		timely = append(timely, known)
+	}
+	slices.SortStableFunc(late, func(left, right *group) int {
+		if order := cmp.Compare(left.Rank, right.Rank); order != 0 {
+			return order
+		}
+		return left.Expires.Compare(right.Expires)
+	})
+	return append(timely, late...)
+}
+
 // dropExpired gives up groups that no call can finish in time any more.
 func (pl *Pool) dropExpired(now time.Time) []Action {
 	actions := []Action{}
@@ -318,7 +341,7 @@
 	}
 	made := &call{upstream: one, started: now}
 	repeated := 0
-	for _, known := range pl.order {
+	for _, known := range pl.prefer(now) {
 		for len(made.items) < limit && len(known.waiting) > 0 && made.bytes+known.ResultBytes <= room {
 			index := known.waiting[0]
 			if known.sent[index] > 0 {
