--- a/batch/batch.go
+++ b/batch/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -60,6 +61,8 @@
 // Drop says that a group has no more chance to be finished in time.
 type Drop struct {
 	Ticket uint64
+	// Wait is how long its results were expected to take.
+	Wait time.Duration
 }
 
 func (Drop) action() {}
@@ -83,6 +86,9 @@
 	itemTime  float64
 	// lastBytes is the size of a result of the newest group.
 	lastBytes int64
+	// arrivals is the smoothed rate of submitted items in items a second, as of arrivedAt.
+	arrivals  float64
+	arrivedAt time.Time
 }
 
 // group is a Group with the items that are still to be sent.
@@ -134,7 +140,9 @@
 }
 
 // Submit enters a group.
-func (pl *Pool) Submit(added Group) {
+func (pl *Pool) Submit(now time.Time, added Group) {
+	pl.arrivals = pl.arrivalRate(now) + float64(added.Count)/arrivalSpan.Seconds()
+	pl.arrivedAt = now
 	entered := &group{Group: added, sent: map[int]int{}}
 	for index := range added.Count {
 		entered.waiting = append(entered.waiting, index)
@@ -145,6 +153,13 @@
 	pl.order = slices.Insert(pl.order, at, entered)
 }
 
+// arrivalSpan is the time over which the rate of arrivals is smoothed.
+const arrivalSpan = time.Second
+
+func (pl *Pool) arrivalRate(now time.Time) float64 {
+	return pl.arrivals * math.Exp(-float64(now.Sub(pl.arrivedAt))/float64(arrivalSpan))
+}
+
 // rankOffset is how much earlier than a request of the next lower rank one counts as due.
 const rankOffset = 400 * time.Millisecond
 
@@ -275,35 +290,14 @@
 	return known
 }
 
-// prefer orders the groups for a call: those that can still be on time first, by urgency, then the late ones.
-// Under overload this keeps most on time, where plain order of due times would make all of them late.
-func (pl *Pool) prefer(now time.Time) []*group {
-	timely, late := []*group{}, []*group{}
-	for _, known := range pl.order {
-		if len(known.waiting) == 0 {
-			continue
-		}
-		if now.Add(pl.terms.CallTime).After(known.Due) {
-			late = append(late, known)
-			continue
-		}
-		timely = append(timely, known)
-	}
-	slices.SortStableFunc(late, func(left, right *group) int {
-		if order := cmp.Compare(left.Rank, right.Rank); order != 0 {
-			return order
-		}
-		return left.Expires.Compare(right.Expires)
-	})
-	return append(timely, late...)
-}
-
-// dropExpired gives up groups that no call can finish in time any more.
+// dropExpired gives up groups that are not expected to be finished in time: they are better refused at once.
 func (pl *Pool) dropExpired(now time.Time) []Action {
 	actions := []Action{}
-	for _, known := range slices.Clone(pl.order) {
-		if len(known.waiting) > 0 && now.Add(pl.terms.CallTime).After(known.Expires) {
-			actions = append(actions, Drop{Ticket: known.Ticket})
+	order := pl.prefer(now)
+	for at, wait := range pl.waits(now, order) {
+		known := order[at]
+		if now.Add(pl.terms.CallTime).After(known.Expires) || len(known.sent) == 0 && now.Add(wait).After(known.Expires) {
+			actions = append(actions, Drop{Ticket: known.Ticket, Wait: wait})
 			pl.Withdraw(known.Ticket)
 		}
 	}
--- a/batch/upstream.go
+++ b/batch/upstream.go
@@ -141,36 +141,6 @@
 	return soonest
 }
 
-// NoUpstream is the wait that a pool without a usable upstream expects.
-const NoUpstream = time.Hour
-
-// Wait returns the expected time until the results of a group that is due at a time, with the items ahead of it.
-func (pl *Pool) Wait(now, due time.Time, rank, items int) time.Duration {
-	probe := &group{Group: Group{Due: due, Rank: rank, Ticket: math.MaxUint64}}
-	ahead := 0
-	for _, known := range pl.order {
-		if before(known, probe) < 0 {
-			ahead += len(known.waiting)
-		}
-	}
-	frees := []time.Duration{}
-	speed := 0.0
-	for _, one := range pl.upstreams {
-		if now.Add(longOut).Before(one.outUntil) {
-			continue
-		}
-		frees = append(frees, pl.freeIn(now, one))
-		speed += pl.roomShare(now, one) / one.slowness(now)
-	}
-	if len(frees) == 0 {
-		return NoUpstream
-	}
-	full := pl.expected(nil, pl.terms.Batch)
-	rounds := float64(ahead) / (speed * float64(max(pl.terms.Batch, 1)))
-	own := pl.expected(nil, min(pl.terms.Batch, items+ahead/len(frees)))
-	return slices.Min(frees) + time.Duration(rounds*float64(full)) + own
-}
-
 // minRoomShare is the least share of a batch that an upstream is expected to have room for, as results are freed.
 const minRoomShare = 0.25
 
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -153,7 +153,7 @@
 	case gather.Refused:
 		return stageError{refused: true, wait: result.Wait, cause: each.stage.Pool + ": " + result.Cause}
 	case gather.Unfinished:
-		return stageError{cause: each.stage.Pool + ": " + result.Cause}
+		return stageError{wait: result.Wait, cause: each.stage.Pool + ": " + result.Cause}
 	}
 	return stageError{cause: each.stage.Pool + ": not begun"}
 }
--- a/gather/client.go
+++ b/gather/client.go
@@ -340,7 +340,7 @@
 		case reply.GetAccepted():
 			watchdog.extend(aliveTimeout)
 		case reply.GetFailed() != "":
-			return Unfinished{Cause: reply.GetFailed(), Results: fromWireResults(reply.GetResults())}
+			return Unfinished{Cause: reply.GetFailed(), Wait: timer.Milliseconds(reply.GetWaitMs()), Results: fromWireResults(reply.GetResults())}
 		default:
 			return Finished{Items: fromWireResults(reply.GetResults())}
 		}
--- a/gather/place.go
+++ b/gather/place.go
@@ -43,7 +43,10 @@
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	pc.refresh()
-	wait := pc.pool.Wait(now, work.Due, work.Rank, work.Count)
+	group := batch.Group{
+		Stage: work.Stage, Count: work.Count, Rank: work.Rank, Due: work.Due, Expires: work.Expires, ResultBytes: work.ResultBytes,
+	}
+	wait := pc.pool.Wait(now, group)
 	if now.Add(wait).After(work.Expires) {
 		return nil, &Refused{Wait: wait, Cause: fmt.Sprintf("wait of %d ms", wait.Milliseconds())}
 	}
@@ -53,10 +56,8 @@
 	pc.jobs[id] = accepted
 	pc.lastWork = now
 	pc.gatherer.repeats.Request(work.Pool)
-	pc.pool.Submit(batch.Group{
-		Ticket: id, Stage: work.Stage, Count: work.Count, Rank: work.Rank, Due: work.Due, Expires: work.Expires,
-		ResultBytes: work.ResultBytes,
-	})
+	group.Ticket = id
+	pc.pool.Submit(now, group)
 	pc.signal()
 	return &Ticket{Wait: wait, Done: accepted.done, place: pc, id: id}, nil
 }
@@ -87,7 +88,7 @@
 		return 0, false
 	}
 	now := pc.gatherer.timers.Now()
-	return pc.pool.Wait(now, now.Add(loadHorizon), 0, 1), true
+	return pc.pool.Wait(now, batch.Group{Count: 1, Due: now.Add(loadHorizon), Expires: now.Add(loadHorizon)}), true
 }
 
 // loadHorizon is the due time of the item whose wait stands for a place's load.
@@ -153,7 +154,7 @@
 		case batch.Send:
 			pc.send(ctx, action)
 		case batch.Drop:
-			pc.give(action.Ticket, Unfinished{Cause: "no time left"})
+			pc.give(action.Ticket, Unfinished{Cause: "no time left", Wait: action.Wait})
 		case batch.Wake:
 			wake = max(action.At.Sub(now), minWake)
 		}
--- a/gather/server.go
+++ b/gather/server.go
@@ -87,7 +87,7 @@
 	case Finished:
 		return &wire.GatherReply{Results: toWireResults(result.Items)}
 	case Unfinished:
-		return &wire.GatherReply{Failed: result.Cause, Results: toWireResults(result.Results)}
+		return &wire.GatherReply{Failed: result.Cause, WaitMs: result.Wait.Milliseconds(), Results: toWireResults(result.Results)}
 	case Refused:
 		return &wire.GatherReply{Refused: true, WaitMs: result.Wait.Milliseconds()}
 	}
--- a/gather/work.go
+++ b/gather/work.go
@@ -118,7 +118,9 @@
 
 // Unfinished says that some of the items have no result; Results holds those that were made.
 type Unfinished struct {
-	Cause   string
+	Cause string
+	// Wait is how long the results were expected to take, or 0.
+	Wait    time.Duration
 	Results []ItemResult
 }
 
