--- a/batch/batch.go
+++ b/batch/batch.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -17,6 +16,8 @@
 	Due         time.Time
 	Expires     time.Time
 	ResultBytes int64
+	// ReadsResults says that results of earlier stages are kept for the group.
+	ReadsResults bool
 }
 
 // Item names one item of a group.
@@ -61,8 +62,6 @@
 // Drop says that a group has no more chance to be finished in time.
 type Drop struct {
 	Ticket uint64
-	// Wait is how long its results were expected to take.
-	Wait time.Duration
 }
 
 func (Drop) action() {}
@@ -86,9 +85,6 @@
 	itemTime  float64
 	// lastBytes is the size of a result of the newest group.
 	lastBytes int64
-	// arrivals is the smoothed rate of submitted items in items a second, as of arrivedAt.
-	arrivals  float64
-	arrivedAt time.Time
 }
 
 // group is a Group with the items that are still to be sent.
@@ -140,9 +136,7 @@
 }
 
 // Submit enters a group.
-func (pl *Pool) Submit(now time.Time, added Group) {
-	pl.arrivals = pl.arrivalRate(now) + float64(added.Count)/arrivalSpan.Seconds()
-	pl.arrivedAt = now
+func (pl *Pool) Submit(added Group) {
 	entered := &group{Group: added, sent: map[int]int{}}
 	for index := range added.Count {
 		entered.waiting = append(entered.waiting, index)
@@ -153,13 +147,6 @@
 	pl.order = slices.Insert(pl.order, at, entered)
 }
 
-// arrivalSpan is the time over which the rate of arrivals is smoothed.
-const arrivalSpan = time.Second
-
-func (pl *Pool) arrivalRate(now time.Time) float64 {
-	return pl.arrivals * math.Exp(-float64(now.Sub(pl.arrivedAt))/float64(arrivalSpan))
-}
-
 // rankOffset is how much earlier than a request of the next lower rank one counts as due.
 const rankOffset = 400 * time.Millisecond
 
@@ -290,14 +277,12 @@
 	return known
 }
 
-// dropExpired gives up groups that are not expected to be finished in time: they are better refused at once.
+// dropExpired gives up groups that no call can finish in time any more.
 func (pl *Pool) dropExpired(now time.Time) []Action {
 	actions := []Action{}
-	order := pl.prefer(now)
-	for at, wait := range pl.waits(now, order) {
-		known := order[at]
-		if now.Add(pl.terms.CallTime).After(known.Expires) || len(known.sent) == 0 && now.Add(wait).After(known.Expires) {
-			actions = append(actions, Drop{Ticket: known.Ticket, Wait: wait})
+	for _, known := range slices.Clone(pl.order) {
+		if len(known.waiting) > 0 && now.Add(pl.terms.CallTime).After(known.Expires) {
+			actions = append(actions, Drop{Ticket: known.Ticket})
 			pl.Withdraw(known.Ticket)
 		}
 	}
--- a/batch/forecast.go
+++ b/batch/forecast.go
@@ -1,32 +1,40 @@
 package batch
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
 )
 
-// prefer orders the groups for a call: those that can still be on time first, by urgency, then the late ones.
-// Under overload this keeps most on time, where plain order of due times would make all of them late.
+// prefer orders the groups for a call by when they should be served. A group that can't be on time any more yields
+// until shortly before its results are of no use: in plain order of due times, a burst beyond the pool's capacity
+// would make nearly all groups late. One that reads results does not yield, since these take room meanwhile.
 func (pl *Pool) prefer(now time.Time) []*group {
-	timely, late := []*group{}, []*group{}
+	order := make([]*group, 0, len(pl.order))
+	at := make(map[*group]time.Time, len(pl.order))
 	for _, known := range pl.order {
-		switch {
-		case len(known.waiting) == 0:
-		case pl.isLate(now, known):
-			late = append(late, known)
-		default:
-			timely = append(timely, known)
+		if len(known.waiting) > 0 {
+			order = append(order, known)
+			at[known] = pl.serveBy(now, known)
 		}
 	}
-	slices.SortStableFunc(late, func(left, right *group) int {
-		if order := cmp.Compare(left.Rank, right.Rank); order != 0 {
-			return order
-		}
-		return left.Expires.Compare(right.Expires)
-	})
-	return append(timely, late...)
+	slices.SortStableFunc(order, func(left, right *group) int { return at[left].Compare(at[right]) })
+	return order
+}
+
+// lastCalls is how many calls before its expiry a late group is served.
+const lastCalls = 4
+
+// serveBy is the time by which groups are ordered.
+func (pl *Pool) serveBy(now time.Time, known *group) time.Time {
+	if known.ReadsResults || !pl.isLate(now, known) {
+		return known.urgency()
+	}
+	last := known.Expires.Add(-lastCalls * pl.terms.CallTime)
+	if known.urgency().After(last) {
+		return known.urgency()
+	}
+	return last
 }
 
 // isLate reports whether a group can't be on time any more.
@@ -57,11 +65,7 @@
 	return sp
 }
 
-// minLateShare is the least part of the upstreams' speed that late groups are expected to get.
-const minLateShare = 0.1
-
-// waits returns the expected time until the results of each group in an order that prefer returned. Late groups
-// get what those on time leave, also of those that have yet to arrive.
+// waits returns the expected time until the results of each group in an order that prefer returned.
 func (pl *Pool) waits(now time.Time, order []*group) []time.Duration {
 	sp := pl.speed(now)
 	list := []time.Duration{}
@@ -71,11 +75,7 @@
 			list = append(list, NoUpstream)
 			continue
 		}
-		rate := sp.perSecond
-		if pl.isLate(now, known) {
-			rate = max(sp.perSecond-pl.arrivalRate(now), minLateShare*sp.perSecond)
-		}
-		queued := time.Duration(float64(ahead) / rate * float64(time.Second))
+		queued := time.Duration(float64(ahead) / sp.perSecond * float64(time.Second))
 		own := pl.expected(nil, min(pl.terms.Batch, len(known.waiting)+ahead/sp.upstreams))
 		list = append(list, sp.firstFree+queued+own)
 		ahead += len(known.waiting)
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -51,7 +51,7 @@
 	}
 	failure := stageError{}
 	errors.As(err, &failure)
-	left := rn.end.Sub(rn.Timers.Now())
+	left := rn.beginBy.Sub(rn.Timers.Now())
 	return rn.refuse(min(max(failure.wait-left, minRetry), max(left, 0)+minRetry), failure.cause)
 }
 
@@ -149,8 +149,8 @@
 	at := &attempt{run: rn, choice: choice, want: want, began: began, stages: done}
 	at.ctx, at.cancel = context.WithCancelCause(ctx)
 	defer at.cancel(nil)
-	stop := rn.after(rn.firstAnswerLimit(choice), func() { at.cancelUnanswered() })
-	defer stop()
+	at.stopLimit = rn.after(rn.firstAnswerLimit(choice), func() { at.cancel(errUnanswered) })
+	defer at.stopLimit()
 	reply, err := rn.Sender.Send(at.ctx, Exchange{
 		Request: rn.request, Upstream: choice.Upstream, Organisation: rn.organisation.Name,
 		Remaining: rn.end.Sub(began), Inputs: inputs, Rank: rn.rank, Engine: rn.pool.Engine != nil, LastEventID: rn.request.LastEventID,
@@ -181,25 +181,23 @@
 
 // attempt is one send.
 type attempt struct {
-	run      *run
-	choice   placement.Choice
-	want     placement.Want
-	began    time.Time
-	stages   *stages
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
-	answered bool
-	outcome  string
-	detail   string
+	run    *run
+	choice placement.Choice
+	want   placement.Want
+	began  time.Time
+	stages *stages
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// stopLimit ends the time in which the upstream must answer.
+	stopLimit func()
+	answered  bool
+	outcome   string
+	detail    string
 }
 
 // errUnanswered cancels a send whose upstream stays silent.
 var errUnanswered = errors.New("upstream is silent")
 
-func (at *attempt) cancelUnanswered() {
-	at.cancel(errUnanswered)
-}
-
 // judge decides what follows from an upstream's answer.
 func (at *attempt) judge(ctx context.Context, reply *Reply, err error) ended {
 	rn := at.run
@@ -302,6 +300,7 @@
 func (at *attempt) answering() {
 	rn := at.run
 	at.answered = true
+	at.stopLimit()
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAnswerBegan, RequestId: rn.request.ID, Upstream: at.choice.Upstream.ID, Stage: rn.pool.Name,
 		Attempt: int64(rn.sent), DurationMicros: rn.Timers.Now().Sub(at.began).Microseconds(),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	Run(ctx context.Context, domain string, work gather.Work) gather.Result
 	Expect(pool, preferred string, margin time.Duration) (string, time.Duration)
 	ExpectAt(pool, domain string) time.Duration
+	ExpectLater(pool, domain string) time.Duration
 	Domains(pool string) []string
 	Release(ctx context.Context, pool, domain string, handles []string)
 }
@@ -66,10 +67,13 @@
 	pool         route.Pool
 	organisation route.Organisation
 	rank         int
-	fingerprint  digest.Sum
-	// end is when the final answer is due, due when it is late.
-	end time.Time
-	due time.Time
+	// domain is the failure domain in which the stages are planned to be done.
+	domain      string
+	fingerprint digest.Sum
+	// end is when the final answer is due, beginBy when the caller leaves without a first part, due when that is late.
+	end     time.Time
+	beginBy time.Time
+	due     time.Time
 	// sent counts the sends that may have run, passed says that a part of the answer went to the sink.
 	sent   int
 	passed bool
@@ -142,6 +146,10 @@
 		patience = min(patience, rn.pipeline.Timeout)
 	}
 	rn.end = rn.request.Arrived.Add(patience)
+	rn.beginBy = rn.end
+	if rn.pipeline.Abandoned > 0 && rn.pipeline.Abandoned < patience {
+		rn.beginBy = rn.request.Arrived.Add(rn.pipeline.Abandoned)
+	}
 	rn.due = rn.request.Arrived.Add(rn.pipeline.Target)
 	rn.fingerprint = digest.Of([]byte(rn.request.Path), []byte(rn.organisation.Name), rn.request.Body)
 	if rn.Crashes.Standing(rn.fingerprint) == quarantine.Condemned {
@@ -165,10 +173,13 @@
 // admitLoad refuses a request whose stages can't be done in the time that it has.
 func (rn *run) admitLoad() Outcome {
 	now := rn.Timers.Now()
-	expected := rn.expectStages() + rn.engineTime()
-	rn.cause = fmt.Sprintf("expected=%dms left=%dms", expected.Milliseconds(), rn.end.Sub(now).Milliseconds())
-	if late := expected - rn.end.Sub(now); late > 0 && len(rn.activeStages()) > 0 {
-		return rn.refuse(max(late, minRetry), rn.cause+" too long")
+	active := rn.activeStages()
+	rn.domain = rn.planDomain(active)
+	expected := rn.expectStages(rn.domain, active) + rn.engineTime()
+	left := rn.beginBy.Sub(now)
+	rn.cause = fmt.Sprintf("expected=%dms left=%dms domain=%s", expected.Milliseconds(), left.Milliseconds(), rn.domain)
+	if most := time.Duration(admittedShare * float64(left)); expected > most && len(active) > 0 {
+		return rn.refuse(max(expected-most, minRetry), rn.cause+" too long")
 	}
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAdmitted, RequestId: rn.request.ID, Organisation: rn.organisation.Name,
@@ -177,6 +188,10 @@
 	return nil
 }
 
+// admittedShare is the part of its time that a request may be expected to take: what is admitted should nearly
+// always be served.
+const admittedShare = 0.75
+
 // promptTokensPerMs is how many prompt tokens an engine reads in a millisecond, at the least.
 const promptTokensPerMs = 40
 
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -70,9 +70,9 @@
 	return longest
 }
 
-// expectStages returns the time that the longest chain of stages is expected to take, with the waits as they are.
-func (rn *run) expectStages() time.Duration {
-	active := rn.activeStages()
+// expectStages returns the time that the longest chain of stages is expected to take in a failure domain, with the
+// work that is there and the work that other requests will bring before.
+func (rn *run) expectStages(domain string, active []int) time.Duration {
 	finish := map[int]time.Duration{}
 	longest := time.Duration(0)
 	for _, index := range active {
@@ -80,13 +80,25 @@
 		for _, earlier := range rn.pipeline.Stages[index].After {
 			start = max(start, finish[earlier])
 		}
-		_, wait := rn.Items.Expect(rn.pipeline.Stages[index].Pool, rn.FailureDomain, nearMargin)
-		finish[index] = start + max(wait-start, rn.callTime(index))
+		wait := rn.Items.ExpectLater(rn.pipeline.Stages[index].Pool, domain)
+		finish[index] = max(wait, start+rn.callTime(index))
 		longest = max(longest, finish[index])
 	}
 	return longest
 }
 
+// later returns what the request will need of other pools after a stage.
+func (rn *run) later(index int, active []int) []gather.PoolItems {
+	list := []gather.PoolItems{}
+	for _, other := range active {
+		if slices.Contains(rn.pipeline.Stages[other].After, index) {
+			list = append(list, gather.PoolItems{Pool: rn.pipeline.Stages[other].Pool, Items: rn.request.ItemCounts[other]})
+			list = append(list, rn.later(other, active)...)
+		}
+	}
+	return list
+}
+
 // stageError says why the stages have no result.
 type stageError struct {
 	refused bool
@@ -109,7 +121,7 @@
 // runStages has all stages of the request done. Those that read no other's results start together.
 func (rn *run) runStages(ctx context.Context) (*stages, error) {
 	active := rn.activeStages()
-	st := &stages{run: rn, runs: map[int]*stageRun{}, domain: rn.planDomain(active)}
+	st := &stages{run: rn, runs: map[int]*stageRun{}, domain: rn.domain}
 	for _, index := range active {
 		st.runs[index] = &stageRun{
 			index: index, stage: rn.pipeline.Stages[index], count: rn.request.ItemCounts[index], done: make(chan struct{}),
@@ -182,7 +194,8 @@
 	tail := rn.afterStage(each.index, active) + rn.engineTime()
 	work := gather.Work{
 		Pool: each.stage.Pool, Request: rn.request.ID, Stage: each.index, Count: each.count, Inputs: inputs, Rank: rn.rank,
-		Due: rn.due.Add(-tail), Expires: rn.end.Add(-rn.engineTime()), ResultBytes: each.stage.ResultBytes,
+		Due: rn.due.Add(-tail), Expires: rn.beginBy.Add(-tail), ResultBytes: each.stage.ResultBytes,
+		Later: rn.later(each.index, active),
 	}
 	if len(each.stage.After) == 0 {
 		work.Key = rn.request.ItemKey
@@ -234,10 +247,7 @@
 	}
 	best, lowest := rn.FailureDomain, time.Duration(-1)
 	for _, domain := range rn.Items.Domains(rn.pipeline.Stages[active[0]].Pool) {
-		total := time.Duration(0)
-		for _, index := range active {
-			total += rn.Items.ExpectAt(rn.pipeline.Stages[index].Pool, domain)
-		}
+		total := rn.expectStages(domain, active)
 		if domain != engine {
 			total += far
 		}
--- a/gather/client.go
+++ b/gather/client.go
@@ -46,6 +46,14 @@
 	links  map[string]Link
 	silent map[string]time.Time
 	loads  map[Place]load
+	// upcoming is what the requests at one place will need of other pools.
+	upcoming map[Place]upcoming
+}
+
+// upcoming is items that are still to come, as of a time.
+type upcoming struct {
+	items []PoolItems
+	at    time.Time
 }
 
 // load is what is known of a place's wait, as of a time.
@@ -70,7 +78,7 @@
 	return &Client{
 		self: parts.Self, gatherer: parts.Gatherer, view: parts.View, members: parts.Members, dialer: parts.Dialer,
 		timers: parts.Timers, events: parts.Events,
-		links: map[string]Link{}, silent: map[string]time.Time{}, loads: map[Place]load{},
+		links: map[string]Link{}, silent: map[string]time.Time{}, loads: map[Place]load{}, upcoming: map[Place]upcoming{},
 	}
 }
 
@@ -120,6 +128,46 @@
 	return cl.waitAt(cl.timers.Now(), Place{Pool: pool, FailureDomain: domain})
 }
 
+// ExpectLater is ExpectAt with the items that other requests will bring to the pool before.
+func (cl *Client) ExpectLater(pool, domain string) time.Duration {
+	now := cl.timers.Now()
+	coming := 0
+	cl.mu.Lock()
+	for at, known := range cl.upcoming {
+		if at.FailureDomain != domain || now.Sub(known.at) > upcomingLife {
+			continue
+		}
+		for _, one := range known.items {
+			if one.Pool == pool {
+				coming += one.Items
+			}
+		}
+	}
+	cl.mu.Unlock()
+	return cl.ExpectAt(pool, domain) + time.Duration(coming)*cl.itemTime(pool, domain)
+}
+
+// upcomingLife is how long what a place told of items to come counts.
+const upcomingLife = 1500 * time.Millisecond
+
+// itemTime is the time that each item adds to a pool's wait in a failure domain, in full batches.
+func (cl *Client) itemTime(pool, domain string) time.Duration {
+	described, known := cl.view.Pool(pool)
+	upstreams := len(cl.view.Upstreams(pool, domain))
+	if !known || described.Items == nil || upstreams == 0 {
+		return 0
+	}
+	each := described.Items.CallTime/time.Duration(max(described.Items.Batch, 1)) + described.Items.ItemTime
+	return each / time.Duration(upstreams)
+}
+
+// learnUpcoming takes note of the items that requests at a place will need of other pools.
+func (cl *Client) learnUpcoming(at Place, items []PoolItems) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.upcoming[at] = upcoming{items: items, at: cl.timers.Now()}
+}
+
 // elsewhereCost is added to the wait of a pool that a failure domain does not have.
 const elsewhereCost = 50 * time.Millisecond
 
@@ -201,14 +249,8 @@
 
 // submitted adds work that was just handed over to what is known of a place's wait.
 func (cl *Client) submitted(at Place, count int) {
-	pool, known := cl.view.Pool(at.Pool)
-	upstreams := len(cl.view.Upstreams(at.Pool, at.FailureDomain))
-	if !known || pool.Items == nil || upstreams == 0 {
-		return
-	}
-	each := pool.Items.CallTime/time.Duration(max(pool.Items.Batch, 1)) + pool.Items.ItemTime
 	now := cl.timers.Now()
-	wait := cl.waitAt(now, at) + time.Duration(count)*each/time.Duration(upstreams)
+	wait := cl.waitAt(now, at) + time.Duration(count)*cl.itemTime(at.Pool, at.FailureDomain)
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	cl.loads[at] = load{wait: wait, at: now}
@@ -309,6 +351,7 @@
 		return *refused
 	}
 	cl.learn(at.Pool, []*wire.PoolLoad{{FailureDomain: at.FailureDomain, WaitMs: ticket.Wait.Milliseconds()}})
+	cl.learnUpcoming(at, cl.gatherer.Upcoming(at))
 	select {
 	case result := <-ticket.Done:
 		return result
@@ -339,6 +382,9 @@
 			return Refused{Wait: timer.Milliseconds(reply.GetWaitMs()), Cause: "refused by the gatherer"}
 		case reply.GetAccepted():
 			watchdog.extend(aliveTimeout)
+			if reply.GetWaitMs() > 0 {
+				cl.learnUpcoming(at, fromWireItems(reply.GetUpcoming()))
+			}
 		case reply.GetFailed() != "":
 			return Unfinished{Cause: reply.GetFailed(), Wait: timer.Milliseconds(reply.GetWaitMs()), Results: fromWireResults(reply.GetResults())}
 		default:
@@ -365,7 +411,7 @@
 		Pool: at.Pool, FailureDomain: at.FailureDomain, RequestId: work.Request, Stage: int64(work.Stage),
 		Items: int64(work.Count), Key: work.Key, Inputs: work.Inputs, Rank: int64(work.Rank),
 		DueMs: work.Due.Sub(now).Milliseconds(), ExpiresMs: work.Expires.Sub(now).Milliseconds(),
-		ResultBytes: work.ResultBytes, Final: final,
+		ResultBytes: work.ResultBytes, Final: final, Later: toWireItems(work.Later),
 	}
 }
 
--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -136,6 +136,14 @@
 	return found.submit(work)
 }
 
+// Upcoming returns the items that the requests at a place will need of other pools.
+func (gt *Gatherer) Upcoming(at Place) []PoolItems {
+	if found := gt.place(at); found != nil {
+		return found.upcoming()
+	}
+	return nil
+}
+
 // Release frees results that lie at upstreams of a pool.
 func (gt *Gatherer) Release(pool string, handles []string) {
 	gt.mu.Lock()
--- a/gather/place.go
+++ b/gather/place.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +47,7 @@
 	pc.refresh()
 	group := batch.Group{
 		Stage: work.Stage, Count: work.Count, Rank: work.Rank, Due: work.Due, Expires: work.Expires, ResultBytes: work.ResultBytes,
+		ReadsResults: len(work.Inputs) > 0,
 	}
 	wait := pc.pool.Wait(now, group)
 	if now.Add(wait).After(work.Expires) {
@@ -57,7 +60,7 @@
 	pc.lastWork = now
 	pc.gatherer.repeats.Request(work.Pool)
 	group.Ticket = id
-	pc.pool.Submit(now, group)
+	pc.pool.Submit(group)
 	pc.signal()
 	return &Ticket{Wait: wait, Done: accepted.done, place: pc, id: id}, nil
 }
@@ -81,6 +84,23 @@
 	pc.release(made)
 }
 
+// upcoming returns the items that the requests at this place will need of other pools.
+func (pc *place) upcoming() []PoolItems {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	sums := map[string]int{}
+	for _, each := range pc.jobs {
+		for _, later := range each.work.Later {
+			sums[later.Pool] += later.Items
+		}
+	}
+	list := []PoolItems{}
+	for _, pool := range slices.Sorted(maps.Keys(sums)) {
+		list = append(list, PoolItems{Pool: pool, Items: sums[pool]})
+	}
+	return list
+}
+
 func (pc *place) load(since time.Time) (time.Duration, bool) {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
@@ -154,7 +174,7 @@
 		case batch.Send:
 			pc.send(ctx, action)
 		case batch.Drop:
-			pc.give(action.Ticket, Unfinished{Cause: "no time left", Wait: action.Wait})
+			pc.give(action.Ticket, Unfinished{Cause: "no time left"})
 		case batch.Wake:
 			wake = max(action.At.Sub(now), minWake)
 		}
--- a/gather/server.go
+++ b/gather/server.go
@@ -31,13 +31,17 @@
 		Pool: request.GetPool(), Request: request.GetRequestId(), Stage: int(request.GetStage()), Count: int(request.GetItems()),
 		Key: request.GetKey(), Inputs: request.GetInputs(), Rank: int(request.GetRank()),
 		Due: now.Add(timer.Milliseconds(request.GetDueMs())), Expires: now.Add(timer.Milliseconds(request.GetExpiresMs())),
-		ResultBytes: request.GetResultBytes(),
+		ResultBytes: request.GetResultBytes(), Later: fromWireItems(request.GetLater()),
 	}
+	at := Place{Pool: request.GetPool(), FailureDomain: request.GetFailureDomain()}
 	ticket, refused := sv.gatherer.Submit(request.GetFailureDomain(), work)
 	if refused != nil {
 		return stream.Send(&wire.GatherReply{Refused: true, WaitMs: refused.Wait.Milliseconds(), Loads: sv.loads(request, refused.Wait)})
 	}
-	err := stream.Send(&wire.GatherReply{Accepted: true, WaitMs: ticket.Wait.Milliseconds(), Loads: sv.loads(request, ticket.Wait)})
+	err := stream.Send(&wire.GatherReply{
+		Accepted: true, WaitMs: ticket.Wait.Milliseconds(), Loads: sv.loads(request, ticket.Wait),
+		Upcoming: toWireItems(sv.gatherer.Upcoming(at)),
+	})
 	if err != nil {
 		ticket.Withdraw()
 		return err
@@ -82,6 +86,22 @@
 	return &wire.LoadReply{}, nil
 }
 
+func toWireItems(list []PoolItems) []*wire.PoolItems {
+	converted := []*wire.PoolItems{}
+	for _, one := range list {
+		converted = append(converted, &wire.PoolItems{Pool: one.Pool, Items: int64(one.Items)})
+	}
+	return converted
+}
+
+func fromWireItems(list []*wire.PoolItems) []PoolItems {
+	converted := []PoolItems{}
+	for _, one := range list {
+		converted = append(converted, PoolItems{Pool: one.GetPool(), Items: int(one.GetItems())})
+	}
+	return converted
+}
+
 func toWireReply(result Result) *wire.GatherReply {
 	switch result := result.(type) {
 	case Finished:
--- a/gather/work.go
+++ b/gather/work.go
@@ -20,6 +20,14 @@
 	Due         time.Time
 	Expires     time.Time
 	ResultBytes int64
+	// Later is what the request will need of other pools after this stage.
+	Later []PoolItems
+}
+
+// PoolItems is a number of items of a pool.
+type PoolItems struct {
+	Pool  string
+	Items int
 }
 
 // Item is one item of a call.
--- a/route/route.go
+++ b/route/route.go
@@ -61,6 +61,8 @@
 	Timeout      time.Duration
 	Target       time.Duration
 	EventGap     time.Duration
+	// Abandoned is after how long without an event callers leave a stream, or 0 if they wait to their deadline.
+	Abandoned    time.Duration
 	MaxUpstreams int
 	Pools        []WeightedPool
 	Stages       []Stage
