--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/turmericdoor/turmericdoor/digest"
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/metric"
+	"github.com/turmericdoor/turmericdoor/overload"
 	"github.com/turmericdoor/turmericdoor/quarantine"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -67,6 +68,8 @@
 	pool         route.Pool
 	organisation route.Organisation
 	rank         int
+	// returned says that the caller was refused before.
+	returned bool
 	// domain is the failure domain in which the stages are planned to be done.
 	domain      string
 	fingerprint digest.Sum
@@ -150,7 +153,9 @@
 	if rn.pipeline.Abandoned > 0 && rn.pipeline.Abandoned < patience {
 		rn.beginBy = rn.request.Arrived.Add(rn.pipeline.Abandoned)
 	}
-	rn.due = rn.request.Arrived.Add(rn.pipeline.Target)
+	spent := rn.Pools.spent(rn.pipeline.Name, rn.request.Patience)
+	rn.returned = spent > 0
+	rn.due = rn.request.Arrived.Add(rn.pipeline.Target - spent)
 	rn.fingerprint = digest.Of([]byte(rn.request.Path), []byte(rn.organisation.Name), rn.request.Body)
 	if rn.Crashes.Standing(rn.fingerprint) == quarantine.Condemned {
 		return rn.refuse(0, "this request crashes upstreams")
@@ -176,10 +181,11 @@
 	active := rn.activeStages()
 	rn.domain = rn.planDomain(active)
 	expected := rn.expectStages(rn.domain, active) + rn.engineTime()
-	left := rn.beginBy.Sub(now)
-	rn.cause = fmt.Sprintf("expected=%dms left=%dms domain=%s", expected.Milliseconds(), left.Milliseconds(), rn.domain)
-	if most := time.Duration(admittedShare * float64(left)); expected > most && len(active) > 0 {
-		return rn.refuse(max(expected-most, minRetry), rn.cause+" too long")
+	load := overload.Load{Expected: expected, UntilDue: rn.due.Sub(now), UntilEnd: rn.beginBy.Sub(now), Returned: rn.returned}
+	rn.cause = fmt.Sprintf("expected=%dms due=%dms left=%dms returned=%t domain=%s", expected.Milliseconds(),
+		load.UntilDue.Milliseconds(), load.UntilEnd.Milliseconds(), rn.returned, rn.domain)
+	if verdict, refused := overload.Weigh(load).(overload.TurnAway); refused && len(active) > 0 {
+		return rn.refuse(verdict.RetryAfter, rn.cause+" too long")
 	}
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAdmitted, RequestId: rn.request.ID, Organisation: rn.organisation.Name,
@@ -188,10 +194,6 @@
 	return nil
 }
 
-// admittedShare is the part of its time that a request may be expected to take: what is admitted should nearly
-// always be served.
-const admittedShare = 0.75
-
 // promptTokensPerMs is how many prompt tokens an engine reads in a millisecond, at the least.
 const promptTokensPerMs = 40
 
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -16,6 +16,8 @@
 	// moveCostPerMB is what moving results between failure domains costs, as time.
 	moveCostPerMB = 15 * time.Millisecond
 	megabyte      = 1e6
+	// lateReserve is how many calls before the end the items of a late request are due.
+	lateReserve = 3
 	// stageWaitShare is the part of a call's time that items usually wait for it.
 	stageWaitShare = 2
 )
@@ -197,6 +199,10 @@
 		Due: rn.due.Add(-tail), Expires: rn.beginBy.Add(-tail), ResultBytes: each.stage.ResultBytes,
 		Later: rn.later(each.index, active),
 	}
+	if rn.Timers.Now().Add(rn.callTime(each.index)).After(work.Due) {
+		// Too late for the target: the items yield to those of requests that can still meet it.
+		work.Due = work.Expires.Add(-lateReserve * rn.callTime(each.index))
+	}
 	if len(each.stage.After) == 0 {
 		work.Key = rn.request.ItemKey
 	}
