--- a/batch/upstream.go
+++ b/batch/upstream.go
@@ -154,7 +154,7 @@
 }
 
 // sizeMargin is the part of the room that is used: results differ from their stated size.
-const sizeMargin = 0.93
+const sizeMargin = 0.87
 
 // room returns the bytes that further results may take at an upstream.
 func (pl *Pool) room(now time.Time, one *upstream) int64 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,8 +68,6 @@
 	pool         route.Pool
 	organisation route.Organisation
 	rank         int
-	// returned says that the caller was refused before.
-	returned bool
 	// domain is the failure domain in which the stages are planned to be done.
 	domain      string
 	fingerprint digest.Sum
@@ -153,9 +151,7 @@
 	if rn.pipeline.Abandoned > 0 && rn.pipeline.Abandoned < patience {
 		rn.beginBy = rn.request.Arrived.Add(rn.pipeline.Abandoned)
 	}
-	spent := rn.Pools.spent(rn.pipeline.Name, rn.request.Patience)
-	rn.returned = spent > 0
-	rn.due = rn.request.Arrived.Add(rn.pipeline.Target - spent)
+	rn.due = rn.request.Arrived.Add(rn.pipeline.Target)
 	rn.fingerprint = digest.Of([]byte(rn.request.Path), []byte(rn.organisation.Name), rn.request.Body)
 	if rn.Crashes.Standing(rn.fingerprint) == quarantine.Condemned {
 		return rn.refuse(0, "this request crashes upstreams")
@@ -181,9 +177,9 @@
 	active := rn.activeStages()
 	rn.domain = rn.planDomain(active)
 	expected := rn.expectStages(rn.domain, active) + rn.engineTime()
-	load := overload.Load{Expected: expected, UntilDue: rn.due.Sub(now), UntilEnd: rn.beginBy.Sub(now), Returned: rn.returned}
-	rn.cause = fmt.Sprintf("expected=%dms due=%dms left=%dms returned=%t domain=%s", expected.Milliseconds(),
-		load.UntilDue.Milliseconds(), load.UntilEnd.Milliseconds(), rn.returned, rn.domain)
+	load := overload.Load{Expected: expected, UntilDue: rn.due.Sub(now), UntilEnd: rn.beginBy.Sub(now)}
+	rn.cause = fmt.Sprintf("expected=%dms due=%dms left=%dms domain=%s", expected.Milliseconds(),
+		load.UntilDue.Milliseconds(), load.UntilEnd.Milliseconds(), rn.domain)
 	if verdict, refused := overload.Weigh(load).(overload.TurnAway); refused && len(active) > 0 {
 		return rn.refuse(verdict.RetryAfter, rn.cause+" too long")
 	}
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -20,8 +20,6 @@
 	mu         sync.Mutex
 	placements map[string]*placement.Pool
 	allowances map[string]*allowance.Allowance
-	// patience is the longest that callers of each pipeline wait.
-	patience map[string]time.Duration
 }
 
 // NewPools returns pools of which nothing is known; live returns the number of live instances.
@@ -29,7 +27,6 @@
 	return &Pools{
 		timers: timers, terms: terms, live: live,
 		placements: map[string]*placement.Pool{}, allowances: map[string]*allowance.Allowance{},
-		patience: map[string]time.Duration{},
 	}
 }
 
@@ -65,21 +62,6 @@
 	return pl.allowance(pool).Spend(pl.timers.Now(), live)
 }
 
-// freshShare is the part of the longest patience that a first attempt has, at the least.
-const freshShare = 0.93
-
-// spent returns how long a caller has been trying before this attempt: its patience then is less than that of others.
-func (pl *Pools) spent(pipeline string, patience time.Duration) time.Duration {
-	pl.mu.Lock()
-	defer pl.mu.Unlock()
-	longest := max(pl.patience[pipeline], patience)
-	pl.patience[pipeline] = longest
-	if patience <= 0 || float64(patience) > freshShare*float64(longest) {
-		return 0
-	}
-	return longest - patience
-}
-
 // baseAnswer is the time in which an idle upstream answers before it has been measured.
 const baseAnswer = 60 * time.Millisecond
 
--- a/gather/place.go
+++ b/gather/place.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -252,7 +253,7 @@
 func (pc *place) ended(up *roster.Upstream, action batch.Send, outcome Outcome, took time.Duration) {
 	pc.gatherer.events.Record(&wire.Event{
 		Kind: wire.EventKind_EventBatchEnded, Upstream: up.ID, Stage: pc.at.Pool, Attempt: int64(len(action.Items)),
-		Outcome: outcomeName(outcome), DurationMicros: took.Microseconds(),
+		Outcome: outcomeName(outcome), Detail: reasonCounts(outcome), DurationMicros: took.Microseconds(),
 	})
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
@@ -280,6 +281,27 @@
 	pc.signal()
 }
 
+// reasonCounts states why how many items of a call have no result.
+func reasonCounts(outcome Outcome) string {
+	ran, is := outcome.(Ran)
+	if !is {
+		return ""
+	}
+	counts := map[Reason]int{}
+	for _, one := range ran.Results {
+		if one.Reason != None {
+			counts[one.Reason]++
+		}
+	}
+	detail := ""
+	for _, reason := range []Reason{Late, InputGone, NoRoom, Error} {
+		if counts[reason] > 0 {
+			detail += fmt.Sprintf("%s=%d ", reason, counts[reason])
+		}
+	}
+	return strings.TrimSpace(detail)
+}
+
 func outcomeName(outcome Outcome) string {
 	switch outcome := outcome.(type) {
 	case Ran:
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -9,8 +9,6 @@
 	// UntilDue is the time until the answer is late, UntilEnd the time until the caller leaves.
 	UntilDue time.Duration
 	UntilEnd time.Duration
-	// Returned says that the caller was refused before.
-	Returned bool
 }
 
 // Verdict is what becomes of a request; Begin and TurnAway are its variants.
@@ -31,7 +29,7 @@
 func (TurnAway) verdict() {}
 
 const (
-	// lateAllowance is how far beyond its due time a first attempt may be expected and still begin.
+	// lateAllowance is how far beyond its due time a request may be expected and still begin.
 	lateAllowance = 1.15
 	// endShare is the part of its time that a request may be expected to take.
 	endShare = 0.75
@@ -39,13 +37,10 @@
 	minRetry = 100 * time.Millisecond
 )
 
-// Weigh returns the verdict on a request. A first attempt that would be late is told to come back when the queue
-// is shorter; one that was refused before begins as long as it can be served at all.
+// Weigh returns the verdict on a request. One that would be late is told to come back when the queue is shorter.
 func Weigh(load Load) Verdict {
 	most := time.Duration(endShare * float64(load.UntilEnd))
-	if !load.Returned {
-		most = min(most, time.Duration(lateAllowance*float64(load.UntilDue)))
-	}
+	most = min(most, time.Duration(lateAllowance*float64(load.UntilDue)))
 	if load.Expected <= most {
 		return Begin{}
 	}
