--- a/batch/upstream.go
+++ b/batch/upstream.go
@@ -9,13 +9,16 @@
 
 // upstream is what is known of one upstream.
 type upstream struct {
-	name     string
-	domain   string
-	calls    int
-	pending  int64
-	results  map[string]result
-	outUntil time.Time
-	outs     int
+	name    string
+	domain  string
+	calls   int
+	pending int64
+	results map[string]result
+	// foreign is the bytes of results that other instances had made, which count until foreignUntil.
+	foreign      int64
+	foreignUntil time.Time
+	outUntil     time.Time
+	outs         int
 	// factor is how many times longer than expected its calls take, seen at observedAt.
 	factor     float64
 	observedAt time.Time
@@ -48,6 +51,9 @@
 // held returns the bytes that results take at the upstream, those of calls under way included.
 func (up *upstream) held(now time.Time) int64 {
 	total := up.pending
+	if now.Before(up.foreignUntil) {
+		total += up.foreign
+	}
 	for handle, one := range up.results {
 		if now.After(one.until) {
 			delete(up.results, handle)
@@ -58,6 +64,21 @@
 	return total
 }
 
+// foreignLife is how long results that other instances had made count after an upstream's report.
+const foreignLife = 700 * time.Millisecond
+
+// SetRoom takes over what an upstream reports of its room: what is missing there beyond the known results was made
+// by other instances.
+func (pl *Pool) SetRoom(now time.Time, name string, room int64) {
+	one := pl.upstreams[name]
+	if one == nil || pl.terms.ResultRoom == 0 {
+		return
+	}
+	one.foreign, one.foreignUntil = 0, time.Time{}
+	one.foreign = max(pl.terms.ResultRoom-room-one.held(now), 0)
+	one.foreignUntil = now.Add(foreignLife)
+}
+
 // slowness is the upstream's factor, which nears 1 while nothing is seen of it.
 func (up *upstream) slowness(now time.Time) float64 {
 	age := float64(now.Sub(up.observedAt)) / float64(factorHalfLife)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,9 +28,9 @@
 // Items has the items of stages made.
 type Items interface {
 	Run(ctx context.Context, domain string, work gather.Work) gather.Result
-	Expect(pool, preferred string, margin time.Duration) (string, time.Duration)
-	ExpectAt(pool, domain string) time.Duration
-	ExpectLater(pool, domain string) time.Duration
+	Expect(pool, preferred string, margin time.Duration, patient bool) (string, time.Duration)
+	ExpectAt(pool, domain string, patient bool) time.Duration
+	ExpectLater(pool, domain string, patient bool) time.Duration
 	Domains(pool string) []string
 	Release(ctx context.Context, pool, domain string, handles []string)
 }
@@ -68,6 +68,8 @@
 	pool         route.Pool
 	organisation route.Organisation
 	rank         int
+	// patient says that the request has so much time that its items go behind others.
+	patient bool
 	// domain is the failure domain in which the stages are planned to be done.
 	domain      string
 	fingerprint digest.Sum
@@ -175,6 +177,7 @@
 func (rn *run) admitLoad() Outcome {
 	now := rn.Timers.Now()
 	active := rn.activeStages()
+	rn.patient = rn.isPatient(active)
 	rn.domain = rn.planDomain(active)
 	expected := rn.expectStages(rn.domain, active) + rn.engineTime()
 	load := overload.Load{Expected: expected, UntilDue: rn.due.Sub(now), UntilEnd: rn.beginBy.Sub(now)}
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -82,13 +82,25 @@
 		for _, earlier := range rn.pipeline.Stages[index].After {
 			start = max(start, finish[earlier])
 		}
-		wait := rn.Items.ExpectLater(rn.pipeline.Stages[index].Pool, domain)
+		wait := rn.Items.ExpectLater(rn.pipeline.Stages[index].Pool, domain, rn.patient)
 		finish[index] = max(wait, start+rn.callTime(index))
 		longest = max(longest, finish[index])
 	}
 	return longest
 }
 
+// patientSlack is the time beyond its own work that makes a request patient.
+const patientSlack = time.Second
+
+// isPatient reports whether the request has much more time than its own work takes.
+func (rn *run) isPatient(active []int) bool {
+	own := rn.engineTime()
+	for _, index := range active {
+		own = max(own, rn.callTime(index)+rn.afterStage(index, active)+rn.engineTime())
+	}
+	return rn.pipeline.Target-own > patientSlack
+}
+
 // later returns what the request will need of other pools after a stage.
 func (rn *run) later(index int, active []int) []gather.PoolItems {
 	list := []gather.PoolItems{}
@@ -216,10 +228,10 @@
 func (st *stages) place(each *stageRun, due time.Time) string {
 	rn := st.run
 	if len(rn.Catalog.Upstreams(each.stage.Pool, st.domain)) > 0 &&
-		!rn.Timers.Now().Add(rn.Items.ExpectAt(each.stage.Pool, st.domain)).After(due) {
+		!rn.Timers.Now().Add(rn.Items.ExpectAt(each.stage.Pool, st.domain, rn.patient)).After(due) {
 		return st.domain
 	}
-	domain, _ := rn.Items.Expect(each.stage.Pool, st.domain, moveMargin(st.moved(each)))
+	domain, _ := rn.Items.Expect(each.stage.Pool, st.domain, moveMargin(st.moved(each)), rn.patient)
 	return domain
 }
 
--- a/gather/client.go
+++ b/gather/client.go
@@ -56,10 +56,21 @@
 	at    time.Time
 }
 
+// Load is the expected wait at a place: of items that are due soon, and of those behind all others.
+type Load struct {
+	Soon time.Duration
+	Last time.Duration
+}
+
 // load is what is known of a place's wait, as of a time.
 type load struct {
-	wait time.Duration
-	at   time.Time
+	Load
+	at time.Time
+}
+
+// toWire states a load in a message.
+func (ld Load) toWire(failureDomain string) *wire.PoolLoad {
+	return &wire.PoolLoad{FailureDomain: failureDomain, WaitMs: ld.Soon.Milliseconds(), LastMs: ld.Last.Milliseconds()}
 }
 
 // ClientParts are what a client works with.
@@ -98,12 +109,12 @@
 )
 
 // Expect returns the shortest expected wait for a pool's results, and the failure domain that has it. One that is
-// longer by less than margin in the preferred failure domain goes first.
-func (cl *Client) Expect(pool, preferred string, margin time.Duration) (string, time.Duration) {
+// longer by less than margin in the preferred failure domain goes first. Patient work goes behind all other.
+func (cl *Client) Expect(pool, preferred string, margin time.Duration, patient bool) (string, time.Duration) {
 	now := cl.timers.Now()
 	best, lowest := preferred, time.Duration(-1)
 	for _, domain := range cl.Domains(pool) {
-		wait := cl.waitAt(now, Place{Pool: pool, FailureDomain: domain})
+		wait := cl.waitAt(now, Place{Pool: pool, FailureDomain: domain}, patient)
 		compared := wait
 		if domain != preferred {
 			compared += margin
@@ -120,16 +131,19 @@
 
 // ExpectAt returns the expected wait for a pool's results in one failure domain; where it has no upstreams, in the
 // domain that has them first.
-func (cl *Client) ExpectAt(pool, domain string) time.Duration {
+func (cl *Client) ExpectAt(pool, domain string, patient bool) time.Duration {
 	if len(cl.view.Upstreams(pool, domain)) == 0 {
-		_, wait := cl.Expect(pool, "", 0)
+		_, wait := cl.Expect(pool, "", 0, patient)
 		return wait + elsewhereCost
 	}
-	return cl.waitAt(cl.timers.Now(), Place{Pool: pool, FailureDomain: domain})
+	return cl.waitAt(cl.timers.Now(), Place{Pool: pool, FailureDomain: domain}, patient)
 }
 
-// ExpectLater is ExpectAt with the items that other requests will bring to the pool before.
-func (cl *Client) ExpectLater(pool, domain string) time.Duration {
+// ExpectLater is ExpectAt with the items that other requests will bring to the pool before, where they go first.
+func (cl *Client) ExpectLater(pool, domain string, patient bool) time.Duration {
+	if !patient {
+		return cl.ExpectAt(pool, domain, false)
+	}
 	now := cl.timers.Now()
 	coming := 0
 	cl.mu.Lock()
@@ -144,7 +158,7 @@
 		}
 	}
 	cl.mu.Unlock()
-	return cl.ExpectAt(pool, domain) + time.Duration(coming)*cl.itemTime(pool, domain)
+	return cl.ExpectAt(pool, domain, true) + time.Duration(coming)*cl.itemTime(pool, domain)
 }
 
 // upcomingLife is how long what a place told of items to come counts.
@@ -183,7 +197,7 @@
 }
 
 // waitAt is the wait at a place: as it was told, less the time since, but at least that of a call alone.
-func (cl *Client) waitAt(now time.Time, at Place) time.Duration {
+func (cl *Client) waitAt(now time.Time, at Place, patient bool) time.Duration {
 	alone := time.Duration(0)
 	if pool, known := cl.view.Pool(at.Pool); known && pool.Items != nil {
 		alone = pool.Items.CallTime + pool.Items.ItemTime
@@ -191,7 +205,11 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	known := cl.loads[at]
-	return max(known.wait-now.Sub(known.at), alone)
+	wait := known.Soon
+	if patient {
+		wait = known.Last
+	}
+	return max(wait-now.Sub(known.at), alone)
 }
 
 func (cl *Client) learn(pool string, loads []*wire.PoolLoad) {
@@ -202,7 +220,9 @@
 		at := Place{Pool: pool, FailureDomain: each.GetFailureDomain()}
 		asOf := now.Add(-timer.Milliseconds(each.GetAgeMs()))
 		if cl.loads[at].at.Before(asOf) {
-			cl.loads[at] = load{wait: timer.Milliseconds(each.GetWaitMs()), at: asOf}
+			cl.loads[at] = load{
+				Load: Load{Soon: timer.Milliseconds(each.GetWaitMs()), Last: timer.Milliseconds(each.GetLastMs())}, at: asOf,
+			}
 		}
 	}
 }
@@ -215,9 +235,9 @@
 	list := []*wire.PoolLoad{}
 	for at, known := range cl.loads {
 		if at.Pool == pool && now.Sub(known.at) < loadLife {
-			list = append(list, &wire.PoolLoad{
-				FailureDomain: at.FailureDomain, WaitMs: known.wait.Milliseconds(), AgeMs: now.Sub(known.at).Milliseconds(),
-			})
+			told := known.toWire(at.FailureDomain)
+			told.AgeMs = now.Sub(known.at).Milliseconds()
+			list = append(list, told)
 		}
 	}
 	return list
@@ -250,10 +270,11 @@
 // submitted adds work that was just handed over to what is known of a place's wait.
 func (cl *Client) submitted(at Place, count int) {
 	now := cl.timers.Now()
-	wait := cl.waitAt(now, at) + time.Duration(count)*cl.itemTime(at.Pool, at.FailureDomain)
+	added := time.Duration(count) * cl.itemTime(at.Pool, at.FailureDomain)
+	fresh := load{Load: Load{Soon: cl.waitAt(now, at, false) + added, Last: cl.waitAt(now, at, true) + added}, at: now}
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	cl.loads[at] = load{wait: wait, at: now}
+	cl.loads[at] = fresh
 }
 
 // Run has the work done in the given failure domain, or in another when that one refuses, and waits for it.
@@ -274,7 +295,7 @@
 			return result
 		case Refused:
 			refused = result
-			if other, wait := cl.Expect(work.Pool, domain, 0); other != domain && cl.timers.Now().Add(wait).Before(work.Expires) {
+			if other, wait := cl.Expect(work.Pool, domain, 0, true); other != domain && cl.timers.Now().Add(wait).Before(work.Expires) {
 				domain = other
 				continue
 			}
@@ -347,10 +368,10 @@
 func (cl *Client) runHere(ctx context.Context, at Place, work Work) Result {
 	ticket, refused := cl.gatherer.Submit(at.FailureDomain, work)
 	if refused != nil {
-		cl.learn(at.Pool, []*wire.PoolLoad{{FailureDomain: at.FailureDomain, WaitMs: refused.Wait.Milliseconds()}})
+		cl.learn(at.Pool, []*wire.PoolLoad{cl.gatherer.Load(at).toWire(at.FailureDomain)})
 		return *refused
 	}
-	cl.learn(at.Pool, []*wire.PoolLoad{{FailureDomain: at.FailureDomain, WaitMs: ticket.Wait.Milliseconds()}})
+	cl.learn(at.Pool, []*wire.PoolLoad{cl.gatherer.Load(at).toWire(at.FailureDomain)})
 	cl.learnUpcoming(at, cl.gatherer.Upcoming(at))
 	select {
 	case result := <-ticket.Done:
--- a/gather/exchange.go
+++ b/gather/exchange.go
@@ -19,8 +19,8 @@
 	defer close(done)
 	defer cl.Close()
 	for cl.timers.Sleep(ctx, exchangeInterval) == nil {
-		for at, wait := range cl.gatherer.Active(cl.timers.Now().Add(-exchangeAfterWork)) {
-			own := &wire.PoolLoad{FailureDomain: at.FailureDomain, WaitMs: wait.Milliseconds()}
+		for at, load := range cl.gatherer.Active(cl.timers.Now().Add(-exchangeAfterWork)) {
+			own := load.toWire(at.FailureDomain)
 			cl.learn(at.Pool, []*wire.PoolLoad{own})
 			for _, domain := range cl.Domains(at.Pool) {
 				if domain != at.FailureDomain {
--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -98,17 +98,17 @@
 }
 
 // Active returns the places that had work lately, with the wait of a new item.
-func (gt *Gatherer) Active(since time.Time) map[Place]time.Duration {
+func (gt *Gatherer) Active(since time.Time) map[Place]Load {
 	gt.mu.Lock()
 	places := []*place{}
 	for _, each := range gt.places {
 		places = append(places, each)
 	}
 	gt.mu.Unlock()
-	active := map[Place]time.Duration{}
+	active := map[Place]Load{}
 	for _, each := range places {
-		if wait, busy := each.load(since); busy {
-			active[each.at] = wait
+		if load, busy := each.load(since); busy {
+			active[each.at] = load
 		}
 	}
 	return active
@@ -136,6 +136,16 @@
 	return found.submit(work)
 }
 
+// Load returns the expected wait at a place.
+func (gt *Gatherer) Load(at Place) Load {
+	found := gt.place(at)
+	if found == nil {
+		return Load{}
+	}
+	load, _ := found.load(time.Time{})
+	return load
+}
+
 // Upcoming returns the items that the requests at a place will need of other pools.
 func (gt *Gatherer) Upcoming(at Place) []PoolItems {
 	if found := gt.place(at); found != nil {
--- a/gather/place.go
+++ b/gather/place.go
@@ -102,18 +102,26 @@
 	return list
 }
 
-func (pc *place) load(since time.Time) (time.Duration, bool) {
+// load returns the expected waits, and whether there was work after a time.
+func (pc *place) load(since time.Time) (Load, bool) {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	if pc.lastWork.Before(since) {
-		return 0, false
+		return Load{}, false
 	}
 	now := pc.gatherer.timers.Now()
-	return pc.pool.Wait(now, batch.Group{Count: 1, Due: now.Add(loadHorizon), Expires: now.Add(loadHorizon)}), true
+	soon, last := now.Add(soonHorizon), now.Add(lastHorizon)
+	return Load{
+		Soon: pc.pool.Wait(now, batch.Group{Count: 1, Due: soon, Expires: soon}),
+		Last: pc.pool.Wait(now, batch.Group{Count: 1, Due: last, Expires: last}),
+	}, true
 }
 
-// loadHorizon is the due time of the item whose wait stands for a place's load.
-const loadHorizon = time.Second
+const (
+	// soonHorizon is the due time of an item that is due soon, lastHorizon that of one behind all others.
+	soonHorizon = time.Second
+	lastHorizon = time.Minute
+)
 
 func (pc *place) signal() {
 	select {
@@ -273,6 +281,9 @@
 		end.Outcome, end.Failed = batch.Broken, action.Items
 	}
 	pc.pool.Ended(now, end)
+	if end.Outcome == batch.Full {
+		pc.askRoom(up)
+	}
 	for _, item := range action.Items {
 		if known := pc.jobs[item.Ticket]; known != nil && known.missing == 0 {
 			pc.give(item.Ticket, Finished{Items: known.results})
@@ -347,6 +358,23 @@
 	}
 }
 
+// askRoom asks an upstream for its room: results lie there of which this instance does not know.
+func (pc *place) askRoom(up *roster.Upstream) {
+	pc.gatherer.parts.Go(func() {
+		ctx, cancel := context.WithTimeout(pc.gatherer.ctx, freeTimeout)
+		defer cancel()
+		room, err := pc.gatherer.caller.FreeRoom(ctx, up)
+		if err != nil {
+			pc.gatherer.events.Record(&wire.Event{Kind: wire.EventKind_EventCallFailed, Upstream: up.ID, Detail: "room: " + err.Error()})
+			return
+		}
+		pc.mu.Lock()
+		defer pc.mu.Unlock()
+		pc.pool.SetRoom(pc.gatherer.timers.Now(), upstreamName(up), room)
+		pc.signal()
+	})
+}
+
 // maxMakers bounds how many results are remembered with their upstream.
 const maxMakers = 4096
 
--- a/gather/server.go
+++ b/gather/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"google.golang.org/grpc"
 
@@ -36,10 +35,10 @@
 	at := Place{Pool: request.GetPool(), FailureDomain: request.GetFailureDomain()}
 	ticket, refused := sv.gatherer.Submit(request.GetFailureDomain(), work)
 	if refused != nil {
-		return stream.Send(&wire.GatherReply{Refused: true, WaitMs: refused.Wait.Milliseconds(), Loads: sv.loads(request, refused.Wait)})
+		return stream.Send(&wire.GatherReply{Refused: true, WaitMs: refused.Wait.Milliseconds(), Loads: sv.loads(at)})
 	}
 	err := stream.Send(&wire.GatherReply{
-		Accepted: true, WaitMs: ticket.Wait.Milliseconds(), Loads: sv.loads(request, ticket.Wait),
+		Accepted: true, WaitMs: ticket.Wait.Milliseconds(), Loads: sv.loads(at),
 		Upcoming: toWireItems(sv.gatherer.Upcoming(at)),
 	})
 	if err != nil {
@@ -63,10 +62,9 @@
 }
 
 // loads returns the loads of all places of a pool, with the own one as it is now.
-func (sv *Server) loads(request *wire.GatherRequest, wait time.Duration) []*wire.PoolLoad {
-	own := &wire.PoolLoad{FailureDomain: request.GetFailureDomain(), WaitMs: wait.Milliseconds()}
-	sv.client.learn(request.GetPool(), []*wire.PoolLoad{own})
-	return sv.client.loadsOf(request.GetPool())
+func (sv *Server) loads(at Place) []*wire.PoolLoad {
+	sv.client.learn(at.Pool, []*wire.PoolLoad{sv.gatherer.Load(at).toWire(at.FailureDomain)})
+	return sv.client.loadsOf(at.Pool)
 }
 
 // Release frees results.
@@ -78,9 +76,9 @@
 // Load takes another gatherer's load and answers with the own one.
 func (sv *Server) Load(_ context.Context, request *wire.LoadRequest) (*wire.LoadReply, error) {
 	sv.client.learn(request.GetPool(), []*wire.PoolLoad{request.GetLoad()})
-	for at, wait := range sv.gatherer.Active(sv.timers.Now().Add(-loadLife)) {
+	for at, load := range sv.gatherer.Active(sv.timers.Now().Add(-loadLife)) {
 		if at.Pool == request.GetPool() {
-			return &wire.LoadReply{Load: &wire.PoolLoad{FailureDomain: at.FailureDomain, WaitMs: wait.Milliseconds()}}, nil
+			return &wire.LoadReply{Load: load.toWire(at.FailureDomain)}, nil
 		}
 	}
 	return &wire.LoadReply{}, nil
--- a/gather/work.go
+++ b/gather/work.go
@@ -100,6 +100,8 @@
 type Caller interface {
 	// RunItems sends a call and returns Ran, NotRun, NotSent or Lost.
 	RunItems(ctx context.Context, upstream *roster.Upstream, items []Item) Outcome
+	// FreeRoom returns the bytes that further results may take at an upstream.
+	FreeRoom(ctx context.Context, upstream *roster.Upstream) (int64, error)
 	// FreeResults gives up results that lie at an upstream.
 	FreeResults(ctx context.Context, upstream *roster.Upstream, handles []string) error
 }
