--- a/batch/upstream.go
+++ b/batch/upstream.go
@@ -19,6 +19,8 @@
 	foreignUntil time.Time
 	outUntil     time.Time
 	outs         int
+	// freeAt is when the upstream last ended a call.
+	freeAt time.Time
 	// factor is how many times longer than expected its calls take, seen at observedAt.
 	factor     float64
 	observedAt time.Time
@@ -94,6 +96,7 @@
 func (pl *Pool) observe(now time.Time, ended *call, outcome Outcome) {
 	one := ended.upstream
 	one.calls--
+	one.freeAt = now
 	one.pending -= ended.bytes
 	switch outcome {
 	case Answered:
@@ -175,7 +178,7 @@
 }
 
 // sizeMargin is the part of the room that is used: results differ from their stated size.
-const sizeMargin = 0.87
+const sizeMargin = 0.95
 
 // room returns the bytes that further results may take at an upstream.
 func (pl *Pool) room(now time.Time, one *upstream) int64 {
