--- a/batch/batch.go
+++ b/batch/batch.go
@@ -372,6 +372,7 @@
 func (pl *Pool) pick(now time.Time, limit int, room int64) ([]part, bool) {
 	picked := []part{}
 	short := false
+	leftOver, full := (*group)(nil), limit
 	for _, known := range pl.prefer(now) {
 		if limit == 0 {
 			break
@@ -383,6 +384,9 @@
 		scarce := pl.terms.ResultRoom > 0 && pl.terms.ResultRoom < scarceBatches*int64(pl.terms.Batch)*known.ResultBytes
 		if count < len(known.waiting) && scarce && len(known.waiting) <= pl.terms.Batch && pl.fitsLater(known) {
 			short = short || count < min(limit, len(known.waiting))
+			if leftOver == nil && count > 0 {
+				leftOver = known
+			}
 			continue
 		}
 		if count == 0 {
@@ -393,9 +397,18 @@
 		limit -= count
 		room -= int64(count) * known.ResultBytes
 	}
+	if leftOver != nil && float64(limit) > splitShare*float64(full) {
+		count := min(limit, len(leftOver.waiting), int(max(room, 0)/max(leftOver.ResultBytes, 1)))
+		if count > 0 {
+			picked = append(picked, part{group: leftOver, count: count})
+		}
+	}
 	return picked, short
 }
 
+// splitShare is the part of a call that may stay empty for the sake of whole groups.
+const splitShare = 0.2
+
 // fitsLater reports whether an upstream that holds nothing has room for the rest of a group.
 func (pl *Pool) fitsLater(known *group) bool {
 	return int64(len(known.waiting))*known.ResultBytes <= int64(sizeMargin*float64(pl.terms.ResultRoom))
