--- /dev/null
+++ b/calibration/doc.go
@@ -0,0 +1,2 @@
+// Package calibration corrects forecasts by how far earlier ones were off.
+package calibration
--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/batch"
+	"github.com/turmericdoor/turmericdoor/calibration"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -83,7 +84,10 @@
 	if found := gt.places[at]; found != nil {
 		return found
 	}
-	fresh := &place{gatherer: gt, at: at, pool: batch.New(termsOf(pool)), jobs: map[uint64]*job{}, kick: make(chan struct{}, 1)}
+	fresh := &place{
+		gatherer: gt, at: at, pool: batch.New(termsOf(pool)), jobs: map[uint64]*job{}, kick: make(chan struct{}, 1),
+		soonFactor: calibration.New(), lastFactor: calibration.New(),
+	}
 	gt.places[at] = fresh
 	gt.parts.Go(func() { fresh.run(gt.ctx) })
 	return fresh
--- a/gather/place.go
+++ b/gather/place.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/batch"
+	"github.com/turmericdoor/turmericdoor/calibration"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
@@ -25,8 +26,11 @@
 	jobs     map[uint64]*job
 	next     uint64
 	lastWork time.Time
-	toFree   map[string][]string
-	makers   map[string]string
+	// soonFactor and lastFactor correct the forecasts for items that are due soon and for the others.
+	soonFactor *calibration.Factor
+	lastFactor *calibration.Factor
+	toFree     map[string][]string
+	makers     map[string]string
 }
 
 // job is one work that was accepted.
@@ -35,7 +39,12 @@
 	results []ItemResult
 	missing int
 	errors  int
-	done    chan Result
+	// forecast is the wait that was expected when the work came, corrected by applied.
+	began    time.Time
+	forecast time.Duration
+	applied  float64
+	factor   *calibration.Factor
+	done     chan Result
 }
 
 // maxItemErrors is how many items of one work may fail before the work does.
@@ -50,13 +59,18 @@
 		Stage: work.Stage, Count: work.Count, Rank: work.Rank, Due: work.Due, Expires: work.Expires, ResultBytes: work.ResultBytes,
 		ReadsResults: len(work.Inputs) > 0,
 	}
-	wait := pc.pool.Wait(now, group)
+	factor := pc.lastFactor
+	if work.Due.Sub(now) < patientHorizon {
+		factor = pc.soonFactor
+	}
+	wait := factor.Apply(now, pc.pool.Wait(now, group))
 	if now.Add(wait).After(work.Expires) {
 		return nil, &Refused{Wait: wait, Cause: fmt.Sprintf("wait of %d ms", wait.Milliseconds())}
 	}
 	pc.next++
 	id := pc.next
 	accepted := &job{work: work, results: make([]ItemResult, work.Count), missing: work.Count, done: make(chan Result, 1)}
+	accepted.began, accepted.forecast, accepted.factor, accepted.applied = now, wait, factor, factor.Value(now)
 	pc.jobs[id] = accepted
 	pc.lastWork = now
 	pc.gatherer.repeats.Request(work.Pool)
@@ -112,11 +126,14 @@
 	now := pc.gatherer.timers.Now()
 	soon, last := now.Add(soonHorizon), now.Add(lastHorizon)
 	return Load{
-		Soon: pc.pool.Wait(now, batch.Group{Count: 1, Due: soon, Expires: soon}),
-		Last: pc.pool.Wait(now, batch.Group{Count: 1, Due: last, Expires: last}),
+		Soon: pc.soonFactor.Apply(now, pc.pool.Wait(now, batch.Group{Count: 1, Due: soon, Expires: soon})),
+		Last: pc.lastFactor.Apply(now, pc.pool.Wait(now, batch.Group{Count: 1, Due: last, Expires: last})),
 	}, true
 }
 
+// patientHorizon is how much time work must have for its items to go behind others.
+const patientHorizon = 1500 * time.Millisecond
+
 const (
 	// soonHorizon is the due time of an item that is due soon, lastHorizon that of one behind all others.
 	soonHorizon = time.Second
@@ -286,6 +303,7 @@
 	}
 	for _, item := range action.Items {
 		if known := pc.jobs[item.Ticket]; known != nil && known.missing == 0 {
+			known.factor.Observe(now, known.forecast, now.Sub(known.began), known.applied)
 			pc.give(item.Ticket, Finished{Items: known.results})
 		}
 	}
