--- a/batch/batch.go
+++ b/batch/batch.go
@@ -83,8 +83,8 @@
 	calls     map[uint64]*call
 	nextCall  uint64
 	itemTime  float64
-	// lastBytes is the size of a result of the newest group.
-	lastBytes int64
+	// hold is for how long a result takes room, in nanoseconds.
+	hold float64
 }
 
 // group is a Group with the items that are still to be sent.
@@ -107,7 +107,7 @@
 func New(terms Terms) *Pool {
 	return &Pool{
 		terms: terms, groups: map[uint64]*group{}, upstreams: map[string]*upstream{}, calls: map[uint64]*call{},
-		itemTime: float64(terms.ItemTime),
+		itemTime: float64(terms.ItemTime), hold: float64(firstHold),
 	}
 }
 
@@ -142,7 +142,6 @@
 		entered.waiting = append(entered.waiting, index)
 	}
 	pl.groups[added.Ticket] = entered
-	pl.lastBytes = added.ResultBytes
 	at, _ := slices.BinarySearchFunc(pl.order, entered, before)
 	pl.order = slices.Insert(pl.order, at, entered)
 }
@@ -205,7 +204,7 @@
 	pl.observe(now, ended, end.Outcome)
 	for item, handle := range end.Results {
 		if known := pl.groups[item.Ticket]; known != nil {
-			ended.upstream.results[handle] = result{bytes: known.ResultBytes, until: now.Add(pl.terms.ResultsKept)}
+			ended.upstream.results[handle] = result{bytes: known.ResultBytes, since: ended.started, until: now.Add(pl.terms.ResultsKept)}
 		}
 	}
 	for _, item := range slices.Concat(end.Unsent, end.Failed) {
@@ -221,9 +220,12 @@
 }
 
 // Released forgets a result that was freed.
-func (pl *Pool) Released(handle string) {
+func (pl *Pool) Released(now time.Time, handle string) {
 	for _, one := range pl.upstreams {
-		delete(one.results, handle)
+		if known, found := one.results[handle]; found {
+			pl.hold += holdWeight * (float64(now.Sub(known.since)) - pl.hold)
+			delete(one.results, handle)
+		}
 	}
 }
 
--- a/batch/forecast.go
+++ b/batch/forecast.go
@@ -48,6 +48,9 @@
 	firstFree time.Duration
 	upstreams int
 	perSecond float64
+	// room is the bytes that all results may take, held what they take.
+	room int64
+	held int64
 }
 
 // speed returns what the usable upstreams carry in full batches.
@@ -60,7 +63,9 @@
 		}
 		sp.upstreams++
 		sp.firstFree = min(sp.firstFree, pl.freeIn(now, one))
-		sp.perSecond += pl.roomShare(now, one) / one.slowness(now) * float64(pl.terms.Batch) / full
+		sp.perSecond += float64(pl.terms.Batch) / full / one.slowness(now)
+		sp.held += one.held(now)
+		sp.room += int64(sizeMargin * float64(pl.terms.ResultRoom))
 	}
 	return sp
 }
@@ -69,13 +74,15 @@
 func (pl *Pool) waits(now time.Time, order []*group) []time.Duration {
 	sp := pl.speed(now)
 	list := []time.Duration{}
-	ahead := 0
+	ahead, aheadBytes := 0, int64(0)
 	for _, known := range order {
 		if sp.upstreams == 0 {
 			list = append(list, NoUpstream)
 			continue
 		}
+		aheadBytes += int64(len(known.waiting)) * known.ResultBytes
 		queued := time.Duration(float64(ahead) / sp.perSecond * float64(time.Second))
+		queued = max(queued, pl.roomWait(sp, aheadBytes))
 		own := pl.expected(nil, min(pl.terms.Batch, len(known.waiting)+ahead/sp.upstreams))
 		list = append(list, sp.firstFree+queued+own)
 		ahead += len(known.waiting)
@@ -83,6 +90,15 @@
 	return list
 }
 
+// roomWait is how long it takes until so many bytes of further results have room.
+func (pl *Pool) roomWait(sp speed, bytes int64) time.Duration {
+	if sp.room == 0 {
+		return 0
+	}
+	missing := float64(max(sp.held+bytes-sp.room, 0))
+	return time.Duration(missing / float64(sp.room) * pl.hold)
+}
+
 // NoUpstream is the wait that a pool without a usable upstream expects.
 const NoUpstream = time.Hour
 
--- a/batch/upstream.go
+++ b/batch/upstream.go
@@ -29,6 +29,8 @@
 // result is a result that lies at the upstream.
 type result struct {
 	bytes int64
+	// since is when its call was sent, until when the upstream drops it.
+	since time.Time
 	until time.Time
 }
 
@@ -41,6 +43,9 @@
 	trialFactor = 2
 	// trialShare is the part of a batch that such a call has.
 	trialShare = 4
+	// holdWeight is the weight of one result in the time for which results take room, firstHold that time at first.
+	holdWeight = 0.05
+	firstHold  = 700 * time.Millisecond
 	// itemTimeWeight is the weight of one call in the pool's time for one item.
 	itemTimeWeight = 0.1
 	// firstOut is how long an upstream that could not be reached gets no calls; it doubles up to maxOuts times.
@@ -165,18 +170,6 @@
 	return soonest
 }
 
-// minRoomShare is the least share of a batch that an upstream is expected to have room for, as results are freed.
-const minRoomShare = 0.25
-
-// roomShare is the part of a batch for whose results there is room at an upstream.
-func (pl *Pool) roomShare(now time.Time, one *upstream) float64 {
-	if pl.terms.ResultRoom == 0 || pl.lastBytes == 0 {
-		return 1
-	}
-	free := float64(pl.room(now, one)) / float64(pl.lastBytes)
-	return min(max(free/float64(max(pl.terms.Batch, 1)), minRoomShare), 1)
-}
-
 // sizeMargin is the part of the room that is used: results differ from their stated size.
 const sizeMargin = 0.95
 
--- a/gather/place.go
+++ b/gather/place.go
@@ -443,7 +443,7 @@
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	for _, handle := range handles {
-		pc.pool.Released(handle)
+		pc.pool.Released(pc.gatherer.timers.Now(), handle)
 	}
 	pc.signal()
 }
