--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,9 +28,9 @@
 // Items has the items of stages made.
 type Items interface {
 	Run(ctx context.Context, domain string, work gather.Work) gather.Result
-	Expect(pool, preferred string, margin time.Duration, patient bool) (string, time.Duration)
-	ExpectAt(pool, domain string, patient bool) time.Duration
-	ExpectLater(pool, domain string, patient bool) time.Duration
+	Expect(pool, preferred string, margin time.Duration, wish gather.Wish) (string, time.Duration)
+	ExpectAt(pool, domain string, wish gather.Wish) time.Duration
+	ExpectLater(pool, domain string, wish gather.Wish) time.Duration
 	Domains(pool string) []string
 	Release(ctx context.Context, pool, domain string, handles []string)
 }
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -82,7 +82,7 @@
 		for _, earlier := range rn.pipeline.Stages[index].After {
 			start = max(start, finish[earlier])
 		}
-		wait := rn.Items.ExpectLater(rn.pipeline.Stages[index].Pool, domain, rn.patient)
+		wait := rn.Items.ExpectLater(rn.pipeline.Stages[index].Pool, domain, rn.wish(index))
 		finish[index] = max(wait, start+rn.callTime(index))
 		longest = max(longest, finish[index])
 	}
@@ -101,6 +101,11 @@
 	return rn.pipeline.Target-own > patientSlack
 }
 
+// wish is what decides how long the items of a stage wait.
+func (rn *run) wish(index int) gather.Wish {
+	return gather.Wish{Patient: rn.patient, ResultBytes: rn.pipeline.Stages[index].ResultBytes}
+}
+
 // later returns what the request will need of other pools after a stage.
 func (rn *run) later(index int, active []int) []gather.PoolItems {
 	list := []gather.PoolItems{}
@@ -228,10 +233,10 @@
 func (st *stages) place(each *stageRun, due time.Time) string {
 	rn := st.run
 	if len(rn.Catalog.Upstreams(each.stage.Pool, st.domain)) > 0 &&
-		!rn.Timers.Now().Add(rn.Items.ExpectAt(each.stage.Pool, st.domain, rn.patient)).After(due) {
+		!rn.Timers.Now().Add(rn.Items.ExpectAt(each.stage.Pool, st.domain, rn.wish(each.index))).After(due) {
 		return st.domain
 	}
-	domain, _ := rn.Items.Expect(each.stage.Pool, st.domain, moveMargin(st.moved(each)), rn.patient)
+	domain, _ := rn.Items.Expect(each.stage.Pool, st.domain, moveMargin(st.moved(each)), rn.wish(each.index))
 	return domain
 }
 
--- a/gather/client.go
+++ b/gather/client.go
@@ -56,10 +56,31 @@
 	at    time.Time
 }
 
-// Load is the expected wait at a place: of items that are due soon, and of those behind all others.
+// Load is the expected wait at a place: of items that are due soon, of those behind all others, and of those that are
+// due soon and have results of LargeBytes.
 type Load struct {
-	Soon time.Duration
-	Last time.Duration
+	Soon       time.Duration
+	Last       time.Duration
+	Large      time.Duration
+	LargeBytes int64
+}
+
+// Wish is what decides how long work waits: patient work goes behind all other, and large results need room.
+type Wish struct {
+	Patient     bool
+	ResultBytes int64
+}
+
+// of returns the wait for a wish.
+func (ld Load) of(wish Wish) time.Duration {
+	switch {
+	case wish.Patient:
+		return ld.Last
+	case ld.LargeBytes > 0 && 2*wish.ResultBytes > ld.LargeBytes:
+		return ld.Large
+	default:
+		return ld.Soon
+	}
 }
 
 // load is what is known of a place's wait, as of a time.
@@ -70,7 +91,10 @@
 
 // toWire states a load in a message.
 func (ld Load) toWire(failureDomain string) *wire.PoolLoad {
-	return &wire.PoolLoad{FailureDomain: failureDomain, WaitMs: ld.Soon.Milliseconds(), LastMs: ld.Last.Milliseconds()}
+	return &wire.PoolLoad{
+		FailureDomain: failureDomain, WaitMs: ld.Soon.Milliseconds(), LastMs: ld.Last.Milliseconds(),
+		LargeMs: ld.Large.Milliseconds(), LargeBytes: ld.LargeBytes,
+	}
 }
 
 // ClientParts are what a client works with.
@@ -109,12 +133,12 @@
 )
 
 // Expect returns the shortest expected wait for a pool's results, and the failure domain that has it. One that is
-// longer by less than margin in the preferred failure domain goes first. Patient work goes behind all other.
-func (cl *Client) Expect(pool, preferred string, margin time.Duration, patient bool) (string, time.Duration) {
+// longer by less than margin in the preferred failure domain goes first.
+func (cl *Client) Expect(pool, preferred string, margin time.Duration, wish Wish) (string, time.Duration) {
 	now := cl.timers.Now()
 	best, lowest := preferred, time.Duration(-1)
 	for _, domain := range cl.Domains(pool) {
-		wait := cl.waitAt(now, Place{Pool: pool, FailureDomain: domain}, patient)
+		wait := cl.waitAt(now, Place{Pool: pool, FailureDomain: domain}, wish)
 		compared := wait
 		if domain != preferred {
 			compared += margin
@@ -131,18 +155,18 @@
 
 // ExpectAt returns the expected wait for a pool's results in one failure domain; where it has no upstreams, in the
 // domain that has them first.
-func (cl *Client) ExpectAt(pool, domain string, patient bool) time.Duration {
+func (cl *Client) ExpectAt(pool, domain string, wish Wish) time.Duration {
 	if len(cl.view.Upstreams(pool, domain)) == 0 {
-		_, wait := cl.Expect(pool, "", 0, patient)
+		_, wait := cl.Expect(pool, "", 0, wish)
 		return wait + elsewhereCost
 	}
-	return cl.waitAt(cl.timers.Now(), Place{Pool: pool, FailureDomain: domain}, patient)
+	return cl.waitAt(cl.timers.Now(), Place{Pool: pool, FailureDomain: domain}, wish)
 }
 
 // ExpectLater is ExpectAt with the items that other requests will bring to the pool before, where they go first.
-func (cl *Client) ExpectLater(pool, domain string, patient bool) time.Duration {
-	if !patient {
-		return cl.ExpectAt(pool, domain, false)
+func (cl *Client) ExpectLater(pool, domain string, wish Wish) time.Duration {
+	if !wish.Patient {
+		return cl.ExpectAt(pool, domain, wish)
 	}
 	now := cl.timers.Now()
 	coming := 0
@@ -158,7 +182,7 @@
 		}
 	}
 	cl.mu.Unlock()
-	return cl.ExpectAt(pool, domain, true) + time.Duration(coming)*cl.itemTime(pool, domain)
+	return cl.ExpectAt(pool, domain, wish) + time.Duration(coming)*cl.itemTime(pool, domain)
 }
 
 // upcomingLife is how long what a place told of items to come counts.
@@ -197,7 +221,7 @@
 }
 
 // waitAt is the wait at a place: as it was told, less the time since, but at least that of a call alone.
-func (cl *Client) waitAt(now time.Time, at Place, patient bool) time.Duration {
+func (cl *Client) waitAt(now time.Time, at Place, wish Wish) time.Duration {
 	alone := time.Duration(0)
 	if pool, known := cl.view.Pool(at.Pool); known && pool.Items != nil {
 		alone = pool.Items.CallTime + pool.Items.ItemTime
@@ -205,11 +229,7 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	known := cl.loads[at]
-	wait := known.Soon
-	if patient {
-		wait = known.Last
-	}
-	return max(wait-now.Sub(known.at), alone)
+	return max(known.of(wish)-now.Sub(known.at), alone)
 }
 
 func (cl *Client) learn(pool string, loads []*wire.PoolLoad) {
@@ -221,7 +241,11 @@
 		asOf := now.Add(-timer.Milliseconds(each.GetAgeMs()))
 		if cl.loads[at].at.Before(asOf) {
 			cl.loads[at] = load{
-				Load: Load{Soon: timer.Milliseconds(each.GetWaitMs()), Last: timer.Milliseconds(each.GetLastMs())}, at: asOf,
+				Load: Load{
+					Soon: timer.Milliseconds(each.GetWaitMs()), Last: timer.Milliseconds(each.GetLastMs()),
+					Large: timer.Milliseconds(each.GetLargeMs()), LargeBytes: each.GetLargeBytes(),
+				},
+				at: asOf,
 			}
 		}
 	}
@@ -271,10 +295,17 @@
 func (cl *Client) submitted(at Place, count int) {
 	now := cl.timers.Now()
 	added := time.Duration(count) * cl.itemTime(at.Pool, at.FailureDomain)
-	fresh := load{Load: Load{Soon: cl.waitAt(now, at, false) + added, Last: cl.waitAt(now, at, true) + added}, at: now}
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	cl.loads[at] = fresh
+	known := cl.loads[at]
+	past := now.Sub(known.at)
+	cl.loads[at] = load{
+		Load: Load{
+			Soon: max(known.Soon-past, 0) + added, Last: max(known.Last-past, 0) + added,
+			Large: max(known.Large-past, 0) + added, LargeBytes: known.LargeBytes,
+		},
+		at: now,
+	}
 }
 
 // Run has the work done in the given failure domain, or in another when that one refuses, and waits for it.
@@ -295,7 +326,7 @@
 			return result
 		case Refused:
 			refused = result
-			if other, wait := cl.Expect(work.Pool, domain, 0, true); other != domain && cl.timers.Now().Add(wait).Before(work.Expires) {
+			if other, wait := cl.Expect(work.Pool, domain, 0, Wish{Patient: true}); other != domain && cl.timers.Now().Add(wait).Before(work.Expires) {
 				domain = other
 				continue
 			}
--- a/gather/place.go
+++ b/gather/place.go
@@ -26,6 +26,8 @@
 	jobs     map[uint64]*job
 	next     uint64
 	lastWork time.Time
+	// largeBytes is the size of the largest results that work here has.
+	largeBytes int64
 	// soonFactor and lastFactor correct the forecasts for items that are due soon and for the others.
 	soonFactor *calibration.Factor
 	lastFactor *calibration.Factor
@@ -73,6 +75,7 @@
 	accepted.began, accepted.forecast, accepted.factor, accepted.applied = now, wait, factor, factor.Value(now)
 	pc.jobs[id] = accepted
 	pc.lastWork = now
+	pc.largeBytes = max(pc.largeBytes, work.ResultBytes)
 	pc.gatherer.repeats.Request(work.Pool)
 	group.Ticket = id
 	pc.pool.Submit(group)
@@ -128,6 +131,10 @@
 	return Load{
 		Soon: pc.soonFactor.Apply(now, pc.pool.Wait(now, batch.Group{Count: 1, Due: soon, Expires: soon})),
 		Last: pc.lastFactor.Apply(now, pc.pool.Wait(now, batch.Group{Count: 1, Due: last, Expires: last})),
+		Large: pc.soonFactor.Apply(now, pc.pool.Wait(now, batch.Group{
+			Count: largeItems, Due: soon, Expires: soon, ResultBytes: pc.largeBytes,
+		})),
+		LargeBytes: pc.largeBytes,
 	}, true
 }
 
@@ -138,6 +145,8 @@
 	// soonHorizon is the due time of an item that is due soon, lastHorizon that of one behind all others.
 	soonHorizon = time.Second
 	lastHorizon = time.Minute
+	// largeItems is the number of items of work with large results.
+	largeItems = 3
 )
 
 func (pc *place) signal() {
