--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -301,6 +301,7 @@
 	rn := at.run
 	at.answered = true
 	at.stopLimit()
+	rn.Pools.observe(rn.pipeline.Name, rn.forecast, rn.Timers.Now().Sub(rn.request.Arrived))
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAnswerBegan, RequestId: rn.request.ID, Upstream: at.choice.Upstream.ID, Stage: rn.pool.Name,
 		Attempt: int64(rn.sent), DurationMicros: rn.Timers.Now().Sub(at.began).Microseconds(),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,7 +69,8 @@
 	organisation route.Organisation
 	rank         int
 	// patient says that the request has so much time that its items go behind others.
-	patient bool
+	patient  bool
+	forecast forecast
 	// domain is the failure domain in which the stages are planned to be done.
 	domain      string
 	fingerprint digest.Sum
@@ -179,7 +180,8 @@
 	active := rn.activeStages()
 	rn.patient = rn.isPatient(active)
 	rn.domain = rn.planDomain(active)
-	expected := rn.expectStages(rn.domain, active) + rn.engineTime()
+	rn.forecast = rn.Pools.correct(rn.pipeline.Name, rn.expectStages(rn.domain, active)+rn.engineTime())
+	expected := rn.forecast.expected
 	load := overload.Load{Expected: expected, UntilDue: rn.due.Sub(now), UntilEnd: rn.beginBy.Sub(now)}
 	rn.cause = fmt.Sprintf("expected=%dms due=%dms left=%dms domain=%s", expected.Milliseconds(),
 		load.UntilDue.Milliseconds(), load.UntilEnd.Milliseconds(), rn.domain)
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/allowance"
+	"github.com/turmericdoor/turmericdoor/calibration"
 	"github.com/turmericdoor/turmericdoor/placement"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/timer"
@@ -20,6 +21,8 @@
 	mu         sync.Mutex
 	placements map[string]*placement.Pool
 	allowances map[string]*allowance.Allowance
+	// factors correct the expected time of each pipeline's requests.
+	factors map[string]*calibration.Factor
 }
 
 // NewPools returns pools of which nothing is known; live returns the number of live instances.
@@ -27,6 +30,7 @@
 	return &Pools{
 		timers: timers, terms: terms, live: live,
 		placements: map[string]*placement.Pool{}, allowances: map[string]*allowance.Allowance{},
+		factors: map[string]*calibration.Factor{},
 	}
 }
 
@@ -62,6 +66,37 @@
 	return pl.allowance(pool).Spend(pl.timers.Now(), live)
 }
 
+// forecast is the expected time of a request, corrected by applied.
+type forecast struct {
+	expected time.Duration
+	applied  float64
+}
+
+// correct corrects the expected time of a pipeline's request by how far earlier ones were off.
+func (pl *Pools) correct(pipeline string, expected time.Duration) forecast {
+	now := pl.timers.Now()
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	factor := pl.factor(pipeline)
+	return forecast{expected: factor.Apply(now, expected), applied: factor.Value(now)}
+}
+
+// observe takes the time that a request really took.
+func (pl *Pools) observe(pipeline string, made forecast, actual time.Duration) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.factor(pipeline).Observe(pl.timers.Now(), made.expected, actual, made.applied)
+}
+
+func (pl *Pools) factor(pipeline string) *calibration.Factor {
+	known, found := pl.factors[pipeline]
+	if !found {
+		known = calibration.New()
+		pl.factors[pipeline] = known
+	}
+	return known
+}
+
 // baseAnswer is the time in which an idle upstream answers before it has been measured.
 const baseAnswer = 60 * time.Millisecond
 
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -30,7 +30,7 @@
 
 const (
 	// lateAllowance is how far beyond its due time a request may be expected and still begin.
-	lateAllowance = 1.15
+	lateAllowance = 1.05
 	// endShare is the part of its time that a request may be expected to take.
 	endShare = 0.75
 	// minRetry is the shortest time after which a caller should come back.
