--- a/overload/overload.go
+++ b/overload/overload.go
@@ -44,5 +44,5 @@
 	if load.Expected <= most {
 		return Begin{}
 	}
-	return TurnAway{RetryAfter: max(load.Expected-most, minRetry)}
+	return TurnAway{RetryAfter: max(load.Expected, minRetry)}
 }
