--- a/batch/forecast.go
+++ b/batch/forecast.go
@@ -22,24 +22,20 @@
 	return order
 }
 
-// lastCalls is how many calls before its expiry a late group is served.
-const lastCalls = 4
+// lateOffset puts late groups behind all that can still be on time.
+const lateOffset = time.Hour
 
 // serveBy is the time by which groups are ordered.
 func (pl *Pool) serveBy(now time.Time, known *group) time.Time {
 	if known.ReadsResults || !pl.isLate(now, known) {
 		return known.urgency()
 	}
-	last := known.Expires.Add(-lastCalls * pl.terms.CallTime)
-	if known.urgency().After(last) {
-		return known.urgency()
-	}
-	return last
+	return known.Expires.Add(lateOffset)
 }
 
 // isLate reports whether a group can't be on time any more.
 func (pl *Pool) isLate(now time.Time, known *group) bool {
-	return now.Add(pl.terms.CallTime).After(known.Due)
+	return now.Add(pl.expected(nil, pl.terms.Batch/2)).After(known.Due)
 }
 
 // speed is what a pool's upstreams carry.
--- /dev/null
+++ b/calibration/calibration_test.go
@@ -0,0 +1,36 @@
+package calibration_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/calibration"
+)
+
+func TestFactor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	learn := func(fc *calibration.Factor, times int, ratio float64) {
+		for range times {
+			applied := fc.Value(now)
+			forecast := fc.Apply(now, time.Second)
+			fc.Observe(now, forecast, time.Duration(ratio*float64(time.Second)), applied)
+		}
+	}
+	t.Run("nears the true ratio while its own corrections are applied", func(t *testing.T) {
+		fc := calibration.New()
+		learn(fc, 60, 2)
+		must.Between(t, 1.9, fc.Value(now), 2.1)
+	})
+	t.Run("is forgotten when nothing is seen", func(t *testing.T) {
+		fc := calibration.New()
+		learn(fc, 60, 3)
+		must.Less(t, 1.1, fc.Value(now.Add(20*time.Second)))
+	})
+	t.Run("one outlier moves it little", func(t *testing.T) {
+		fc := calibration.New()
+		learn(fc, 1, 100)
+		must.Less(t, 1.5, fc.Value(now))
+	})
+}
--- /dev/null
+++ b/deputy/deputy_test.go
@@ -0,0 +1,45 @@
+package deputy_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/deputy"
+	"github.com/turmericdoor/turmericdoor/member"
+)
+
+func members(domains ...string) []member.Member {
+	list := []member.Member{}
+	for at, domain := range domains {
+		list = append(list, member.Member{ID: fmt.Sprintf("i%d", at), FailureDomain: domain})
+	}
+	return list
+}
+
+func TestOf(t *testing.T) {
+	t.Run("each failure domain has readers", func(t *testing.T) {
+		list := members("a", "a", "a", "a", "b", "b", "c", "c", "c")
+		domains := map[string]int{}
+		for _, mb := range list {
+			if deputy.Is(mb.ID, list) {
+				domains[mb.FailureDomain]++
+			}
+		}
+		must.Eq(t, map[string]int{"a": 2, "b": 2, "c": 2}, domains)
+	})
+	t.Run("their number does not grow with the fleet", func(t *testing.T) {
+		domains := []string{}
+		for at := range 380 {
+			domains = append(domains, []string{"a", "b", "c", "d"}[at%4])
+		}
+		must.SliceLen(t, 8, deputy.Of(members(domains...)))
+	})
+	t.Run("a third of a small fleet can be cut off from the store", func(t *testing.T) {
+		must.SliceLen(t, 5, deputy.Of(members("a", "a", "a", "a", "a", "a", "a", "a")))
+	})
+	t.Run("an instance that knows few others reads itself", func(t *testing.T) {
+		must.True(t, deputy.Is("i0", members("a")))
+	})
+}
--- /dev/null
+++ b/overload/overload_test.go
@@ -0,0 +1,70 @@
+package overload_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/overload"
+)
+
+// server is a queue that serves capacity requests a second in order of arrival.
+type server struct {
+	capacity float64
+	freeAt   float64
+}
+
+// replay sends a burst and counts the requests that are served on time, late, and refused.
+func replay(weigh func(overload.Load) overload.Verdict) (timely, late, refused int) {
+	const due, end, usual, burst = 3.0, 6.0, 40.0, 96.0
+	pool := server{capacity: 50}
+	for now := 0.0; now < 20; {
+		rate := usual
+		if now > 5 && now < 11 {
+			rate = burst
+		}
+		now += 1 / rate
+		expected := max(pool.freeAt-now, 0) + 1/pool.capacity
+		if _, begins := weigh(overload.Load{Expected: seconds(expected), UntilDue: seconds(due), UntilEnd: seconds(end)}).(overload.Begin); !begins {
+			refused++
+			continue
+		}
+		pool.freeAt = max(pool.freeAt, now) + 1/pool.capacity
+		switch {
+		case expected <= due:
+			timely++
+		default:
+			late++
+		}
+	}
+	return timely, late, refused
+}
+
+func seconds(count float64) time.Duration {
+	return time.Duration(count * float64(time.Second))
+}
+
+// TestBurst replays a burst of 2.4 times the usual rate at a pool that carries 1.25 times of it.
+func TestBurst(t *testing.T) {
+	always := func(overload.Load) overload.Verdict { return overload.Begin{} }
+	timelyBefore, _, _ := replay(always)
+	timely, late, refused := replay(overload.Weigh)
+	must.Greater(t, timelyBefore, timely, must.Sprint("without a limit, the queue makes what comes later late"))
+	must.Greater(t, 0, refused)
+	must.Less(t, timely/4, late)
+}
+
+func TestWeigh(t *testing.T) {
+	t.Run("a request that is expected in time begins", func(t *testing.T) {
+		must.Eq(t, overload.Verdict(overload.Begin{}), overload.Weigh(overload.Load{Expected: time.Second, UntilDue: time.Second, UntilEnd: 6 * time.Second}))
+	})
+	t.Run("one that can't be served is told when the queue is gone", func(t *testing.T) {
+		verdict := overload.Weigh(overload.Load{Expected: 5 * time.Second, UntilDue: time.Second, UntilEnd: 6 * time.Second})
+		must.Eq(t, overload.Verdict(overload.TurnAway{RetryAfter: 5 * time.Second}), verdict)
+	})
+	t.Run("the caller's patience bounds it as well", func(t *testing.T) {
+		_, begins := overload.Weigh(overload.Load{Expected: 2 * time.Second, UntilDue: 3 * time.Second, UntilEnd: 2 * time.Second}).(overload.Begin)
+		must.False(t, begins)
+	})
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,88 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/roster"
+)
+
+var start = time.Unix(1000, 0)
+
+func registered(ids ...string) *roster.Roster {
+	rs := roster.New()
+	for _, id := range ids {
+		rs.Put(roster.Upstream{ID: id, Pool: "p", Born: 5})
+	}
+	return rs
+}
+
+func assertUsable(t *testing.T, rs *roster.Roster, want ...string) {
+	t.Helper()
+	ids := []string{}
+	for _, up := range rs.List().Usable("p") {
+		ids = append(ids, up.ID)
+	}
+	must.SliceContainsAll(t, ids, want)
+}
+
+func TestLeaving(t *testing.T) {
+	rs := registered("a", "b")
+	rs.Put(roster.Upstream{ID: "a", Pool: "p", Born: 5, Leaving: true})
+	assertUsable(t, rs, "b")
+	must.False(t, rs.List().MayWork(roster.Incarnation{ID: "a", Born: 5}))
+	must.NotNil(t, rs.List().Find("a"))
+}
+
+func TestIncarnations(t *testing.T) {
+	t.Run("a new start under the same id is another incarnation", func(t *testing.T) {
+		rs := registered("a")
+		rs.Put(roster.Upstream{ID: "a", Pool: "p", Born: 9})
+		must.False(t, rs.List().MayWork(roster.Incarnation{ID: "a", Born: 5}))
+		must.True(t, rs.List().MayWork(roster.Incarnation{ID: "a", Born: 9}))
+	})
+	t.Run("a registration of an earlier start that comes late changes nothing", func(t *testing.T) {
+		rs := registered("a")
+		rs.Put(roster.Upstream{ID: "a", Pool: "q", Born: 3})
+		assertUsable(t, rs, "a")
+	})
+}
+
+func TestRemoval(t *testing.T) {
+	t.Run("counts at once while the store answers", func(t *testing.T) {
+		rs := registered("a", "b")
+		rs.Remove(start, "a")
+		assertUsable(t, rs, "b")
+	})
+	t.Run("after an outage, the time to come back is given once, and counts from the store's return", func(t *testing.T) {
+		rs := registered("a", "b")
+		rs.StoreLost(start)
+		rs.StoreBack(start.Add(4 * time.Second))
+		rs.Remove(start.Add(4*time.Second), "a")
+		rs.Remove(start.Add(4*time.Second), "b")
+		assertUsable(t, rs, "a", "b")
+		rs.Put(roster.Upstream{ID: "a", Pool: "p", Born: 5})
+		must.SliceEmpty(t, rs.Expire(start.Add(5*time.Second)))
+		must.Eq(t, []string{"b"}, rs.Expire(rs.Due()))
+		assertUsable(t, rs, "a")
+		rs.Remove(start.Add(7*time.Second), "a")
+		assertUsable(t, rs)
+	})
+	t.Run("an upstream that had said that it leaves does not get that time", func(t *testing.T) {
+		rs := registered("a")
+		rs.Put(roster.Upstream{ID: "a", Pool: "p", Born: 5, Leaving: true})
+		rs.StoreLost(start)
+		rs.StoreBack(start.Add(4 * time.Second))
+		rs.Remove(start.Add(4*time.Second), "a")
+		must.Nil(t, rs.List().Find("a"))
+	})
+	t.Run("another instance's view of an outage counts as well", func(t *testing.T) {
+		rs := registered("a")
+		rs.ExtendGrace(start.Add(time.Second))
+		rs.Remove(start, "a")
+		assertUsable(t, rs, "a")
+		must.Eq(t, []string{"a"}, rs.Expire(start.Add(time.Second)))
+	})
+}
