--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,169 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/placement"
+	"github.com/turmericdoor/turmericdoor/roster"
+)
+
+var start = time.Unix(1000, 0)
+
+// engines returns upstreams in three failure domains.
+func engines(count int) []*roster.Upstream {
+	list := []*roster.Upstream{}
+	for at := range count {
+		list = append(list, &roster.Upstream{ID: fmt.Sprintf("e%d", at), Slots: 64, FailureDomain: []string{"a", "b", "c"}[at%3]})
+	}
+	return list
+}
+
+func want(session uint64) placement.Want {
+	return placement.Want{Session: session, SharedTokens: 6300, PromptTokens: 2890, Slack: 600 * time.Millisecond}
+}
+
+func pick(t *testing.T, pool *placement.Pool, now time.Time, list []*roster.Upstream, wish placement.Want) *roster.Upstream {
+	t.Helper()
+	choice, found := pool.Pick(now, list, wish)
+	must.True(t, found)
+	return choice.Upstream
+}
+
+func serve(pool *placement.Pool, now time.Time, up *roster.Upstream, took time.Duration) {
+	pool.Started(up.Incarnation(), 100)
+	pool.Answering(now, up.Incarnation(), 100, took, 60*time.Millisecond)
+	pool.Ended(now, up.Incarnation(), 100, true, placement.Served)
+}
+
+func TestSessions(t *testing.T) {
+	list := engines(9)
+	t.Run("all instances send a session to the same engine", func(t *testing.T) {
+		for session := range uint64(50) {
+			first := pick(t, placement.New(time.Millisecond), start, list, want(session+1))
+			must.Eq(t, first, pick(t, placement.New(time.Millisecond), start, list, want(session+1)))
+		}
+	})
+	t.Run("sessions spread over the engines", func(t *testing.T) {
+		counts := map[string]int{}
+		for session := range uint64(900) {
+			counts[pick(t, placement.New(time.Millisecond), start, list, want(session*977+1)).ID]++
+		}
+		for _, up := range list {
+			must.Between(t, 50, counts[up.ID], 160)
+		}
+	})
+	t.Run("few sessions move when an engine is lost", func(t *testing.T) {
+		moved := 0
+		for session := range uint64(300) {
+			before := pick(t, placement.New(time.Millisecond), start, list, want(session*31+1))
+			after := pick(t, placement.New(time.Millisecond), start, list[1:], want(session*31+1))
+			if before != after && before != list[0] {
+				moved++
+			}
+		}
+		must.Zero(t, moved)
+	})
+}
+
+// TestHotSession replays one session that gets so much traffic that its engine falls behind.
+func TestHotSession(t *testing.T) {
+	list := engines(9)
+	pool := placement.New(10 * time.Millisecond)
+	used := map[string]int{}
+	for range 30 {
+		up := pick(t, pool, start, list, want(7))
+		pool.Started(up.Incarnation(), 2890)
+		used[up.ID]++
+	}
+	must.Greater(t, 2, len(used), must.Sprint("waiting prompts must not pile up at one engine"))
+}
+
+// TestSlowEngine replays an engine that answers five times slower than the others.
+func TestSlowEngine(t *testing.T) {
+	list := engines(3)
+	pool := placement.New(60 * time.Millisecond)
+	counts := map[string]int{}
+	for at := range 200 {
+		now := start.Add(time.Duration(at) * 20 * time.Millisecond)
+		up := pick(t, pool, now, list, placement.Want{FailureDomain: "a"})
+		counts[up.ID]++
+		took := 60 * time.Millisecond
+		if up.ID == "e0" {
+			took = 300 * time.Millisecond
+		}
+		serve(pool, now, up, took)
+	}
+	must.Less(t, 30, counts["e0"])
+	t.Run("it is tried again when nothing was seen of it for a while", func(t *testing.T) {
+		later := start.Add(time.Minute)
+		seen := map[string]bool{}
+		for range 20 {
+			up := pick(t, pool, later, list, placement.Want{FailureDomain: "a"})
+			seen[up.ID] = true
+			serve(pool, later, up, 60*time.Millisecond)
+		}
+		must.True(t, seen["e0"])
+	})
+}
+
+// TestFailingEngine replays an upstream that fails half of its requests although it looks idle.
+func TestFailingEngine(t *testing.T) {
+	list := engines(3)
+	pool := placement.New(60 * time.Millisecond)
+	failed := 0
+	for at := range 200 {
+		now := start.Add(time.Duration(at) * 20 * time.Millisecond)
+		up := pick(t, pool, now, list, placement.Want{FailureDomain: "a"})
+		if up.ID == "e0" && at%2 == 0 {
+			failed++
+			pool.Started(up.Incarnation(), 0)
+			pool.Ended(now, up.Incarnation(), 0, false, placement.Failed)
+			continue
+		}
+		serve(pool, now, up, 60*time.Millisecond)
+	}
+	must.Less(t, 15, failed)
+}
+
+func TestUnreachable(t *testing.T) {
+	list := engines(2)
+	pool := placement.New(time.Millisecond)
+	out := list[0]
+	pool.Started(out.Incarnation(), 0)
+	pool.Ended(start, out.Incarnation(), 0, false, placement.Unreachable)
+	t.Run("is left out for a while", func(t *testing.T) {
+		for range 5 {
+			must.NotEq(t, out.ID, pick(t, pool, start, list, placement.Want{}).ID)
+		}
+	})
+	t.Run("a new start of it is not", func(t *testing.T) {
+		reborn := *out
+		reborn.Born = 7
+		must.Eq(t, out.ID, pick(t, pool, start, []*roster.Upstream{&reborn}, placement.Want{}).ID)
+	})
+	t.Run("nothing is found when all are out or avoided", func(t *testing.T) {
+		_, found := pool.Pick(start, list, placement.Want{Avoid: []roster.Incarnation{list[1].Incarnation()}})
+		must.False(t, found)
+	})
+}
+
+func TestFarResults(t *testing.T) {
+	list := engines(9)
+	wish := placement.Want{Session: 3, SharedTokens: 172, PromptTokens: 500, Slack: time.Second, FailureDomain: "b", FarBytes: 9e6}
+	must.Eq(t, "b", pick(t, placement.New(time.Millisecond), start, list, wish).FailureDomain, must.Sprint("large results outweigh a short prompt"))
+	wish.FarBytes, wish.SharedTokens = 1000, 6300
+	first, _ := placement.New(time.Millisecond).First(list, 3)
+	must.Eq(t, first, pick(t, placement.New(time.Millisecond), start, list, wish), must.Sprint("a long kept prompt outweighs small results"))
+}
+
+func BenchmarkPick(b *testing.B) {
+	list := engines(150)
+	pool := placement.New(time.Millisecond)
+	for b.Loop() {
+		pool.Pick(start, list, want(7))
+	}
+}
