--- /dev/null
+++ b/gather/gather_test.go
@@ -0,0 +1,349 @@
+package gather_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
+
+	"github.com/turmericdoor/turmericdoor/gather"
+	"github.com/turmericdoor/turmericdoor/hlc"
+	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/route"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+)
+
+// pool is a stage pool with two upstreams in failure domain a and one in b.
+var pool = route.Pool{Name: "p", Items: &route.Items{
+	Slots: 1, Batch: 8, CallTime: 150 * time.Millisecond, ItemTime: 16 * time.Millisecond, ResultRoom: 36e6, ResultsKept: 4 * time.Second,
+}}
+
+// fakes are the upstreams and the registrations.
+type fakes struct {
+	mu        sync.Mutex
+	upstreams []*roster.Upstream
+	leaving   map[string]bool
+	outcome   map[string]gather.Outcome
+	calls     []call
+	freed     []string
+	budget    int
+}
+
+type call struct {
+	upstream string
+	items    []gather.Item
+}
+
+func newFakes() *fakes {
+	return &fakes{
+		upstreams: []*roster.Upstream{
+			{ID: "a1", Pool: "p", FailureDomain: "a"}, {ID: "a2", Pool: "p", FailureDomain: "a"}, {ID: "b1", Pool: "p", FailureDomain: "b"},
+		},
+		leaving: map[string]bool{}, outcome: map[string]gather.Outcome{}, budget: 100,
+	}
+}
+
+func (fk *fakes) Pool(name string) (route.Pool, bool) { return pool, name == "p" }
+
+func (fk *fakes) Upstreams(_, domain string) []*roster.Upstream {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(fk.upstreams), func(up *roster.Upstream) bool {
+		return fk.leaving[up.ID] || domain != "" && up.FailureDomain != domain
+	})
+}
+
+func (fk *fakes) MayWork(incarnation roster.Incarnation) bool {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	return !fk.leaving[incarnation.ID]
+}
+
+func (fk *fakes) Find(id string) *roster.Upstream {
+	for _, up := range fk.upstreams {
+		if up.ID == id {
+			return up
+		}
+	}
+	return nil
+}
+
+func (fk *fakes) Request(string) {}
+
+func (fk *fakes) Left(string) int {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	return fk.budget
+}
+
+func (fk *fakes) Spend(string) bool {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.budget--
+	return fk.budget >= 0
+}
+
+func (fk *fakes) RunItems(ctx context.Context, up *roster.Upstream, items []gather.Item) gather.Outcome {
+	fk.mu.Lock()
+	fk.calls = append(fk.calls, call{upstream: up.ID, items: items})
+	outcome := fk.outcome[up.ID]
+	delete(fk.outcome, up.ID)
+	number := len(fk.calls)
+	fk.mu.Unlock()
+	if outcome != nil {
+		return outcome
+	}
+	select {
+	case <-time.After(pool.Items.CallTime + time.Duration(len(items))*pool.Items.ItemTime):
+	case <-ctx.Done():
+		return gather.Lost{Cause: ctx.Err().Error()}
+	}
+	ran := gather.Ran{}
+	for at, item := range items {
+		ran.Results = append(ran.Results, gather.ItemResult{Handle: fmt.Sprintf("%s/%d/%d/%s", up.ID, number, at, item.Request)})
+	}
+	return ran
+}
+
+func (fk *fakes) FreeRoom(context.Context, *roster.Upstream) (int64, error) { return 36e6, nil }
+
+func (fk *fakes) FreeResults(_ context.Context, _ *roster.Upstream, handles []string) error {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.freed = append(fk.freed, handles...)
+	return nil
+}
+
+// fleet is instances that hand items to each other.
+type fleet struct {
+	fakes   *fakes
+	names   []string
+	servers map[string]*gather.Server
+	clients map[string]*gather.Client
+	frozen  map[string]bool
+}
+
+func (fl *fleet) Live() []member.Member {
+	list := []member.Member{}
+	for _, name := range fl.names {
+		list = append(list, member.Member{ID: name, Address: name, FailureDomain: name[:1]})
+	}
+	return list
+}
+
+// link carries calls to one instance.
+type link struct {
+	fleet *fleet
+	to    string
+}
+
+func (lk link) Close() error { return nil }
+
+func (lk link) Release(ctx context.Context, in *wire.ReleaseRequest, _ ...grpc.CallOption) (*wire.ReleaseReply, error) {
+	return lk.fleet.servers[lk.to].Release(ctx, in)
+}
+
+func (lk link) Load(ctx context.Context, in *wire.LoadRequest, _ ...grpc.CallOption) (*wire.LoadReply, error) {
+	return lk.fleet.servers[lk.to].Load(ctx, in)
+}
+
+func (lk link) Gather(ctx context.Context, in *wire.GatherRequest, _ ...grpc.CallOption) (grpc.ServerStreamingClient[wire.GatherReply], error) {
+	stream := &stream{ctx: ctx, replies: make(chan *wire.GatherReply, 100), ended: make(chan error, 1)}
+	if !lk.fleet.frozen[lk.to] {
+		go func() { stream.ended <- lk.fleet.servers[lk.to].Gather(in, stream) }()
+	}
+	return stream, nil
+}
+
+// stream is both ends of a call.
+type stream struct {
+	ctx     context.Context
+	replies chan *wire.GatherReply
+	ended   chan error
+}
+
+func (sm *stream) Context() context.Context           { return sm.ctx }
+func (sm *stream) Send(reply *wire.GatherReply) error { sm.replies <- reply; return nil }
+func (sm *stream) Recv() (*wire.GatherReply, error) {
+	select {
+	case reply := <-sm.replies:
+		return reply, nil
+	case <-sm.ctx.Done():
+		return nil, context.Cause(sm.ctx)
+	}
+}
+func (sm *stream) SetHeader(metadata.MD) error  { return nil }
+func (sm *stream) SendHeader(metadata.MD) error { return nil }
+func (sm *stream) SetTrailer(metadata.MD)       {}
+func (sm *stream) SendMsg(any) error            { return nil }
+func (sm *stream) RecvMsg(any) error            { return nil }
+func (sm *stream) Header() (metadata.MD, error) { return nil, nil }
+func (sm *stream) Trailer() metadata.MD         { return nil }
+func (sm *stream) CloseSend() error             { return nil }
+
+// play runs instances in fake time.
+func play(t *testing.T, names []string, run func(ctx context.Context, fl *fleet, fk *fakes)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		fk := newFakes()
+		fl := &fleet{fakes: fk, names: names, servers: map[string]*gather.Server{}, clients: map[string]*gather.Client{}, frozen: map[string]bool{}}
+		timers := timer.New()
+		ctx, cancel := context.WithCancel(context.Background())
+		ends := []chan struct{}{}
+		for _, name := range names {
+			events := timeline.New(name, hlc.New(timers), 100, nil)
+			gatherer := gather.New(ctx, gather.Parts{View: fk, Caller: fk, Repeats: fk, Timers: timers, Events: events})
+			client := gather.NewClient(gather.ClientParts{
+				Self: name, Gatherer: gatherer, View: fk, Members: fl, Timers: timers, Events: events,
+				Dialer: func(address string) (gather.Link, error) { return link{fleet: fl, to: address}, nil },
+			})
+			fl.servers[name], fl.clients[name] = gather.NewServer(gatherer, client, timers), client
+			end := make(chan struct{})
+			ends = append(ends, end)
+			go gatherer.Run(ctx, end)
+		}
+		run(ctx, fl, fk)
+		cancel()
+		for _, end := range ends {
+			<-end
+		}
+	})
+}
+
+func work(request string, count int) gather.Work {
+	return gather.Work{
+		Pool: "p", Request: request, Count: count, Key: "k-" + request, ResultBytes: 1000,
+		Due: time.Now().Add(time.Second), Expires: time.Now().Add(4 * time.Second),
+	}
+}
+
+// assertFinished checks that each item has a result of its own request.
+func assertFinished(t *testing.T, result gather.Result, request string, count int) {
+	t.Helper()
+	finished, is := result.(gather.Finished)
+	must.True(t, is, must.Sprintf("%#v", result))
+	must.SliceLen(t, count, finished.Items)
+	seen := map[string]bool{}
+	for _, item := range finished.Items {
+		must.StrHasSuffix(t, "/"+request, item.Handle)
+		must.False(t, seen[item.Handle])
+		seen[item.Handle] = true
+	}
+}
+
+func TestItemsOfSeveralInstancesShareCalls(t *testing.T) {
+	play(t, []string{"a1", "a2", "a3"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		group := sync.WaitGroup{}
+		for at := range 12 {
+			name := fl.names[at%3]
+			group.Go(func() {
+				time.Sleep(time.Duration(at) * 5 * time.Millisecond)
+				request := fmt.Sprintf("r%d", at)
+				assertFinished(t, fl.clients[name].Run(ctx, "a", work(request, 2)), request, 2)
+			})
+		}
+		group.Wait()
+		must.LessEq(t, 8, len(fk.calls), must.Sprint("24 items in calls of up to 8"))
+	})
+}
+
+func TestLeavingUpstream(t *testing.T) {
+	play(t, []string{"a1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		fk.leaving["a1"] = true
+		assertFinished(t, fl.clients["a1"].Run(ctx, "a", work("r", 2)), "r", 2)
+		for _, each := range fk.calls {
+			must.Eq(t, "a2", each.upstream)
+		}
+	})
+}
+
+func TestFailedCalls(t *testing.T) {
+	outcomes := map[string]gather.Outcome{
+		"an upstream without room":        gather.NotRun{},
+		"an address that another one has": gather.NotRun{Misdirected: true},
+		"no connection":                   gather.NotSent{Cause: "refused"},
+		"a lost answer":                   gather.Lost{Cause: "reset"},
+		"an item that failed":             gather.Ran{Results: []gather.ItemResult{{Reason: gather.Error}, {Reason: gather.Error}}},
+	}
+	for name, outcome := range outcomes {
+		t.Run(name+" leads to another call", func(t *testing.T) {
+			play(t, []string{"a1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+				fk.outcome["a1"], fk.outcome["a2"] = outcome, outcome
+				assertFinished(t, fl.clients["a1"].Run(ctx, "a", work("r", 2)), "r", 2)
+			})
+		})
+	}
+	t.Run("a lost input ends the work, and tells so", func(t *testing.T) {
+		play(t, []string{"a1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+			gone := gather.Ran{Results: []gather.ItemResult{{Reason: gather.InputGone}}}
+			fk.outcome["a1"], fk.outcome["a2"] = gone, gone
+			result := fl.clients["a1"].Run(ctx, "a", work("r", 1))
+			unfinished, is := result.(gather.Unfinished)
+			must.True(t, is)
+			must.Eq(t, string(gather.InputGone), unfinished.Cause)
+		})
+	})
+	t.Run("nothing is sent again once the budget is spent", func(t *testing.T) {
+		play(t, []string{"a1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+			fk.budget = 0
+			fk.outcome["a1"], fk.outcome["a2"] = gather.Lost{}, gather.Lost{}
+			_, finished := fl.clients["a1"].Run(ctx, "a", work("r", 1)).(gather.Finished)
+			must.False(t, finished)
+			must.SliceLen(t, 1, fk.calls)
+		})
+	})
+}
+
+func TestSilentGatherer(t *testing.T) {
+	play(t, []string{"a1", "a2", "a3"}, func(ctx context.Context, fl *fleet, _ *fakes) {
+		for _, name := range fl.names {
+			fl.frozen[name] = true
+		}
+		for _, name := range fl.names {
+			began := time.Now()
+			assertFinished(t, fl.clients[name].Run(ctx, "a", work("r"+name, 2)), "r"+name, 2)
+			must.Less(t, 1500*time.Millisecond, time.Since(began), must.Sprint("the next instance, or the own one, takes over"))
+		}
+	})
+}
+
+func TestWithdrawnWork(t *testing.T) {
+	play(t, []string{"a1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		limited, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		_, unfinished := fl.clients["a1"].Run(limited, "a", work("r", 2)).(gather.Unfinished)
+		must.True(t, unfinished)
+		time.Sleep(time.Second)
+		must.SliceLen(t, 2, fk.freed, must.Sprint("results that nobody waits for are freed"))
+	})
+}
+
+func TestHopelessWork(t *testing.T) {
+	play(t, []string{"a1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		hopeless := work("r", 2)
+		hopeless.Expires = time.Now().Add(50 * time.Millisecond)
+		_, refused := fl.clients["a1"].Run(ctx, "a", hopeless).(gather.Refused)
+		must.True(t, refused)
+		must.SliceEmpty(t, fk.calls)
+	})
+}
+
+func TestRelease(t *testing.T) {
+	play(t, []string{"a1", "a2"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		finished := fl.clients["a1"].Run(ctx, "a", work("r", 2)).(gather.Finished)
+		handles := []string{finished.Items[0].Handle, finished.Items[1].Handle}
+		fl.clients["a2"].Release(ctx, "p", "a", handles)
+		time.Sleep(100 * time.Millisecond)
+		must.SliceContainsAll(t, fk.freed, handles)
+	})
+}
--- a/route/route.go
+++ b/route/route.go
@@ -50,17 +50,17 @@
 
 // Pipeline is a route with its stages; Timeout is 0 for no limit beside the caller's deadline.
 type Pipeline struct {
-	Name         string
-	Host         string
-	Prefix       string
-	Repeat       Repeat
-	Streaming    bool
-	Public       bool
-	Sticky       bool
-	Rank         int
-	Timeout      time.Duration
-	Target       time.Duration
-	EventGap     time.Duration
+	Name      string
+	Host      string
+	Prefix    string
+	Repeat    Repeat
+	Streaming bool
+	Public    bool
+	Sticky    bool
+	Rank      int
+	Timeout   time.Duration
+	Target    time.Duration
+	EventGap  time.Duration
 	// Abandoned is after how long without an event callers leave a stream, or 0 if they wait to their deadline.
 	Abandoned    time.Duration
 	MaxUpstreams int
