End a request that can't be sent again by its own time, not by its upstream's silence

Cause: both limits ended at the same moment, and the answer was 502 in place of 504 (TestAtMostOnce, silence to its time). Tests of the gateway.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -170,13 +170,15 @@
 	silentLeast   = 700 * time.Millisecond
 )
 
+// noLimit is longer than any request takes: its own end comes first.
+const noLimit = time.Hour
+
 // firstAnswerLimit is how long an upstream may be silent; a request that can't be sent again waits to its end.
 func (rn *run) firstAnswerLimit(choice placement.Choice) time.Duration {
-	left := rn.end.Sub(rn.Timers.Now())
 	if rn.pipeline.Repeat == route.Once || rn.sent+1 >= rn.pipeline.MaxUpstreams {
-		return left
+		return noLimit
 	}
-	return min(left, max(silentTargets*rn.pipeline.Target, silentLeast, silentTargets*choice.Expected))
+	return min(rn.end.Sub(rn.Timers.Now()), max(silentTargets*rn.pipeline.Target, silentLeast, silentTargets*choice.Expected))
 }
 
 // attempt is one send.
