--- /dev/null
+++ b/events/events.go
@@ -0,0 +1,56 @@
+package events
+
+import "bytes"
+
+// Cutter holds back what is not yet a whole event; it is not safe for concurrent use.
+type Cutter struct {
+	held   []byte
+	lastID string
+}
+
+// New returns a cutter that has seen nothing.
+func New() *Cutter {
+	return &Cutter{}
+}
+
+var (
+	end     = []byte("\n\n")
+	idField = []byte("id:")
+)
+
+// Take adds a part of the stream and returns the events that are now whole, or nothing.
+func (ct *Cutter) Take(part []byte) []byte {
+	ct.held = append(ct.held, part...)
+	cut := bytes.LastIndex(ct.held, end)
+	if cut < 0 {
+		return nil
+	}
+	whole := bytes.Clone(ct.held[:cut+len(end)])
+	ct.held = ct.held[cut+len(end):]
+	ct.note(whole)
+	return whole
+}
+
+// note remembers the last id among events.
+func (ct *Cutter) note(whole []byte) {
+	for line := range bytes.SplitSeq(whole, []byte("\n")) {
+		if id, is := bytes.CutPrefix(line, idField); is {
+			ct.lastID = string(bytes.TrimSpace(id))
+		}
+	}
+}
+
+// LastID returns the id of the last whole event, or nothing before the first.
+func (ct *Cutter) LastID() string {
+	return ct.lastID
+}
+
+// Drop forgets the begin of an event whose rest won't come.
+func (ct *Cutter) Drop() {
+	ct.held = nil
+}
+
+// Rest returns what is left at the end of a stream.
+func (ct *Cutter) Rest() []byte {
+	return ct.held
+}
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -74,12 +74,12 @@
 	connects, rejections := 0, 0
 	for {
 		if failure := rn.timeLeft(ctx); failure != nil {
-			return failure, false
+			return rn.cutOff(failure), false
 		}
 		want.Slack = rn.due.Sub(rn.Timers.Now())
 		choice, found := rn.Pools.pick(rn.pool.Name, rn.Catalog.Upstreams(rn.pool.Name, ""), want, want.PromptTokens)
 		if !found {
-			return rn.noUpstream(), false
+			return rn.cutOff(rn.noUpstream()), false
 		}
 		want.Avoid = append(want.Avoid, choice.Upstream.Incarnation())
 		if !rn.Catalog.MayWork(choice.Upstream.Incarnation()) {
@@ -88,7 +88,7 @@
 		}
 		result := rn.attempt(ctx, choice, want, inputs, done)
 		if !result.next {
-			return result.outcome, result.redo
+			return rn.cutOff(result.outcome), result.redo
 		}
 		switch result.outcome.(type) {
 		case Refused:
@@ -97,11 +97,24 @@
 			connects++
 		}
 		if connects >= maxConnects || rejections >= maxRejections {
-			return result.outcome, false
+			return rn.cutOff(result.outcome), false
 		}
 	}
 }
 
+// cutOff is the outcome of a request a part of whose answer has been passed on: only its end can be whole.
+func (rn *run) cutOff(outcome Outcome) Outcome {
+	if !rn.passed {
+		return outcome
+	}
+	switch outcome.(type) {
+	case Answered, Gone:
+		return outcome
+	default:
+		return CutOff{}
+	}
+}
+
 // timeLeft returns the outcome of a request that is not worth sending any more, or nil.
 func (rn *run) timeLeft(ctx context.Context) Outcome {
 	if ctx.Err() == nil && rn.end.Sub(rn.Timers.Now()) > minSend {
@@ -153,7 +166,7 @@
 	defer at.stopLimit()
 	reply, err := rn.Sender.Send(at.ctx, Exchange{
 		Request: rn.request, Upstream: choice.Upstream, Organisation: rn.organisation.Name,
-		Remaining: rn.end.Sub(began), Inputs: inputs, Rank: rn.rank, Engine: rn.pool.Engine != nil, LastEventID: rn.request.LastEventID,
+		Remaining: rn.end.Sub(began), Inputs: inputs, Rank: rn.rank, Engine: rn.pool.Engine != nil, LastEventID: rn.lastEventID(),
 	})
 	result := at.judge(ctx, reply, err)
 	rn.Events.Record(&wire.Event{
@@ -163,6 +176,14 @@
 	return result
 }
 
+// lastEventID is the event after which the stream goes on.
+func (rn *run) lastEventID() string {
+	if id := rn.cutter.LastID(); id != "" {
+		return id
+	}
+	return rn.request.LastEventID
+}
+
 const (
 	// silentTargets is how many times its target a repeatable request waits for a first answer before it is sent
 	// to another upstream, at least silentLeast.
@@ -255,7 +276,7 @@
 
 // mayRepeat reports whether the request may be sent to one more upstream, and spends a repeated send.
 func (rn *run) mayRepeat(ctx context.Context) bool {
-	if rn.passed || rn.pipeline.Repeat == route.Once || rn.sent >= rn.pipeline.MaxUpstreams || ctx.Err() != nil {
+	if rn.passed && rn.cutter.LastID() == "" || rn.pipeline.Repeat == route.Once || rn.sent >= rn.pipeline.MaxUpstreams || ctx.Err() != nil {
 		return false
 	}
 	return rn.Pools.Spend(rn.pool.Name)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/turmericdoor/turmericdoor/catalog"
 	"github.com/turmericdoor/turmericdoor/digest"
+	"github.com/turmericdoor/turmericdoor/events"
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/overload"
@@ -81,6 +82,8 @@
 	// sent counts the sends that may have run, passed says that a part of the answer went to the sink.
 	sent   int
 	passed bool
+	// cutter cuts a stream that can be resumed into whole events.
+	cutter *events.Cutter
 	// cause is what decided the outcome, for the log.
 	cause string
 }
@@ -91,7 +94,7 @@
 // Serve takes a request to its end. The answer of an upstream goes to sink; any other outcome is for the caller
 // to be told.
 func (gw *Gateway) Serve(ctx context.Context, request *Request, sink Sink) Outcome {
-	rn := &run{Gateway: gw, request: request, sink: sink}
+	rn := &run{Gateway: gw, request: request, sink: sink, cutter: events.New()}
 	outcome := rn.serve(ctx)
 	rn.record(outcome)
 	return outcome
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -49,6 +49,10 @@
 				Name: "draft", Host: "h", Prefix: "/draft/", Pools: pools("model"), MaxUpstreams: 1, Streaming: true, Timeout: 6 * time.Second,
 				Target: time.Second, Abandoned: 4 * time.Second, Stages: []route.Stage{{Pool: "stage", ResultBytes: 3e6}, {Pool: "stage", After: []int{0}}},
 			},
+			{
+				Name: "query", Host: "h", Prefix: "/query/", Pools: pools("model"), MaxUpstreams: 2, Streaming: true, Repeat: route.Resumable,
+				Timeout: 6 * time.Second, Target: 3 * time.Second,
+			},
 			{Name: "open", Host: "h", Prefix: "/open/", Pools: pools("plain"), Public: true, MaxUpstreams: 1},
 		},
 	})
@@ -342,6 +346,30 @@
 	})
 }
 
+func TestResumedStreams(t *testing.T) {
+	query := func(rq *gateway.Request) { rq.ItemCounts = nil }
+	t.Run("another upstream goes on after the last whole event", func(t *testing.T) {
+		fk := &fakes{answers: []answer{{status: 200, body: "id: 1\n\nid: 2\nda", breaks: true}, {status: 200, body: "id: 2\ndata: b\n\n"}}}
+		outcome, out := serve(t, fk, "/query/1", query)
+		assertOutcome(t, "Answered", outcome)
+		must.Eq(t, "id: 1\n\nid: 2\ndata: b\n\n", out.body)
+		must.Eq(t, "1", fk.sends[1].LastEventID)
+	})
+	t.Run("when no other can, the answer is cut off", func(t *testing.T) {
+		breaks := answer{status: 200, body: "id: 1\n\n", breaks: true}
+		outcome, out := serve(t, &fakes{answers: []answer{breaks, {err: errReset}}}, "/query/1", query)
+		assertOutcome(t, "CutOff", outcome)
+		must.Eq(t, "id: 1\n\n", out.body)
+	})
+	t.Run("a refusal of the second does not reach a caller who has a part of the answer", func(t *testing.T) {
+		breaks := answer{status: 200, body: "id: 1\n\n", breaks: true}
+		no := answer{status: 503, notRun: true}
+		outcome, out := serve(t, &fakes{answers: []answer{breaks, no, no, no}}, "/query/1", query)
+		assertOutcome(t, "CutOff", outcome)
+		must.Eq(t, 200, out.status)
+	})
+}
+
 func TestTimeLeft(t *testing.T) {
 	t.Run("an upstream is told what is left of the shorter of both times", func(t *testing.T) {
 		fk := &fakes{}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -21,12 +21,12 @@
 	total := 0
 	for {
 		count, err := reply.Body.Read(buffer)
-		if count > 0 {
+		if part := rn.whole(buffer[:count]); len(part) > 0 {
 			if !at.answered {
 				at.begin(reply)
 			}
-			total += count
-			if failure := rn.sink.Write(buffer[:count]); failure != nil {
+			total += len(part)
+			if failure := rn.sink.Write(part); failure != nil {
 				at.end(placement.Abandoned, "Abandoned", "caller has left")
 				return ended{outcome: Gone{}}
 			}
@@ -40,11 +40,27 @@
 	}
 }
 
+// whole returns what may be passed on of a part of a stream: of one that can be resumed, whole events only.
+func (rn *run) whole(part []byte) []byte {
+	if rn.pipeline.Repeat != route.Resumable {
+		return part
+	}
+	return rn.cutter.Take(part)
+}
+
 // begin passes the head of the answer on with its first part.
 func (at *attempt) begin(reply *Reply) {
 	rn := at.run
 	at.answering()
+	if rn.passed {
+		return
+	}
 	rn.passed = true
+	if rn.pipeline.Repeat == route.Resumable {
+		// The answer keeps its head when another upstream goes on with it, and has no length of its own.
+		rn.sink.Start(reply.Status, reply.Header, -1)
+		return
+	}
 	rn.sink.Start(reply.Status, reply.Header, reply.Length)
 	at.stages.releaseAll()
 }
@@ -57,6 +73,11 @@
 	if !at.answered {
 		at.begin(reply)
 	}
+	if rest := rn.cutter.Rest(); len(rest) > 0 {
+		if failure := rn.sink.Write(rest); failure != nil {
+			return ended{outcome: Gone{}}
+		}
+	}
 	if rn.Crashes.Standing(rn.fingerprint) != quarantine.Clear {
 		rn.Crashes.Passed(rn.fingerprint)
 	}
@@ -68,10 +89,11 @@
 // broken handles a stream that its upstream broke off.
 func (at *attempt) broken(ctx context.Context, cause error) ended {
 	rn := at.run
-	if !rn.passed {
-		return at.lost(ctx, cause.Error())
+	result := at.lost(ctx, cause.Error())
+	if !rn.passed || result.next {
+		rn.cutter.Drop()
+		return result
 	}
-	at.lost(ctx, cause.Error())
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTime) {
 		return ended{outcome: Gone{}}
 	}
