Hold by a test that only the adapter knows the platform's names; read settings again when their file changes

The stand-in now always has another call's identity to send. Ruled out: the adapter's changes (instance, upstream and emulator were untouched by them).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -151,7 +151,7 @@
 	invariant.Check(before == nil || before.Revision < fresh.Revision, "a revision never reverts", "%d", fresh.Revision)
 	ct.events.Record(&wire.Event{
 		Kind: wire.EventKind_EventDocumentInstalled, Revision: fresh.Revision,
-		Detail: fmt.Sprintf("row_version=%d peer=%t pipelines=%d pools=%d", row.Version, fromPeer, len(fresh.Pipelines), len(fresh.Pools)),
+		Detail: fmt.Sprintf("version=%d peer=%t pipelines=%d pools=%d", row.Version, fromPeer, len(fresh.Pipelines), len(fresh.Pools)),
 	})
 }
 
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -73,6 +73,8 @@
 	sd := &Standin{name: name, config: config, address: config.GetAddress(), slots: newSlots(config.GetSlots())}
 	sd.rows.content = map[string]storedRow{}
 	sd.faults.Store(&Faults{})
+	// Also the first call must have another one's identity to be answered with.
+	sd.lastID.Store(&identity{request: "none", stage: "none", attempt: "0"})
 	sd.handler = sd.routes()
 	return sd
 }
@@ -172,7 +174,7 @@
 		attempt: request.Header.Get(upstream.HeaderAttempt),
 	}
 	sent := own
-	if before := sd.lastID.Swap(own); before != nil && sd.faults.Load().AnswerOther {
+	if before := sd.lastID.Swap(own); sd.faults.Load().AnswerOther {
 		sent = before
 	}
 	writer.Header().Set(upstream.HeaderRequestID, sent.request)
--- a/entrypoint/entrypoint.go
+++ b/entrypoint/entrypoint.go
@@ -28,6 +28,8 @@
 	Handler(en *entry.Entry) http.Handler
 	// Load reads the settings file.
 	Load() (entry.Settings, error)
+	// Changed reports whether the settings file differs from when it was last read.
+	Changed() bool
 	// Reload takes over what can change while the instance runs.
 	Reload(settings entry.Settings)
 }
@@ -44,7 +46,6 @@
 	metrics  *http.Server
 	peers    *grpc.Server
 	failed   chan error
-	modified time.Time
 }
 
 const (
@@ -70,7 +71,7 @@
 	}
 	parts := adapter.Parts(settings)
 	parts.Settings, parts.Logger, parts.Timers = settings, logger, ep.timers
-	parts.PeerDialer, parts.BatchDialer = dialPeer, dialBatches
+	parts.PeerDialer, parts.BatchDialer = DialPeer, DialBatches
 	ep.entry = entry.New(parts)
 	return ep
 }
@@ -102,12 +103,19 @@
 				return nil
 			}
 			ep.reload("signal")
+		case <-ep.timers.After(settingsCheck):
+			if ep.adapter.Changed() {
+				ep.reload("file changed")
+			}
 		case err := <-ep.failed:
 			return err
 		}
 	}
 }
 
+// settingsCheck is how often the settings file is looked at: it may change without a signal.
+const settingsCheck = 2 * time.Second
+
 // reload reads the settings again. Settings that are wrong change nothing.
 func (ep *Entrypoint) reload(cause string) {
 	fresh, err := ep.adapter.Load()
--- a/entrypoint/link.go
+++ b/entrypoint/link.go
@@ -51,7 +51,8 @@
 	return lk.connection.Close()
 }
 
-func dialPeer(address string) (peer.Link, error) {
+// DialPeer makes a link to another instance for membership and rows.
+func DialPeer(address string) (peer.Link, error) {
 	connection, err := dial(address)
 	if err != nil {
 		return nil, err
@@ -70,7 +71,8 @@
 	return lk.connection.Close()
 }
 
-func dialBatches(address string) (gather.Link, error) {
+// DialBatches makes a link to another instance for items.
+func DialBatches(address string) (gather.Link, error) {
 	connection, err := dial(address)
 	if err != nil {
 		return nil, err
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -125,7 +125,7 @@
 
 // first returns the upstream that a session belongs to.
 func (pl *Pools) first(pool string, list []*roster.Upstream, session uint64) (*roster.Upstream, bool) {
-	found, any := (*roster.Upstream)(nil), false
-	pl.with(pool, func(_ time.Time, known *placement.Pool) { found, any = known.First(list, session) })
-	return found, any
+	found, known := (*roster.Upstream)(nil), false
+	pl.with(pool, func(_ time.Time, state *placement.Pool) { found, known = state.First(list, session) })
+	return found, known
 }
--- a/gather/client.go
+++ b/gather/client.go
@@ -56,47 +56,12 @@
 	at    time.Time
 }
 
-// Load is the expected wait at a place: of items that are due soon, of those behind all others, and of those that are
-// due soon and have results of LargeBytes.
-type Load struct {
-	Soon       time.Duration
-	Last       time.Duration
-	Large      time.Duration
-	LargeBytes int64
-}
-
-// Wish is what decides how long work waits: patient work goes behind all other, and large results need room.
-type Wish struct {
-	Patient     bool
-	ResultBytes int64
-}
-
-// of returns the wait for a wish.
-func (ld Load) of(wish Wish) time.Duration {
-	switch {
-	case wish.Patient:
-		return ld.Last
-	case ld.LargeBytes > 0 && 2*wish.ResultBytes > ld.LargeBytes:
-		return ld.Large
-	default:
-		return ld.Soon
-	}
-}
-
 // load is what is known of a place's wait, as of a time.
 type load struct {
 	Load
 	at time.Time
 }
 
-// toWire states a load in a message.
-func (ld Load) toWire(failureDomain string) *wire.PoolLoad {
-	return &wire.PoolLoad{
-		FailureDomain: failureDomain, WaitMs: ld.Soon.Milliseconds(), LastMs: ld.Last.Milliseconds(),
-		LargeMs: ld.Large.Milliseconds(), LargeBytes: ld.LargeBytes,
-	}
-}
-
 // ClientParts are what a client works with.
 type ClientParts struct {
 	Self     string
@@ -132,144 +97,6 @@
 	maxTries = 4
 )
 
-// Expect returns the shortest expected wait for a pool's results, and the failure domain that has it. One that is
-// longer by less than margin in the preferred failure domain goes first.
-func (cl *Client) Expect(pool, preferred string, margin time.Duration, wish Wish) (string, time.Duration) {
-	now := cl.timers.Now()
-	best, lowest := preferred, time.Duration(-1)
-	for _, domain := range cl.Domains(pool) {
-		wait := cl.waitAt(now, Place{Pool: pool, FailureDomain: domain}, wish)
-		compared := wait
-		if domain != preferred {
-			compared += margin
-		}
-		if lowest < 0 || compared < lowest {
-			best, lowest = domain, compared
-		}
-	}
-	if best != preferred {
-		lowest -= margin
-	}
-	return best, max(lowest, 0)
-}
-
-// ExpectAt returns the expected wait for a pool's results in one failure domain; where it has no upstreams, in the
-// domain that has them first.
-func (cl *Client) ExpectAt(pool, domain string, wish Wish) time.Duration {
-	if len(cl.view.Upstreams(pool, domain)) == 0 {
-		_, wait := cl.Expect(pool, "", 0, wish)
-		return wait + elsewhereCost
-	}
-	return cl.waitAt(cl.timers.Now(), Place{Pool: pool, FailureDomain: domain}, wish)
-}
-
-// ExpectLater is ExpectAt with the items that other requests will bring to the pool before, where they go first.
-func (cl *Client) ExpectLater(pool, domain string, wish Wish) time.Duration {
-	if !wish.Patient {
-		return cl.ExpectAt(pool, domain, wish)
-	}
-	now := cl.timers.Now()
-	coming := 0
-	cl.mu.Lock()
-	for at, known := range cl.upcoming {
-		if at.FailureDomain != domain || now.Sub(known.at) > upcomingLife {
-			continue
-		}
-		for _, one := range known.items {
-			if one.Pool == pool {
-				coming += one.Items
-			}
-		}
-	}
-	cl.mu.Unlock()
-	return cl.ExpectAt(pool, domain, wish) + time.Duration(coming)*cl.itemTime(pool, domain)
-}
-
-// upcomingLife is how long what a place told of items to come counts.
-const upcomingLife = 1500 * time.Millisecond
-
-// itemTime is the time that each item adds to a pool's wait in a failure domain, in full batches.
-func (cl *Client) itemTime(pool, domain string) time.Duration {
-	described, known := cl.view.Pool(pool)
-	upstreams := len(cl.view.Upstreams(pool, domain))
-	if !known || described.Items == nil || upstreams == 0 {
-		return 0
-	}
-	each := described.Items.CallTime/time.Duration(max(described.Items.Batch, 1)) + described.Items.ItemTime
-	return each / time.Duration(upstreams)
-}
-
-// learnUpcoming takes note of the items that requests at a place will need of other pools.
-func (cl *Client) learnUpcoming(at Place, items []PoolItems) {
-	cl.mu.Lock()
-	defer cl.mu.Unlock()
-	cl.upcoming[at] = upcoming{items: items, at: cl.timers.Now()}
-}
-
-// elsewhereCost is added to the wait of a pool that a failure domain does not have.
-const elsewhereCost = 50 * time.Millisecond
-
-// Domains returns the failure domains that have upstreams of a pool.
-func (cl *Client) Domains(pool string) []string {
-	list := []string{}
-	for _, up := range cl.view.Upstreams(pool, "") {
-		if !slices.Contains(list, up.FailureDomain) {
-			list = append(list, up.FailureDomain)
-		}
-	}
-	return list
-}
-
-// waitAt is the wait at a place: as it was told, less the time since, but at least that of a call alone.
-func (cl *Client) waitAt(now time.Time, at Place, wish Wish) time.Duration {
-	alone := time.Duration(0)
-	if pool, known := cl.view.Pool(at.Pool); known && pool.Items != nil {
-		alone = pool.Items.CallTime + pool.Items.ItemTime
-	}
-	cl.mu.Lock()
-	defer cl.mu.Unlock()
-	known := cl.loads[at]
-	return max(known.of(wish)-now.Sub(known.at), alone)
-}
-
-func (cl *Client) learn(pool string, loads []*wire.PoolLoad) {
-	now := cl.timers.Now()
-	cl.mu.Lock()
-	defer cl.mu.Unlock()
-	for _, each := range loads {
-		at := Place{Pool: pool, FailureDomain: each.GetFailureDomain()}
-		asOf := now.Add(-timer.Milliseconds(each.GetAgeMs()))
-		if cl.loads[at].at.Before(asOf) {
-			cl.loads[at] = load{
-				Load: Load{
-					Soon: timer.Milliseconds(each.GetWaitMs()), Last: timer.Milliseconds(each.GetLastMs()),
-					Large: timer.Milliseconds(each.GetLargeMs()), LargeBytes: each.GetLargeBytes(),
-				},
-				at: asOf,
-			}
-		}
-	}
-}
-
-// loadsOf returns what is known of a pool's places.
-func (cl *Client) loadsOf(pool string) []*wire.PoolLoad {
-	now := cl.timers.Now()
-	cl.mu.Lock()
-	defer cl.mu.Unlock()
-	list := []*wire.PoolLoad{}
-	for at, known := range cl.loads {
-		if at.Pool == pool && now.Sub(known.at) < loadLife {
-			told := known.toWire(at.FailureDomain)
-			told.AgeMs = now.Sub(known.at).Milliseconds()
-			list = append(list, told)
-		}
-	}
-	return list
-}
-
-// loadLife is how long a told load is passed on.
-const loadLife = 3 * time.Second
-
 // owners returns the instances that may gather for a place, the one whose turn it is first. All instances order
 // them by the same hash, those of the place's failure domain before the others.
 func (cl *Client) owners(at Place) []member.Member {
@@ -291,23 +118,6 @@
 	return xxhash.Sum64String(at.Pool + "/" + at.FailureDomain + "/" + id)
 }
 
-// submitted adds work that was just handed over to what is known of a place's wait.
-func (cl *Client) submitted(at Place, count int) {
-	now := cl.timers.Now()
-	added := time.Duration(count) * cl.itemTime(at.Pool, at.FailureDomain)
-	cl.mu.Lock()
-	defer cl.mu.Unlock()
-	known := cl.loads[at]
-	past := now.Sub(known.at)
-	cl.loads[at] = load{
-		Load: Load{
-			Soon: max(known.Soon-past, 0) + added, Last: max(known.Last-past, 0) + added,
-			Large: max(known.Large-past, 0) + added, LargeBytes: known.LargeBytes,
-		},
-		at: now,
-	}
-}
-
 // Run has the work done in the given failure domain, or in another when that one refuses, and waits for it.
 func (cl *Client) Run(ctx context.Context, domain string, work Work) Result {
 	refused := Refused{Cause: "no instance takes the items"}
--- /dev/null
+++ b/gather/results.go
@@ -0,0 +1,151 @@
+package gather
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/batch"
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+)
+
+// reasonCounts states why how many items of a call have no result.
+func reasonCounts(outcome Outcome) string {
+	ran, is := outcome.(Ran)
+	if !is {
+		return ""
+	}
+	counts := map[Reason]int{}
+	for _, one := range ran.Results {
+		if one.Reason != None {
+			counts[one.Reason]++
+		}
+	}
+	detail := ""
+	for _, reason := range []Reason{Late, InputGone, NoRoom, Error} {
+		if counts[reason] > 0 {
+			detail += fmt.Sprintf("%s=%d ", reason, counts[reason])
+		}
+	}
+	return strings.TrimSpace(detail)
+}
+
+// outcomeName names how a call ended, for the log.
+func outcomeName(outcome Outcome) string {
+	switch outcome := outcome.(type) {
+	case Ran:
+		return "Ran"
+	case NotRun:
+		return "NotRun"
+	case NotSent:
+		return "NotSent: " + outcome.Cause
+	case Lost:
+		return "Lost: " + outcome.Cause
+	}
+	return ""
+}
+
+// takeResults enters the results of a call. A result that nobody waits for any more is freed.
+func (pc *place) takeResults(up *roster.Upstream, items []batch.Item, results []ItemResult, end *batch.CallEnd) {
+	orphans := []string{}
+	for at, item := range items {
+		one := results[at]
+		known := pc.jobs[item.Ticket]
+		switch {
+		case one.Reason == None && known == nil:
+			orphans = append(orphans, one.Handle)
+		case one.Reason == None:
+			one.FailureDomain = up.FailureDomain
+			known.results[item.Index] = one
+			known.missing--
+			end.Results[item] = one.Handle
+			pc.made(one.Handle, up.ID)
+		case known == nil:
+		case one.Reason == NoRoom:
+			end.Outcome = batch.Full
+			end.Failed = append(end.Failed, item)
+		case one.Reason == Error && known.errors < maxItemErrors:
+			known.errors++
+			end.Failed = append(end.Failed, item)
+		default:
+			pc.give(item.Ticket, Unfinished{Cause: string(one.Reason)})
+		}
+	}
+	if len(orphans) > 0 {
+		pc.gatherer.free(up.ID, orphans, func() {})
+	}
+}
+
+// askRoom asks an upstream for its room: results lie there of which this instance does not know.
+func (pc *place) askRoom(up *roster.Upstream) {
+	pc.gatherer.parts.Go(func() {
+		ctx, cancel := context.WithTimeout(pc.gatherer.ctx, freeTimeout)
+		defer cancel()
+		room, err := pc.gatherer.caller.FreeRoom(ctx, up)
+		if err != nil {
+			pc.gatherer.events.Record(&wire.Event{Kind: wire.EventKind_EventCallFailed, Upstream: up.ID, Detail: "room: " + err.Error()})
+			return
+		}
+		pc.mu.Lock()
+		defer pc.mu.Unlock()
+		pc.pool.SetRoom(pc.gatherer.timers.Now(), upstreamName(up), room)
+		pc.signal()
+	})
+}
+
+// maxMakers bounds how many results are remembered with their upstream.
+const maxMakers = 4096
+
+func (pc *place) made(handle, upstream string) {
+	if pc.makers == nil || len(pc.makers) >= maxMakers {
+		pc.makers = map[string]string{}
+	}
+	pc.makers[handle] = upstream
+}
+
+// freeDelay is how long freed results are collected before a call frees them together.
+const freeDelay = 5 * time.Millisecond
+
+// release frees the results that were made here and returns the others.
+func (pc *place) release(handles []string) []string {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	others := []string{}
+	for _, handle := range handles {
+		maker, known := pc.makers[handle]
+		if !known {
+			others = append(others, handle)
+			continue
+		}
+		delete(pc.makers, handle)
+		if pc.toFree == nil {
+			pc.toFree = map[string][]string{}
+			pc.gatherer.parts.Go(pc.freeLater)
+		}
+		pc.toFree[maker] = append(pc.toFree[maker], handle)
+	}
+	return others
+}
+
+// freeLater frees the collected results; they count as held until the upstream has confirmed that.
+func (pc *place) freeLater() {
+	_ = pc.gatherer.timers.Sleep(pc.gatherer.ctx, freeDelay)
+	pc.mu.Lock()
+	collected := pc.toFree
+	pc.toFree = nil
+	pc.mu.Unlock()
+	for id, handles := range collected {
+		pc.gatherer.free(id, handles, func() { pc.freed(handles) })
+	}
+}
+
+func (pc *place) freed(handles []string) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	for _, handle := range handles {
+		pc.pool.Released(pc.gatherer.timers.Now(), handle)
+	}
+	pc.signal()
+}
--- a/layers_test.go
+++ b/layers_test.go
@@ -5,6 +5,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -17,10 +18,11 @@
 
 // ground packages know nothing of the others; core packages decide and do no I/O; all others are outside.
 var (
-	ground = []string{"timer", "priority", "hlc", "invariant", "digest", "entropy", "timeline", "section", "schema"}
+	ground = []string{"timer", "priority", "hlc", "invariant", "digest", "entropy", "timeline", "section", "schema", "events", "calibration"}
 	core   = []string{
 		"answer", "document", "share", "limit", "choice", "retry", "dispatch", "admission", "attempt", "claim", "lease",
 		"order", "quarantine", "subset", "member", "news", "revision", "drain", "table",
+		"allowance", "batch", "deputy", "overload", "placement", "replica", "roster", "route",
 	}
 )
 
@@ -96,3 +98,31 @@
 		}
 	})
 }
+
+// platformNames are spellings of the users' platform that only its adapter knows.
+var platformNames = []string{
+	"Turmericdoor-", "Kv-From", "Kv-Fetch", "Last-Event-Id", "Retry-After", "/v1/rows", "/v1/stage", "/v1/report", "/v1/blob", "/v1/ready",
+	"rows-get", "rows-feed", "op/config", "\"servers\"", "row_version", "slot_count", "cold_left_ms", "headroom_mb", "gap_aim_ms", "api_keys",
+	"TURMERICDOOR_NODE_FILE", "node_name", "inner_ports",
+}
+
+// ownInterface are packages that speak the product's own interface, which has names in common with HTTP.
+var ownInterface = map[string]bool{"caller": true, "upstream": true, "load": true, "command": true}
+
+func TestOnlyTheAdapterKnowsThePlatformsNames(t *testing.T) {
+	eachFile(t, func(path string) {
+		slashed := filepath.ToSlash(path)
+		first, _, _ := strings.Cut(slashed, "/")
+		if first == "platform" || strings.HasSuffix(slashed, ".pb.go") {
+			return
+		}
+		content, err := os.ReadFile(path)
+		must.NoError(t, err)
+		for _, name := range platformNames {
+			if ownInterface[first] && name == "Retry-After" {
+				continue
+			}
+			must.False(t, strings.Contains(string(content), name), must.Sprintf("%s names %q", path, name))
+		}
+	})
+}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -154,7 +154,7 @@
 		})
 	})
 	t.Run("a lost history leads to a read of all", func(t *testing.T) {
-		follow(t, true, func(st *store, wt *watch.Watch, lg *log) {
+		follow(t, true, func(st *store, _ *watch.Watch, lg *log) {
 			st.set(func() { st.down = true })
 			time.Sleep(3 * time.Second)
 			st.put("a")
@@ -174,6 +174,9 @@
 			must.Eq(t, []string{"a"}, lg.seen())
 		})
 	})
+}
+
+func TestSilentConnection(t *testing.T) {
 	t.Run("a connection that went silent is given up within three seconds and a half", func(t *testing.T) {
 		follow(t, true, func(st *store, _ *watch.Watch, lg *log) {
 			st.set(func() { st.silent = true })
