--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,7 +91,7 @@
 	en.events = timeline.New(en.settings.Instance, clock, timelineEvents, en.logbook.Write)
 	en.catalog = catalog.New(parts.Decoder, parts.Tables, parts.Timers, en.events)
 	for _, table := range []string{parts.Tables.Configuration, parts.Tables.Registrations} {
-		en.watches = append(en.watches, watch.New(table, parts.Source, parts.Timers, parts.Chance.Fork(table), changes{en}, en.reads))
+		en.watches = append(en.watches, watch.New(table, meteredSource{parts.Source, en.metrics}, parts.Timers, parts.Chance.Fork(table), changes{en}, en.reads))
 	}
 	en.peer = en.newPeer(parts, clock)
 	en.pools = gateway.NewPools(parts.Timers, parts.Settings.Budget, func() int { return len(en.peer.Live()) })
--- /dev/null
+++ b/entry/metered.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/metric"
+	"github.com/turmericdoor/turmericdoor/replica"
+	"github.com/turmericdoor/turmericdoor/watch"
+)
+
+// meteredSource books the calls to the store.
+type meteredSource struct {
+	next    watch.Source
+	metrics *metric.Set
+}
+
+// ReadAll returns the whole table.
+func (ms meteredSource) ReadAll(ctx context.Context, table string) (replica.Page, error) {
+	page, err := ms.next.ReadAll(ctx, table)
+	ms.metrics.TableCall("ReadAll", callOutcome(err))
+	return page, err
+}
+
+// ReadChanges waits for changes after a version.
+func (ms meteredSource) ReadChanges(ctx context.Context, table string, after int64, wait time.Duration) (replica.Page, error) {
+	page, err := ms.next.ReadChanges(ctx, table, after, wait)
+	ms.metrics.TableCall("ReadChanges", callOutcome(err))
+	return page, err
+}
+
+func callOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "Answered"
+	case errors.Is(err, watch.ErrHistoryGone):
+		return "HistoryGone"
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return "GivenUp"
+	}
+	return "Failed"
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -123,9 +123,16 @@
 	}
 }
 
+// started reports whether the replica was ever whole; an empty store has version 0.
+func (wt *Watch) started() bool {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	return wt.replica.Started()
+}
+
 // reads reports whether this instance is to read the store.
 func (wt *Watch) reads() bool {
-	return wt.Version() == 0 || wt.deputy() || wt.Age() > staleAfter
+	return !wt.started() || wt.deputy() || wt.Age() > staleAfter
 }
 
 // Take applies a page that another instance sent.
@@ -194,7 +201,7 @@
 
 // step makes one call and applies its answer.
 func (wt *Watch) step(ctx context.Context, whole bool) error {
-	if whole || wt.Version() == 0 {
+	if whole || !wt.started() {
 		return wt.readAll(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, changesWait+answerSlack)
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -226,3 +226,21 @@
 		})
 	})
 }
+
+func TestEmptyStore(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		st, lg := newStore(), &log{}
+		st.page.Version = 0
+		wt := watch.New("t", st, timer.New(), entropy.New(1), lg, func() bool { return true })
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go wt.Run(ctx, done)
+		time.Sleep(10 * time.Second)
+		must.LessEq(t, 6, st.calls, must.Sprint("a store without rows is waited on, not asked again and again"))
+		st.put("a")
+		time.Sleep(time.Millisecond)
+		must.Eq(t, []string{"a"}, lg.seen())
+		cancel()
+		<-done
+	})
+}
