Count the time in which a missing upstream may come back from its removal

Cause, from the code and rebuilt in TestRemovalNearAnOutage: an instance told others how long missing upstreams may come back; when that was extended while the catalog slept, it woke too early, dropped nothing and slept for good. Ruled out: late changes (all instances had them within 10 ms).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -240,21 +240,20 @@
 func (ct *Catalog) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ct.due:
-		}
 		ct.mu.Lock()
 		at := ct.roster.Due()
 		ct.mu.Unlock()
+		wait := ct.timers.After(max(at.Sub(ct.timers.Now()), 0))
 		if at.IsZero() {
-			continue
+			wait = nil
 		}
-		if ct.timers.Sleep(ctx, max(at.Sub(ct.timers.Now()), 0)) != nil {
+		select {
+		case <-ctx.Done():
 			return
+		case <-ct.due:
+		case <-wait:
+			ct.expire()
 		}
-		ct.expire()
 	}
 }
 
--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,120 @@
+package catalog_test
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/catalog"
+	"github.com/turmericdoor/turmericdoor/hlc"
+	"github.com/turmericdoor/turmericdoor/replica"
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/route"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+)
+
+// decoder reads the revision of a configuration, and the state of a registration, from a row's value.
+type decoder struct{}
+
+func (decoder) Configuration(row replica.Row) (*route.Table, error) {
+	revision, err := strconv.ParseInt(string(row.Value), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return route.New(route.Table{Revision: revision}), nil
+}
+
+func (decoder) Registration(row replica.Row, _ time.Time) (roster.Upstream, error) {
+	if string(row.Value) == "unreadable" {
+		return roster.Upstream{}, errors.New("unreadable")
+	}
+	return roster.Upstream{ID: row.Key, Pool: "p", Leaving: string(row.Value) == "leaving"}, nil
+}
+
+// play runs a catalog in fake time.
+func play(t *testing.T, run func(ct *catalog.Catalog)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		timers := timer.New()
+		ct := catalog.New(decoder{}, catalog.Tables{Configuration: "c", Registrations: "r"}, timers, timeline.New("i", hlc.New(timers), 100, nil))
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go ct.Run(ctx, done)
+		run(ct)
+		cancel()
+		<-done
+	})
+}
+
+func put(ct *catalog.Catalog, table, key, value string) {
+	ct.RowsChanged(table, []replica.Row{{Key: key, Value: []byte(value), Version: 1}}, 1, false)
+}
+
+func remove(ct *catalog.Catalog, key string) {
+	ct.RowsChanged("r", []replica.Row{{Key: key, Deleted: true, Version: 2}}, 2, false)
+}
+
+func assertRevision(t *testing.T, ct *catalog.Catalog, want int64) {
+	t.Helper()
+	must.NotNil(t, ct.Table())
+	must.Eq(t, want, ct.Table().Revision)
+}
+
+func TestConfigurations(t *testing.T) {
+	play(t, func(ct *catalog.Catalog) {
+		must.Nil(t, ct.Table())
+		put(ct, "c", "config", "5")
+		put(ct, "c", "config", "4")
+		assertRevision(t, ct, 5)
+		put(ct, "c", "config", "unreadable")
+		assertRevision(t, ct, 5)
+		ct.RowsChanged("c", []replica.Row{{Key: "config", Deleted: true}}, 9, false)
+		assertRevision(t, ct, 5)
+		put(ct, "c", "config", "7")
+		assertRevision(t, ct, 7)
+		must.False(t, ct.Complete(), must.Sprint("no registrations are known yet"))
+		put(ct, "r", "a", "")
+		must.True(t, ct.Complete())
+	})
+}
+
+func TestRegistrations(t *testing.T) {
+	play(t, func(ct *catalog.Catalog) {
+		put(ct, "r", "a", "")
+		put(ct, "r", "b", "")
+		put(ct, "r", "b", "unreadable")
+		put(ct, "r", "c", "leaving")
+		must.SliceLen(t, 1, ct.Upstreams("p", ""))
+		remove(ct, "a")
+		must.SliceEmpty(t, ct.Upstreams("p", ""))
+	})
+}
+
+// TestRemovalNearAnOutage replays registrations that are removed shortly after the store's return, while other instances
+// go on telling of later returns: an upstream that leaves must be out of use within two seconds all the same.
+func TestRemovalNearAnOutage(t *testing.T) {
+	play(t, func(ct *catalog.Catalog) {
+		put(ct, "r", "a", "")
+		put(ct, "r", "lapsed", "")
+		ct.StoreLost("r", errors.New("down"))
+		time.Sleep(5 * time.Second)
+		ct.StoreBack("r")
+		remove(ct, "a")
+		remove(ct, "lapsed")
+		for range 10 {
+			time.Sleep(150 * time.Millisecond)
+			ct.ExtendGrace(1900 * time.Millisecond)
+		}
+		put(ct, "r", "lapsed", "")
+		must.NotNil(t, ct.Find("lapsed"))
+		time.Sleep(500 * time.Millisecond)
+		must.Nil(t, ct.Find("a"), must.Sprint("two seconds after its removal"))
+		must.NotNil(t, ct.Find("lapsed"))
+	})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -144,7 +144,10 @@
 // Start starts every part.
 func (en *Entry) Start() {
 	go en.logbook.Run(en.logLife, en.logEnd)
-	en.events.Record(&wire.Event{Kind: wire.EventKind_EventStarted, Detail: en.settings.FailureDomain})
+	en.events.Record(&wire.Event{
+		Kind:   wire.EventKind_EventStarted,
+		Detail: "domain=" + en.settings.FailureDomain + " peers=" + en.settings.PeerAddress + " metrics=" + en.settings.MetricsAddress,
+	})
 	en.start(en.peer.Run)
 	en.start(en.catalog.Run)
 	en.start(en.gatherer.Run)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -115,25 +115,24 @@
 
 // Due returns when Expire has something to do, or the zero time.
 func (rs *Roster) Due() time.Time {
-	if !rs.outageSince.IsZero() {
-		return time.Time{}
-	}
+	due := time.Time{}
 	for _, known := range rs.entries {
-		if !known.vanished.IsZero() {
-			return rs.graceUntil
+		if known.vanished.IsZero() {
+			continue
+		}
+		if last := known.vanished.Add(returnTime); due.IsZero() || last.Before(due) {
+			due = last
 		}
 	}
-	return time.Time{}
+	return due
 }
 
-// Expire drops the registrations that did not come back in time and returns their ids.
+// Expire drops the registrations that did not come back in time and returns their ids. The time counts from each
+// removal, however long others may still come back: an upstream that leaves must be out of use by then.
 func (rs *Roster) Expire(now time.Time) []string {
 	dropped := []string{}
-	if !rs.outageSince.IsZero() || now.Before(rs.graceUntil) {
-		return dropped
-	}
 	for id, known := range rs.entries {
-		if !known.vanished.IsZero() {
+		if !known.vanished.IsZero() && !now.Before(known.vanished.Add(returnTime)) {
 			delete(rs.entries, id)
 			dropped = append(dropped, id)
 		}
