--- a/command/front.go
+++ b/command/front.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
+	"strconv"
 
 	"github.com/charmbracelet/log"
 
@@ -17,6 +19,10 @@
 	if err != nil {
 		return inputError(err)
 	}
+	if port := tb.options.metricsPort; port > 0 {
+		host, _, _ := net.SplitHostPort(settings.MetricsAddress)
+		settings.MetricsAddress = net.JoinHostPort(host, strconv.Itoa(port))
+	}
 	logger := log.NewWithOptions(os.Stdout, log.Options{
 		Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 	}).With("instance", settings.Instance)
--- a/command/table.go
+++ b/command/table.go
@@ -37,6 +37,7 @@
 	settings string
 	// platformSettings is the path of the platform's settings file.
 	platformSettings string
+	metricsPort      int
 	address          string
 	key              string
 	team             string
@@ -96,7 +97,7 @@
 func commands() []entry {
 	return []entry{
 		{name: "serve", help: "Run an entry instance until it is told to stop", flags: settingsFlag, run: (*Table).serve},
-		{name: "front", help: "Run an entry instance on the users' platform until it is told to stop", flags: frontFlags, run: (*Table).front},
+		{name: "front", help: "Run an entry instance on the users' platform until it is told to stop", flags: serveFrontFlags, run: (*Table).front},
 		{name: "settings", help: "Work on the settings file", children: []entry{
 			{name: "check", help: "Check a settings file and list everything that is wrong with it", flags: settingsFlag, run: (*Table).checkSettings},
 			{name: "check-platform", help: "Check a settings file of the users' platform", flags: frontFlags, run: (*Table).checkFront},
@@ -131,6 +132,11 @@
 	sub.String(&op.platformSettings, "s", "settings", "Path of the platform's settings file; "+platform.SettingsVariable+" is used if it is not given")
 }
 
+func serveFrontFlags(op *options, sub *flaggy.Subcommand) {
+	frontFlags(op, sub)
+	sub.Int(&op.metricsPort, "m", "metrics-port", "Port of the metrics on the instance's own address; 0 takes one of the platform's free ports")
+}
+
 func directoryFlag(op *options, sub *flaggy.Subcommand) {
 	sub.String(&op.directory, "d", "directory", "Folder with one file NAME.ini for each team")
 }
