--- a/command/table.go
+++ b/command/table.go
@@ -98,6 +98,7 @@
 	return []entry{
 		{name: "serve", help: "Run an entry instance until it is told to stop", flags: settingsFlag, run: (*Table).serve},
 		{name: "front", help: "Run an entry instance on the users' platform until it is told to stop", flags: serveFrontFlags, run: (*Table).front},
+		{name: "explain", help: "Print the log lines of a request in their order", flags: explainFlags, run: (*Table).explain},
 		{name: "settings", help: "Work on the settings file", children: []entry{
 			{name: "check", help: "Check a settings file and list everything that is wrong with it", flags: settingsFlag, run: (*Table).checkSettings},
 			{name: "check-platform", help: "Check a settings file of the users' platform", flags: frontFlags, run: (*Table).checkFront},
@@ -137,6 +138,11 @@
 	sub.Int(&op.metricsPort, "m", "metrics-port", "Port of the metrics on the instance's own address; 0 takes one of the platform's free ports")
 }
 
+func explainFlags(op *options, sub *flaggy.Subcommand) {
+	sub.String(&op.request, "r", "request", "Id of the request")
+	sub.String(&op.file, "f", "file", "File with the log lines of all instances")
+}
+
 func directoryFlag(op *options, sub *flaggy.Subcommand) {
 	sub.String(&op.directory, "d", "directory", "Folder with one file NAME.ini for each team")
 }
