--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	google.golang.org/grpc/cmd/protoc-gen-go-grpc github.com/mgechev/revive \
 	honnef.co/go/tools/cmd/staticcheck mvdan.cc/gofumpt
 
-.PHONY: all build test race lint generate check-generated tools demo soak figures capacity fuzz clean
+.PHONY: all build test race lint generate check-generated tools demo soak fault-soak figures capacity fuzz clean
 
 all: build
 
@@ -72,6 +72,13 @@
 	@echo "seed $(SEED) steps $(STEPS)"
 	go test -count=1 -timeout 1h ./promise -run 'TestSoak$$' -v -seed $(SEED) -steps $(STEPS)
 
+# Real processes under random faults: make fault-soak FIRST=1 SEEDS=50 TIME=8s; each seed starts four processes of its own.
+FIRST ?= 1
+SEEDS ?= 50
+TIME ?= 8s
+fault-soak:
+	go test -count=1 -timeout 2h ./soak -run 'TestFaultSoak$$' -v -seed $(FIRST) -seeds $(SEEDS) -time $(TIME)
+
 # Each reader of outside bytes against random input, for FUZZTIME.
 FUZZTIME ?= 30s
 fuzz:
@@ -79,4 +86,5 @@
 	go test -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) ./document
 	go test -run xxx -fuzz FuzzParseBody -fuzztime $(FUZZTIME) ./caller
 	go test -run xxx -fuzz FuzzReply -fuzztime $(FUZZTIME) ./upstream
+	go test -run xxx -fuzz FuzzConfiguration -fuzztime $(FUZZTIME) ./platform
 	go test -run xxx -fuzz FuzzJudge -fuzztime $(FUZZTIME) ./claim
--- /dev/null
+++ b/soak/world_test.go
@@ -0,0 +1,184 @@
+package soak_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// store speaks the platform's store protocol, over one table of rows for each name.
+type store struct {
+	mu      sync.Mutex
+	rows    map[string]map[string]row
+	version int64
+	changed chan struct{}
+}
+
+type row struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version int64  `json:"row_version"`
+	Deleted bool   `json:"deleted"`
+}
+
+func (st *store) put(table, key, value string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.rows[table] == nil {
+		st.rows[table] = map[string]row{}
+	}
+	st.version++
+	st.rows[table][key] = row{Key: key, Value: []byte(value), Version: st.version, Deleted: value == ""}
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
+func (st *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	after, _ := strconv.ParseInt(request.FormValue("after"), 10, 64)
+	wait, _ := strconv.ParseInt(request.FormValue("wait_ms"), 10, 64)
+	st.mu.Lock()
+	changed, version := st.changed, st.version
+	st.mu.Unlock()
+	if strings.HasSuffix(request.URL.Path, "rows-feed") && version == after {
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-request.Context().Done():
+			return
+		}
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	list := []row{}
+	for _, one := range st.rows[request.FormValue("table")] {
+		if one.Version > after && !(after == 0 && one.Deleted) {
+			list = append(list, one)
+		}
+	}
+	_ = json.NewEncoder(writer).Encode(map[string]any{"rows": list, "row_version": st.version})
+}
+
+// ledger notes what upstreams ran, and what callers were told.
+type ledger struct {
+	mu       sync.Mutex
+	runs     map[string]int
+	promised map[string]int
+	breaches []string
+}
+
+func (lg *ledger) breach(format string, args ...any) {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	lg.breaches = append(lg.breaches, fmt.Sprintf(format, args...))
+}
+
+// ran books a run; one that was promised not to happen is a breach, and so is a second one of a request that runs once.
+func (lg *ledger) ran(id string, once bool) {
+	lg.mu.Lock()
+	lg.runs[id]++
+	runs, status := lg.runs[id], lg.promised[id]
+	lg.mu.Unlock()
+	if once && runs > 1 {
+		lg.breach("request %s ran %d times", id, runs)
+	}
+	if once && status > 0 {
+		lg.breach("request %s ran after its caller got %d", id, status)
+	}
+}
+
+// told books an answer of the system's own that promises that the request did not run.
+func (lg *ledger) told(id string, status int, once bool) {
+	lg.mu.Lock()
+	lg.promised[id] = status
+	runs := lg.runs[id]
+	lg.mu.Unlock()
+	if once && runs > 0 {
+		lg.breach("request %s got %d and had run", id, status)
+	}
+}
+
+// upstream runs requests and stages; the answer to a request is made of its id.
+type upstream struct {
+	*httptest.Server
+
+	id     string
+	ledger *ledger
+}
+
+func newUpstream(t *testing.T, id string, lg *ledger) *upstream {
+	t.Helper()
+	us := &upstream{id: id, ledger: lg}
+	us.Server = httptest.NewServer(us)
+	t.Cleanup(us.Close)
+	return us
+}
+
+func (us *upstream) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	if expected := request.Header.Get("Turmericdoor-Expect-Instance"); expected != "" && expected != us.id {
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch request.URL.Path {
+	case "/v1/stage-run":
+		us.runStage(writer, body)
+		return
+	case "/v1/stage-free":
+		return
+	case "/v1/report":
+		_, _ = io.WriteString(writer, `{"free_mb":36}`)
+		return
+	}
+	id := request.Header.Get("Turmericdoor-Attempt-Id")
+	us.ledger.ran(id, strings.HasPrefix(request.URL.Path, "/post/"))
+	us.checkRequest(request, id, string(body))
+	writer.Header().Set("Turmericdoor-Attempt-Id", id)
+	writer.Header().Set("Turmericdoor-Response-Seal", us.id)
+	for event := range 4 {
+		_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", event, id)
+		_ = http.NewResponseController(writer).Flush()
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// checkRequest checks that a request came as its caller sent it.
+func (us *upstream) checkRequest(request *http.Request, id, body string) {
+	if body != "body of "+id || request.Header.Get("Authorization") != "" || request.Header.Get("Turmericdoor-Tenant") != "guild" {
+		us.ledger.breach("request %s came changed", id)
+	}
+	for _, handle := range strings.Split(request.Header.Get("Turmericdoor-Inputs"), ",") {
+		if handle != "" && !strings.Contains(handle, "/"+id+".") {
+			us.ledger.breach("request %s was given %s", id, handle)
+		}
+	}
+}
+
+func (us *upstream) runStage(writer http.ResponseWriter, body []byte) {
+	call := struct {
+		Items []struct {
+			ID    string `json:"id"`
+			Stage int    `json:"stage"`
+			Piece int    `json:"piece"`
+		} `json:"items"`
+	}{}
+	if json.Unmarshal(body, &call) != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	time.Sleep(20 * time.Millisecond)
+	results := []map[string]string{}
+	for _, item := range call.Items {
+		results = append(results, map[string]string{"handle": fmt.Sprintf("%s/%s.%d.%d", us.id, item.ID, item.Stage, item.Piece)})
+	}
+	_ = json.NewEncoder(writer).Encode(map[string]any{"items": results})
+}
