--- a/roster/roster.go
+++ b/roster/roster.go
@@ -53,7 +53,7 @@
 	// lapseOutage is how long the store must have been away for registrations to have lapsed meanwhile.
 	lapseOutage = time.Second
 	// returnTime is how long upstreams have to register again after the store's return.
-	returnTime = 1900 * time.Millisecond
+	returnTime = 1700 * time.Millisecond
 )
 
 // New returns a roster without registrations.
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -65,6 +65,8 @@
 	coalesce = 60 * time.Millisecond
 	// staleAfter is how old what other instances read may become before this one reads the store itself.
 	staleAfter = 4 * time.Second
+	// heardBack is how current another instance must be for the store to count as back.
+	heardBack = time.Second
 	// roleCheck is how often an instance that does not read the store looks whether it should.
 	roleCheck = 500 * time.Millisecond
 	// behindPause is how long the store has to deliver a change that another instance has already.
@@ -118,8 +120,13 @@
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
 	at := wt.timers.Now().Add(-age)
-	if newest <= wt.replica.Version() && at.After(wt.currentAt) {
-		wt.currentAt = at
+	if newest > wt.replica.Version() || !at.After(wt.currentAt) {
+		return
+	}
+	wt.currentAt = at
+	if wt.lost && age < heardBack {
+		wt.lost = false
+		wt.listener.StoreBack(wt.table)
 	}
 }
 
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -219,6 +219,15 @@
 			must.Eq(t, []string{"a"}, lg.seen())
 		})
 	})
+	t.Run("the store is back for it as soon as others read again", func(t *testing.T) {
+		follow(t, false, func(st *store, wt *watch.Watch, lg *log) {
+			st.set(func() { st.down = true })
+			time.Sleep(8 * time.Second)
+			must.Eq(t, 1, lg.lost)
+			wt.Heard(1, 100*time.Millisecond)
+			must.Eq(t, 1, lg.back)
+		})
+	})
 	t.Run("it takes what they send", func(t *testing.T) {
 		follow(t, false, func(_ *store, wt *watch.Watch, lg *log) {
 			wt.Take(replica.Page{Version: 5, Rows: []replica.Row{{Key: "a", Version: 5}}})
