--- a/gather/load.go
+++ b/gather/load.go
@@ -76,9 +76,6 @@
 
 // ExpectLater is ExpectAt with the items that other requests will bring to the pool before, where they go first.
 func (cl *Client) ExpectLater(pool, domain string, wish Wish) time.Duration {
-	if !wish.Patient {
-		return cl.ExpectAt(pool, domain, wish)
-	}
 	now := cl.timers.Now()
 	coming := 0
 	cl.mu.Lock()
@@ -87,8 +84,12 @@
 			continue
 		}
 		for _, one := range known.items {
-			if one.Pool == pool {
+			switch {
+			case one.Pool != pool:
+			case wish.Patient:
 				coming += one.Items
+			default:
+				coming += one.Soon
 			}
 		}
 	}
--- a/gather/place.go
+++ b/gather/place.go
@@ -105,15 +105,21 @@
 func (pc *place) upcoming() []PoolItems {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
-	sums := map[string]int{}
+	sums := map[string]PoolItems{}
 	for _, each := range pc.jobs {
 		for _, later := range each.work.Later {
-			sums[later.Pool] += later.Items
+			sum := sums[later.Pool]
+			sum.Pool = later.Pool
+			sum.Items += later.Items
+			if each.factor == pc.soonFactor {
+				sum.Soon += later.Items
+			}
+			sums[later.Pool] = sum
 		}
 	}
 	list := []PoolItems{}
 	for _, pool := range slices.Sorted(maps.Keys(sums)) {
-		list = append(list, PoolItems{Pool: pool, Items: sums[pool]})
+		list = append(list, sums[pool])
 	}
 	return list
 }
--- a/gather/server.go
+++ b/gather/server.go
@@ -87,7 +87,7 @@
 func toWireItems(list []PoolItems) []*wire.PoolItems {
 	converted := []*wire.PoolItems{}
 	for _, one := range list {
-		converted = append(converted, &wire.PoolItems{Pool: one.Pool, Items: int64(one.Items)})
+		converted = append(converted, &wire.PoolItems{Pool: one.Pool, Items: int64(one.Items), Soon: int64(one.Soon)})
 	}
 	return converted
 }
@@ -95,7 +95,7 @@
 func fromWireItems(list []*wire.PoolItems) []PoolItems {
 	converted := []PoolItems{}
 	for _, one := range list {
-		converted = append(converted, PoolItems{Pool: one.GetPool(), Items: int(one.GetItems())})
+		converted = append(converted, PoolItems{Pool: one.GetPool(), Items: int(one.GetItems()), Soon: int(one.GetSoon())})
 	}
 	return converted
 }
--- a/gather/work.go
+++ b/gather/work.go
@@ -28,6 +28,8 @@
 type PoolItems struct {
 	Pool  string
 	Items int
+	// Soon are those of the items that are due soon.
+	Soon int
 }
 
 // Item is one item of a call.
