--- a/entrypoint/entrypoint.go
+++ b/entrypoint/entrypoint.go
@@ -80,7 +80,9 @@
 func (ep *Entrypoint) Run() error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	debug.SetMemoryLimit(int64(float64(ep.settings.MemoryBytes) * memoryShare))
+	if ep.settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(ep.settings.MemoryBytes) * memoryShare))
+	}
 	debug.SetGCPercent(garbagePercent)
 	if err := ep.listen(); err != nil {
 		return err
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/platform/standin"
 )
 
 var (
@@ -37,7 +39,7 @@
 	random  *rand.Rand
 	binary  string
 	folder  string
-	store   *store
+	store   *standin.Store
 	proxies []*proxy
 	ledger  *ledger
 	fronts  []string
@@ -74,7 +76,7 @@
 	t.Helper()
 	fl := &fleet{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), binary: binary, folder: t.TempDir(),
-		store:  &store{rows: map[string]map[string]row{}, changed: make(chan struct{})},
+		store:  standin.New(),
 		ledger: &ledger{runs: map[string]int{}, promised: map[string]int{}},
 	}
 	server := httptest.NewServer(fl.store)
@@ -84,7 +86,7 @@
 			up := newUpstream(t, fmt.Sprintf("%s-%d", pool, at), fl.ledger)
 			px := newProxy(t, strings.TrimPrefix(up.URL, "http://"))
 			fl.proxies = append(fl.proxies, px)
-			fl.store.put("servers", up.id, fmt.Sprintf(
+			fl.store.Put("servers", up.id, fmt.Sprintf(
 				`{"service":%q,"address":%q,"zone":"z%d","version":"v","slot_count":8,"state":"ready","cold_left_ms":0,"sequence":1}`, pool, px.address(), at%2))
 		}
 	}
@@ -119,7 +121,7 @@
 	fl.version++
 	version := fl.version
 	fl.mu.Unlock()
-	fl.store.put("op", "config", fmt.Sprintf(`{"version":%d,%s%s`, version, routes, services))
+	fl.store.Put("op", "config", fmt.Sprintf(`{"version":%d,%s%s`, version, routes, services))
 }
 
 func (fl *fleet) start(at int) {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -6,65 +6,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 )
 
-// store speaks the platform's store protocol, over one table of rows for each name.
-type store struct {
-	mu      sync.Mutex
-	rows    map[string]map[string]row
-	version int64
-	changed chan struct{}
-}
-
-type row struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value"`
-	Version int64  `json:"row_version"`
-	Deleted bool   `json:"deleted"`
-}
-
-func (st *store) put(table, key, value string) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	if st.rows[table] == nil {
-		st.rows[table] = map[string]row{}
-	}
-	st.version++
-	st.rows[table][key] = row{Key: key, Value: []byte(value), Version: st.version, Deleted: value == ""}
-	close(st.changed)
-	st.changed = make(chan struct{})
-}
-
-func (st *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	after, _ := strconv.ParseInt(request.FormValue("after"), 10, 64)
-	wait, _ := strconv.ParseInt(request.FormValue("wait_ms"), 10, 64)
-	st.mu.Lock()
-	changed, version := st.changed, st.version
-	st.mu.Unlock()
-	if strings.HasSuffix(request.URL.Path, "rows-feed") && version == after {
-		select {
-		case <-changed:
-		case <-time.After(time.Duration(wait) * time.Millisecond):
-		case <-request.Context().Done():
-			return
-		}
-	}
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	list := []row{}
-	for _, one := range st.rows[request.FormValue("table")] {
-		if one.Version > after && !(after == 0 && one.Deleted) {
-			list = append(list, one)
-		}
-	}
-	_ = json.NewEncoder(writer).Encode(map[string]any{"rows": list, "row_version": st.version})
-}
-
 // ledger notes what upstreams ran, and what callers were told.
 type ledger struct {
 	mu       sync.Mutex
