Test a removal that is heard during an own outage

Cause: it left the reading to others, so that its outage never ended for it, and nothing was dropped while one lasted.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -118,3 +118,15 @@
 		must.NotNil(t, ct.Find("lapsed"))
 	})
 }
+
+// TestRemovalHeardDuringAnOutage replays an instance that can't reach the store and hears of a removal from others.
+func TestRemovalHeardDuringAnOutage(t *testing.T) {
+	play(t, func(ct *catalog.Catalog) {
+		put(ct, "r", "a", "")
+		ct.StoreLost("r", errors.New("silent"))
+		time.Sleep(5 * time.Second)
+		remove(ct, "a")
+		time.Sleep(2 * time.Second)
+		must.Nil(t, ct.Find("a"), must.Sprint("others have it from the store"))
+	})
+}
