--- a/batch/batch.go
+++ b/batch/batch.go
@@ -38,8 +38,7 @@
 
 // Upstream is one that calls can be sent to.
 type Upstream struct {
-	Name          string
-	FailureDomain string
+	Name string
 }
 
 // Action is what the pool asks for; Send, Drop and Wake are its variants.
@@ -128,7 +127,7 @@
 	for _, one := range list {
 		known, found := pl.upstreams[one.Name]
 		if !found {
-			known = &upstream{name: one.Name, domain: one.FailureDomain, factor: 1, results: map[string]result{}}
+			known = &upstream{name: one.Name, factor: 1, results: map[string]result{}}
 		}
 		fresh[one.Name] = known
 		pl.names = append(pl.names, one.Name)
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -162,7 +162,7 @@
 	at := &attempt{run: rn, choice: choice, want: want, began: began, stages: done}
 	at.ctx, at.cancel = context.WithCancelCause(ctx)
 	defer at.cancel(nil)
-	at.stopLimit = rn.after(rn.firstAnswerLimit(choice), func() { at.cancel(errUnanswered) })
+	at.stopLimit = rn.Timers.Call(rn.firstAnswerLimit(choice), func() { at.cancel(errUnanswered) })
 	defer at.stopLimit()
 	reply, err := rn.Sender.Send(at.ctx, Exchange{
 		Request: rn.request, Upstream: choice.Upstream, Organisation: rn.organisation.Name,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,7 +107,7 @@
 	left := rn.end.Sub(rn.Timers.Now())
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := rn.after(left, func() { cancel(errTime) })
+	stop := rn.Timers.Call(left, func() { cancel(errTime) })
 	defer stop()
 	if refusal := rn.admitLoad(); refusal != nil {
 		return refusal
@@ -116,12 +116,6 @@
 	return rn.execute(ctx)
 }
 
-// after calls what once the time is over, unless it is stopped before.
-func (rn *run) after(wait time.Duration, what func()) func() {
-	timer := time.AfterFunc(max(wait, 0), what)
-	return func() { timer.Stop() }
-}
-
 // defaultPatience stands for the patience of a caller that did not say.
 const defaultPatience = 10 * time.Second
 
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -61,7 +61,7 @@
 	return pool.Items.CallTime + time.Duration(count)*pool.Items.ItemTime
 }
 
-// after returns the time that the longest chain of stages behind a stage takes.
+// afterStage returns the time that the longest chain of stages behind a stage takes.
 func (rn *run) afterStage(index int, active []int) time.Duration {
 	longest := time.Duration(0)
 	for _, later := range active {
--- a/gather/client.go
+++ b/gather/client.go
@@ -122,14 +122,14 @@
 func (cl *Client) Run(ctx context.Context, domain string, work Work) Result {
 	refused := Refused{Cause: "no instance takes the items"}
 	tried := map[string]bool{}
-	for try := range maxTries {
+	for range maxTries {
 		at := Place{Pool: work.Pool, FailureDomain: domain}
 		owner, found := cl.owner(at, tried)
 		if !found {
 			break
 		}
 		cl.submitted(at, work.Count)
-		result := cl.runAt(ctx, owner, at, work, try > 0)
+		result := cl.runAt(ctx, owner, at, work)
 		cl.record(work, owner, at, result)
 		switch result := result.(type) {
 		case Finished:
@@ -190,7 +190,7 @@
 	return own, found && !tried[cl.self]
 }
 
-func (cl *Client) runAt(ctx context.Context, owner member.Member, at Place, work Work, final bool) Result {
+func (cl *Client) runAt(ctx context.Context, owner member.Member, at Place, work Work) Result {
 	if owner.ID == cl.self {
 		return cl.runHere(ctx, at, work)
 	}
@@ -198,7 +198,7 @@
 	if err != nil {
 		return Unfinished{Cause: causeSilent}
 	}
-	result := cl.runThere(ctx, link, at, work, final)
+	result := cl.runThere(ctx, link, at, work)
 	if unfinished, is := result.(Unfinished); is && unfinished.Cause == causeSilent && ctx.Err() == nil {
 		cl.drop(owner)
 	}
@@ -224,12 +224,12 @@
 }
 
 // runThere hands the work to another instance.
-func (cl *Client) runThere(ctx context.Context, link Link, at Place, work Work, final bool) Result {
+func (cl *Client) runThere(ctx context.Context, link Link, at Place, work Work) Result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := newWatchdog(cl.timers, cancel, acceptTimeout)
 	defer watchdog.stop()
-	stream, err := link.Gather(ctx, cl.request(at, work, final))
+	stream, err := link.Gather(ctx, cl.request(at, work))
 	if err != nil {
 		return cl.lost(ctx, err)
 	}
@@ -267,13 +267,13 @@
 	return Unfinished{Cause: err.Error()}
 }
 
-func (cl *Client) request(at Place, work Work, final bool) *wire.GatherRequest {
+func (cl *Client) request(at Place, work Work) *wire.GatherRequest {
 	now := cl.timers.Now()
 	return &wire.GatherRequest{
 		Pool: at.Pool, FailureDomain: at.FailureDomain, RequestId: work.Request, Stage: int64(work.Stage),
 		Items: int64(work.Count), Key: work.Key, Inputs: work.Inputs, Rank: int64(work.Rank),
 		DueMs: work.Due.Sub(now).Milliseconds(), ExpiresMs: work.Expires.Sub(now).Milliseconds(),
-		ResultBytes: work.ResultBytes, Final: final, Later: toWireItems(work.Later),
+		ResultBytes: work.ResultBytes, Later: toWireItems(work.Later),
 	}
 }
 
--- a/gather/place.go
+++ b/gather/place.go
@@ -168,7 +168,7 @@
 	}
 	list := []batch.Upstream{}
 	for _, up := range pc.gatherer.view.Upstreams(pc.at.Pool, pc.at.FailureDomain) {
-		list = append(list, batch.Upstream{Name: upstreamName(up), FailureDomain: up.FailureDomain})
+		list = append(list, batch.Upstream{Name: upstreamName(up)})
 	}
 	pc.pool.SetUpstreams(list)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -55,7 +55,6 @@
 type Pool struct {
 	states map[roster.Incarnation]*state
 	base   time.Duration
-	perMs  float64
 	rotate uint64
 }
 
@@ -101,7 +100,7 @@
 
 // New returns the state of a pool whose upstreams answer in about base when they are idle.
 func New(base time.Duration) *Pool {
-	return &Pool{states: map[roster.Incarnation]*state{}, base: base, perMs: tokensPerMs}
+	return &Pool{states: map[roster.Incarnation]*state{}, base: base}
 }
 
 // Keep forgets upstreams that are no longer listed and have nothing under way.
@@ -210,7 +209,7 @@
 	if want.Session != 0 && place > 0 {
 		tokens += want.SharedTokens
 	}
-	reading := time.Duration(float64(tokens) / pl.perMs * float64(time.Millisecond))
+	reading := time.Duration(float64(tokens) / tokensPerMs * float64(time.Millisecond))
 	beside := time.Duration(known.running) * runningCost
 	if up.Slots > 0 && known.running >= up.Slots {
 		beside += pl.base
@@ -260,11 +259,3 @@
 	case Abandoned:
 	}
 }
-
-// Running returns the requests under way at an upstream.
-func (pl *Pool) Running(incarnation roster.Incarnation) int {
-	if known, found := pl.states[incarnation]; found {
-		return known.running
-	}
-	return 0
-}
--- a/route/route.go
+++ b/route/route.go
@@ -83,11 +83,9 @@
 
 // Pool is a set of equal upstreams; Engine and Items are nil for a plain service.
 type Pool struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int
-	Engine         *Engine
-	Items          *Items
+	Name   string
+	Engine *Engine
+	Items  *Items
 }
 
 // Engine describes the model engines of a pool.
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -57,6 +57,24 @@
 	return ch
 }
 
+// Call calls what once d has passed, in a goroutine of its own, unless stop is called before.
+func (sv *Service) Call(d time.Duration, what func()) (stop func()) {
+	if !sv.manual {
+		waiting := time.AfterFunc(d, what)
+		return func() { waiting.Stop() }
+	}
+	stopped := make(chan struct{})
+	alarm := sv.After(d)
+	go func() {
+		select {
+		case <-alarm:
+			what()
+		case <-stopped:
+		}
+	}()
+	return sync.OnceFunc(func() { close(stopped) })
+}
+
 // Sleep waits for d and returns ctx.Err() if the context ends first.
 func (sv *Service) Sleep(ctx context.Context, d time.Duration) error {
 	select {
