--- a/batch/upstream.go
+++ b/batch/upstream.go
@@ -10,7 +10,6 @@
 // upstream is what is known of one upstream.
 type upstream struct {
 	name    string
-	domain  string
 	calls   int
 	pending int64
 	results map[string]result
--- a/route/route.go
+++ b/route/route.go
@@ -56,7 +56,6 @@
 	Repeat    Repeat
 	Streaming bool
 	Public    bool
-	Sticky    bool
 	Rank      int
 	Timeout   time.Duration
 	Target    time.Duration
