--- a/calibration/calibration.go
+++ b/calibration/calibration.go
@@ -12,10 +12,13 @@
 }
 
 const (
-	// weight is the weight of the newest outcome.
-	weight = 0.15
+	// leastWeight and mostWeight bound the weight of the newest outcome, which grows with the time since the last one
+	// by memory: instances that see few outcomes would else lag behind.
+	leastWeight = 0.1
+	mostWeight  = 0.3
+	memory      = time.Second
 	// halfLife is the time in which a factor loses half of its distance from 1 while nothing is seen.
-	halfLife = 2 * time.Second
+	halfLife = 6 * time.Second
 	// least and most bound the factor.
 	least = 0.7
 	most  = 4
@@ -38,6 +41,10 @@
 		return
 	}
 	seen := min(max(float64(actual)/float64(forecast)*applied, least), most)
+	weight := leastWeight
+	if !fc.seenAt.IsZero() {
+		weight = min(max(1-math.Exp2(-float64(now.Sub(fc.seenAt))/float64(memory)), leastWeight), mostWeight)
+	}
 	fc.value = fc.Value(now)*(1-weight) + seen*weight
 	fc.seenAt = now
 }
