--- a/overload/overload.go
+++ b/overload/overload.go
@@ -29,8 +29,8 @@
 func (TurnAway) verdict() {}
 
 const (
-	// lateAllowance is how far beyond its due time a request may be expected and still begin.
-	lateAllowance = 1.05
+	// dueShare is the part of the time until it is late that a request may be expected to take.
+	dueShare = 0.92
 	// endShare is the part of its time that a request may be expected to take.
 	endShare = 0.75
 	// minRetry is the shortest time after which a caller should come back.
@@ -40,7 +40,7 @@
 // Weigh returns the verdict on a request. One that would be late is told to come back when the queue is shorter.
 func Weigh(load Load) Verdict {
 	most := time.Duration(endShare * float64(load.UntilEnd))
-	most = min(most, time.Duration(lateAllowance*float64(load.UntilDue)))
+	most = min(most, time.Duration(dueShare*float64(load.UntilDue)))
 	if load.Expected <= most {
 		return Begin{}
 	}
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -56,8 +56,13 @@
 }
 
 func TestWeigh(t *testing.T) {
-	t.Run("a request that is expected in time begins", func(t *testing.T) {
-		must.Eq(t, overload.Verdict(overload.Begin{}), overload.Weigh(overload.Load{Expected: time.Second, UntilDue: time.Second, UntilEnd: 6 * time.Second}))
+	t.Run("a request that is expected in time, with a margin for what comes before it, begins", func(t *testing.T) {
+		begins := overload.Load{Expected: 800 * time.Millisecond, UntilDue: time.Second, UntilEnd: 6 * time.Second}
+		must.Eq(t, overload.Verdict(overload.Begin{}), overload.Weigh(begins))
+		late := begins
+		late.Expected = time.Second
+		_, turned := overload.Weigh(late).(overload.TurnAway)
+		must.True(t, turned)
 	})
 	t.Run("one that can't be served is told when the queue is gone", func(t *testing.T) {
 		verdict := overload.Weigh(overload.Load{Expected: 5 * time.Second, UntilDue: time.Second, UntilEnd: 6 * time.Second})
