Take tests' ports from a range that the system does not give to outgoing connections

Suspected: a port that was free is taken by an outgoing connection of the soak, which now runs beside it, before the instance opens it; an instance's end was not logged, and is now.

--- a/instance/cluster_test.go
+++ b/instance/cluster_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -54,10 +53,9 @@
 // freeAddress returns an address that nothing listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := emulator.FreeAddress()
 	must.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // withCluster runs a test on count instances that serve the demo's document.
@@ -127,7 +125,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	one.stop = cancel
 	in := instance.New(one.settings, log.New(io.Discard))
-	go func() { one.done <- in.Run(ctx) }()
+	go func() {
+		err := in.Run(ctx)
+		if err != nil {
+			cl.t.Logf("%s ended: %v", one.settings.GetInstance().GetId(), err)
+		}
+		one.done <- err
+	}()
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	cl.members = append(cl.members, one)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,6 +22,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/turmericdoor/turmericdoor/emulator"
 	"github.com/turmericdoor/turmericdoor/platform/standin"
 )
 
@@ -59,15 +61,14 @@
 {"name":"post","host":"h","prefix":"/post/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":1},
 {"name":"look","host":"h","prefix":"/look/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":2}],`
 
-// freePorts returns addresses that were free a moment ago.
+// freePorts returns addresses that nothing listens on.
 func freePorts(t *testing.T, count int) []string {
 	t.Helper()
 	list := []string{}
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := emulator.FreeAddress()
 		must.NoError(t, err)
-		defer listener.Close()
-		list = append(list, listener.Addr().String())
+		list = append(list, address)
 	}
 	return list
 }
@@ -91,7 +92,6 @@
 		}
 	}
 	fl.change()
-	// All at once: a port that is given back may be given out again before its process has opened it.
 	free := freePorts(t, 4*instances)
 	control := free[3*instances:]
 	for at := range instances {
@@ -99,8 +99,7 @@
 		fl.proxies = append(fl.proxies, px)
 		ports := free[3*at : 3*at+3]
 		fl.fronts = append(fl.fronts, ports[0])
-		_, inner, _ := net.SplitHostPort(ports[2])
-		fl.settings(at, ports, control, px.address(), inner)
+		fl.settings(at, ports, control, px.address())
 		fl.processes = append(fl.processes, nil)
 		fl.start(at)
 	}
@@ -108,10 +107,14 @@
 	return fl
 }
 
-func (fl *fleet) settings(at int, ports, control []string, storeAddress, inner string) {
-	content := fmt.Sprintf(`{"node_name":"i%d","zone":"z%d","ip":"127.0.0.1","listen":{"front":%q,"ready":%q,"control":%q},"inner_ports":[%s,65535],
+func (fl *fleet) settings(at int, ports, control []string, storeAddress string) {
+	// Metrics are served one port above the first inner one.
+	_, metrics, _ := net.SplitHostPort(ports[2])
+	port, err := strconv.Atoi(metrics)
+	must.NoError(fl.t, err)
+	content := fmt.Sprintf(`{"node_name":"i%d","zone":"z%d","ip":"127.0.0.1","listen":{"front":%q,"ready":%q,"control":%q},"inner_ports":[%d,65535],
 "seeds":[%q,%q],"limits":{"memory_mb":200},"bounds":{"grace_s":4,"retry_budget_ratio":0.2,"budget_window_s":10,"budget_extra":50},
-"platform":{"address":%q}}`, at, at%2, ports[0], ports[1], control[at], inner, control[0], control[1], storeAddress)
+"platform":{"address":%q}}`, at, at%2, ports[0], ports[1], control[at], port-1, control[0], control[1], storeAddress)
 	path := filepath.Join(fl.folder, fmt.Sprintf("i%d.json", at))
 	must.NoError(fl.t, os.WriteFile(path, []byte(content), 0o600))
 	fl.config = append(fl.config, path)
@@ -236,7 +239,7 @@
 	switch response.StatusCode {
 	case http.StatusOK:
 		if err == nil && (strings.Count(string(body), "data: "+id+"\n") != 4 || response.Header.Get("Turmericdoor-Response-Seal") == "") {
-			fl.ledger.breach("request %s got %q", id, body)
+			fl.ledger.breach("request %s got %.80q", id, body)
 		}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		fl.ledger.told(id, response.StatusCode, kind == "post")
