--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -41,6 +41,13 @@
 	st.changed = make(chan struct{})
 }
 
+// made returns the number of calls.
+func (st *store) made() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.calls
+}
+
 func (st *store) set(change func()) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -111,6 +118,13 @@
 func (lg *log) StoreLost(string, error) { lg.mu.Lock(); defer lg.mu.Unlock(); lg.lost++ }
 func (lg *log) StoreBack(string)        { lg.mu.Lock(); defer lg.mu.Unlock(); lg.back++ }
 
+// outages returns how often the store was lost and came back.
+func (lg *log) outages() (int, int) {
+	lg.mu.Lock()
+	defer lg.mu.Unlock()
+	return lg.lost, lg.back
+}
+
 func (lg *log) seen() []string {
 	lg.mu.Lock()
 	defer lg.mu.Unlock()
@@ -149,8 +163,9 @@
 			st.set(func() { st.down = false })
 			time.Sleep(2 * time.Second)
 			must.Eq(t, []string{"a"}, lg.seen())
-			must.Eq(t, 1, lg.lost)
-			must.Eq(t, 1, lg.back)
+			lost, back := lg.outages()
+			must.Eq(t, 1, lost)
+			must.Eq(t, 1, back)
 		})
 	})
 	t.Run("a lost history leads to a read of all", func(t *testing.T) {
@@ -204,12 +219,12 @@
 func TestReadersForOthers(t *testing.T) {
 	t.Run("an instance that others read for makes no calls while they are current", func(t *testing.T) {
 		follow(t, false, func(st *store, wt *watch.Watch, _ *log) {
-			before := st.calls
+			before := st.made()
 			for range 20 {
 				time.Sleep(500 * time.Millisecond)
 				wt.Heard(1, 200*time.Millisecond)
 			}
-			must.Eq(t, before, st.calls)
+			must.Eq(t, before, st.made())
 		})
 	})
 	t.Run("it reads itself when they no longer are", func(t *testing.T) {
@@ -223,9 +238,11 @@
 		follow(t, false, func(st *store, wt *watch.Watch, lg *log) {
 			st.set(func() { st.down = true })
 			time.Sleep(8 * time.Second)
-			must.Eq(t, 1, lg.lost)
+			lost, _ := lg.outages()
+			must.Eq(t, 1, lost)
 			wt.Heard(1, 100*time.Millisecond)
-			must.Eq(t, 1, lg.back)
+			_, back := lg.outages()
+			must.Eq(t, 1, back)
 		})
 	})
 	t.Run("it takes what they send", func(t *testing.T) {
@@ -245,7 +262,7 @@
 		done := make(chan struct{})
 		go wt.Run(ctx, done)
 		time.Sleep(10 * time.Second)
-		must.LessEq(t, 6, st.calls, must.Sprint("a store without rows is waited on, not asked again and again"))
+		must.LessEq(t, 6, st.made(), must.Sprint("a store without rows is waited on, not asked again and again"))
 		st.put("a")
 		time.Sleep(time.Millisecond)
 		must.Eq(t, []string{"a"}, lg.seen())
