Take out dead state and an unread parameter; say in prefer's comment what it does

No change of behaviour: catalog.lost and batch.Group.Stage were written and never read, expected took an upstream that it ignored, and prefer's comment still told of late groups yielding until shortly before they expire, which was replaced.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -9,7 +9,6 @@
 // Group is the items of one request's stage, which are waited for together.
 type Group struct {
 	Ticket uint64
-	Stage  int
 	Count  int
 	Rank   int
 	// Due is when the results are wanted for the request to be on time, Expires when they are of no more use.
@@ -346,7 +345,7 @@
 		return nil
 	}
 	pl.nextCall++
-	made.expected = pl.expected(one, len(made.items))
+	made.expected = pl.expected(len(made.items))
 	pl.calls[pl.nextCall] = made
 	one.calls++
 	one.pending += made.bytes
--- a/batch/forecast.go
+++ b/batch/forecast.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// prefer orders the groups for a call by when they should be served. A group that can't be on time any more yields
-// until shortly before its results are of no use: in plain order of due times, a burst beyond the pool's capacity
-// would make nearly all groups late. One that reads results does not yield, since these take room meanwhile.
+// prefer orders the groups for a call by when they should be served. A group that can't be on time any more goes behind
+// all that can: in plain order of due times, a burst beyond the pool's capacity would make nearly all groups late. One
+// that reads results does not yield, since these take room meanwhile.
 func (pl *Pool) prefer(now time.Time) []*group {
 	order := make([]*group, 0, len(pl.order))
 	for _, known := range pl.order {
@@ -34,7 +34,7 @@
 
 // isLate reports whether a group can't be on time any more.
 func (pl *Pool) isLate(now time.Time, known *group) bool {
-	return now.Add(pl.expected(nil, pl.terms.Batch/2)).After(known.Due)
+	return now.Add(pl.expected(pl.terms.Batch / 2)).After(known.Due)
 }
 
 // speed is what a pool's upstreams carry.
@@ -51,7 +51,7 @@
 // speed returns what the usable upstreams carry in full batches.
 func (pl *Pool) speed(now time.Time) speed {
 	sp := speed{firstFree: NoUpstream}
-	full := pl.expected(nil, pl.terms.Batch).Seconds()
+	full := pl.expected(pl.terms.Batch).Seconds()
 	for _, one := range pl.upstreams {
 		if now.Add(longOut).Before(one.outUntil) {
 			continue
@@ -78,7 +78,7 @@
 		aheadBytes += int64(len(known.waiting)) * known.ResultBytes
 		queued := time.Duration(float64(ahead) / sp.perSecond * float64(time.Second))
 		queued = max(queued, pl.roomWait(sp, aheadBytes))
-		own := pl.expected(nil, min(pl.terms.Batch, len(known.waiting)+ahead/sp.upstreams))
+		own := pl.expected(min(pl.terms.Batch, len(known.waiting)+ahead/sp.upstreams))
 		list = append(list, sp.firstFree+queued+own)
 		ahead += len(known.waiting)
 	}
--- a/batch/upstream.go
+++ b/batch/upstream.go
@@ -92,7 +92,7 @@
 }
 
 // expected is how long a call of so many items takes at an upstream of the pool's usual speed.
-func (pl *Pool) expected(_ *upstream, items int) time.Duration {
+func (pl *Pool) expected(items int) time.Duration {
 	return pl.terms.CallTime + time.Duration(float64(items)*pl.itemTime)
 }
 
@@ -139,7 +139,7 @@
 
 // betterElsewhere reports whether waiting for a faster upstream gives results sooner than a call to a slow one.
 func (pl *Pool) betterElsewhere(now time.Time, slow *upstream) bool {
-	here := time.Duration(slow.slowness(now) * float64(pl.expected(slow, 1)))
+	here := time.Duration(slow.slowness(now) * float64(pl.expected(1)))
 	if slow.slowness(now) < trialFactor {
 		return false
 	}
@@ -147,7 +147,7 @@
 		if other == slow || now.Before(other.outUntil) || other.slowness(now) >= trialFactor {
 			continue
 		}
-		if pl.freeIn(now, other)+pl.expected(other, pl.terms.Batch) < here {
+		if pl.freeIn(now, other)+pl.expected(pl.terms.Batch) < here {
 			return true
 		}
 	}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -43,14 +43,13 @@
 	roster *roster.Roster
 	listed bool
 	due    chan struct{}
-	lost   map[string]bool
 }
 
 // New returns a catalog without a configuration; Run must be running.
 func New(decoder Decoder, tables Tables, timers *timer.Service, events *timeline.Ring) *Catalog {
 	ct := &Catalog{
 		decoder: decoder, tables: tables, timers: timers, events: events, roster: roster.New(),
-		due: make(chan struct{}, 1), lost: map[string]bool{},
+		due: make(chan struct{}, 1),
 	}
 	ct.list.Store(ct.roster.List())
 	return ct
@@ -196,7 +195,6 @@
 func (ct *Catalog) StoreLost(table string, cause error) {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
-	ct.lost[table] = true
 	if table == ct.tables.Registrations {
 		ct.roster.StoreLost(ct.timers.Now())
 	}
@@ -207,7 +205,6 @@
 func (ct *Catalog) StoreBack(table string) {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
-	ct.lost[table] = false
 	if table == ct.tables.Registrations {
 		ct.roster.StoreBack(ct.timers.Now())
 		ct.signal()
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -9,7 +9,7 @@
 	"github.com/turmericdoor/turmericdoor/timer"
 )
 
-// changes hands changed rows to the catalog, and has other instances told of those that came from the store.
+// changes hands changed rows to the catalog, and has other instances told that there are any.
 type changes struct {
 	entry *Entry
 }
--- a/gather/place.go
+++ b/gather/place.go
@@ -57,7 +57,7 @@
 	defer pc.mu.Unlock()
 	pc.refresh()
 	group := batch.Group{
-		Stage: work.Stage, Count: work.Count, Rank: work.Rank, Due: work.Due, Expires: work.Expires, ResultBytes: work.ResultBytes,
+		Count: work.Count, Rank: work.Rank, Due: work.Due, Expires: work.Expires, ResultBytes: work.ResultBytes,
 		ReadsResults: len(work.Inputs) > 0,
 	}
 	factor := pc.lastFactor
