Invariants on each request's sends; refusal causes; figures from the log's events; connections per upstream bounded

- sending.Ledger: one send at a time, a non-idempotent request once, no more upstreams than the pipeline allows, each repeated send granted by the budget, no refusal after a send that may have run.
- net/http recovers from a handler's panic, so a breach would have gone on silently: invariant.Handler stops the process.
Both interfaces use it.
- A refusal bears a cause of a fixed list, in the log line and the figures; ejections are logged; figures of decisions are counted from the same events as the log.
- An upstream's connections are shared out to the live instances (max_conns was not counted).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -88,7 +89,7 @@
 	en.lifetime, en.end = context.WithCancel(context.Background())
 	en.logLife, en.endLog = context.WithCancel(context.Background())
 	clock := hlc.New(parts.Timers)
-	en.events = timeline.New(en.settings.Instance, clock, timelineEvents, en.logbook.Write)
+	en.events = timeline.New(en.settings.Instance, clock, timelineEvents, en.heard)
 	en.catalog = catalog.New(parts.Decoder, parts.Tables, parts.Timers, en.events)
 	for _, table := range []string{parts.Tables.Configuration, parts.Tables.Registrations} {
 		en.watches = append(en.watches, watch.New(table, meteredSource{parts.Source, en.metrics}, parts.Timers, parts.Chance.Fork(table), changes{en}, en.reads))
@@ -125,6 +126,12 @@
 	}, peer.Config{Member: config, Seeds: en.settings.Seeds, Heartbeat: heartbeat})
 }
 
+// heard writes an event to the log and books it in the figures.
+func (en *Entry) heard(event *wire.Event) {
+	en.metrics.Event(event)
+	en.logbook.Write(event)
+}
+
 // reads reports whether this instance reads the platform's store for the others.
 func (en *Entry) reads() bool {
 	return deputy.Is(en.settings.Instance, en.peer.Live())
@@ -132,6 +139,9 @@
 
 func (en *Entry) gauges() {
 	en.metrics.Gauge("requests_in_flight", func() float64 { return float64(en.gate.InFlight()) })
+	for _, each := range en.watches {
+		en.metrics.Gauge(fmt.Sprintf("table_age_seconds{table=%q}", each.Table()), func() float64 { return each.Age().Seconds() })
+	}
 	en.metrics.Gauge("members_live", func() float64 { return float64(len(en.peer.Live())) })
 	en.metrics.Gauge("configuration_revision", func() float64 {
 		if table := en.catalog.Table(); table != nil {
@@ -213,7 +223,7 @@
 // Serve takes a caller's request to its end.
 func (en *Entry) Serve(request *http.Request, decoded *gateway.Request, sink gateway.Sink) gateway.Outcome {
 	if !en.gate.Enter() {
-		return gateway.Refused{RetryAfter: closedRetry, Cause: "closed"}
+		return gateway.Refused{RetryAfter: closedRetry, Cause: gateway.Closed}
 	}
 	defer en.gate.Leave()
 	return en.gateway.Serve(request.Context(), decoded, sink)
--- a/entrypoint/entrypoint.go
+++ b/entrypoint/entrypoint.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/turmericdoor/turmericdoor/entry"
+	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
@@ -147,7 +148,7 @@
 // listen opens all addresses before anything is served, so that a start fails whole.
 func (ep *Entrypoint) listen() error {
 	ep.callers = &http.Server{
-		Handler: ep.adapter.Handler(ep.entry), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		Handler: invariant.Handler(ep.adapter.Handler(ep.entry), invariant.Stop), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		ErrorLog: ep.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	ep.ready = &http.Server{Handler: http.HandlerFunc(ep.answerReady), ReadHeaderTimeout: headerTimeout}
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -41,7 +41,7 @@
 			return outcome
 		}
 	}
-	return rn.refuse(minRetry, "results of stages were lost")
+	return rn.refuse(minRetry, StagesLost, "results of stages were lost")
 }
 
 // stageFailure is the outcome of a request whose stages were not done: it never ran.
@@ -52,7 +52,7 @@
 	failure := stageError{}
 	errors.As(err, &failure)
 	left := rn.beginBy.Sub(rn.Timers.Now())
-	return rn.refuse(min(max(failure.wait-left, minRetry), max(left, 0)+minRetry), failure.cause)
+	return rn.refuse(min(max(failure.wait-left, minRetry), max(left, 0)+minRetry), StagesRefused, failure.cause)
 }
 
 // ended is how one send ended.
@@ -70,6 +70,7 @@
 	want := placement.Want{
 		FailureDomain: domain, Session: rn.request.Prompt.session(), SharedTokens: rn.request.Prompt.sharedTokens(),
 		PromptTokens: rn.request.Prompt.ownTokens(), FarBytes: bytes,
+		MostRunning: rn.Pools.mostRunning(rn.pool),
 	}
 	connects, rejections := 0, 0
 	for {
@@ -128,8 +129,8 @@
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTime) {
 		return Gone{}
 	}
-	if rn.sent == 0 {
-		return rn.refuse(0, "no time left")
+	if rn.sends.Count() == 0 {
+		return rn.refuse(0, NoTime, "no time left")
 	}
 	rn.cause = "no time left"
 	return TimedOut{}
@@ -137,17 +138,24 @@
 
 // noUpstream is the outcome when no upstream may be tried, or none again.
 func (rn *run) noUpstream() Outcome {
-	if rn.sent == 0 {
-		return rn.refuse(emptyPoolRetry, "no usable upstream")
+	if rn.sends.Count() == 0 {
+		return rn.refuse(emptyPoolRetry, NoUpstream, "no usable upstream")
 	}
 	rn.cause = "no other upstream to try"
 	return Failed{Cause: rn.cause}
 }
 
 func (rn *run) ended(choice placement.Choice, want placement.Want, answered bool, end placement.End) {
+	out := time.Duration(0)
 	rn.Pools.with(rn.pool.Name, func(now time.Time, known *placement.Pool) {
-		known.Ended(now, choice.Upstream.Incarnation(), want.PromptTokens, answered, end)
+		out = known.Ended(now, choice.Upstream.Incarnation(), want.PromptTokens, answered, end)
 	})
+	if out > 0 {
+		rn.Events.Record(&wire.Event{
+			Kind: wire.EventKind_EventUpstreamEjected, RequestId: rn.request.ID, Upstream: choice.Upstream.ID, Stage: rn.pool.Name,
+			DurationMicros: out.Microseconds(),
+		})
+	}
 }
 
 // attempt sends the request to one upstream.
@@ -155,7 +163,7 @@
 	began := rn.Timers.Now()
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventUpstreamChosen, RequestId: rn.request.ID, Upstream: choice.Upstream.ID, Stage: rn.pool.Name,
-		Attempt: int64(rn.sent + 1),
+		Attempt: int64(rn.sends.Count() + 1),
 		Detail: fmt.Sprintf("order=%d expected=%dms domain=%s wanted=%s", choice.Order, choice.Expected.Milliseconds(),
 			choice.Upstream.FailureDomain, want.FailureDomain),
 	})
@@ -164,6 +172,7 @@
 	defer at.cancel(nil)
 	at.stopLimit = rn.Timers.Call(rn.firstAnswerLimit(choice), func() { at.cancel(errUnanswered) })
 	defer at.stopLimit()
+	rn.sends.Begin()
 	reply, err := rn.Sender.Send(at.ctx, Exchange{
 		Request: rn.request, Upstream: choice.Upstream, Organisation: rn.organisation.Name,
 		Remaining: rn.end.Sub(began), Inputs: inputs, Rank: rn.rank, Engine: rn.pool.Engine != nil, LastEventID: rn.lastEventID(),
@@ -171,7 +180,7 @@
 	result := at.judge(ctx, reply, err)
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAttemptEnded, RequestId: rn.request.ID, Upstream: choice.Upstream.ID, Stage: rn.pool.Name,
-		Attempt: int64(rn.sent), Outcome: at.outcome, Detail: at.detail, DurationMicros: rn.Timers.Now().Sub(began).Microseconds(),
+		Attempt: int64(rn.sends.Count()), Outcome: at.outcome, Detail: at.detail, DurationMicros: rn.Timers.Now().Sub(began).Microseconds(),
 	})
 	return result
 }
@@ -196,7 +205,7 @@
 
 // firstAnswerLimit is how long an upstream may be silent; a request that can't be sent again waits to its end.
 func (rn *run) firstAnswerLimit(choice placement.Choice) time.Duration {
-	if rn.pipeline.Repeat == route.Once || rn.sent+1 >= rn.pipeline.MaxUpstreams {
+	if rn.pipeline.Repeat == route.Once || rn.sends.Count()+1 >= rn.pipeline.MaxUpstreams {
 		return noLimit
 	}
 	return min(rn.end.Sub(rn.Timers.Now()), max(silentTargets*rn.pipeline.Target, silentLeast, silentTargets*choice.Expected))
@@ -226,16 +235,18 @@
 	rn := at.run
 	switch {
 	case err != nil && notSent(err):
+		rn.sends.NotSent()
 		at.end(placement.Unreachable, "NotSent", err.Error())
 		return ended{outcome: rn.afterNoConnection(ctx), next: ctx.Err() == nil}
 	case err != nil:
-		rn.sent++
+		rn.sends.MayHaveRun()
 		return at.lost(ctx, err.Error())
 	case reply.NotRun:
+		rn.sends.NotRun()
 		_ = reply.Body.Close()
 		return at.rejected(ctx, reply)
 	}
-	rn.sent++
+	rn.sends.MayHaveRun()
 	if reply.Foreign || reply.Status < http.StatusMultipleChoices && !reply.Sealed {
 		_ = reply.Body.Close()
 		return at.lost(ctx, "answer without signature or of another request")
@@ -264,22 +275,32 @@
 func (at *attempt) rejected(ctx context.Context, reply *Reply) ended {
 	rn := at.run
 	at.end(placement.Rejected, "Rejected", fmt.Sprintf("status=%d", reply.Status))
-	if rn.sent > 0 {
+	if rn.sends.Count() > 0 {
 		return ended{outcome: Failed{Cause: "rejected after another send"}, next: rn.mayRepeat(ctx)}
 	}
-	outcome := rn.refuse(emptyPoolRetry, "rejected by the upstream")
+	outcome := rn.refuse(emptyPoolRetry, UpstreamsFull, "rejected by the upstream")
 	if reply.InputGone {
-		return ended{outcome: outcome, redo: rn.Pools.Spend(rn.pool.Name)}
+		return ended{outcome: outcome, redo: rn.spend()}
 	}
-	return ended{outcome: outcome, next: rn.Pools.Spend(rn.pool.Name)}
+	return ended{outcome: outcome, next: rn.spend()}
 }
 
 // mayRepeat reports whether the request may be sent to one more upstream, and spends a repeated send.
 func (rn *run) mayRepeat(ctx context.Context) bool {
-	if rn.passed && rn.cutter.LastID() == "" || rn.pipeline.Repeat == route.Once || rn.sent >= rn.pipeline.MaxUpstreams || ctx.Err() != nil {
+	if rn.passed && rn.cutter.LastID() == "" || rn.pipeline.Repeat == route.Once || rn.sends.Count() >= rn.pipeline.MaxUpstreams || ctx.Err() != nil {
+		return false
+	}
+	return rn.spend()
+}
+
+// spend takes one repeated send out of the budget and reports whether there was one.
+func (rn *run) spend() bool {
+	if !rn.Pools.Spend(rn.pool.Name) {
 		return false
 	}
-	return rn.Pools.Spend(rn.pool.Name)
+	rn.sends.Grant()
+	rn.Metrics.BudgetLeft(rn.pool.Name, rn.Pools.Left(rn.pool.Name))
+	return true
 }
 
 // lost handles a send that may have run and has no usable answer.
@@ -327,7 +348,7 @@
 	rn.Pools.observe(rn.pipeline.Name, rn.forecast, rn.Timers.Now().Sub(rn.request.Arrived))
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAnswerBegan, RequestId: rn.request.ID, Upstream: at.choice.Upstream.ID, Stage: rn.pool.Name,
-		Attempt: int64(rn.sent), DurationMicros: rn.Timers.Now().Sub(at.began).Microseconds(),
+		Attempt: int64(rn.sends.Count()), DurationMicros: rn.Timers.Now().Sub(at.began).Microseconds(),
 	})
 	rn.Pools.with(rn.pool.Name, func(now time.Time, known *placement.Pool) {
 		known.Answering(now, at.choice.Upstream.Incarnation(), at.want.PromptTokens, now.Sub(at.began), at.choice.Expected)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/turmericdoor/turmericdoor/quarantine"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/sending"
 	"github.com/turmericdoor/turmericdoor/timeline"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
@@ -79,8 +80,8 @@
 	end     time.Time
 	beginBy time.Time
 	due     time.Time
-	// sent counts the sends that may have run, passed says that a part of the answer went to the sink.
-	sent   int
+	sends   *sending.Ledger
+	// passed says that a part of the answer went to the sink.
 	passed bool
 	// cutter cuts a stream that can be resumed into whole events.
 	cutter *events.Cutter
@@ -94,7 +95,7 @@
 // Serve takes a request to its end. The answer of an upstream goes to sink; any other outcome is for the caller
 // to be told.
 func (gw *Gateway) Serve(ctx context.Context, request *Request, sink Sink) Outcome {
-	rn := &run{Gateway: gw, request: request, sink: sink, cutter: events.New()}
+	rn := &run{Gateway: gw, request: request, sink: sink, cutter: events.New(), sends: sending.New(request.ID, sending.Terms{Once: true})}
 	outcome := rn.serve(ctx)
 	rn.record(outcome)
 	return outcome
@@ -123,7 +124,7 @@
 func (rn *run) admitRoute() Outcome {
 	rn.table = rn.Catalog.Table()
 	if rn.table == nil {
-		return rn.refuse(unreadyRetry, "no configuration yet")
+		return rn.refuse(unreadyRetry, NoConfiguration, "no configuration yet")
 	}
 	rn.pipeline = rn.table.Find(rn.request.Host, rn.request.Path)
 	if rn.pipeline == nil {
@@ -136,8 +137,9 @@
 	}
 	rn.pool, known = rn.table.PoolOf(rn.pipeline, rn.request.ID)
 	if !known {
-		return rn.refuse(unreadyRetry, "no pool")
+		return rn.refuse(unreadyRetry, NoPool, "no pool")
 	}
+	rn.sends = sending.New(rn.request.ID, sending.Terms{Once: rn.pipeline.Repeat == route.Once, Most: rn.pipeline.MaxUpstreams})
 	rn.rank = route.RankOf(rn.pipeline, rn.organisation)
 	patience := rn.request.Patience
 	if patience <= 0 {
@@ -154,7 +156,7 @@
 	rn.due = rn.request.Arrived.Add(rn.pipeline.Target)
 	rn.fingerprint = digest.Of([]byte(rn.request.Path), []byte(rn.organisation.Name), rn.request.Body)
 	if rn.Crashes.Standing(rn.fingerprint) == quarantine.Condemned {
-		return rn.refuse(0, "this request crashes upstreams")
+		return rn.refuse(0, CrashesUpstreams, "fingerprint="+rn.fingerprint.String())
 	}
 	return nil
 }
@@ -166,8 +168,9 @@
 	minRetry = 100 * time.Millisecond
 )
 
-func (rn *run) refuse(retryAfter time.Duration, cause string) Outcome {
-	rn.cause = cause
+func (rn *run) refuse(retryAfter time.Duration, cause Cause, detail string) Outcome {
+	rn.cause = detail
+	rn.sends.Refused()
 	return Refused{RetryAfter: retryAfter, Cause: cause}
 }
 
@@ -183,7 +186,7 @@
 	rn.cause = fmt.Sprintf("expected=%dms due=%dms left=%dms domain=%s", expected.Milliseconds(),
 		load.UntilDue.Milliseconds(), load.UntilEnd.Milliseconds(), rn.domain)
 	if verdict, refused := overload.Weigh(load).(overload.TurnAway); refused && len(active) > 0 {
-		return rn.refuse(verdict.RetryAfter, rn.cause+" too long")
+		return rn.refuse(verdict.RetryAfter, Overload, rn.cause+" too long")
 	}
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAdmitted, RequestId: rn.request.ID, Organisation: rn.organisation.Name,
@@ -208,7 +211,10 @@
 	took := rn.Timers.Now().Sub(rn.request.Arrived)
 	event := &wire.Event{
 		Kind: wire.EventKind_EventRequestEnded, RequestId: rn.request.ID, Organisation: rn.organisation.Name,
-		Outcome: OutcomeName(outcome), Detail: rn.cause, DurationMicros: took.Microseconds(), Attempt: int64(rn.sent),
+		Outcome: OutcomeName(outcome), Detail: rn.cause, DurationMicros: took.Microseconds(), Attempt: int64(rn.sends.Count()),
+	}
+	if refused, is := outcome.(Refused); is {
+		event.Cause = string(refused.Cause)
 	}
 	name := ""
 	if rn.pipeline != nil {
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -8,6 +8,7 @@
 	"github.com/turmericdoor/turmericdoor/calibration"
 	"github.com/turmericdoor/turmericdoor/placement"
 	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
 
@@ -66,6 +67,15 @@
 	return pl.allowance(pool).Spend(pl.timers.Now(), live)
 }
 
+// mostRunning returns how many connections to one upstream of a pool this instance may hold, an equal share of those
+// that the upstream takes, or 0 if there is no bound.
+func (pl *Pools) mostRunning(pool route.Pool) int {
+	if pool.MaxConnections == 0 {
+		return 0
+	}
+	return max(pool.MaxConnections/max(pl.live(), 1), 1)
+}
+
 // forecast is the expected time of a request, corrected by applied.
 type forecast struct {
 	expected time.Duration
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -89,9 +89,33 @@
 // Refused says that the request did not run and never will; RetryAfter is when there is room, or 0.
 type Refused struct {
 	RetryAfter time.Duration
-	Cause      string
+	Cause      Cause
 }
 
+// Cause is why a request was refused.
+type Cause string
+
+// The causes of refusals.
+const (
+	// NoConfiguration and NoPool say that the instance does not know enough yet.
+	NoConfiguration Cause = "NoConfiguration"
+	NoPool          Cause = "NoPool"
+	// CrashesUpstreams is a request whose like has crashed upstreams.
+	CrashesUpstreams Cause = "CrashesUpstreams"
+	// Overload is a request that is expected too late.
+	Overload Cause = "Overload"
+	// StagesRefused is a request whose items were not taken, StagesLost one whose results were lost again and again.
+	StagesRefused Cause = "StagesRefused"
+	StagesLost    Cause = "StagesLost"
+	// NoUpstream is a pool in which no upstream may be tried, UpstreamsFull one whose upstreams rejected the request.
+	NoUpstream    Cause = "NoUpstream"
+	UpstreamsFull Cause = "UpstreamsFull"
+	// NoTime is a request whose time was over before it was sent.
+	NoTime Cause = "NoTime"
+	// Closed is an instance that has stopped.
+	Closed Cause = "Closed"
+)
+
 func (Refused) outcome() {}
 
 // NotFound says that no pipeline has the host and path.
--- a/gather/client.go
+++ b/gather/client.go
@@ -129,8 +129,9 @@
 			break
 		}
 		cl.submitted(at, work.Count)
+		began := cl.timers.Now()
 		result := cl.runAt(ctx, owner, at, work)
-		cl.record(work, owner, at, result)
+		cl.record(work, owner, at, result, cl.timers.Now().Sub(began))
 		switch result := result.(type) {
 		case Finished:
 			return result
@@ -154,7 +155,7 @@
 	return refused
 }
 
-func (cl *Client) record(work Work, owner member.Member, at Place, result Result) {
+func (cl *Client) record(work Work, owner member.Member, at Place, result Result, took time.Duration) {
 	outcome, detail := "Finished", ""
 	switch result := result.(type) {
 	case Finished:
@@ -165,7 +166,7 @@
 	}
 	cl.events.Record(&wire.Event{
 		Kind: wire.EventKind_EventItemsHanded, RequestId: work.Request, Stage: work.Pool, Attempt: int64(work.Count),
-		Outcome: outcome, Detail: "gatherer=" + owner.ID + " domain=" + at.FailureDomain + " " + detail,
+		Outcome: outcome, DurationMicros: took.Microseconds(), Detail: "gatherer=" + owner.ID + " domain=" + at.FailureDomain + " " + detail,
 	})
 }
 
--- a/gather/place.go
+++ b/gather/place.go
@@ -292,7 +292,7 @@
 func (pc *place) ended(up *roster.Upstream, action batch.Send, outcome Outcome, took time.Duration) {
 	pc.gatherer.events.Record(&wire.Event{
 		Kind: wire.EventKind_EventBatchEnded, Upstream: up.ID, Stage: pc.at.Pool, Attempt: int64(len(action.Items)),
-		Outcome: outcomeName(outcome), Detail: reasonCounts(outcome), DurationMicros: took.Microseconds(),
+		Outcome: outcomeName(outcome), Detail: outcomeDetail(outcome), DurationMicros: took.Microseconds(),
 	})
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
--- a/gather/results.go
+++ b/gather/results.go
@@ -11,12 +11,21 @@
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
 
-// reasonCounts states why how many items of a call have no result.
-func reasonCounts(outcome Outcome) string {
-	ran, is := outcome.(Ran)
-	if !is {
-		return ""
+// outcomeDetail states why a call failed, or why how many of its items have no result.
+func outcomeDetail(outcome Outcome) string {
+	switch outcome := outcome.(type) {
+	case Ran:
+		return reasonCounts(outcome)
+	case NotSent:
+		return outcome.Cause
+	case Lost:
+		return outcome.Cause
+	case NotRun:
 	}
+	return ""
+}
+
+func reasonCounts(ran Ran) string {
 	counts := map[Reason]int{}
 	for _, one := range ran.Results {
 		if one.Reason != None {
@@ -34,15 +43,15 @@
 
 // outcomeName names how a call ended, for the log.
 func outcomeName(outcome Outcome) string {
-	switch outcome := outcome.(type) {
+	switch outcome.(type) {
 	case Ran:
 		return "Ran"
 	case NotRun:
 		return "NotRun"
 	case NotSent:
-		return "NotSent: " + outcome.Cause
+		return "NotSent"
 	case Lost:
-		return "Lost: " + outcome.Cause
+		return "Lost"
 	}
 	return ""
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -13,6 +13,7 @@
 	"github.com/turmericdoor/turmericdoor/core"
 	"github.com/turmericdoor/turmericdoor/credential"
 	"github.com/turmericdoor/turmericdoor/entropy"
+	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/peer"
 	"github.com/turmericdoor/turmericdoor/schema/settings"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -142,7 +143,7 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler: handler, Protocols: protocols,
+		Handler: invariant.Handler(handler, invariant.Stop), Protocols: protocols,
 		ReadHeaderTimeout: timer.Milliseconds(limits.GetReadTimeoutMs()), ReadTimeout: timer.Milliseconds(limits.GetReadTimeoutMs()),
 		IdleTimeout: timer.Milliseconds(limits.GetIdleTimeoutMs()), MaxHeaderBytes: int(limits.GetMaxHeaderBytes()),
 		ErrorLog: in.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
--- /dev/null
+++ b/invariant/handler.go
@@ -0,0 +1,25 @@
+package invariant
+
+import "net/http"
+
+// Handler calls next and hands a breach to stop: an HTTP server would else recover from it and go on.
+func Handler(next http.Handler, stop func(Breach)) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		defer func() {
+			switch cause := recover().(type) {
+			case nil:
+			case Breach:
+				stop(cause)
+			default:
+				panic(cause)
+			}
+		}()
+		next.ServeHTTP(writer, request)
+	})
+}
+
+// Stop ends the process with a breach; no server recovers from it.
+func Stop(breach Breach) {
+	go func() { panic(breach) }()
+	select {}
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,6 +12,8 @@
 // Set is one instance's figures.
 type Set struct {
 	set *metrics.Set
+	// events holds the figures of each kind of event, an *eventFigures by eventKey.
+	events sync.Map
 }
 
 // New returns an empty set.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,6 +23,8 @@
 	FarBytes int64
 	// Slack is how much time is left for the first part of the answer to be in time.
 	Slack time.Duration
+	// MostRunning bounds the requests that this instance has under way at an upstream, a connection each; 0 is no bound.
+	MostRunning int
 }
 
 // Choice is the chosen upstream with what decided it.
@@ -149,6 +151,9 @@
 		if now.Before(known.outUntil) || slices.Contains(want.Avoid, up.Incarnation()) {
 			continue
 		}
+		if want.MostRunning > 0 && known.running >= want.MostRunning {
+			continue
+		}
 		expected := pl.expected(now, known, up, want, place)
 		score := cost(expected, want.Slack) + known.failingNow(now)*float64(failingCost)
 		if up.FailureDomain != want.FailureDomain {
@@ -238,8 +243,9 @@
 	known.seenAt = now
 }
 
-// Ended books the end of a request; answered says that Answering was called for it.
-func (pl *Pool) Ended(now time.Time, incarnation roster.Incarnation, promptTokens int, answered bool, end End) {
+// Ended books the end of a request; answered says that Answering was called for it. It returns how long the upstream
+// is left out for it.
+func (pl *Pool) Ended(now time.Time, incarnation roster.Incarnation, promptTokens int, answered bool, end End) time.Duration {
 	known := pl.state(incarnation)
 	known.running--
 	if !answered {
@@ -250,12 +256,16 @@
 		known.outs = 0
 	case Rejected:
 		known.outUntil = now.Add(rejectedOut)
+		return rejectedOut
 	case Unreachable:
-		known.outUntil = now.Add(firstOut << min(known.outs, maxOuts))
+		out := firstOut << min(known.outs, maxOuts)
+		known.outUntil = now.Add(out)
 		known.outs++
+		return out
 	case Failed:
 		known.slow, known.failing = known.slowNow(now), known.failingNow(now)*(1-endWeight)+endWeight
 		known.seenAt = now
 	case Abandoned:
 	}
+	return 0
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -167,3 +167,27 @@
 		pool.Pick(start, list, want(7))
 	}
 }
+
+// TestConnections replays requests that pile up at engines that take them and do not answer.
+func TestConnections(t *testing.T) {
+	list := engines(3)
+	pool := placement.New(time.Millisecond)
+	wish := placement.Want{MostRunning: 5}
+	counts := map[string]int{}
+	for range 15 {
+		up := pick(t, pool, start, list, wish)
+		pool.Started(up.Incarnation(), 0)
+		counts[up.ID]++
+	}
+	t.Run("no engine gets more than its share of connections", func(t *testing.T) {
+		must.Eq(t, map[string]int{"e0": 5, "e1": 5, "e2": 5}, counts)
+	})
+	t.Run("none is found while all have theirs", func(t *testing.T) {
+		_, found := pool.Pick(start, list, wish)
+		must.False(t, found)
+	})
+	t.Run("an end makes room for another", func(t *testing.T) {
+		pool.Ended(start, list[1].Incarnation(), 0, false, placement.Abandoned)
+		must.Eq(t, "e1", pick(t, pool, start, list, wish).ID)
+	})
+}
--- a/route/route.go
+++ b/route/route.go
@@ -82,9 +82,11 @@
 
 // Pool is a set of equal upstreams; Engine and Items are nil for a plain service.
 type Pool struct {
-	Name   string
-	Engine *Engine
-	Items  *Items
+	Name string
+	// MaxConnections is how many connections an upstream takes from all instances together, or 0 if that is not known.
+	MaxConnections int
+	Engine         *Engine
+	Items          *Items
 }
 
 // Engine describes the model engines of a pool.
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -110,6 +110,7 @@
 		{"upstream", event.GetUpstream()},
 		{"attempt", number(event.GetAttempt())},
 		{"outcome", event.GetOutcome()},
+		{"cause", event.GetCause()},
 		{"detail", event.GetDetail()},
 		{"micros", number(event.GetDurationMicros())},
 		{"revision", number(event.GetRevision())},
