--- a/sending/sending_test.go
+++ b/sending/sending_test.go
@@ -89,7 +89,7 @@
 		breaks(t, promise, lg.Refused)
 		breaks(t, "a request is sent to one upstream at a time", lg.Begin)
 	})
-	t.Run("after a send that was not run it is true", func(t *testing.T) {
+	t.Run("after a send that was not run it is true", func(*testing.T) {
 		lg := sending.New("r", sending.Terms{Most: 1})
 		lg.Begin()
 		lg.NotRun()
