A failure domain whose upstreams were gone gets work again; work waiting there goes elsewhere

Cause: a place without a usable upstream tells a wait of an hour. Ruled out: capacity (pools half idle), registrations (the upstream was joined at 14.8 s on all instances). Mend: such a load counts for 500 ms; the next work asks again and is refused at once if nothing has changed. Work that waits at a place whose upstreams are all out is handed to another failure domain instead of waiting to its end.

--- a/batch/forecast.go
+++ b/batch/forecast.go
@@ -65,6 +65,21 @@
 	return sp
 }
 
+// Usable reports whether an upstream can be counted on soon.
+func (pl *Pool) Usable(now time.Time) bool {
+	return pl.speed(now).upstreams > 0
+}
+
+// UnderWay reports whether items of a group are in a call.
+func (pl *Pool) UnderWay(ticket uint64) bool {
+	for _, one := range pl.calls {
+		if slices.ContainsFunc(one.items, func(item Item) bool { return item.Ticket == ticket }) {
+			return true
+		}
+	}
+	return false
+}
+
 // waits returns the expected time until the results of each group in an order that prefer returned.
 func (pl *Pool) waits(now time.Time, order []*group) []time.Duration {
 	sp := pl.speed(now)
--- a/gather/client.go
+++ b/gather/client.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/turmericdoor/turmericdoor/batch"
 	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timeline"
@@ -143,10 +144,18 @@
 			}
 			return refused
 		case Unfinished:
-			if result.Cause != causeSilent {
+			switch result.Cause {
+			case causeSilent:
+				tried[owner.ID] = true
+			case causeNoUpstream:
+				other := cl.moveOn(ctx, at, result)
+				if other == domain {
+					return result
+				}
+				domain = other
+			default:
 				return result
 			}
-			tried[owner.ID] = true
 		}
 		if ctx.Err() != nil {
 			return Unfinished{Cause: ctx.Err().Error()}
@@ -155,6 +164,22 @@
 	return refused
 }
 
+// moveOn gives up what was made at a place that has lost its upstreams, and returns the failure domain to go on in.
+func (cl *Client) moveOn(ctx context.Context, at Place, result Unfinished) string {
+	made := []string{}
+	for _, one := range result.Results {
+		if one.Handle != "" {
+			made = append(made, one.Handle)
+		}
+	}
+	if len(made) > 0 {
+		cl.Release(ctx, at.Pool, at.FailureDomain, made)
+	}
+	cl.learn(at.Pool, []*wire.PoolLoad{Load{Soon: batch.NoUpstream, Last: batch.NoUpstream, Large: batch.NoUpstream}.toWire(at.FailureDomain)})
+	other, _ := cl.Expect(at.Pool, at.FailureDomain, 0, Wish{Patient: true})
+	return other
+}
+
 func (cl *Client) record(work Work, owner member.Member, at Place, result Result, took time.Duration) {
 	outcome, detail := "Finished", ""
 	switch result := result.(type) {
@@ -170,8 +195,12 @@
 	})
 }
 
-// causeSilent is the cause of work whose gatherer did not answer.
-const causeSilent = "gatherer is silent"
+const (
+	// causeSilent is the cause of work whose gatherer did not answer.
+	causeSilent = "gatherer is silent"
+	// causeNoUpstream is the cause of work at a place none of whose upstreams can be used.
+	causeNoUpstream = "no usable upstream"
+)
 
 // owner returns the first gatherer of a place that is not silent; when all are, the own instance gathers.
 func (cl *Client) owner(at Place, tried map[string]bool) (member.Member, bool) {
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -33,6 +33,7 @@
 	mu        sync.Mutex
 	upstreams []*roster.Upstream
 	leaving   map[string]bool
+	dead      map[string]bool
 	outcome   map[string]gather.Outcome
 	calls     []call
 	freed     []string
@@ -49,7 +50,7 @@
 		upstreams: []*roster.Upstream{
 			{ID: "a1", Pool: "p", FailureDomain: "a"}, {ID: "a2", Pool: "p", FailureDomain: "a"}, {ID: "b1", Pool: "p", FailureDomain: "b"},
 		},
-		leaving: map[string]bool{}, outcome: map[string]gather.Outcome{}, budget: 100,
+		leaving: map[string]bool{}, dead: map[string]bool{}, outcome: map[string]gather.Outcome{}, budget: 100,
 	}
 }
 
@@ -99,7 +100,11 @@
 	outcome := fk.outcome[up.ID]
 	delete(fk.outcome, up.ID)
 	number := len(fk.calls)
+	dead := fk.dead[up.ID]
 	fk.mu.Unlock()
+	if dead {
+		return gather.NotSent{Cause: "connection refused"}
+	}
 	if outcome != nil {
 		return outcome
 	}
@@ -361,3 +366,51 @@
 		must.SliceContainsAll(t, fk.given(), handles)
 	})
 }
+
+// kill lets an upstream take no connections, or again.
+func (fk *fakes) kill(id string, dead bool) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.dead[id] = dead
+}
+
+// TestDomainComesBack replays the crash of the only upstream of a failure domain, which is back after two seconds: its
+// failure domain gets work again.
+func TestDomainComesBack(t *testing.T) {
+	play(t, []string{"a1", "b1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		patient := gather.Wish{}
+		fk.kill("b1", true)
+		for number := range 4 {
+			assertFinished(t, fl.clients["a1"].Run(ctx, "b", work(fmt.Sprint("r", number), 1)), fmt.Sprint("r", number), 1)
+		}
+		domain, _ := fl.clients["a1"].Expect("p", "b", 0, patient)
+		must.Eq(t, "a", domain, must.Sprint("while it is gone, the other failure domain is preferred"))
+		fk.kill("b1", false)
+		time.Sleep(2 * time.Second)
+		for _, name := range fl.names {
+			must.Less(t, time.Second, fl.clients[name].ExpectAt("p", "b", patient))
+		}
+		assertFinished(t, fl.clients["a1"].Run(ctx, "b", work("again", 1)), "again", 1)
+		calls := fk.made()
+		must.Eq(t, "b1", calls[len(calls)-1].upstream)
+	})
+}
+
+// TestDeadDomainHandsWorkOn replays a crash with work waiting: it goes to another failure domain long before it expires.
+func TestDeadDomainHandsWorkOn(t *testing.T) {
+	play(t, []string{"a1", "b1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		group := sync.WaitGroup{}
+		for number := range 3 {
+			group.Go(func() {
+				began := time.Now()
+				request := fmt.Sprint("r", number)
+				long := work(request, 8)
+				assertFinished(t, fl.clients["a1"].Run(ctx, "b", long), request, 8)
+				must.Less(t, 2*time.Second, time.Since(began))
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		fk.kill("b1", true)
+		group.Wait()
+	})
+}
--- a/gather/load.go
+++ b/gather/load.go
@@ -132,6 +132,29 @@
 	return list
 }
 
+const (
+	// unusable is a wait that only a place without a usable upstream has.
+	unusable = time.Minute
+	// unusableLife is how long a place that was told to be unusable counts as such. No work goes there meanwhile, so
+	// that nothing newer is told: the next work asks again, and is refused at once if nothing has changed.
+	unusableLife = 500 * time.Millisecond
+)
+
+// aged is a load as it should be by now: what waited is worked on meanwhile.
+func (ld load) aged(now time.Time) Load {
+	past := now.Sub(ld.at)
+	age := func(wait time.Duration) time.Duration {
+		switch {
+		case wait < unusable:
+			return max(wait-past, 0)
+		case past < unusableLife:
+			return wait
+		}
+		return 0
+	}
+	return Load{Soon: age(ld.Soon), Last: age(ld.Last), Large: age(ld.Large), LargeBytes: ld.LargeBytes}
+}
+
 // waitAt is the wait at a place: as it was told, less the time since, but at least that of a call alone.
 func (cl *Client) waitAt(now time.Time, at Place, wish Wish) time.Duration {
 	alone := time.Duration(0)
@@ -140,8 +163,7 @@
 	}
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	known := cl.loads[at]
-	return max(known.of(wish)-now.Sub(known.at), alone)
+	return max(cl.loads[at].aged(now).of(wish), alone)
 }
 
 func (cl *Client) learn(pool string, loads []*wire.PoolLoad) {
@@ -188,13 +210,9 @@
 	added := time.Duration(count) * cl.itemTime(at.Pool, at.FailureDomain)
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	known := cl.loads[at]
-	past := now.Sub(known.at)
-	cl.loads[at] = load{
-		Load: Load{
-			Soon: max(known.Soon-past, 0) + added, Last: max(known.Last-past, 0) + added,
-			Large: max(known.Large-past, 0) + added, LargeBytes: known.LargeBytes,
-		},
-		at: now,
-	}
+	known := cl.loads[at].aged(now)
+	known.Soon += added
+	known.Last += added
+	known.Large += added
+	cl.loads[at] = load{Load: known, at: now}
 }
--- a/gather/place.go
+++ b/gather/place.go
@@ -209,6 +209,9 @@
 	pc.refresh()
 	wake := time.Duration(0)
 	now := pc.gatherer.timers.Now()
+	if len(pc.jobs) > 0 && !pc.pool.Usable(now) {
+		pc.giveBack()
+	}
 	for _, action := range pc.pool.Step(now, pc.gatherer.repeats.Left(pc.at.Pool)) {
 		switch action := action.(type) {
 		case batch.Send:
@@ -222,6 +225,21 @@
 	return wake
 }
 
+// giveBack ends the jobs of a place whose upstreams are all out of use, if another failure domain has any.
+func (pc *place) giveBack() {
+	for _, up := range pc.gatherer.view.Upstreams(pc.at.Pool, "") {
+		if up.FailureDomain == pc.at.FailureDomain {
+			continue
+		}
+		for id := range pc.jobs {
+			if !pc.pool.UnderWay(id) {
+				pc.give(id, Unfinished{Cause: causeNoUpstream})
+			}
+		}
+		return
+	}
+}
+
 // give ends a job.
 func (pc *place) give(id uint64, result Result) {
 	ended := pc.jobs[id]
