--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -71,7 +71,10 @@
 	fl := &fleet{chance: entropy.New(seed), store: newStore()}
 	fl.world = newWorld(fl, variant)
 	for at := range fleetSize {
-		fl.nodes = append(fl.nodes, fl.start(fmt.Sprintf("i%d", at), domains[at%len(domains)], variant))
+		nd := fl.start(fmt.Sprintf("i%d", at), domains[at%len(domains)], variant)
+		fl.mu.Lock()
+		fl.nodes = append(fl.nodes, nd)
+		fl.mu.Unlock()
 	}
 	return fl
 }
