Plan requests also in failure domains that have upstreams of the later stages only

Now every domain that has upstreams of any stage is weighed, with the cost of moving the results between.

--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -269,8 +269,8 @@
 		}
 	}
 	best, lowest := rn.FailureDomain, time.Duration(-1)
-	for _, domain := range rn.Items.Domains(rn.pipeline.Stages[active[0]].Pool) {
-		total := rn.expectStages(domain, active)
+	for _, domain := range rn.stageDomains(active) {
+		total := rn.expectStages(domain, active) + rn.elsewhere(domain, active)
 		if domain != engine {
 			total += far
 		}
@@ -284,6 +284,31 @@
 	return best
 }
 
+// stageDomains returns the failure domains that have upstreams of any of the stages.
+func (rn *run) stageDomains(active []int) []string {
+	list := []string{}
+	for _, index := range active {
+		for _, domain := range rn.Items.Domains(rn.pipeline.Stages[index].Pool) {
+			if !slices.Contains(list, domain) {
+				list = append(list, domain)
+			}
+		}
+	}
+	return list
+}
+
+// elsewhere is the cost of moving the results of stages that a failure domain has no upstreams for.
+func (rn *run) elsewhere(domain string, active []int) time.Duration {
+	cost := time.Duration(0)
+	for _, index := range active {
+		stage := rn.pipeline.Stages[index]
+		if len(rn.Catalog.Upstreams(stage.Pool, domain)) == 0 {
+			cost += moveMargin(int64(rn.request.ItemCounts[index]) * stage.ResultBytes)
+		}
+	}
+	return cost
+}
+
 // engineDomain is the failure domain of the engine that the request's session belongs to.
 func (rn *run) engineDomain() string {
 	session := rn.request.Prompt.session()
