--- a/batch/batch.go
+++ b/batch/batch.go
@@ -15,6 +15,8 @@
 	Due         time.Time
 	Expires     time.Time
 	ResultBytes int64
+	// MayHaveRun says that the items may have been sent before, by another instance.
+	MayHaveRun bool
 	// ReadsResults says that results of earlier stages are kept for the group.
 	ReadsResults bool
 }
@@ -140,6 +142,9 @@
 	entered := &group{Group: added, sent: map[int]int{}}
 	for index := range added.Count {
 		entered.waiting = append(entered.waiting, index)
+		if added.MayHaveRun {
+			entered.sent[index] = 1
+		}
 	}
 	pl.groups[added.Ticket] = entered
 	at, _ := slices.BinarySearchFunc(pl.order, entered, before)
@@ -383,8 +388,7 @@
 		if known.ResultBytes > 0 {
 			count = min(count, int(max(room, 0)/known.ResultBytes))
 		}
-		scarce := pl.terms.ResultRoom > 0 && pl.terms.ResultRoom < scarceBatches*int64(pl.terms.Batch)*known.ResultBytes
-		if count < len(known.waiting) && scarce && len(known.waiting) <= pl.terms.Batch && pl.fitsLater(known) {
+		if count < len(known.waiting) && pl.IsScarce(known.ResultBytes) && len(known.waiting) <= pl.terms.Batch && pl.fitsLater(known) {
 			short = short || count < min(limit, len(known.waiting))
 			if leftOver == nil && count > 0 {
 				leftOver = known
--- a/batch/forecast.go
+++ b/batch/forecast.go
@@ -70,6 +70,20 @@
 	return pl.speed(now).upstreams > 0
 }
 
+// Sent reports whether items of a group were sent.
+func (pl *Pool) Sent(ticket uint64) bool {
+	known := pl.groups[ticket]
+	if known == nil {
+		return false
+	}
+	for _, times := range known.sent {
+		if times > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // UnderWay reports whether items of a group are in a call.
 func (pl *Pool) UnderWay(ticket uint64) bool {
 	for _, one := range pl.calls {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -98,6 +98,7 @@
 	en.pools = gateway.NewPools(parts.Timers, parts.Settings.Budget, func() int { return len(en.peer.Live()) })
 	en.gatherer = gather.New(en.lifetime, gather.Parts{
 		View: en.catalog, Caller: parts.Caller, Repeats: en.pools, Timers: parts.Timers, Events: en.events,
+		Owns: func(at gather.Place) bool { return en.items.Owns(at) },
 	})
 	en.items = gather.NewClient(gather.ClientParts{
 		Self: en.settings.Instance, Gatherer: en.gatherer, View: en.catalog, Members: en.peer, Dialer: parts.BatchDialer,
@@ -187,6 +188,7 @@
 	en.gate.Advance(drain.Closed)
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeat)
 	en.peer.Leave(ctx)
+	en.gatherer.HandOn(ctx)
 	cancel()
 	en.events.Record(&wire.Event{Kind: wire.EventKind_EventStopped})
 	en.end()
--- a/gather/client.go
+++ b/gather/client.go
@@ -9,9 +9,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
-
 	"github.com/turmericdoor/turmericdoor/batch"
 	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -144,9 +141,13 @@
 			}
 			return refused
 		case Unfinished:
+			work.MayHaveRun = work.MayHaveRun || result.MayHaveRun
 			switch result.Cause {
 			case causeSilent:
 				tried[owner.ID] = true
+			case causeMoved:
+				cl.giveUp(ctx, at, result.Results)
+				tried[owner.ID] = true
 			case causeNoUpstream:
 				other := cl.moveOn(ctx, at, result)
 				if other == domain {
@@ -164,10 +165,10 @@
 	return refused
 }
 
-// moveOn gives up what was made at a place that has lost its upstreams, and returns the failure domain to go on in.
-func (cl *Client) moveOn(ctx context.Context, at Place, result Unfinished) string {
+// giveUp frees the results of work that goes on elsewhere.
+func (cl *Client) giveUp(ctx context.Context, at Place, results []ItemResult) {
 	made := []string{}
-	for _, one := range result.Results {
+	for _, one := range results {
 		if one.Handle != "" {
 			made = append(made, one.Handle)
 		}
@@ -175,6 +176,11 @@
 	if len(made) > 0 {
 		cl.Release(ctx, at.Pool, at.FailureDomain, made)
 	}
+}
+
+// moveOn gives up what was made at a place that has lost its upstreams, and returns the failure domain to go on in.
+func (cl *Client) moveOn(ctx context.Context, at Place, result Unfinished) string {
+	cl.giveUp(ctx, at, result.Results)
 	cl.learn(at.Pool, []*wire.PoolLoad{Load{Soon: batch.NoUpstream, Last: batch.NoUpstream, Large: batch.NoUpstream}.toWire(at.FailureDomain)})
 	other, _ := cl.Expect(at.Pool, at.FailureDomain, 0, Wish{Patient: true})
 	return other
@@ -200,8 +206,16 @@
 	causeSilent = "gatherer is silent"
 	// causeNoUpstream is the cause of work at a place none of whose upstreams can be used.
 	causeNoUpstream = "no usable upstream"
+	// causeMoved is the cause of work that another instance is to gather.
+	causeMoved = "another instance gathers"
 )
 
+// Owns reports whether this instance is the first to gather for a place.
+func (cl *Client) Owns(at Place) bool {
+	owners := cl.owners(at)
+	return len(owners) == 0 || owners[0].ID == cl.self
+}
+
 // owner returns the first gatherer of a place that is not silent; when all are, the own instance gathers.
 func (cl *Client) owner(at Place, tried map[string]bool) (member.Member, bool) {
 	now := cl.timers.Now()
@@ -238,6 +252,9 @@
 // runHere gathers the work in this instance.
 func (cl *Client) runHere(ctx context.Context, at Place, work Work) Result {
 	ticket, refused := cl.gatherer.Submit(at.FailureDomain, work)
+	if refused != nil && refused.Cause == causeMoved {
+		return Unfinished{Cause: causeMoved}
+	}
 	if refused != nil {
 		cl.learn(at.Pool, []*wire.PoolLoad{cl.gatherer.Load(at).toWire(at.FailureDomain)})
 		return *refused
@@ -261,24 +278,29 @@
 	defer watchdog.stop()
 	stream, err := link.Gather(ctx, cl.request(at, work))
 	if err != nil {
-		return cl.lost(ctx, err)
+		return cl.lost(ctx, err, false)
 	}
+	accepted := false
 	for {
 		reply, err := stream.Recv()
 		if err != nil {
-			return cl.lost(ctx, err)
+			return cl.lost(ctx, err, accepted)
 		}
 		cl.learn(at.Pool, reply.GetLoads())
 		switch {
 		case reply.GetRefused():
 			return Refused{Wait: timer.Milliseconds(reply.GetWaitMs()), Cause: "refused by the gatherer"}
 		case reply.GetAccepted():
+			accepted = true
 			watchdog.extend(aliveTimeout)
 			if reply.GetWaitMs() > 0 {
 				cl.learnUpcoming(at, fromWireItems(reply.GetUpcoming()))
 			}
 		case reply.GetFailed() != "":
-			return Unfinished{Cause: reply.GetFailed(), Wait: timer.Milliseconds(reply.GetWaitMs()), Results: fromWireResults(reply.GetResults())}
+			return Unfinished{
+				Cause: reply.GetFailed(), Wait: timer.Milliseconds(reply.GetWaitMs()), MayHaveRun: reply.GetMayHaveRun(),
+				Results: fromWireResults(reply.GetResults()),
+			}
 		default:
 			return Finished{Items: fromWireResults(reply.GetResults())}
 		}
@@ -288,11 +310,10 @@
 // errSilent cancels a call to an instance that does not answer.
 var errSilent = errors.New(causeSilent)
 
-// lost tells a silent gatherer from a caller that has left.
-func (cl *Client) lost(ctx context.Context, err error) Result {
-	code := status.Code(err)
-	if errors.Is(context.Cause(ctx), errSilent) || code == codes.Unavailable || code == codes.Unimplemented || code == codes.Internal {
-		return Unfinished{Cause: causeSilent}
+// lost tells an instance that broke off from a caller that has left.
+func (cl *Client) lost(ctx context.Context, err error, accepted bool) Result {
+	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
+		return Unfinished{Cause: causeSilent, MayHaveRun: accepted}
 	}
 	return Unfinished{Cause: err.Error()}
 }
@@ -303,7 +324,7 @@
 		Pool: at.Pool, FailureDomain: at.FailureDomain, RequestId: work.Request, Stage: int64(work.Stage),
 		Items: int64(work.Count), Key: work.Key, Inputs: work.Inputs, Rank: int64(work.Rank),
 		DueMs: work.Due.Sub(now).Milliseconds(), ExpiresMs: work.Expires.Sub(now).Milliseconds(),
-		ResultBytes: work.ResultBytes, Later: toWireItems(work.Later),
+		ResultBytes: work.ResultBytes, Later: toWireItems(work.Later), MayHaveRun: work.MayHaveRun,
 	}
 }
 
--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/batch"
@@ -34,13 +37,15 @@
 	view    View
 	caller  Caller
 	repeats Repeats
+	owns    func(at Place) bool
 	timers  *timer.Service
 	events  *timeline.Ring
 
-	mu     sync.Mutex
-	places map[Place]*place
-	ctx    context.Context
-	parts  sync.WaitGroup
+	mu       sync.Mutex
+	places   map[Place]*place
+	ctx      context.Context
+	parts    sync.WaitGroup
+	stopping atomic.Bool
 }
 
 // Place is the upstreams of one pool in one failure domain.
@@ -56,12 +61,14 @@
 	Repeats Repeats
 	Timers  *timer.Service
 	Events  *timeline.Ring
+	// Owns reports whether it is this instance's turn to gather for a place.
+	Owns func(at Place) bool
 }
 
 // New returns a gatherer whose work ends with ctx.
 func New(ctx context.Context, parts Parts) *Gatherer {
 	return &Gatherer{
-		view: parts.View, caller: parts.Caller, repeats: parts.Repeats, timers: parts.Timers, events: parts.Events,
+		view: parts.View, caller: parts.Caller, repeats: parts.Repeats, owns: parts.Owns, timers: parts.Timers, events: parts.Events,
 		places: map[Place]*place{}, ctx: ctx,
 	}
 }
@@ -103,14 +110,8 @@
 
 // Active returns the places that had work lately, with the wait of a new item.
 func (gt *Gatherer) Active(since time.Time) map[Place]Load {
-	gt.mu.Lock()
-	places := []*place{}
-	for _, each := range gt.places {
-		places = append(places, each)
-	}
-	gt.mu.Unlock()
 	active := map[Place]Load{}
-	for _, each := range places {
+	for _, each := range gt.all() {
 		if load, busy := each.load(since); busy {
 			active[each.at] = load
 		}
@@ -131,12 +132,39 @@
 	tk.place.withdraw(tk.id)
 }
 
+// HandOn gives all work back that waits here, takes no more, and returns when the calls under way have ended or ctx has.
+func (gt *Gatherer) HandOn(ctx context.Context) {
+	gt.stopping.Store(true)
+	for {
+		waiting := false
+		for _, each := range gt.all() {
+			waiting = each.handOn() || waiting
+		}
+		if !waiting || gt.timers.Sleep(ctx, handOnCheck) != nil {
+			return
+		}
+	}
+}
+
+// handOnCheck is how often a stopping gatherer looks whether its calls have ended.
+const handOnCheck = 20 * time.Millisecond
+
+// all returns the places.
+func (gt *Gatherer) all() []*place {
+	gt.mu.Lock()
+	defer gt.mu.Unlock()
+	return slices.Collect(maps.Values(gt.places))
+}
+
 // Submit enters work at a place, or returns Refused when its results can't be there in time.
 func (gt *Gatherer) Submit(failureDomain string, work Work) (*Ticket, *Refused) {
 	found := gt.place(Place{Pool: work.Pool, FailureDomain: failureDomain})
 	if found == nil {
 		return nil, &Refused{Cause: "no such pool"}
 	}
+	if gt.stopping.Load() {
+		return nil, &Refused{Cause: causeMoved}
+	}
 	return found.submit(work)
 }
 
@@ -160,17 +188,11 @@
 
 // Release frees results that lie at upstreams of a pool.
 func (gt *Gatherer) Release(pool string, handles []string) {
-	gt.mu.Lock()
-	places := []*place{}
-	for at, each := range gt.places {
-		if at.Pool == pool {
-			places = append(places, each)
-		}
-	}
-	gt.mu.Unlock()
 	left := handles
-	for _, each := range places {
-		left = each.release(left)
+	for _, each := range gt.all() {
+		if each.at.Pool == pool {
+			left = each.release(left)
+		}
 	}
 	if len(left) > 0 {
 		gt.freeUnknown(pool, left)
--- a/gather/server.go
+++ b/gather/server.go
@@ -30,10 +30,13 @@
 		Pool: request.GetPool(), Request: request.GetRequestId(), Stage: int(request.GetStage()), Count: int(request.GetItems()),
 		Key: request.GetKey(), Inputs: request.GetInputs(), Rank: int(request.GetRank()),
 		Due: now.Add(timer.Milliseconds(request.GetDueMs())), Expires: now.Add(timer.Milliseconds(request.GetExpiresMs())),
-		ResultBytes: request.GetResultBytes(), Later: fromWireItems(request.GetLater()),
+		ResultBytes: request.GetResultBytes(), Later: fromWireItems(request.GetLater()), MayHaveRun: request.GetMayHaveRun(),
 	}
 	at := Place{Pool: request.GetPool(), FailureDomain: request.GetFailureDomain()}
 	ticket, refused := sv.gatherer.Submit(request.GetFailureDomain(), work)
+	if refused != nil && refused.Cause == causeMoved {
+		return stream.Send(&wire.GatherReply{Failed: causeMoved})
+	}
 	if refused != nil {
 		return stream.Send(&wire.GatherReply{Refused: true, WaitMs: refused.Wait.Milliseconds(), Loads: sv.loads(at)})
 	}
@@ -105,7 +108,7 @@
 	case Finished:
 		return &wire.GatherReply{Results: toWireResults(result.Items)}
 	case Unfinished:
-		return &wire.GatherReply{Failed: result.Cause, WaitMs: result.Wait.Milliseconds(), Results: toWireResults(result.Results)}
+		return &wire.GatherReply{Failed: result.Cause, WaitMs: result.Wait.Milliseconds(), Results: toWireResults(result.Results), MayHaveRun: result.MayHaveRun}
 	case Refused:
 		return &wire.GatherReply{Refused: true, WaitMs: result.Wait.Milliseconds()}
 	}
--- a/gather/work.go
+++ b/gather/work.go
@@ -20,6 +20,8 @@
 	Due         time.Time
 	Expires     time.Time
 	ResultBytes int64
+	// MayHaveRun says that another instance may have sent the items before: each then counts as a repeated send.
+	MayHaveRun bool
 	// Later is what the request will need of other pools after this stage.
 	Later []PoolItems
 }
@@ -134,6 +136,8 @@
 	// Wait is how long the results were expected to take, or 0.
 	Wait    time.Duration
 	Results []ItemResult
+	// MayHaveRun says that items were sent, or that this is not known.
+	MayHaveRun bool
 }
 
 func (Unfinished) result() {}
