--- /dev/null
+++ b/gather/handover_test.go
@@ -0,0 +1,151 @@
+package gather_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/gather"
+)
+
+// kill lets an upstream take no connections, or again.
+func (fk *fakes) kill(id string, dead bool) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.dead[id] = dead
+}
+
+// TestDomainComesBack replays the crash of the only upstream of a failure domain, which is back after two seconds: its
+// failure domain gets work again.
+func TestDomainComesBack(t *testing.T) {
+	play(t, []string{"a1", "b1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		patient := gather.Wish{}
+		fk.kill("b1", true)
+		for number := range 4 {
+			assertFinished(t, fl.clients["a1"].Run(ctx, "b", work(fmt.Sprint("r", number), 1)), fmt.Sprint("r", number), 1)
+		}
+		domain, _ := fl.clients["a1"].Expect("p", "b", 0, patient)
+		must.Eq(t, "a", domain, must.Sprint("while it is gone, the other failure domain is preferred"))
+		fk.kill("b1", false)
+		time.Sleep(2 * time.Second)
+		for _, name := range fl.names {
+			must.Less(t, time.Second, fl.clients[name].ExpectAt("p", "b", patient))
+		}
+		assertFinished(t, fl.clients["a1"].Run(ctx, "b", work("again", 1)), "again", 1)
+		calls := fk.made()
+		must.Eq(t, "b1", calls[len(calls)-1].upstream)
+	})
+}
+
+// TestDeadDomainHandsWorkOn replays a crash with work waiting: it goes to another failure domain long before it expires.
+func TestDeadDomainHandsWorkOn(t *testing.T) {
+	play(t, []string{"a1", "b1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		group := sync.WaitGroup{}
+		for number := range 3 {
+			group.Go(func() {
+				began := time.Now()
+				request := fmt.Sprint("r", number)
+				long := work(request, 8)
+				assertFinished(t, fl.clients["a1"].Run(ctx, "b", long), request, 8)
+				must.Less(t, 2*time.Second, time.Since(began))
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		fk.kill("b1", true)
+		group.Wait()
+	})
+}
+
+// submitMany has an instance hand over more work than fits into a few calls, and returns what waits for all results.
+func submitMany(ctx context.Context, t *testing.T, fl *fleet, from string) *sync.WaitGroup {
+	t.Helper()
+	group := &sync.WaitGroup{}
+	for number := range 12 {
+		group.Go(func() {
+			request := fmt.Sprint("r", number)
+			many := work(request, 8)
+			many.Expires = time.Now().Add(10 * time.Second)
+			assertFinished(t, fl.clients[from].Run(ctx, "b", many), request, 8)
+		})
+	}
+	return group
+}
+
+// owner returns the instance that gathers for failure domain b.
+func owner(fl *fleet) string {
+	for _, name := range fl.names {
+		if fl.clients[name].Owns(gather.Place{Pool: "p", FailureDomain: "b"}) {
+			return name
+		}
+	}
+	return ""
+}
+
+// assertCaller checks which instance makes all calls from a time on.
+func assertCaller(t *testing.T, fk *fakes, want string, from time.Time) {
+	t.Helper()
+	count := 0
+	for _, each := range fk.made() {
+		if each.at.After(from) {
+			must.Eq(t, want, each.instance, must.Sprintf("%v after the change", each.at.Sub(from)))
+			count++
+		}
+	}
+	must.Positive(t, count)
+}
+
+// TestOwnerChanges replays an instance that comes back with work waiting at the one that stood in for it: two that fill
+// calls to the same upstreams would each count only their own results against the room there.
+func TestOwnerChanges(t *testing.T) {
+	play(t, []string{"b1", "b2", "b3"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		first := owner(fl)
+		fl.leave(first, true)
+		second := owner(fl)
+		must.NotEq(t, first, second)
+		group := submitMany(ctx, t, fl, second)
+		time.Sleep(100 * time.Millisecond)
+		fl.leave(first, false)
+		changed := time.Now()
+		group.Wait()
+		assertCaller(t, fk, first, changed.Add(time.Second))
+	})
+}
+
+// TestGathererStops replays an instance that stops with work waiting: all of it is done by others.
+func TestGathererStops(t *testing.T) {
+	play(t, []string{"b1", "b2", "b3"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		first := owner(fl)
+		other := fl.names[(slices.Index(fl.names, first)+1)%len(fl.names)]
+		group := submitMany(ctx, t, fl, other)
+		time.Sleep(100 * time.Millisecond)
+		fl.leave(first, true)
+		fl.gatherers[first].HandOn(ctx)
+		stopped := time.Now()
+		group.Wait()
+		assertCaller(t, fk, owner(fl), stopped)
+	})
+}
+
+// TestRoomAtTakeover replays results of another instance that lie at an upstream when this one begins to gather.
+func TestRoomAtTakeover(t *testing.T) {
+	play(t, []string{"b1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		fk.room = 8e6
+		large := work("r", 2)
+		large.ResultBytes = 3e6
+		group := sync.WaitGroup{}
+		for number := range 3 {
+			group.Go(func() {
+				each := large
+				each.Request = fmt.Sprint("r", number)
+				fl.clients["b1"].Run(ctx, "b", each)
+			})
+		}
+		group.Wait()
+		must.SliceLen(t, 2, fk.made()[0].items, must.Sprint("there is room for two results"))
+	})
+}
