No question for room when a gatherer begins

Failed try, taken back: upstreams' reports lag, so that what they still counted made the new gatherer hold back.

--- a/batch/upstream.go
+++ b/batch/upstream.go
@@ -17,7 +17,6 @@
 	foreign      int64
 	foreignUntil time.Time
 	outUntil     time.Time
-	awaitsRoom   bool
 	outs         int
 	// freeAt is when the upstream last ended a call.
 	freeAt time.Time
@@ -74,13 +73,6 @@
 // foreignLife is how long results that other instances had made count after an upstream's report.
 const foreignLife = 700 * time.Millisecond
 
-// AwaitRoom keeps an upstream from calls until SetRoom, or for a short while.
-func (pl *Pool) AwaitRoom(now time.Time, name string) {
-	if one := pl.upstreams[name]; one != nil {
-		one.awaitsRoom, one.outUntil = true, now.Add(fullOut)
-	}
-}
-
 // IsScarce reports whether an upstream has room for few batches of results of a size.
 func (pl *Pool) IsScarce(bytes int64) bool {
 	return pl.terms.ResultRoom > 0 && pl.terms.ResultRoom < scarceBatches*int64(pl.terms.Batch)*bytes
@@ -93,9 +85,6 @@
 	if one == nil || pl.terms.ResultRoom == 0 {
 		return
 	}
-	if one.awaitsRoom {
-		one.awaitsRoom, one.outUntil = false, time.Time{}
-	}
 	one.foreign, one.foreignUntil = 0, time.Time{}
 	one.foreign = max(pl.terms.ResultRoom-room-one.held(now), 0)
 	one.foreignUntil = now.Add(foreignLife)
--- a/gather/place.go
+++ b/gather/place.go
@@ -32,9 +32,7 @@
 	lastFactor *calibration.Factor
 	toFree     map[string][]string
 	makers     map[string]string
-	// knowsRoom says that the upstreams were asked for their room, checkedAt is when the place's owner was looked up,
-	// and othersSince is since when it is another instance, or zero.
-	knowsRoom   bool
+	// checkedAt is when the place's owner was looked up, othersSince is since when it is another instance, or zero.
 	checkedAt   time.Time
 	othersSince time.Time
 }
@@ -176,21 +174,6 @@
 		list = append(list, batch.Upstream{Name: upstreamName(up)})
 	}
 	pc.pool.SetUpstreams(list)
-	pc.learnRoom(list)
-}
-
-// learnRoom asks the upstreams for their room when the place begins: results of an earlier gatherer may lie there.
-func (pc *place) learnRoom(list []batch.Upstream) {
-	if pc.knowsRoom || len(list) == 0 || !pc.pool.IsScarce(pc.largeBytes) {
-		return
-	}
-	pc.knowsRoom = true
-	for _, each := range list {
-		pc.pool.AwaitRoom(pc.gatherer.timers.Now(), each.Name)
-		if up := pc.find(each.Name); up != nil {
-			pc.askRoom(up)
-		}
-	}
 }
 
 // upstreamName tells incarnations of one upstream apart.
