--- a/gather/handover_test.go
+++ b/gather/handover_test.go
@@ -130,3 +130,51 @@
 		assertCaller(t, fk, owner(fl), stopped)
 	})
 }
+
+// TestUnevenConnections replays one instance with three times the work of the others: all share the calls of one
+// gatherer, and no instance's work waits longer for it.
+func TestUnevenConnections(t *testing.T) {
+	play(t, []string{"a1", "a2", "a3"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		group, mu := sync.WaitGroup{}, sync.Mutex{}
+		took := map[string][]time.Duration{}
+		began := time.Now()
+		hand := func(name string, number int) {
+			request := fmt.Sprint(name, "-", number)
+			assertFinished(t, fl.clients[name].Run(ctx, "a", work(request, 2)), request, 2)
+			mu.Lock()
+			defer mu.Unlock()
+			took[name] = append(took[name], time.Since(began))
+		}
+		for number := range 9 {
+			group.Go(func() { hand("a1", number) })
+			if number < 3 {
+				group.Go(func() { hand("a2", number) })
+				group.Go(func() { hand("a3", number) })
+			}
+		}
+		group.Wait()
+		must.LessEq(t, 6, len(fk.made()), must.Sprint("30 items in calls of up to 8"))
+		for name, list := range took {
+			must.LessEq(t, time.Second, slices.Max(list), must.Sprint(name))
+		}
+	})
+}
+
+// TestDomainCut replays a failure domain that is cut off: neither its instances nor its upstreams answer. Work that was
+// planned there is done in another, long before it expires.
+func TestDomainCut(t *testing.T) {
+	play(t, []string{"a1", "a2", "b1", "b2"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		fl.frozen["b1"], fl.frozen["b2"] = true, true
+		fk.kill("b1", true)
+		group := sync.WaitGroup{}
+		for number := range 4 {
+			group.Go(func() {
+				began := time.Now()
+				request := fmt.Sprint("r", number)
+				assertFinished(t, fl.clients["a1"].Run(ctx, "b", work(request, 2)), request, 2)
+				must.Less(t, 2500*time.Millisecond, time.Since(began))
+			})
+		}
+		group.Wait()
+	})
+}
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -73,3 +73,32 @@
 		must.False(t, begins)
 	})
 }
+
+// TestRepeatAtOnce replays a burst in which each refused caller comes back after 20 ms, three times over, as against
+// callers who wait as they are told. It must not cost the others anything.
+func TestRepeatAtOnce(t *testing.T) {
+	play := func(repeats int) (timely, late int) {
+		pool := server{capacity: 50}
+		for now := 0.0; now < 10; now += 1.0 / 96 {
+			for at := range repeats + 1 {
+				arrived := now + float64(at)*0.02
+				expected := max(pool.freeAt-arrived, 0) + 1/pool.capacity
+				if _, begins := overload.Weigh(overload.Load{Expected: seconds(expected), UntilDue: seconds(3), UntilEnd: seconds(6)}).(overload.Begin); !begins {
+					continue
+				}
+				pool.freeAt = max(pool.freeAt, arrived) + 1/pool.capacity
+				if expected <= 3 {
+					timely++
+				} else {
+					late++
+				}
+				break
+			}
+		}
+		return timely, late
+	}
+	patientTimely, _ := play(0)
+	timely, late := play(3)
+	must.GreaterEq(t, patientTimely*95/100, timely)
+	must.Zero(t, late)
+}
