--- a/command/front.go
+++ b/command/front.go
@@ -29,6 +29,14 @@
 	return entrypoint.New(adapter, settings, logger).Run()
 }
 
+func (tb *Table) checkDeploy() error {
+	if err := platform.CheckDeploy(tb.options.deployFile); err != nil {
+		return inputError(err)
+	}
+	fmt.Fprintf(tb.out, "%s: deploy file is right\n", tb.options.deployFile)
+	return nil
+}
+
 func (tb *Table) checkFront() error {
 	if _, err := platform.LoadSettings(tb.options.platformSettings); err != nil {
 		return inputError(err)
--- a/command/table.go
+++ b/command/table.go
@@ -35,8 +35,9 @@
 // options are the flags of all commands; each command states those it has.
 type options struct {
 	settings string
-	// platformSettings is the path of the platform's settings file.
+	// platformSettings and deployFile are the paths of the platform's settings file and of its deploy file.
 	platformSettings string
+	deployFile       string
 	metricsPort      int
 	address          string
 	key              string
@@ -77,7 +78,7 @@
 func New(out io.Writer) *Table {
 	return &Table{out: out, options: options{
 		address: environment("TURMERICDOOR_ADDRESS", "127.0.0.1:7101"), key: environment("TURMERICDOOR_KEY", ""),
-		platformSettings: environment(platform.SettingsVariable, ""), settings: "turmericdoor.ini", limit: defaultEvents, timeoutMs: defaultTimeoutMs,
+		platformSettings: environment(platform.SettingsVariable, ""), deployFile: "deploy/system.toml", settings: "turmericdoor.ini", limit: defaultEvents, timeoutMs: defaultTimeoutMs,
 	}}
 }
 
@@ -101,6 +102,7 @@
 		{name: "explain", help: "Print the log lines of a request in their order", flags: explainFlags, run: (*Table).explain},
 		{name: "settings", help: "Work on the settings file", children: []entry{
 			{name: "check", help: "Check a settings file and list everything that is wrong with it", flags: settingsFlag, run: (*Table).checkSettings},
+			{name: "check-deploy", help: "Check a deploy file of the users' platform", flags: deployFlags, run: (*Table).checkDeploy},
 			{name: "check-platform", help: "Check a settings file of the users' platform", flags: frontFlags, run: (*Table).checkFront},
 			{name: "reference", help: "Print the reference of all settings and document sections", run: (*Table).reference},
 		}},
@@ -129,6 +131,10 @@
 	sub.String(&op.settings, "s", "settings", "Path of the settings file")
 }
 
+func deployFlags(op *options, sub *flaggy.Subcommand) {
+	sub.String(&op.deployFile, "f", "file", "Path of the deploy file")
+}
+
 func frontFlags(op *options, sub *flaggy.Subcommand) {
 	sub.String(&op.platformSettings, "s", "settings", "Path of the platform's settings file; "+platform.SettingsVariable+" is used if it is not given")
 }
