A second look at the later pools by the gatherer of the first stage

Load pattern: 67 instances decide on loads that they heard some 300 ms ago; in a burst they admit at once what only one of them should have. All requests that begin in a failure domain pass the gatherer of its first stage: it asks the later pools' gatherers for their loads every 200 ms, knows what its own requests will bring there, and refuses what would be late; the instance plans once more with what it was told.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -32,6 +32,12 @@
 func (rn *run) execute(ctx context.Context) Outcome {
 	for range maxGraphs {
 		done, err := rn.runStages(ctx)
+		if isFull(err) && ctx.Err() == nil {
+			if refusal := rn.admitLoad(); refusal != nil {
+				return refusal
+			}
+			done, err = rn.runStages(ctx)
+		}
 		if err != nil {
 			return rn.stageFailure(ctx, err)
 		}
@@ -44,6 +50,12 @@
 	return rn.refuse(minRetry, StagesLost, "results of stages were lost")
 }
 
+// isFull reports whether stages were refused before the first was begun, so that another plan may do.
+func isFull(err error) bool {
+	failure := stageError{}
+	return errors.As(err, &failure) && failure.full
+}
+
 // stageFailure is the outcome of a request whose stages were not done: it never ran.
 func (rn *run) stageFailure(ctx context.Context, err error) Outcome {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -123,6 +123,8 @@
 	refused bool
 	wait    time.Duration
 	cause   string
+	// full says that a pool behind the first stage has no room in time in the planned failure domain.
+	full bool
 }
 
 // Error returns the cause.
@@ -182,7 +184,7 @@
 	case gather.Finished:
 		return nil
 	case gather.Refused:
-		return stageError{refused: true, wait: result.Wait, cause: each.stage.Pool + ": " + result.Cause}
+		return stageError{refused: true, wait: result.Wait, cause: each.stage.Pool + ": " + result.Cause, full: result.FullPool != ""}
 	case gather.Unfinished:
 		return stageError{wait: result.Wait, cause: each.stage.Pool + ": " + result.Cause}
 	}
@@ -221,7 +223,10 @@
 		work.Due = work.Expires.Add(-lateReserve * rn.callTime(each.index))
 	}
 	if len(each.stage.After) == 0 {
-		work.Key = rn.request.ItemKey
+		work.Key, work.Patient = rn.request.ItemKey, rn.patient
+		if finish := rn.due.Add(-rn.engineTime()); finish.After(rn.Timers.Now()) {
+			work.FinishBy = finish
+		}
 	}
 	each.domain = st.place(each, work.Due)
 	each.result = rn.Items.Run(ctx, each.domain, work)
--- a/gather/client.go
+++ b/gather/client.go
@@ -135,6 +135,9 @@
 			return result
 		case Refused:
 			refused = result
+			if result.FullPool != "" {
+				return refused
+			}
 			if other, wait := cl.Expect(work.Pool, domain, 0, Wish{Patient: true}); other != domain && cl.timers.Now().Add(wait).Before(work.Expires) {
 				domain = other
 				continue
@@ -251,6 +254,9 @@
 
 // runHere gathers the work in this instance.
 func (cl *Client) runHere(ctx context.Context, at Place, work Work) Result {
+	if full := cl.laterFull(at, work); full != nil {
+		return *full
+	}
 	ticket, refused := cl.gatherer.Submit(at.FailureDomain, work)
 	if refused != nil && refused.Cause == causeMoved {
 		return Unfinished{Cause: causeMoved}
@@ -286,6 +292,11 @@
 		if err != nil {
 			return cl.lost(ctx, err, accepted)
 		}
+		if full := reply.GetFullPool(); full != "" {
+			cl.learn(full, reply.GetLoads())
+			cl.learnUpcoming(at, fromWireItems(reply.GetUpcoming()))
+			return Refused{Wait: timer.Milliseconds(reply.GetWaitMs()), Cause: full + " is full", FullPool: full}
+		}
 		cl.learn(at.Pool, reply.GetLoads())
 		switch {
 		case reply.GetRefused():
@@ -325,7 +336,16 @@
 		Items: int64(work.Count), Key: work.Key, Inputs: work.Inputs, Rank: int64(work.Rank),
 		DueMs: work.Due.Sub(now).Milliseconds(), ExpiresMs: work.Expires.Sub(now).Milliseconds(),
 		ResultBytes: work.ResultBytes, Later: toWireItems(work.Later), MayHaveRun: work.MayHaveRun,
+		FinishMs: until(now, work.FinishBy), Patient: work.Patient,
+	}
+}
+
+// until is the time left in milliseconds, or 0 without an end.
+func until(now, end time.Time) int64 {
+	if end.IsZero() {
+		return 0
 	}
+	return max(end.Sub(now).Milliseconds(), 1)
 }
 
 func (cl *Client) link(address string) (Link, error) {
--- a/gather/exchange.go
+++ b/gather/exchange.go
@@ -24,17 +24,26 @@
 			cl.learn(at.Pool, []*wire.PoolLoad{own})
 			for _, domain := range cl.Domains(at.Pool) {
 				if domain != at.FailureDomain {
-					cl.tell(ctx, Place{Pool: at.Pool, FailureDomain: domain}, own)
+					cl.tell(ctx, Place{Pool: at.Pool, FailureDomain: domain}, own, "")
 				}
 			}
+			for _, later := range cl.gatherer.Upcoming(at) {
+				cl.tell(ctx, Place{Pool: later.Pool, FailureDomain: at.FailureDomain}, nil, at.FailureDomain)
+			}
 		}
 	}
 }
 
-// tell sends a load to a place's gatherer and takes its load.
-func (cl *Client) tell(ctx context.Context, at Place, own *wire.PoolLoad) {
+// tell sends an own load, if there is one, to a place's gatherer and takes its load, or that of the wanted domain.
+func (cl *Client) tell(ctx context.Context, at Place, own *wire.PoolLoad, wanted string) {
 	owner, found := cl.owner(at, nil)
-	if !found || owner.ID == cl.self {
+	if !found {
+		return
+	}
+	if owner.ID == cl.self {
+		if wanted != "" {
+			cl.learn(at.Pool, []*wire.PoolLoad{cl.gatherer.Load(at).toWire(wanted)})
+		}
 		return
 	}
 	link, err := cl.link(owner.Address)
@@ -44,7 +53,7 @@
 	cl.gatherer.parts.Go(func() {
 		limited, cancel := context.WithTimeout(ctx, acceptTimeout)
 		defer cancel()
-		reply, err := link.Load(limited, &wire.LoadRequest{Pool: at.Pool, Load: own})
+		reply, err := link.Load(limited, &wire.LoadRequest{Pool: at.Pool, Load: own, FailureDomain: wanted})
 		if err != nil {
 			// A silent gatherer is found by the next work that is handed to it.
 			return
--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -186,6 +186,13 @@
 	return nil
 }
 
+// begins reports whether a place is known here, so that its work is what this gatherer decides on.
+func (gt *Gatherer) begins(at Place) bool {
+	gt.mu.Lock()
+	defer gt.mu.Unlock()
+	return gt.places[at] != nil
+}
+
 // Release frees results that lie at upstreams of a pool.
 func (gt *Gatherer) Release(pool string, handles []string) {
 	left := handles
--- a/gather/load.go
+++ b/gather/load.go
@@ -97,6 +97,27 @@
 	return cl.ExpectAt(pool, domain, wish) + time.Duration(coming)*cl.itemTime(pool, domain)
 }
 
+// laterFull refuses work whose request would be late because of a pool that it needs afterwards. All requests that
+// begin at a place pass its gatherer, which knows what they will bring to the pools behind better than the instances,
+// which each decide on what they heard some time ago.
+func (cl *Client) laterFull(at Place, work Work) *Refused {
+	if work.FinishBy.IsZero() || len(work.Later) == 0 || !cl.gatherer.begins(at) {
+		return nil
+	}
+	cl.learnUpcoming(at, cl.gatherer.Upcoming(at))
+	now := cl.timers.Now()
+	for _, later := range work.Later {
+		if len(cl.view.Upstreams(later.Pool, at.FailureDomain)) == 0 {
+			continue
+		}
+		wait := cl.ExpectLater(later.Pool, at.FailureDomain, Wish{Patient: work.Patient})
+		if now.Add(wait).After(work.FinishBy) {
+			return &Refused{Wait: wait, Cause: later.Pool + " is full", FullPool: later.Pool}
+		}
+	}
+	return nil
+}
+
 // upcomingLife is how long what a place told of items to come counts.
 const upcomingLife = 1500 * time.Millisecond
 
--- a/gather/server.go
+++ b/gather/server.go
@@ -30,9 +30,18 @@
 		Pool: request.GetPool(), Request: request.GetRequestId(), Stage: int(request.GetStage()), Count: int(request.GetItems()),
 		Key: request.GetKey(), Inputs: request.GetInputs(), Rank: int(request.GetRank()),
 		Due: now.Add(timer.Milliseconds(request.GetDueMs())), Expires: now.Add(timer.Milliseconds(request.GetExpiresMs())),
-		ResultBytes: request.GetResultBytes(), Later: fromWireItems(request.GetLater()), MayHaveRun: request.GetMayHaveRun(),
+		ResultBytes: request.GetResultBytes(), Later: fromWireItems(request.GetLater()), MayHaveRun: request.GetMayHaveRun(), Patient: request.GetPatient(),
 	}
 	at := Place{Pool: request.GetPool(), FailureDomain: request.GetFailureDomain()}
+	if request.GetFinishMs() > 0 {
+		work.FinishBy = now.Add(timer.Milliseconds(request.GetFinishMs()))
+	}
+	if full := sv.client.laterFull(at, work); full != nil {
+		return stream.Send(&wire.GatherReply{
+			FullPool: full.FullPool, WaitMs: full.Wait.Milliseconds(), Loads: sv.client.loadsOf(full.FullPool),
+			Upcoming: toWireItems(sv.gatherer.Upcoming(at)),
+		})
+	}
 	ticket, refused := sv.gatherer.Submit(request.GetFailureDomain(), work)
 	if refused != nil && refused.Cause == causeMoved {
 		return stream.Send(&wire.GatherReply{Failed: causeMoved})
@@ -78,7 +87,13 @@
 
 // Load takes another gatherer's load and answers with the own one.
 func (sv *Server) Load(_ context.Context, request *wire.LoadRequest) (*wire.LoadReply, error) {
-	sv.client.learn(request.GetPool(), []*wire.PoolLoad{request.GetLoad()})
+	if request.GetLoad() != nil {
+		sv.client.learn(request.GetPool(), []*wire.PoolLoad{request.GetLoad()})
+	}
+	if domain := request.GetFailureDomain(); domain != "" {
+		at := Place{Pool: request.GetPool(), FailureDomain: domain}
+		return &wire.LoadReply{Load: sv.gatherer.Load(at).toWire(domain)}, nil
+	}
 	for at, load := range sv.gatherer.Active(sv.timers.Now().Add(-loadLife)) {
 		if at.Pool == request.GetPool() {
 			return &wire.LoadReply{Load: load.toWire(at.FailureDomain)}, nil
--- a/gather/work.go
+++ b/gather/work.go
@@ -22,6 +22,10 @@
 	ResultBytes int64
 	// MayHaveRun says that another instance may have sent the items before: each then counts as a repeated send.
 	MayHaveRun bool
+	// FinishBy is when all stages must be done for the request to be on time, or zero.
+	FinishBy time.Time
+	// Patient says that the request's items go behind others.
+	Patient bool
 	// Later is what the request will need of other pools after this stage.
 	Later []PoolItems
 }
@@ -126,6 +130,8 @@
 type Refused struct {
 	Wait  time.Duration
 	Cause string
+	// FullPool is the later pool that has no room in time; another failure domain may.
+	FullPool string
 }
 
 func (Refused) result() {}
