Plan in the nearest failure domain unless another is clearly quicker

Load pattern: 67 instances that all heard the same loads. The nearest domain within 15% of the target of the quickest is taken.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -79,6 +81,9 @@
 	results  []gather.Result
 	released []string
 	wait     time.Duration
+	// waits are the expected times of failure domains, where they are not all the same; ran are those that got work.
+	waits    map[string]time.Duration
+	ran      []string
 	dead     bool
 	crashes  []quarantine.Crash
 	standing quarantine.Standing
@@ -89,7 +94,11 @@
 func (fk *fakes) Registration(row replica.Row, _ time.Time) (roster.Upstream, error) {
 	name, pool, _ := strings.Cut(row.Key, "@")
 	leaving := strings.HasSuffix(pool, "!")
-	return roster.Upstream{ID: name, Pool: strings.TrimSuffix(pool, "!"), FailureDomain: "a", Slots: 8, Leaving: leaving}, nil
+	_, domain, elsewhere := strings.Cut(name, ".")
+	if !elsewhere {
+		domain = "a"
+	}
+	return roster.Upstream{ID: name, Pool: strings.TrimSuffix(pool, "!"), FailureDomain: domain, Slots: 8, Leaving: leaving}, nil
 }
 
 func (fk *fakes) Send(ctx context.Context, exchange gateway.Exchange) (*gateway.Reply, error) {
@@ -125,9 +134,10 @@
 
 func (fk *fakes) Reaches(context.Context, *roster.Upstream) bool { return !fk.dead }
 
-func (fk *fakes) Run(_ context.Context, _ string, work gather.Work) gather.Result {
+func (fk *fakes) Run(_ context.Context, domain string, work gather.Work) gather.Result {
 	fk.mu.Lock()
 	defer fk.mu.Unlock()
+	fk.ran = append(fk.ran, domain)
 	fk.works = append(fk.works, work)
 	if len(fk.results) > 0 {
 		next := fk.results[0]
@@ -144,9 +154,21 @@
 func (fk *fakes) Expect(_, preferred string, _ time.Duration, _ gather.Wish) (string, time.Duration) {
 	return preferred, fk.wait
 }
-func (fk *fakes) ExpectAt(string, string, gather.Wish) time.Duration    { return fk.wait }
-func (fk *fakes) ExpectLater(string, string, gather.Wish) time.Duration { return fk.wait }
-func (fk *fakes) Domains(string) []string                               { return []string{"a"} }
+
+func (fk *fakes) ExpectAt(_, domain string, _ gather.Wish) time.Duration {
+	return max(fk.wait, fk.waits[domain])
+}
+
+func (fk *fakes) ExpectLater(pool, domain string, wish gather.Wish) time.Duration {
+	return fk.ExpectAt(pool, domain, wish)
+}
+
+func (fk *fakes) Domains(string) []string {
+	if len(fk.waits) > 0 {
+		return slices.Sorted(maps.Keys(fk.waits))
+	}
+	return []string{"a"}
+}
 
 func (fk *fakes) Release(_ context.Context, _, _ string, handles []string) {
 	fk.mu.Lock()
@@ -180,7 +202,7 @@
 		events := timeline.New("i", hlc.New(timers), 100, nil)
 		ct := catalog.New(fk, catalog.Tables{Configuration: "c", Registrations: "r"}, timers, events)
 		ct.RowsChanged("c", []replica.Row{{Key: "config", Version: 1}}, 1, false)
-		for _, key := range []string{"p1@plain", "p2@plain", "p3@plain!", "m1@model", "m2@model"} {
+		for _, key := range []string{"p1@plain", "p2@plain", "p3@plain!", "m1@model", "m2@model", "s1@stage", "s2.b@stage"} {
 			ct.RowsChanged("r", []replica.Row{{Key: key, Version: 1}}, 1, false)
 		}
 		terms := allowance.Terms{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -273,20 +274,45 @@
 			far += moveMargin(int64(rn.request.ItemCounts[index]) * rn.pipeline.Stages[index].ResultBytes)
 		}
 	}
-	best, lowest := rn.FailureDomain, time.Duration(-1)
+	plans := []plan{}
 	for _, domain := range rn.stageDomains(active) {
-		total := rn.expectStages(domain, active) + rn.elsewhere(domain, active)
+		one := plan{domain: domain, expected: rn.expectStages(domain, active), distance: rn.elsewhere(domain, active)}
 		if domain != engine {
-			total += far
+			one.distance += far
 		}
 		if domain != rn.FailureDomain {
-			total += nearMargin
+			one.distance += nearMargin
 		}
-		if lowest < 0 || total < lowest {
-			best, lowest = domain, total
+		plans = append(plans, one)
+	}
+	return nearestOf(plans, time.Duration(steadyShare*float64(rn.pipeline.Target)), rn.FailureDomain)
+}
+
+// plan is one failure domain for a request's stages: when their results are expected, and what it costs that the domain
+// is not the nearest, as time.
+type plan struct {
+	domain   string
+	expected time.Duration
+	distance time.Duration
+}
+
+// steadyShare is the part of the target by which the nearest failure domain may be slower than the quickest.
+const steadyShare = 0.15
+
+// nearestOf returns the nearest of the domains that are about as quick as the quickest, or fallback without any. Going to
+// the quickest as it was heard to be would send all instances to the same one, and to another when that is full.
+func nearestOf(plans []plan, slack time.Duration, fallback string) string {
+	lowest := time.Duration(math.MaxInt64)
+	for _, one := range plans {
+		lowest = min(lowest, one.expected+one.distance)
+	}
+	best := plan{domain: fallback, distance: math.MaxInt64}
+	for _, one := range plans {
+		if one.expected+one.distance <= lowest+slack && one.distance < best.distance {
+			best = one
 		}
 	}
-	return best
+	return best.domain
 }
 
 // stageDomains returns the failure domains that have upstreams of any of the stages.
