A registration that is removed late in the time after an outage has only what is left of that time

Trace: the store was back at 23.3 s, the removal came at 24.3 and was heard at 24.85, then counted 1.7 s from there. What lapsed in an outage is back within two seconds of the store's return, so a later removal need not wait longer than that. Test in roster failed first (7.2 s in place of 6).

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -54,6 +54,8 @@
 	lapseOutage = time.Second
 	// returnTime is how long upstreams have to register again after the store's return.
 	returnTime = 1700 * time.Millisecond
+	// returnSlack is how much later than that the last of them may be heard of.
+	returnSlack = 300 * time.Millisecond
 )
 
 // New returns a roster without registrations.
@@ -120,19 +122,29 @@
 		if known.vanished.IsZero() {
 			continue
 		}
-		if last := known.vanished.Add(returnTime); due.IsZero() || last.Before(due) {
+		if last := rs.lastReturn(known); due.IsZero() || last.Before(due) {
 			due = last
 		}
 	}
 	return due
 }
 
-// Expire drops the registrations that did not come back in time and returns their ids. The time counts from each
-// removal, however long others may still come back: an upstream that leaves must be out of use by then.
+// lastReturn is when a missing registration must be back. The time counts from its removal, however long others may
+// still come back: an upstream that leaves must be out of use by then. One that is removed late in the time after an
+// outage has only what is left of that.
+func (rs *Roster) lastReturn(known *entry) time.Time {
+	last := known.vanished.Add(returnTime)
+	if end := rs.graceUntil.Add(returnSlack); end.After(known.vanished) && end.Before(last) {
+		return end
+	}
+	return last
+}
+
+// Expire drops the registrations that did not come back in time and returns their ids.
 func (rs *Roster) Expire(now time.Time) []string {
 	dropped := []string{}
 	for id, known := range rs.entries {
-		if !known.vanished.IsZero() && !now.Before(known.vanished.Add(returnTime)) {
+		if !known.vanished.IsZero() && !now.Before(rs.lastReturn(known)) {
 			delete(rs.entries, id)
 			dropped = append(dropped, id)
 		}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -78,6 +78,14 @@
 		rs.Remove(start.Add(4*time.Second), "a")
 		must.Nil(t, rs.List().Find("a"))
 	})
+	t.Run("one that is heard of late does not get the whole time again", func(t *testing.T) {
+		rs := registered("a")
+		rs.StoreLost(start)
+		rs.StoreBack(start.Add(4 * time.Second))
+		rs.Remove(start.Add(5500*time.Millisecond), "a")
+		must.LessEq(t, 6*time.Second, rs.Due().Sub(start), must.Sprint("two seconds after the store's return, what lapsed is back"))
+		must.Eq(t, []string{"a"}, rs.Expire(start.Add(6*time.Second)))
+	})
 	t.Run("another instance's view of an outage counts as well", func(t *testing.T) {
 		rs := registered("a")
 		rs.ExtendGrace(start.Add(time.Second))
