--- a/batch/batch.go
+++ b/batch/batch.go
@@ -236,7 +236,7 @@
 
 // Step returns what is to be done now; allowed bounds the items that may be sent a second time.
 func (pl *Pool) Step(now time.Time, allowed int) []Action {
-	actions := pl.dropExpired(now)
+	actions := append(pl.dropExpired(now), pl.dropHopeless(now)...)
 	wake := time.Time{}
 	for _, name := range pl.byReadiness(now) {
 		one := pl.upstreams[name]
@@ -296,6 +296,21 @@
 	return actions
 }
 
+// dropHopeless gives up groups that can't be on time and whose turn will not come before they expire. One that has begun,
+// or that reads results, keeps its chance: work was done for it.
+func (pl *Pool) dropHopeless(now time.Time) []Action {
+	actions := []Action{}
+	order := pl.prefer(now)
+	for at, wait := range pl.waits(now, order) {
+		known := order[at]
+		if len(known.sent) == 0 && !known.ReadsResults && pl.isLate(now, known) && now.Add(wait).After(known.Expires) {
+			actions = append(actions, Drop{Ticket: known.Ticket})
+			pl.Withdraw(known.Ticket)
+		}
+	}
+	return actions
+}
+
 func (pl *Pool) nextExpiry() time.Time {
 	next := time.Time{}
 	for _, known := range pl.order {
--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -134,3 +134,20 @@
 		must.Greater(t, pool.Wait(start, small), pool.Wait(start, large))
 	})
 }
+
+// TestHopeless replays a queue that has become too long for a group that is late already: its caller is told at once.
+func TestHopeless(t *testing.T) {
+	pool := one(terms)
+	for ticket := range uint64(40) {
+		pool.Submit(batch.Group{Ticket: ticket + 1, Count: 8, Due: start.Add(20 * time.Second), Expires: start.Add(30 * time.Second)})
+	}
+	pool.Submit(batch.Group{Ticket: 100, Count: 1, Due: start.Add(-time.Second), Expires: start.Add(3 * time.Second)})
+	pool.Submit(batch.Group{Ticket: 101, Count: 1, Due: start.Add(-time.Second), Expires: start.Add(30 * time.Second)})
+	dropped := []uint64{}
+	for _, action := range pool.Step(start, 0) {
+		if drop, is := action.(batch.Drop); is {
+			dropped = append(dropped, drop.Ticket)
+		}
+	}
+	must.Eq(t, []uint64{100}, dropped)
+}
