Strong machines gather

On the grown sites two of 17 machines of a failure domain have 0.8 of a processor and 200 Mbit/s, the others 0.19 and 10. A gatherer works for all instances of its domain; by hash alone it stood on a weak machine in seven of eight cases. Members now tell what their machine gives them; instances with half of the strongest's processor or more go before others of their failure domain. Nothing changes where machines are equal. Test TestStrongInstancesGather.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,7 +118,7 @@
 	config := member.Config{Heartbeat: heartbeat, SuspectAfter: suspectAfter, DeadAfter: deadAfter, Partners: partners}
 	self := member.Member{
 		ID: en.settings.Instance, Address: en.settings.PeerAddress, FailureDomain: en.settings.FailureDomain,
-		Incarnation: uint64(now.UnixMilli()),
+		MilliCores: en.settings.MilliCores, Incarnation: uint64(now.UnixMilli()),
 	}
 	return peer.New(peer.Parts{
 		Timers: parts.Timers, Clock: clock, Events: en.events, Holder: revision.New(nil), Listener: listener{},
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -19,5 +19,7 @@
 	// Grace is the time between the signal to stop and the end of the process.
 	Grace       time.Duration
 	MemoryBytes int64
-	Budget      allowance.Terms
+	// MilliCores is what the machine gives the process, in thousandths of a processor.
+	MilliCores int64
+	Budget     allowance.Terms
 }
--- a/gather/client.go
+++ b/gather/client.go
@@ -95,22 +95,40 @@
 )
 
 // owners returns the instances that may gather for a place, the one whose turn it is first. All instances order
-// them by the same hash, those of the place's failure domain before the others.
+// them alike: those of the place's failure domain before the others, strong ones before weak ones, then by hash.
 func (cl *Client) owners(at Place) []member.Member {
 	live := cl.members.Live()
+	strongest := int64(0)
+	for _, each := range live {
+		strongest = max(strongest, each.MilliCores)
+	}
 	slices.SortFunc(live, func(left, right member.Member) int {
-		leftNear, rightNear := left.FailureDomain == at.FailureDomain, right.FailureDomain == at.FailureDomain
-		if leftNear != rightNear {
-			if leftNear {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(ownerWeight(at, right.ID), ownerWeight(at, left.ID))
+		return cmp.Or(
+			first(left.FailureDomain == at.FailureDomain, right.FailureDomain == at.FailureDomain),
+			first(isStrong(left, strongest), isStrong(right, strongest)),
+			cmp.Compare(ownerWeight(at, right.ID), ownerWeight(at, left.ID)),
+		)
 	})
 	return live
 }
 
+// isStrong reports whether an instance has at least half of the processor of the strongest: a gatherer works for all
+// instances of its failure domain.
+func isStrong(mb member.Member, strongest int64) bool {
+	return 2*mb.MilliCores >= strongest
+}
+
+// first orders what holds before what does not.
+func first(left, right bool) int {
+	switch {
+	case left == right:
+		return 0
+	case left:
+		return -1
+	}
+	return 1
+}
+
 func ownerWeight(at Place, id string) uint64 {
 	return xxhash.Sum64String(at.Pool + "/" + at.FailureDomain + "/" + id)
 }
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -172,6 +172,7 @@
 	clients   map[string]*gather.Client
 	frozen    map[string]bool
 	left      map[string]bool
+	cores     map[string]int64
 }
 
 // leave lets an instance not be live any more, or again.
@@ -189,7 +190,7 @@
 		if fl.left[name] {
 			continue
 		}
-		list = append(list, member.Member{ID: name, Address: name, FailureDomain: name[:1]})
+		list = append(list, member.Member{MilliCores: fl.cores[name], ID: name, Address: name, FailureDomain: name[:1]})
 	}
 	return list
 }
--- a/gather/handover_test.go
+++ b/gather/handover_test.go
@@ -178,3 +178,13 @@
 		group.Wait()
 	})
 }
+
+// TestStrongInstancesGather replays a fleet of few strong and many weak machines.
+func TestStrongInstancesGather(t *testing.T) {
+	play(t, []string{"b1", "b2", "b3", "b4", "a1"}, func(_ context.Context, fl *fleet, _ *fakes) {
+		fl.cores = map[string]int64{"b1": 190, "b2": 190, "b3": 800, "b4": 190, "a1": 800}
+		must.Eq(t, "b3", owner(fl))
+		fl.leave("b3", true)
+		must.NotEq(t, "a1", owner(fl), must.Sprint("the failure domain goes first"))
+	})
+}
--- a/member/member.go
+++ b/member/member.go
@@ -26,6 +26,8 @@
 	FailureDomain string
 	Incarnation   uint64
 	Liveness      Liveness
+	// MilliCores is what the member's machine gives it, in thousandths of a processor, or 0 if that is not known.
+	MilliCores int64
 }
 
 // Config sets how members are watched; it has no defaults.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -13,14 +13,14 @@
 
 func toWireMember(mb member.Member) *wire.Member {
 	return &wire.Member{
-		Id: mb.ID, Address: mb.Address, FailureDomain: mb.FailureDomain, Incarnation: mb.Incarnation,
+		Id: mb.ID, Address: mb.Address, FailureDomain: mb.FailureDomain, Incarnation: mb.Incarnation, MilliCores: mb.MilliCores,
 		Liveness: wire.Liveness(mb.Liveness),
 	}
 }
 
 func fromWireMember(mb *wire.Member) member.Member {
 	return member.Member{
-		ID: mb.GetId(), Address: mb.GetAddress(), FailureDomain: mb.GetFailureDomain(),
+		ID: mb.GetId(), Address: mb.GetAddress(), FailureDomain: mb.GetFailureDomain(), MilliCores: mb.GetMilliCores(),
 		Incarnation: mb.GetIncarnation(), Liveness: member.Liveness(mb.GetLiveness()),
 	}
 }
