--- a/gateway/plan.go
+++ b/gateway/plan.go
@@ -12,10 +12,6 @@
 	// moveCostPerMB is what moving results between failure domains costs, as time.
 	moveCostPerMB = 15 * time.Millisecond
 	megabyte      = 1e6
-	// lateReserve is how many calls before the end the items of a late request are due.
-	lateReserve = 3
-	// stageWaitShare is the part of a call's time that items usually wait for it.
-	stageWaitShare = 2
 )
 
 // moveMargin is how much sooner another failure domain must have results for so many bytes to be moved there.
@@ -40,8 +36,8 @@
 	return longest
 }
 
-// planDomain chooses the failure domain in which all stages are to be done: the one that has the results of the
-// whole graph first, with the way of the last results to the session's engine.
+// planDomain chooses the failure domain in which all stages are to be done: the nearest of those that have the results of
+// the whole graph about first. Distance counts the way of the last results to the session's engine.
 func (rn *run) planDomain(active []int) string {
 	if len(active) == 0 {
 		return rn.FailureDomain
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -10,6 +10,13 @@
 	"github.com/turmericdoor/turmericdoor/route"
 )
 
+const (
+	// lateReserve is how many calls before the end the items of a late request are due.
+	lateReserve = 3
+	// stageWaitShare is how many times longer a call takes than its items usually wait for it.
+	stageWaitShare = 2
+)
+
 // stageRun is one stage of a request on its way.
 type stageRun struct {
 	index  int
--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -186,8 +186,8 @@
 	return nil
 }
 
-// begins reports whether a place is known here, so that its work is what this gatherer decides on.
-func (gt *Gatherer) begins(at Place) bool {
+// gathers reports whether this instance has had work of a place.
+func (gt *Gatherer) gathers(at Place) bool {
 	gt.mu.Lock()
 	defer gt.mu.Unlock()
 	return gt.places[at] != nil
--- a/gather/load.go
+++ b/gather/load.go
@@ -101,7 +101,7 @@
 // begin at a place pass its gatherer, which knows what they will bring to the pools behind better than the instances,
 // which each decide on what they heard some time ago.
 func (cl *Client) laterFull(at Place, work Work) *Refused {
-	if work.FinishBy.IsZero() || len(work.Later) == 0 || !cl.gatherer.begins(at) {
+	if work.FinishBy.IsZero() || len(work.Later) == 0 || !cl.gatherer.gathers(at) {
 		return nil
 	}
 	cl.learnUpcoming(at, cl.gatherer.Upcoming(at))
