An instance that leaves no longer panics beside its own heartbeats

It can end a process that is being stopped. A count of calls that may be waited for while others begin takes its place. The test with a sync.WaitGroup in that place panicked in one of nine runs; with the count it passes.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -62,7 +62,7 @@
 	urgent      chan struct{}
 	lastFull    time.Time
 	fetching    atomic.Bool
-	inFlight    sync.WaitGroup
+	inFlight    calls
 }
 
 // Config sets how a peer talks to the others.
