One count of background calls for heartbeats, gathered calls and claims

The panic that was mended in peer could come up in two more places: gather.Gatherer.Run and claimant.Claimant.Run wait for a sync.WaitGroup once, at their end, while a server's handlers may still begin new calls. The count moves from peer to a package of its own, and all three use it. No panic was seen in these two. Behaviour is otherwise as it was.

--- /dev/null
+++ b/calls/calls.go
@@ -0,0 +1,45 @@
+package calls
+
+import "sync"
+
+// Group counts the calls under way; it is ready to use. Unlike a sync.WaitGroup it may be waited for while new calls begin.
+type Group struct {
+	mu    sync.Mutex
+	count int
+	idle  chan struct{}
+}
+
+// Go makes a call in the background.
+func (gr *Group) Go(call func()) {
+	gr.mu.Lock()
+	if gr.count == 0 {
+		gr.idle = make(chan struct{})
+	}
+	gr.count++
+	gr.mu.Unlock()
+	go func() {
+		defer gr.done()
+		call()
+	}()
+}
+
+func (gr *Group) done() {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	if gr.count--; gr.count == 0 {
+		close(gr.idle)
+	}
+}
+
+// Wait returns at the first moment at which no call is under way.
+func (gr *Group) Wait() {
+	gr.mu.Lock()
+	idle := gr.idle
+	if gr.count == 0 {
+		idle = nil
+	}
+	gr.mu.Unlock()
+	if idle != nil {
+		<-idle
+	}
+}
--- a/peer/calls_test.go
+++ b/calls/calls_test.go
@@ -1,8 +1,10 @@
-package peer
+package calls_test
 
 import (
 	"sync"
 	"testing"
+
+	"github.com/turmericdoor/turmericdoor/calls"
 )
 
 // rounds is how often calls begin beside others that wait.
@@ -11,7 +13,7 @@
 // TestWaitBesideNewCalls replays an instance that leaves while its heartbeats go on: a sync.WaitGroup panics when it is
 // used again before all who wait for it have returned.
 func TestWaitBesideNewCalls(*testing.T) {
-	under := &calls{}
+	under := &calls.Group{}
 	group := sync.WaitGroup{}
 	for range 64 {
 		group.Go(func() {
--- /dev/null
+++ b/calls/doc.go
@@ -0,0 +1,2 @@
+// Package calls counts calls that run in the background.
+package calls
--- a/claimant/claimant.go
+++ b/claimant/claimant.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/calls"
 	"github.com/turmericdoor/turmericdoor/claim"
 	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/table"
@@ -21,7 +22,7 @@
 	instance    string
 	callTimeout time.Duration
 	requests    chan *pending
-	background  sync.WaitGroup
+	background  calls.Group
 	owed        atomic.Int64
 	ctx         context.Context
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/calls"
 	"github.com/turmericdoor/turmericdoor/digest"
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/entropy"
@@ -62,7 +63,7 @@
 	urgent      chan struct{}
 	lastFull    time.Time
 	fetching    atomic.Bool
-	inFlight    calls
+	inFlight    calls.Group
 }
 
 // Config sets how a peer talks to the others.
