batch: order the groups once a step

Each step ordered all groups to look for hopeless ones and again for every upstream that got a call. The order can't change within a step: it depends on the time and on the pool's item time only, and what was dropped or sent is passed over. isScarce has no caller outside the package any more.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -236,7 +236,9 @@
 
 // Step returns what is to be done now; allowed bounds the items that may be sent a second time.
 func (pl *Pool) Step(now time.Time, allowed int) []Action {
-	actions := append(pl.dropExpired(now), pl.dropHopeless(now)...)
+	actions := pl.dropExpired(now)
+	order, hopeless := pl.dropHopeless(now)
+	actions = append(actions, hopeless...)
 	wake := time.Time{}
 	for _, name := range pl.byReadiness(now) {
 		one := pl.upstreams[name]
@@ -254,7 +256,7 @@
 			wake = earliest(wake, now.Add(slowRetry))
 			continue
 		}
-		sent := pl.fill(now, one, &allowed)
+		sent := pl.fill(now, one, order, &allowed)
 		if sent == nil {
 			wake = earliest(wake, now.Add(roomRetry))
 			continue
@@ -296,19 +298,21 @@
 	return actions
 }
 
-// dropHopeless gives up groups that can't be on time and whose turn will not come before they expire. One that has begun,
-// or that reads results, keeps its chance: work was done for it.
-func (pl *Pool) dropHopeless(now time.Time) []Action {
-	actions := []Action{}
+// dropHopeless gives up groups that can't be on time and whose turn will not come before they expire, and returns the
+// others in the order of their turns. One that has begun, or that reads results, keeps its chance: work was done for it.
+func (pl *Pool) dropHopeless(now time.Time) ([]*group, []Action) {
 	order := pl.prefer(now)
+	kept, actions := make([]*group, 0, len(order)), []Action{}
 	for at, wait := range pl.waits(now, order) {
 		known := order[at]
 		if len(known.sent) == 0 && !known.ReadsResults && pl.isLate(now, known) && now.Add(wait).After(known.Expires) {
 			actions = append(actions, Drop{Ticket: known.Ticket})
 			pl.Withdraw(known.Ticket)
+			continue
 		}
+		kept = append(kept, known)
 	}
-	return actions
+	return kept, actions
 }
 
 func (pl *Pool) nextExpiry() time.Time {
--- a/batch/fill.go
+++ b/batch/fill.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// fill makes the next call for an upstream out of the most urgent items, or nil if there is no room for any.
-func (pl *Pool) fill(now time.Time, one *upstream, allowed *int) *Send {
+// fill makes the next call for an upstream out of the first items in the order of groups, or nil if there is no room for any.
+func (pl *Pool) fill(now time.Time, one *upstream, order []*group, allowed *int) *Send {
 	limit := pl.terms.Batch
 	if one.factor > trialFactor {
 		limit = max(limit/trialShare, 1)
@@ -15,7 +15,7 @@
 	if pl.terms.ResultRoom == 0 {
 		room = int64(limit) * maxResultBytes
 	}
-	picked, short := pl.pick(now, limit, room)
+	picked, short := pl.pick(order, limit, room)
 	if len(picked) == 0 || short && itemsOf(picked) < limit/2 && now.Before(one.freeAt.Add(pl.terms.CallTime/2)) {
 		return nil
 	}
@@ -66,19 +66,22 @@
 
 // pick chooses the items of a call; short says that others wait only for room. A group whose results take much of
 // the room is not split over calls, since the first results would lie there until the last are made.
-func (pl *Pool) pick(now time.Time, limit int, room int64) ([]part, bool) {
+func (pl *Pool) pick(order []*group, limit int, room int64) ([]part, bool) {
 	picked := []part{}
 	short := false
 	leftOver, full := (*group)(nil), limit
-	for _, known := range pl.prefer(now) {
+	for _, known := range order {
 		if limit == 0 {
 			break
 		}
+		if len(known.waiting) == 0 {
+			continue
+		}
 		count := min(limit, len(known.waiting))
 		if known.ResultBytes > 0 {
 			count = min(count, int(max(room, 0)/known.ResultBytes))
 		}
-		if count < len(known.waiting) && pl.IsScarce(known.ResultBytes) && len(known.waiting) <= pl.terms.Batch && pl.fitsLater(known) {
+		if count < len(known.waiting) && pl.isScarce(known.ResultBytes) && len(known.waiting) <= pl.terms.Batch && pl.fitsLater(known) {
 			short = short || count < min(limit, len(known.waiting))
 			if leftOver == nil && count > 0 {
 				leftOver = known
--- a/batch/upstream.go
+++ b/batch/upstream.go
@@ -73,8 +73,8 @@
 // foreignLife is how long results that other instances had made count after an upstream's report.
 const foreignLife = 700 * time.Millisecond
 
-// IsScarce reports whether an upstream has room for few batches of results of a size.
-func (pl *Pool) IsScarce(bytes int64) bool {
+// isScarce reports whether an upstream has room for few batches of results of a size.
+func (pl *Pool) isScarce(bytes int64) bool {
 	return pl.terms.ResultRoom > 0 && pl.terms.ResultRoom < scarceBatches*int64(pl.terms.Batch)*bytes
 }
 
