gateway: a plan brings its expected time along

The expected time of the chosen failure domain was computed when the domains were compared, and once more for the forecast, on each request.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -179,8 +179,9 @@
 	now := rn.Timers.Now()
 	active := rn.activeStages()
 	rn.patient = rn.isPatient(active)
-	rn.domain = rn.planDomain(active)
-	rn.forecast = rn.Pools.correct(rn.pipeline.Name, rn.expectStages(rn.domain, active)+rn.engineTime())
+	chosen := rn.plan(active)
+	rn.domain = chosen.domain
+	rn.forecast = rn.Pools.correct(rn.pipeline.Name, chosen.expected+rn.engineTime())
 	expected := rn.forecast.expected
 	load := overload.Load{Expected: expected, UntilDue: rn.due.Sub(now), UntilEnd: rn.beginBy.Sub(now)}
 	rn.cause = fmt.Sprintf("expected=%dms due=%dms left=%dms domain=%s", expected.Milliseconds(),
--- a/gateway/plan.go
+++ b/gateway/plan.go
@@ -36,11 +36,11 @@
 	return longest
 }
 
-// planDomain chooses the failure domain in which all stages are to be done: the nearest of those that have the results of
+// plan chooses the failure domain in which all stages are to be done: the nearest of those that have the results of
 // the whole graph about first. Distance counts the way of the last results to the session's engine.
-func (rn *run) planDomain(active []int) string {
+func (rn *run) plan(active []int) plan {
 	if len(active) == 0 {
-		return rn.FailureDomain
+		return plan{domain: rn.FailureDomain}
 	}
 	engine := rn.engineDomain()
 	far := time.Duration(0)
@@ -60,7 +60,10 @@
 		}
 		plans = append(plans, one)
 	}
-	return nearestOf(plans, time.Duration(steadyShare*float64(rn.pipeline.Target)), rn.FailureDomain)
+	if len(plans) == 0 {
+		return plan{domain: rn.FailureDomain, expected: rn.expectStages(rn.FailureDomain, active)}
+	}
+	return nearestOf(plans, time.Duration(steadyShare*float64(rn.pipeline.Target)))
 }
 
 // plan is one failure domain for a request's stages: when their results are expected, and what it costs that the domain
@@ -74,20 +77,20 @@
 // steadyShare is the part of the target by which the nearest failure domain may be slower than the quickest.
 const steadyShare = 0.15
 
-// nearestOf returns the nearest of the domains that are about as quick as the quickest, or fallback without any. Going to
-// the quickest as it was heard to be would send all instances to the same one, and to another when that is full.
-func nearestOf(plans []plan, slack time.Duration, fallback string) string {
+// nearestOf returns the nearest of the domains that are about as quick as the quickest. Going to the quickest as it was
+// heard to be would send all instances to the same one, and to another when that is full.
+func nearestOf(plans []plan, slack time.Duration) plan {
 	lowest := time.Duration(math.MaxInt64)
 	for _, one := range plans {
 		lowest = min(lowest, one.expected+one.distance)
 	}
-	best := plan{domain: fallback, distance: math.MaxInt64}
+	best := plan{distance: math.MaxInt64}
 	for _, one := range plans {
 		if one.expected+one.distance <= lowest+slack && one.distance < best.distance {
 			best = one
 		}
 	}
-	return best.domain
+	return best
 }
 
 // stageDomains returns the failure domains that have upstreams of any of the stages.
