--- a/gather/handing.go
+++ b/gather/handing.go
@@ -27,14 +27,14 @@
 
 // runHere gathers the work in this instance.
 func (cl *Client) runHere(ctx context.Context, at Place, work Work) Result {
-	if full := cl.laterFull(at, work); full != nil {
-		return *full
-	}
-	ticket, refused := cl.gatherer.Submit(at.FailureDomain, work)
-	if refused != nil && refused.Cause == causeMoved {
+	ticket, refused := cl.submitHere(at, work)
+	switch {
+	case refused == nil:
+	case refused.FullPool != "":
+		return *refused
+	case refused.Cause == causeMoved:
 		return Unfinished{Cause: causeMoved}
-	}
-	if refused != nil {
+	default:
 		cl.learn(at.Pool, []*wire.PoolLoad{cl.gatherer.Load(at).toWire(at.FailureDomain)})
 		return *refused
 	}
@@ -49,6 +49,14 @@
 	}
 }
 
+// submitHere enters own or another instance's work at a place of this instance, or returns why it is refused.
+func (cl *Client) submitHere(at Place, work Work) (*Ticket, *Refused) {
+	if full := cl.laterFull(at, work); full != nil {
+		return nil, full
+	}
+	return cl.gatherer.Submit(at.FailureDomain, work)
+}
+
 // runThere hands the work to another instance.
 func (cl *Client) runThere(ctx context.Context, link Link, at Place, work Work) Result {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/gather/server.go
+++ b/gather/server.go
@@ -36,18 +36,9 @@
 	if request.GetFinishMs() > 0 {
 		work.FinishBy = now.Add(timer.Milliseconds(request.GetFinishMs()))
 	}
-	if full := sv.client.laterFull(at, work); full != nil {
-		return stream.Send(&wire.GatherReply{
-			FullPool: full.FullPool, WaitMs: full.Wait.Milliseconds(), Loads: sv.client.loadsOf(full.FullPool),
-			Upcoming: toWireItems(sv.gatherer.Upcoming(at)),
-		})
-	}
-	ticket, refused := sv.gatherer.Submit(request.GetFailureDomain(), work)
-	if refused != nil && refused.Cause == causeMoved {
-		return stream.Send(&wire.GatherReply{Failed: causeMoved})
-	}
+	ticket, refused := sv.client.submitHere(at, work)
 	if refused != nil {
-		return stream.Send(&wire.GatherReply{Refused: true, WaitMs: refused.Wait.Milliseconds(), Loads: sv.loads(at)})
+		return stream.Send(sv.refusal(at, refused))
 	}
 	err := stream.Send(&wire.GatherReply{
 		Accepted: true, WaitMs: ticket.Wait.Milliseconds(), Loads: sv.loads(at),
@@ -73,6 +64,20 @@
 	}
 }
 
+// refusal tells the other instance why its work is refused, with what decided it.
+func (sv *Server) refusal(at Place, refused *Refused) *wire.GatherReply {
+	switch {
+	case refused.FullPool != "":
+		return &wire.GatherReply{
+			FullPool: refused.FullPool, WaitMs: refused.Wait.Milliseconds(), Loads: sv.client.loadsOf(refused.FullPool),
+			Upcoming: toWireItems(sv.gatherer.Upcoming(at)),
+		}
+	case refused.Cause == causeMoved:
+		return &wire.GatherReply{Failed: causeMoved}
+	}
+	return &wire.GatherReply{Refused: true, WaitMs: refused.Wait.Milliseconds(), Loads: sv.loads(at)}
+}
+
 // loads returns the loads of all places of a pool, with the own one as it is now.
 func (sv *Server) loads(at Place) []*wire.PoolLoad {
 	sv.client.learn(at.Pool, []*wire.PoolLoad{sv.gatherer.Load(at).toWire(at.FailureDomain)})
