--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -41,22 +41,18 @@
 	return func() {
 		wd := sk.fleet.world
 		wd.mu.Lock()
-		alive, lapsed := []*upstream{}, []*upstream{}
+		lapsed := []*upstream{}
 		for _, up := range wd.upstreams {
-			if up.crashed || !up.leftAt.IsZero() {
-				continue
-			}
-			lapsed = append(lapsed, up)
-			if !up.crashed {
-				alive = append(alive, up)
+			if !up.crashed && up.leftAt.IsZero() {
+				lapsed = append(lapsed, up)
 			}
 		}
 		wd.mu.Unlock()
 		for _, up := range lapsed {
-			sk.fleet.store.put(registrations, lapsedRow(up))
+			sk.fleet.store.put(registrations, removal(up))
 		}
 		sk.fleet.store.set(false, 0)
-		for _, up := range alive {
+		for _, up := range lapsed {
 			after := sk.chance.Within(1500 * time.Millisecond)
 			sk.group.Go(func() {
 				time.Sleep(after)
@@ -64,7 +60,7 @@
 				still := !up.crashed && up.leftAt.IsZero() && wd.upstreams[up.ID] == up
 				wd.mu.Unlock()
 				if still {
-					wd.write(up)
+					sk.fleet.store.put(registrations, entered(up))
 				}
 			})
 		}
--- a/entry/links_test.go
+++ b/entry/links_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/metadata"
 
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/peer"
@@ -116,8 +115,10 @@
 	return sm, nil
 }
 
-// stream is both ends of a call whose replies follow one another.
+// stream is both ends of a call whose replies follow one another; what it does not name is not used.
 type stream struct {
+	grpc.ClientStream
+	grpc.ServerStream
 	way
 	ctx     context.Context
 	to      *node
@@ -145,12 +146,6 @@
 	}
 }
 
-// The rest of a stream is not used.
-func (sm *stream) SetHeader(metadata.MD) error  { return nil }
-func (sm *stream) SendHeader(metadata.MD) error { return nil }
-func (sm *stream) SetTrailer(metadata.MD)       {}
-func (sm *stream) SendMsg(any) error            { return nil }
-func (sm *stream) RecvMsg(any) error            { return nil }
-func (sm *stream) Header() (metadata.MD, error) { return nil, nil }
-func (sm *stream) Trailer() metadata.MD         { return nil }
-func (sm *stream) CloseSend() error             { return nil }
+// SendMsg and RecvMsg stand in both interfaces.
+func (sm *stream) SendMsg(any) error { return nil }
+func (sm *stream) RecvMsg(any) error { return nil }
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -221,14 +221,13 @@
 	})
 }
 
-// sink keeps an answer.
+// sink keeps the body of an answer.
 type sink struct {
-	status int
-	body   strings.Builder
+	body strings.Builder
 }
 
-// Start keeps the status.
-func (sn *sink) Start(status int, _ http.Header, _ int64) { sn.status = status }
+// Start has nothing to keep.
+func (sn *sink) Start(int, http.Header, int64) {}
 
 // Write keeps a part of the body.
 func (sn *sink) Write(part []byte) error { sn.body.Write(part); return nil }
--- a/entry/store_test.go
+++ b/entry/store_test.go
@@ -188,11 +188,6 @@
 	}
 }
 
-// registration is a row of the registrations.
-type registration struct {
-	Upstream roster.Upstream
-}
-
 // decoder reads rows.
 type decoder struct {
 	store *store
@@ -211,11 +206,11 @@
 
 // Registration reads an upstream.
 func (dc decoder) Registration(row replica.Row, _ time.Time) (roster.Upstream, error) {
-	read := registration{}
+	read := roster.Upstream{}
 	if err := json.Unmarshal(row.Value, &read); err != nil {
 		return roster.Upstream{}, fmt.Errorf("unreadable registration: %w", err)
 	}
-	return read.Upstream, nil
+	return read, nil
 }
 
 func pause(ctx context.Context, wait time.Duration) bool {
@@ -227,7 +222,7 @@
 	}
 }
 
-// lapsedRow is the removal of a registration whose lease ran out.
-func lapsedRow(up *upstream) replica.Row {
+// removal is the row of a registration that is gone.
+func removal(up *upstream) replica.Row {
 	return replica.Row{Key: up.ID, Deleted: true}
 }
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -99,31 +99,29 @@
 	}
 	wd.upstreams[id] = fresh
 	wd.mu.Unlock()
-	wd.write(fresh)
+	wd.fleet.store.put(registrations, entered(fresh))
 }
 
-func (wd *world) write(up *upstream) time.Time {
-	value, err := json.Marshal(registration{Upstream: up.Upstream})
+// entered is the row of a registration.
+func entered(up *upstream) replica.Row {
+	value, err := json.Marshal(up.Upstream)
 	if err != nil {
 		panic(err)
 	}
-	return wd.fleet.store.put(registrations, replica.Row{Key: up.ID, Value: value})
+	return replica.Row{Key: up.ID, Value: value}
 }
 
 // leave lets an upstream leave: it says so first, or its registration just goes.
 func (wd *world) leave(up *upstream, announced bool) {
+	row := removal(up)
 	if announced {
 		up.Leaving = true
-		at := wd.write(up)
-		wd.mu.Lock()
-		up.leftAt = at
-		wd.mu.Unlock()
-		return
+		row = entered(up)
 	}
-	at := wd.fleet.store.put(registrations, replica.Row{Key: up.ID, Deleted: true})
+	at := wd.fleet.store.put(registrations, row)
 	wd.mu.Lock()
+	defer wd.mu.Unlock()
 	up.leftAt = at
-	wd.mu.Unlock()
 }
 
 // pick returns an upstream that works, or nil.
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/shoenig/test/must"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/metadata"
 
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/hlc"
@@ -219,8 +218,10 @@
 	return stream, nil
 }
 
-// stream is both ends of a call.
+// stream is both ends of a call; what it does not name is not used.
 type stream struct {
+	grpc.ClientStream
+	grpc.ServerStream
 	ctx     context.Context
 	replies chan *wire.GatherReply
 	ended   chan error
@@ -236,14 +237,10 @@
 		return nil, context.Cause(sm.ctx)
 	}
 }
-func (sm *stream) SetHeader(metadata.MD) error  { return nil }
-func (sm *stream) SendHeader(metadata.MD) error { return nil }
-func (sm *stream) SetTrailer(metadata.MD)       {}
-func (sm *stream) SendMsg(any) error            { return nil }
-func (sm *stream) RecvMsg(any) error            { return nil }
-func (sm *stream) Header() (metadata.MD, error) { return nil, nil }
-func (sm *stream) Trailer() metadata.MD         { return nil }
-func (sm *stream) CloseSend() error             { return nil }
+
+// SendMsg and RecvMsg stand in both interfaces.
+func (sm *stream) SendMsg(any) error { return nil }
+func (sm *stream) RecvMsg(any) error { return nil }
 
 // play runs instances in fake time.
 func play(t *testing.T, names []string, run func(ctx context.Context, fl *fleet, fk *fakes)) {
