--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -1,7 +1,6 @@
 package soak_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/turmericdoor/turmericdoor/platform/standin"
 )
 
 // ledger notes what upstreams ran, and what callers were told.
@@ -111,21 +112,11 @@
 }
 
 func (us *upstream) runStage(writer http.ResponseWriter, body []byte) {
-	call := struct {
-		Items []struct {
-			ID    string `json:"id"`
-			Stage int    `json:"stage"`
-			Piece int    `json:"piece"`
-		} `json:"items"`
-	}{}
-	if json.Unmarshal(body, &call) != nil {
+	results, err := standin.StageResults(body, us.id)
+	if err != nil {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	time.Sleep(20 * time.Millisecond)
-	results := []map[string]string{}
-	for _, item := range call.Items {
-		results = append(results, map[string]string{"handle": fmt.Sprintf("%s/%s.%d.%d", us.id, item.ID, item.Stage, item.Piece)})
-	}
-	_ = json.NewEncoder(writer).Encode(map[string]any{"items": results})
+	_, _ = writer.Write(results)
 }
