--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,6 +60,11 @@
 	items    *gather.Client
 	batches  *gather.Server
 
+	// serving ends when requests under way are to be ended, stoppedAt is when the instance was told to stop.
+	serving     context.Context
+	endRequests context.CancelFunc
+	stoppedAt   time.Time
+
 	lifetime context.Context
 	end      context.CancelFunc
 	logLife  context.Context
@@ -86,6 +91,7 @@
 		settings: parts.Settings, timers: parts.Timers, metrics: metric.New(), gate: drain.New(),
 		logbook: logbook.New(parts.Logger, parts.Timers), logEnd: make(chan struct{}),
 	}
+	en.serving, en.endRequests = context.WithCancel(context.Background())
 	en.lifetime, en.end = context.WithCancel(context.Background())
 	en.logLife, en.endLog = context.WithCancel(context.Background())
 	clock := hlc.New(parts.Timers)
@@ -179,6 +185,7 @@
 
 // Notice makes the instance not ready while it still serves.
 func (en *Entry) Notice() {
+	en.stoppedAt = en.timers.Now()
 	en.gate.Advance(drain.Noticed)
 	en.events.Record(&wire.Event{Kind: wire.EventKind_EventStopping})
 }
@@ -188,8 +195,12 @@
 	en.gate.Advance(drain.Closed)
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeat)
 	en.peer.Leave(ctx)
+	cancel()
+	graceLeft := en.settings.Grace - en.timers.Now().Sub(en.stoppedAt) - graceReserve
+	ctx, cancel = context.WithTimeout(context.Background(), min(graceLeft, handOnTime))
 	en.gatherer.HandOn(ctx)
 	cancel()
+	en.endRequests()
 	en.events.Record(&wire.Event{Kind: wire.EventKind_EventStopped})
 	en.end()
 	en.mu.Lock()
@@ -201,6 +212,18 @@
 	<-en.logEnd
 }
 
+const (
+	// handOnTime is how long calls that were begun for other instances may take when this one stops.
+	handOnTime = 2 * time.Second
+	// graceReserve is how long before the end of the grace time the instance must have ended.
+	graceReserve = 100 * time.Millisecond
+)
+
+// EndRequests ends the requests under way, as if their time were over: those that were not sent are refused.
+func (en *Entry) EndRequests() {
+	en.endRequests()
+}
+
 // Ready reports whether the instance should get new connections.
 func (en *Entry) Ready() bool {
 	return en.gate.Phase() == drain.Serving && en.catalog.Complete()
@@ -228,7 +251,11 @@
 		return gateway.Refused{RetryAfter: closedRetry, Cause: gateway.Closed}
 	}
 	defer en.gate.Leave()
-	return en.gateway.Serve(request.Context(), decoded, sink)
+	ctx, cancel := context.WithCancelCause(request.Context())
+	defer cancel(nil)
+	stop := context.AfterFunc(en.serving, func() { cancel(gateway.ErrTimeOver) })
+	defer stop()
+	return en.gateway.Serve(ctx, decoded, sink)
 }
 
 // closedRetry is when to come back to another instance.
--- a/entrypoint/entrypoint.go
+++ b/entrypoint/entrypoint.go
@@ -58,6 +58,8 @@
 	noticeTime = 2500 * time.Millisecond
 	// endSlack is how long before the end of the grace time the instance ends what is still in flight.
 	endSlack = 150 * time.Millisecond
+	// answerSlack is how long before that the requests under way are ended, so that their callers get an answer.
+	answerSlack = 250 * time.Millisecond
 	// headerTimeout and idleTimeout bound callers' connections.
 	headerTimeout = 20 * time.Second
 	idleTimeout   = 90 * time.Second
@@ -134,8 +136,11 @@
 func (ep *Entrypoint) shutdown(began time.Time) {
 	ep.entry.Notice()
 	_ = ep.timers.Sleep(context.Background(), noticeTime)
-	ctx, cancel := context.WithTimeout(context.Background(), max(ep.settings.Grace-endSlack-ep.timers.Now().Sub(began), 0))
+	left := ep.settings.Grace - endSlack - ep.timers.Now().Sub(began)
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
 	defer cancel()
+	stop := ep.timers.Call(max(left-answerSlack, 0), ep.entry.EndRequests)
+	defer stop()
 	if err := ep.callers.Shutdown(ctx); err != nil {
 		ep.logger.Warn("requests were cut off", "err", err)
 	}
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -138,7 +138,7 @@
 
 // overOutcome is the outcome of a request whose context has ended.
 func (rn *run) overOutcome(ctx context.Context) Outcome {
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTime) {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrTimeOver) {
 		return Gone{}
 	}
 	if rn.sends.Count() == 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,8 +89,9 @@
 	cause string
 }
 
-// errTime cancels a request whose time is over.
-var errTime = errors.New("time is over")
+// ErrTimeOver is the cause of cancelling a request whose time is over, for whatever reason; any other cancelled context
+// means that the caller has left.
+var ErrTimeOver = errors.New("time is over")
 
 // Serve takes a request to its end. The answer of an upstream goes to sink; any other outcome is for the caller
 // to be told.
@@ -108,7 +109,7 @@
 	left := rn.end.Sub(rn.Timers.Now())
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := rn.Timers.Call(left, func() { cancel(errTime) })
+	stop := rn.Timers.Call(left, func() { cancel(ErrTimeOver) })
 	defer stop()
 	if refusal := rn.admitLoad(); refusal != nil {
 		return refusal
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -94,7 +94,7 @@
 		rn.cutter.Drop()
 		return result
 	}
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTime) {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrTimeOver) {
 		return ended{outcome: Gone{}}
 	}
 	rn.cause = "stream broke off: " + cause.Error()
--- a/gather/handover_test.go
+++ b/gather/handover_test.go
@@ -188,3 +188,21 @@
 		must.NotEq(t, "a1", owner(fl), must.Sprint("the failure domain goes first"))
 	})
 }
+
+// TestMovedWorkBeyondBudget replays work whose gatherer fell silent after it had begun: its items would all be repeated
+// sends. When the budget has not so many left, its caller is told at once and not when its time is over.
+func TestMovedWorkBeyondBudget(t *testing.T) {
+	play(t, []string{"b1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		fk.budget = 3
+		moved := work("r", 8)
+		moved.MayHaveRun = true
+		began := time.Now()
+		_, refused := fl.clients["b1"].Run(ctx, "b", moved).(gather.Refused)
+		must.True(t, refused)
+		must.Less(t, 100*time.Millisecond, time.Since(began))
+		must.SliceEmpty(t, fk.made())
+		few := work("s", 3)
+		few.MayHaveRun = true
+		assertFinished(t, fl.clients["b1"].Run(ctx, "b", few), "s", 3)
+	})
+}
--- a/gather/place.go
+++ b/gather/place.go
@@ -72,6 +72,9 @@
 	if now.Add(wait).After(work.Expires) {
 		return nil, &Refused{Wait: wait, Cause: fmt.Sprintf("wait of %d ms", wait.Milliseconds())}
 	}
+	if left := pc.gatherer.repeats.Left(work.Pool); work.MayHaveRun && work.Count > left {
+		return nil, &Refused{Wait: wait, Cause: fmt.Sprintf("%d repeated sends left", left)}
+	}
 	pc.next++
 	id := pc.next
 	accepted := &job{work: work, results: make([]ItemResult, work.Count), missing: work.Count, done: make(chan Result, 1)}
