Log and metrics say what the caller of a begun response received

RequestEnded named the status of the last attempt only: a response that one upstream began and another ended looked like a whole one. Its detail now holds the status sent to the caller, the attempts that began and ended the response, the bytes and the last event id, and whether the end was complete; AttemptEnded names the attempt that it resumes. A counter by pipeline, resumption and end goes along. The fakes of the gateway's tests move to a file of their own and keep the events.

No decision changes.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -177,13 +177,13 @@
 // sendTo makes one attempt at an upstream.
 func (rn *run) sendTo(ctx context.Context, choice placement.Choice, criteria placement.Criteria, inputs []string, done *stages) attemptResult {
 	startedAt := rn.Timers.Now()
+	at := &attempt{run: rn, number: rn.audit.Executions() + 1, choice: choice, criteria: criteria, startedAt: startedAt, stages: done}
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventUpstreamChosen, RequestId: rn.request.ID, Upstream: choice.Upstream.ID, Stage: rn.pool.Name,
-		Attempt: int64(rn.audit.Executions() + 1),
+		Attempt: int64(at.number),
 		Detail: fmt.Sprintf("order=%d expected=%dms domain=%s wanted=%s", choice.Order, choice.ExpectedLatency.Milliseconds(),
 			choice.Upstream.FailureDomain, criteria.FailureDomain),
 	})
-	at := &attempt{run: rn, choice: choice, criteria: criteria, startedAt: startedAt, stages: done}
 	at.ctx, at.cancel = context.WithCancelCause(ctx)
 	defer at.cancel(nil)
 	at.stopTimeout = rn.Timers.AfterFunc(rn.firstByteTimeout(choice), func() { at.cancel(errFirstByteTimeout) })
@@ -194,6 +194,9 @@
 		Remaining: rn.deadline.Sub(startedAt), Inputs: inputs, Rank: rn.rank, Engine: rn.pool.Engine != nil, LastEventID: rn.lastEventID(),
 	})
 	result := at.handleResponse(ctx, reply, err)
+	if begunBy := rn.response.BegunBy(); begunBy != 0 && begunBy < at.number {
+		at.detail += fmt.Sprintf(" resumes=%d", begunBy)
+	}
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAttemptEnded, RequestId: rn.request.ID, Upstream: choice.Upstream.ID, Stage: rn.pool.Name,
 		Attempt: int64(rn.audit.Executions()), Outcome: at.outcome, Detail: at.detail, DurationMicros: rn.Timers.Now().Sub(startedAt).Microseconds(),
@@ -230,7 +233,9 @@
 
 // attempt is one send of a request to an upstream.
 type attempt struct {
-	run       *run
+	run *run
+	// number is the number of the attempt, from 1; a send that was not executed is not counted.
+	number    int
 	choice    placement.Choice
 	criteria  placement.Criteria
 	startedAt time.Time
@@ -398,8 +403,8 @@
 	at.finish(result, "Answered", fmt.Sprintf("status=%d bytes=%d", reply.Status, len(body)))
 	rn.responseStarted = true
 	rn.detail = fmt.Sprintf("status=%d", reply.Status)
-	rn.sink.Start(reply.Status, reply.Header, int64(len(body)))
-	if err := rn.sink.Write(body); err != nil {
+	rn.response.Start(at.number, reply.Status, reply.Header, int64(len(body)))
+	if err := rn.response.Write(at.number, body); err != nil {
 		return attemptResult{outcome: Gone{}}
 	}
 	return attemptResult{outcome: Answered{}}
--- /dev/null
+++ b/gateway/fakes_test.go
@@ -0,0 +1,256 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/catalog"
+	"github.com/turmericdoor/turmericdoor/digest"
+	"github.com/turmericdoor/turmericdoor/gateway"
+	"github.com/turmericdoor/turmericdoor/gather"
+	"github.com/turmericdoor/turmericdoor/hlc"
+	"github.com/turmericdoor/turmericdoor/metric"
+	"github.com/turmericdoor/turmericdoor/quarantine"
+	"github.com/turmericdoor/turmericdoor/replica"
+	"github.com/turmericdoor/turmericdoor/retryquota"
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/route"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+)
+
+// configuration returns a pipeline of each kind.
+func configuration() *route.Table {
+	pools := func(name string) []route.WeightedPool { return []route.WeightedPool{{Pool: name, Weight: 1}} }
+	return route.New(route.Table{
+		Revision:      3,
+		Organisations: map[string]route.Organisation{"key": {Name: "guild"}},
+		Pools: map[string]route.Pool{
+			"plain": {Name: "plain"}, "model": {Name: "model", Engine: &route.Engine{Slots: 64}},
+			"stage": {Name: "stage", Batching: &route.Batching{MaxBatch: 8, CallTime: 150 * time.Millisecond, ItemTime: 16 * time.Millisecond}},
+		},
+		Pipelines: []route.Pipeline{
+			{Name: "once", Host: "h", Prefix: "/once/", Pools: pools("plain"), MaxUpstreams: 1, Timeout: 2 * time.Second, TargetLatency: 300 * time.Millisecond},
+			{
+				Name: "lookup", Host: "h", Prefix: "/lookup/", Pools: pools("plain"), MaxUpstreams: 2, RetryPolicy: route.Idempotent,
+				Timeout: 2 * time.Second, TargetLatency: 300 * time.Millisecond,
+			},
+			{
+				Name: "draft", Host: "h", Prefix: "/draft/", Pools: pools("model"), MaxUpstreams: 1, Streaming: true, Timeout: 6 * time.Second,
+				TargetLatency: time.Second, AbandonAfter: 4 * time.Second, Stages: []route.Stage{{Pool: "stage", ResultBytes: 3e6}, {Pool: "stage", DependsOn: []int{0}}},
+			},
+			{
+				Name: "query", Host: "h", Prefix: "/query/", Pools: pools("model"), MaxUpstreams: 2, Streaming: true, RetryPolicy: route.Resumable,
+				Timeout: 6 * time.Second, TargetLatency: 3 * time.Second,
+			},
+			{Name: "open", Host: "h", Prefix: "/open/", Pools: pools("plain"), Public: true, MaxUpstreams: 1},
+		},
+	})
+}
+
+// response scripts an upstream's response to one attempt.
+type response struct {
+	err          error
+	status       int
+	notExecuted  bool
+	unsigned     bool
+	inputMissing bool
+	body         string
+	interrupted  bool
+	after        time.Duration
+}
+
+// fakes implements the upstreams, the stages and the crash tracker.
+type fakes struct {
+	mu sync.Mutex
+	// log holds the events, metrics the page of the metrics after the request.
+	log       []*wire.Event
+	metrics   string
+	responses []response
+	sends     []gateway.UpstreamRequest
+	jobs      []gather.Job
+	results   []gather.Result
+	released  []string
+	wait      time.Duration
+	// waits are the expected waits by failure domain, if they differ; runDomains are the failure domains in which stages ran.
+	waits      map[string]time.Duration
+	runDomains []string
+	dead       bool
+	crashes    []quarantine.Crash
+	status     quarantine.Status
+}
+
+func (fk *fakes) Configuration(replica.Row) (*route.Table, error) { return configuration(), nil }
+
+func (fk *fakes) Registration(row replica.Row, _ time.Time) (roster.Upstream, error) {
+	name, pool, _ := strings.Cut(row.Key, "@")
+	leaving := strings.HasSuffix(pool, "!")
+	_, domain, elsewhere := strings.Cut(name, ".")
+	if !elsewhere {
+		domain = "a"
+	}
+	return roster.Upstream{ID: name, Pool: strings.TrimSuffix(pool, "!"), FailureDomain: domain, Slots: 8, Leaving: leaving}, nil
+}
+
+func (fk *fakes) Send(ctx context.Context, request gateway.UpstreamRequest) (*gateway.UpstreamResponse, error) {
+	fk.mu.Lock()
+	fk.sends = append(fk.sends, request)
+	next := response{status: http.StatusOK, body: "whole"}
+	if len(fk.responses) > 0 {
+		next, fk.responses = fk.responses[0], fk.responses[1:]
+	}
+	fk.mu.Unlock()
+	select {
+	case <-time.After(next.after):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if next.err != nil {
+		return nil, next.err
+	}
+	body := io.Reader(strings.NewReader(next.body))
+	if next.interrupted {
+		body = io.MultiReader(body, broken{})
+	}
+	return &gateway.UpstreamResponse{
+		Status: next.status, Header: http.Header{"X": {"y"}}, Body: io.NopCloser(body), Length: -1, Signed: !next.unsigned && !next.notExecuted,
+		NotExecuted: next.notExecuted, InputMissing: next.inputMissing,
+	}, nil
+}
+
+// broken is a body whose connection is reset.
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, errors.New("reset") }
+
+func (fk *fakes) IsReachable(context.Context, *roster.Upstream) bool { return !fk.dead }
+
+func (fk *fakes) Run(_ context.Context, domain string, job gather.Job) gather.Result {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.runDomains = append(fk.runDomains, domain)
+	fk.jobs = append(fk.jobs, job)
+	if len(fk.results) > 0 {
+		next := fk.results[0]
+		fk.results = fk.results[1:]
+		return next
+	}
+	made := gather.Finished{}
+	for at := range job.Count {
+		made.Results = append(made.Results, gather.ItemResult{Handle: fmt.Sprintf("s%d.%d", job.Stage, at), FailureDomain: "a"})
+	}
+	return made
+}
+
+func (fk *fakes) ShortestWait(_, preferred string, _ time.Duration, _ gather.JobClass) (string, time.Duration) {
+	return preferred, fk.wait
+}
+
+func (fk *fakes) ExpectedWait(_, domain string, _ gather.JobClass) time.Duration {
+	return max(fk.wait, fk.waits[domain])
+}
+
+func (fk *fakes) ProjectedWait(pool, domain string, class gather.JobClass) time.Duration {
+	return fk.ExpectedWait(pool, domain, class)
+}
+
+func (fk *fakes) FailureDomains(string) []string {
+	if len(fk.waits) > 0 {
+		return slices.Sorted(maps.Keys(fk.waits))
+	}
+	return []string{"a"}
+}
+
+func (fk *fakes) Release(_ context.Context, _, _ string, handles []string) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.released = append(fk.released, handles...)
+}
+
+func (fk *fakes) Status(digest.Sum) quarantine.Status { return fk.status }
+func (fk *fakes) ReportSuccess(digest.Sum)            {}
+func (fk *fakes) ReportCrash(crash quarantine.Crash) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.crashes = append(fk.crashes, crash)
+}
+
+// sink stores a response.
+type sink struct {
+	status int
+	body   string
+}
+
+func (sk *sink) Start(status int, _ http.Header, _ int64) { sk.status = status }
+func (sk *sink) Write(part []byte) error                  { sk.body += string(part); return nil }
+
+// serve sends one request through a gateway in fake time.
+func serve(t *testing.T, fk *fakes, path string, change func(*gateway.Request)) (gateway.Outcome, *sink) {
+	t.Helper()
+	outcome, out := gateway.Outcome(nil), &sink{}
+	synctest.Test(t, func(*testing.T) {
+		timers := timer.New()
+		events := timeline.New("i", hlc.New(timers), 100, fk.record)
+		ct := catalog.New(fk, catalog.TableNames{Configuration: "c", Registrations: "r"}, timers, events)
+		ct.RowsChanged("c", []replica.Row{{Key: "config", Version: 1}}, 1, false)
+		for _, key := range []string{"p1@plain", "p2@plain", "p3@plain!", "m1@model", "m2@model", "s1@stage", "s2.b@stage"} {
+			ct.RowsChanged("r", []replica.Row{{Key: key, Version: 1}}, 1, false)
+		}
+		budget := retryquota.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
+		set := metric.New()
+		gw := gateway.New(gateway.Parts{
+			FailureDomain: "a", Catalog: ct, Pools: gateway.NewPools(timers, budget, func() int { return 1 }), Stages: fk, Sender: fk,
+			Crashes: fk, Timers: timers, Events: events, Metrics: set,
+		})
+		request := &gateway.Request{
+			ID: "r1", Method: "POST", Host: "h", Path: path, APIKey: "key", Arrived: time.Now(), CallerTimeout: 4 * time.Second, ItemCounts: []int{2, 1}, ItemKey: "ik",
+		}
+		if change != nil {
+			change(request)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		outcome = gw.Serve(ctx, request, out)
+		cancel()
+		time.Sleep(2 * time.Second)
+		page := &strings.Builder{}
+		set.Write(page)
+		fk.metrics = page.String()
+	})
+	return outcome, out
+}
+
+func (fk *fakes) record(event *wire.Event) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.log = append(fk.log, event)
+}
+
+// assertDetails checks the details of the log lines of a kind.
+func assertDetails(t *testing.T, fk *fakes, kind wire.EventKind, want ...string) {
+	t.Helper()
+	details := []string{}
+	for _, event := range fk.log {
+		if event.GetKind() == kind {
+			details = append(details, event.GetDetail())
+		}
+	}
+	must.Eq(t, want, details)
+}
+
+func assertOutcome(t *testing.T, want string, outcome gateway.Outcome) {
+	t.Helper()
+	must.Eq(t, want, gateway.OutcomeName(outcome), must.Sprintf("%#v", outcome))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/overload"
 	"github.com/turmericdoor/turmericdoor/quarantine"
+	"github.com/turmericdoor/turmericdoor/response"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/sendaudit"
@@ -64,7 +65,7 @@
 type run struct {
 	*Gateway
 	request      *Request
-	sink         Sink
+	response     *response.Response
 	table        *route.Table
 	pipeline     *route.Pipeline
 	pool         route.Pool
@@ -97,7 +98,10 @@
 // Serve processes a request until it ends. An upstream's response is written to sink; every other outcome is returned
 // for the caller's connection to report.
 func (gw *Gateway) Serve(ctx context.Context, request *Request, sink Sink) Outcome {
-	rn := &run{Gateway: gw, request: request, sink: sink, framer: events.New(), audit: sendaudit.New(request.ID, sendaudit.Limits{AtMostOnce: true})}
+	rn := &run{
+		Gateway: gw, request: request, response: response.New(sink), framer: events.New(),
+		audit: sendaudit.New(request.ID, sendaudit.Limits{AtMostOnce: true}),
+	}
 	outcome := rn.serve(ctx)
 	rn.recordEnd(outcome)
 	return outcome
@@ -225,10 +229,27 @@
 		name = rn.pipeline.Name
 		event.Pipeline, event.Revision = name, rn.table.Revision
 	}
-	rn.Events.Record(event)
 	_, answered := outcome.(Answered)
+	if rn.response.BegunBy() != 0 {
+		end := responseEnd(outcome)
+		event.Detail += fmt.Sprintf(" %s lastevent=%q end=%s", rn.response.Summary(), rn.lastEventID(), end)
+		rn.Metrics.RecordResponse(metric.Response{Pipeline: name, Resumed: rn.response.IsResumed(), End: end})
+	}
+	rn.Events.Record(event)
 	rn.Metrics.RecordRequest(metric.Request{
 		Rank: fmt.Sprint(rn.rank), Organisation: rn.organisation.Name, Pipeline: name, Outcome: OutcomeName(outcome),
 		DeadlineMet: answered && !rn.Timers.Now().After(rn.deadline), Duration: took,
 	})
 }
+
+// responseEnd returns how a response that has begun ended for its caller.
+func responseEnd(outcome Outcome) string {
+	switch outcome.(type) {
+	case Answered:
+		return "Complete"
+	case Gone:
+		return "CallerGone"
+	default:
+		return "CutOff"
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericdoor/turmericdoor/response"
 )
 
 // Request is a caller's request; its method, path, query, headers and body are forwarded unchanged.
@@ -65,12 +67,7 @@
 }
 
 // Sink receives the response for the caller.
-type Sink interface {
-	// Start writes the status and the headers; length is -1 if the body's length is unknown.
-	Start(status int, header http.Header, length int64)
-	// Write writes a part of the body and flushes it.
-	Write(part []byte) error
-}
+type Sink = response.Sink
 
 // Outcome is the result of a request. It is sealed: its variants are Answered, CutOff, Refused, NotFound, Unauthorised,
 // Failed, TimedOut and Gone.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -26,7 +26,7 @@
 				at.startResponse(reply)
 			}
 			total += len(part)
-			if failure := rn.sink.Write(part); failure != nil {
+			if failure := rn.response.Write(at.number, part); failure != nil {
 				at.finish(placement.Abandoned, "Abandoned", "caller disconnected")
 				return attemptResult{outcome: Gone{}}
 			}
@@ -60,10 +60,10 @@
 	rn.responseStarted = true
 	if rn.pipeline.RetryPolicy == route.Resumable {
 		// The length is unknown: another upstream may resume the stream, and the head is not written again.
-		rn.sink.Start(reply.Status, reply.Header, -1)
+		rn.response.Start(at.number, reply.Status, reply.Header, -1)
 		return
 	}
-	rn.sink.Start(reply.Status, reply.Header, reply.Length)
+	rn.response.Start(at.number, reply.Status, reply.Header, reply.Length)
 	at.stages.releaseAll()
 }
 
@@ -77,7 +77,7 @@
 		at.startResponse(reply)
 	}
 	if rest := rn.framer.Partial(); len(rest) > 0 {
-		if failure := rn.sink.Write(rest); failure != nil {
+		if failure := rn.response.Write(at.number, rest); failure != nil {
 			return attemptResult{outcome: Gone{}}
 		}
 	}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -48,6 +48,18 @@
 	}
 }
 
+// Response describes how a response that has begun ended: Resumed if more than one upstream wrote it, End as in the log.
+type Response struct {
+	Pipeline string
+	Resumed  bool
+	End      string
+}
+
+// RecordResponse counts a response that has begun.
+func (st *Set) RecordResponse(response Response) {
+	st.set.GetOrCreateCounter(fmt.Sprintf("turmericdoor_responses_total{pipeline=%q,resumed=\"%t\",end=%q}", response.Pipeline, response.Resumed, response.End)).Inc()
+}
+
 // RecordStage adds the wait and run times of one stage of a request.
 func (st *Set) RecordStage(pipeline, stage string, wait, run time.Duration) {
 	labels := fmt.Sprintf("pipeline=%q,stage=%q", pipeline, stage)
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -42,3 +42,13 @@
 		assertLines(t, set, `turmericdoor_repeats_left{pool="model"} 8`)
 	})
 }
+
+func TestResponse(t *testing.T) {
+	t.Run("begun responses are counted by pipeline, resumption and end", func(t *testing.T) {
+		set := metric.New()
+		set.RecordResponse(metric.Response{Pipeline: "query", Resumed: true, End: "CutOff"})
+		set.RecordResponse(metric.Response{Pipeline: "query", End: "Complete"})
+		assertLines(t, set, `turmericdoor_responses_total{pipeline="query",resumed="true",end="CutOff"} 1`,
+			`turmericdoor_responses_total{pipeline="query",resumed="false",end="Complete"} 1`)
+	})
+}
--- /dev/null
+++ b/response/doc.go
@@ -0,0 +1,2 @@
+// Package response holds the response to one request as its caller receives it.
+package response
