A begun stream no longer ends as complete by an answer that does not continue it

Cause: three places decided for themselves how a response goes on. forwardBuffered and startResponse wrote a head and a body whatever had been written before, finishStream wrote the rest of an incomplete event, and each returned Answered. No type held the state of what the caller had received.

Fix: response.Response owns the head, the body and the end. The head is written once (an invariant); a begun response accepts an answer only with status 200, the content type of the first one and events that follow the last one; only the Body that wrote last can complete it, after a whole event or with an explicit empty body. Everything else is an attempt that failed: it is retried where the route and the budget allow, otherwise the response is cut off. A request is Answered exactly if its response is complete (an invariant). So a status that nobody thought of fails as an attempt, too.

A signed answer with Content-Length 0 and the same content type completes a stream: the upstream vouches that nothing follows the last event, and a caller that resumed by itself would be passed the same answer. Without a length or a signature it fails. A stream with events without an id after the last id is not resumed, since a continuation would repeat them.

The fakes of the gateway have a third model upstream, and their sink counts the heads.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -10,6 +10,7 @@
 
 	"github.com/turmericdoor/turmericdoor/placement"
 	"github.com/turmericdoor/turmericdoor/quarantine"
+	"github.com/turmericdoor/turmericdoor/response"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -89,12 +90,12 @@
 	connectFailures, rejections := 0, 0
 	for {
 		if failure := rn.checkDeadline(ctx); failure != nil {
-			return rn.finalOutcome(failure), false
+			return failure, false
 		}
 		criteria.Slack = rn.targetAt.Sub(rn.Timers.Now())
 		choice, found := rn.Pools.pick(rn.pool.Name, rn.Catalog.Upstreams(rn.pool.Name, ""), criteria, criteria.PromptTokens)
 		if !found {
-			return rn.finalOutcome(rn.noUpstreamOutcome()), false
+			return rn.noUpstreamOutcome(), false
 		}
 		criteria.Exclude = append(criteria.Exclude, choice.Upstream.Incarnation())
 		if !rn.Catalog.IsUsable(choice.Upstream.Incarnation()) {
@@ -103,7 +104,7 @@
 		}
 		result := rn.sendTo(ctx, choice, criteria, inputs, done)
 		if !result.tryNext {
-			return rn.finalOutcome(result.outcome), result.rerunStages
+			return result.outcome, result.rerunStages
 		}
 		switch result.outcome.(type) {
 		case Refused:
@@ -112,25 +113,11 @@
 			connectFailures++
 		}
 		if connectFailures >= maxConnectFailures || rejections >= maxRejections {
-			return rn.finalOutcome(result.outcome), false
+			return result.outcome, false
 		}
 	}
 }
 
-// finalOutcome adjusts an outcome to the response written so far: a partly streamed response can only be completed,
-// abandoned by the caller, or cut off.
-func (rn *run) finalOutcome(outcome Outcome) Outcome {
-	if !rn.responseStarted {
-		return outcome
-	}
-	switch outcome.(type) {
-	case Answered, Gone:
-		return outcome
-	default:
-		return CutOff{}
-	}
-}
-
 // checkDeadline returns the outcome of a request that has no time left to be sent, or nil.
 func (rn *run) checkDeadline(ctx context.Context) Outcome {
 	if ctx.Err() == nil && rn.deadline.Sub(rn.Timers.Now()) > minTimeToSend {
@@ -206,7 +193,7 @@
 
 // lastEventID returns the id of the event after which the upstream must resume the stream.
 func (rn *run) lastEventID() string {
-	if id := rn.framer.LastEventID(); id != "" {
+	if id := rn.response.LastEventID(); id != "" {
 		return id
 	}
 	return rn.request.LastEventID
@@ -245,8 +232,10 @@
 	// stopTimeout stops the timer of the first byte.
 	stopTimeout  func()
 	gotFirstByte bool
-	outcome      string
-	detail       string
+	// body is what the attempt writes to the caller, or nil before its first part.
+	body    *response.Body
+	outcome string
+	detail  string
 }
 
 // errFirstByteTimeout is the cancellation cause of an attempt whose first byte is overdue.
@@ -274,6 +263,9 @@
 		return at.handleLost(ctx, "response is unsigned or belongs to another request")
 	}
 	defer reply.Body.Close()
+	if rn.response.IsBegun() {
+		return at.resumeStream(ctx, reply)
+	}
 	if rn.pipeline.Streaming && reply.Status == http.StatusOK {
 		return at.forwardStream(ctx, reply)
 	}
@@ -309,7 +301,7 @@
 
 // takeRetry reports whether the request may be sent to one more upstream and takes the retry from the budget.
 func (rn *run) takeRetry(ctx context.Context) bool {
-	if rn.responseStarted && rn.framer.LastEventID() == "" || rn.pipeline.RetryPolicy == route.AtMostOnce || rn.audit.Executions() >= rn.pipeline.MaxUpstreams || ctx.Err() != nil {
+	if rn.response.IsBegun() && !rn.response.CanResume() || rn.pipeline.RetryPolicy == route.AtMostOnce || rn.audit.Executions() >= rn.pipeline.MaxUpstreams || ctx.Err() != nil {
 		return false
 	}
 	return rn.takeBudget()
@@ -393,19 +385,26 @@
 		at.finish(placement.Failed, "Error", fmt.Sprintf("status=%d", reply.Status))
 		return attemptResult{outcome: Failed{Cause: fmt.Sprintf("upstream responded with status %d", reply.Status)}, tryNext: true}
 	}
-	if rn.Crashes.Status(rn.fingerprint) != quarantine.Clear {
-		rn.Crashes.ReportSuccess(rn.fingerprint)
-	}
+	rn.reportSuccess()
 	result := placement.Served
 	if failed {
 		result = placement.Failed
 	}
 	at.finish(result, "Answered", fmt.Sprintf("status=%d bytes=%d", reply.Status, len(body)))
-	rn.responseStarted = true
 	rn.detail = fmt.Sprintf("status=%d", reply.Status)
-	rn.response.Start(at.number, reply.Status, reply.Header, int64(len(body)))
-	if err := rn.response.Write(at.number, body); err != nil {
+	caller := rn.response.Begin(response.Head{Attempt: at.number, Status: reply.Status, Header: reply.Header, Length: int64(len(body))})
+	if err := caller.Write(body); err != nil {
 		return attemptResult{outcome: Gone{}}
 	}
+	if err := caller.Complete(); err != nil {
+		return attemptResult{outcome: Failed{Cause: err.Error()}}
+	}
 	return attemptResult{outcome: Answered{}}
 }
+
+// reportSuccess reports that an upstream has executed a suspected request and lives.
+func (rn *run) reportSuccess() {
+	if rn.Crashes.Status(rn.fingerprint) != quarantine.Clear {
+		rn.Crashes.ReportSuccess(rn.fingerprint)
+	}
+}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -71,20 +71,27 @@
 	body         string
 	interrupted  bool
 	after        time.Duration
+	contentType  string
+	// sized sets the length to that of the body, mismatch marks the response to another request.
+	sized    bool
+	mismatch bool
 }
 
 // fakes implements the upstreams, the stages and the crash tracker.
 type fakes struct {
 	mu sync.Mutex
 	// log holds the events, metrics the page of the metrics after the request.
-	log       []*wire.Event
-	metrics   string
-	responses []response
-	sends     []gateway.UpstreamRequest
-	jobs      []gather.Job
-	results   []gather.Result
-	released  []string
-	wait      time.Duration
+	log     []*wire.Event
+	metrics string
+	// maxUpstreams and budget replace the limits of resumable streams and of retries.
+	maxUpstreams int
+	budget       retryquota.Config
+	responses    []response
+	sends        []gateway.UpstreamRequest
+	jobs         []gather.Job
+	results      []gather.Result
+	released     []string
+	wait         time.Duration
 	// waits are the expected waits by failure domain, if they differ; runDomains are the failure domains in which stages ran.
 	waits      map[string]time.Duration
 	runDomains []string
@@ -93,7 +100,13 @@
 	status     quarantine.Status
 }
 
-func (fk *fakes) Configuration(replica.Row) (*route.Table, error) { return configuration(), nil }
+func (fk *fakes) Configuration(replica.Row) (*route.Table, error) {
+	table := configuration()
+	if fk.maxUpstreams > 0 {
+		table.Match("h", "/query/").MaxUpstreams = fk.maxUpstreams
+	}
+	return table, nil
+}
 
 func (fk *fakes) Registration(row replica.Row, _ time.Time) (roster.Upstream, error) {
 	name, pool, _ := strings.Cut(row.Key, "@")
@@ -125,10 +138,17 @@
 	if next.interrupted {
 		body = io.MultiReader(body, broken{})
 	}
-	return &gateway.UpstreamResponse{
+	reply := &gateway.UpstreamResponse{
 		Status: next.status, Header: http.Header{"X": {"y"}}, Body: io.NopCloser(body), Length: -1, Signed: !next.unsigned && !next.notExecuted,
-		NotExecuted: next.notExecuted, InputMissing: next.inputMissing,
-	}, nil
+		NotExecuted: next.notExecuted, InputMissing: next.inputMissing, RequestMismatch: next.mismatch,
+	}
+	if next.sized {
+		reply.Length = int64(len(next.body))
+	}
+	if next.contentType != "" {
+		reply.Header.Set("Content-Type", next.contentType)
+	}
+	return reply, nil
 }
 
 // broken is a body whose connection is reset.
@@ -192,24 +212,44 @@
 type sink struct {
 	status int
 	body   string
+	// heads counts the heads written; gone makes writes fail as on a connection that the caller closed.
+	heads int
+	gone  bool
 }
 
-func (sk *sink) Start(status int, _ http.Header, _ int64) { sk.status = status }
-func (sk *sink) Write(part []byte) error                  { sk.body += string(part); return nil }
+func (sk *sink) Start(status int, _ http.Header, _ int64) { sk.status, sk.heads = status, sk.heads+1 }
+
+func (sk *sink) Write(part []byte) error {
+	if sk.gone {
+		return errReset
+	}
+	sk.body += string(part)
+	return nil
+}
 
 // serve sends one request through a gateway in fake time.
 func serve(t *testing.T, fk *fakes, path string, change func(*gateway.Request)) (gateway.Outcome, *sink) {
 	t.Helper()
-	outcome, out := gateway.Outcome(nil), &sink{}
+	out := &sink{}
+	return serveTo(t, fk, path, change, out), out
+}
+
+// serveTo sends one request through a gateway in fake time and writes the response to out.
+func serveTo(t *testing.T, fk *fakes, path string, change func(*gateway.Request), out *sink) gateway.Outcome {
+	t.Helper()
+	outcome := gateway.Outcome(nil)
 	synctest.Test(t, func(*testing.T) {
 		timers := timer.New()
 		events := timeline.New("i", hlc.New(timers), 100, fk.record)
 		ct := catalog.New(fk, catalog.TableNames{Configuration: "c", Registrations: "r"}, timers, events)
 		ct.RowsChanged("c", []replica.Row{{Key: "config", Version: 1}}, 1, false)
-		for _, key := range []string{"p1@plain", "p2@plain", "p3@plain!", "m1@model", "m2@model", "s1@stage", "s2.b@stage"} {
+		for _, key := range []string{"p1@plain", "p2@plain", "p3@plain!", "m1@model", "m2@model", "m3@model", "s1@stage", "s2.b@stage"} {
 			ct.RowsChanged("r", []replica.Row{{Key: key, Version: 1}}, 1, false)
 		}
 		budget := retryquota.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
+		if fk.budget.Window > 0 {
+			budget = fk.budget
+		}
 		set := metric.New()
 		gw := gateway.New(gateway.Parts{
 			FailureDomain: "a", Catalog: ct, Pools: gateway.NewPools(timers, budget, func() int { return 1 }), Stages: fk, Sender: fk,
@@ -229,7 +269,7 @@
 		set.Write(page)
 		fk.metrics = page.String()
 	})
-	return outcome, out
+	return outcome
 }
 
 func (fk *fakes) record(event *wire.Event) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/turmericdoor/turmericdoor/digest"
 	"github.com/turmericdoor/turmericdoor/events"
 	"github.com/turmericdoor/turmericdoor/gather"
+	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/overload"
 	"github.com/turmericdoor/turmericdoor/quarantine"
@@ -83,8 +84,6 @@
 	abandonAt time.Time
 	targetAt  time.Time
 	audit     *sendaudit.Tracker
-	// responseStarted is set once a part of the response has been written to the sink.
-	responseStarted bool
 	// framer cuts a resumable stream into complete events.
 	framer *events.Framer
 	// detail explains the outcome in the event log.
@@ -102,11 +101,29 @@
 		Gateway: gw, request: request, response: response.New(sink), framer: events.New(),
 		audit: sendaudit.New(request.ID, sendaudit.Limits{AtMostOnce: true}),
 	}
-	outcome := rn.serve(ctx)
+	outcome := rn.finalOutcome(rn.serve(ctx))
 	rn.recordEnd(outcome)
 	return outcome
 }
 
+// finalOutcome adjusts an outcome to the response written so far: a response that has begun can only be completed,
+// abandoned by the caller, or cut off.
+func (rn *run) finalOutcome(outcome Outcome) Outcome {
+	_, answered := outcome.(Answered)
+	invariant.Check(answered == rn.response.IsComplete(), "a request is answered exactly if its response is complete",
+		"request %s: outcome %s", rn.request.ID, OutcomeName(outcome))
+	rn.response.CutOff()
+	if !rn.response.IsBegun() {
+		return outcome
+	}
+	switch outcome.(type) {
+	case Answered, Gone:
+		return outcome
+	default:
+		return CutOff{}
+	}
+}
+
 func (rn *run) serve(ctx context.Context) Outcome {
 	if refusal := rn.resolveRoute(); refusal != nil {
 		return refusal
@@ -230,9 +247,9 @@
 		event.Pipeline, event.Revision = name, rn.table.Revision
 	}
 	_, answered := outcome.(Answered)
-	if rn.response.BegunBy() != 0 {
+	if rn.response.IsBegun() {
 		end := responseEnd(outcome)
-		event.Detail += fmt.Sprintf(" %s lastevent=%q end=%s", rn.response.Summary(), rn.lastEventID(), end)
+		event.Detail += fmt.Sprintf(" %s end=%s", rn.response.Summary(), end)
 		rn.Metrics.RecordResponse(metric.Response{Pipeline: name, Resumed: rn.response.IsResumed(), End: end})
 	}
 	rn.Events.Record(event)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,41 +1,57 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 
 	"github.com/turmericdoor/turmericdoor/placement"
-	"github.com/turmericdoor/turmericdoor/quarantine"
+	"github.com/turmericdoor/turmericdoor/response"
 	"github.com/turmericdoor/turmericdoor/route"
 )
 
 // streamBuffer is the size of one read from a stream, in bytes.
 const streamBuffer = 4096
 
+// resumeStream continues a response that an earlier attempt began; an answer that can't continue it is a failed attempt.
+func (at *attempt) resumeStream(ctx context.Context, reply *UpstreamResponse) attemptResult {
+	body, err := at.run.response.Resume(at.head(reply))
+	if err != nil {
+		return at.handleNotContinued(ctx, err)
+	}
+	at.body = body
+	return at.forwardStream(ctx, reply)
+}
+
+// head returns the head of a streamed answer.
+func (at *attempt) head(reply *UpstreamResponse) response.Head {
+	return response.Head{
+		Attempt: at.number, Status: reply.Status, Header: reply.Header, Length: reply.Length, Streamed: true,
+		Resumable: at.run.pipeline.RetryPolicy == route.Resumable,
+	}
+}
+
 // forwardStream forwards a stream to the caller as it arrives.
 func (at *attempt) forwardStream(ctx context.Context, reply *UpstreamResponse) attemptResult {
 	rn := at.run
+	rn.framer.DiscardPartial()
 	buffer := make([]byte, streamBuffer)
 	total := 0
 	for {
 		count, err := reply.Body.Read(buffer)
 		if part := rn.completeEvents(buffer[:count]); len(part) > 0 {
-			if !at.gotFirstByte {
-				at.startResponse(reply)
-			}
 			total += len(part)
-			if failure := rn.response.Write(at.number, part); failure != nil {
-				at.finish(placement.Abandoned, "Abandoned", "caller disconnected")
-				return attemptResult{outcome: Gone{}}
+			if failure := at.forwardPart(reply, part); failure != nil {
+				return at.handleWriteError(ctx, failure)
 			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
 			return at.finishStream(ctx, reply, total)
 		case err != nil:
-			return at.handleBrokenStream(ctx, err)
+			return at.handleLost(ctx, err.Error())
 		}
 	}
 }
@@ -48,58 +64,72 @@
 	return rn.framer.Push(part)
 }
 
-// startResponse records the latency of the first byte and writes the response head unless an earlier attempt has written
-// it. It then releases the results of the stages if the stream is not resumable: no other upstream can take over such a
-// stream, so none will read them.
-func (at *attempt) startResponse(reply *UpstreamResponse) {
-	rn := at.run
-	at.recordFirstByte()
-	if rn.responseStarted {
-		return
+// forwardPart writes a part of the stream to the caller.
+func (at *attempt) forwardPart(reply *UpstreamResponse, part []byte) error {
+	if !at.gotFirstByte {
+		at.recordFirstByte()
+	}
+	at.beginResponse(reply)
+	return at.body.Write(part)
+}
+
+// handleWriteError handles a part of the stream that could not be written.
+func (at *attempt) handleWriteError(ctx context.Context, failure error) attemptResult {
+	if errors.As(failure, &response.NotContinued{}) {
+		return at.handleNotContinued(ctx, failure)
 	}
-	rn.responseStarted = true
-	if rn.pipeline.RetryPolicy == route.Resumable {
-		// The length is unknown: another upstream may resume the stream, and the head is not written again.
-		rn.response.Start(at.number, reply.Status, reply.Header, -1)
+	at.finish(placement.Abandoned, "Abandoned", "caller disconnected")
+	return attemptResult{outcome: Gone{}}
+}
+
+// beginResponse writes the response head unless this or an earlier attempt has written it. It then releases the results of
+// the stages if the stream is not resumable: no other upstream can take over such a stream, so none will read them.
+func (at *attempt) beginResponse(reply *UpstreamResponse) {
+	if at.body != nil {
 		return
 	}
-	rn.response.Start(at.number, reply.Status, reply.Header, reply.Length)
-	at.stages.releaseAll()
+	at.body = at.run.response.Begin(at.head(reply))
+	if at.run.pipeline.RetryPolicy != route.Resumable {
+		at.stages.releaseAll()
+	}
 }
 
 // finishStream handles the regular end of a stream.
 func (at *attempt) finishStream(ctx context.Context, reply *UpstreamResponse, total int) attemptResult {
 	rn := at.run
-	if !at.gotFirstByte && rn.pipeline.RetryPolicy != route.Idempotent && reply.Length != 0 {
+	if total == 0 && rn.pipeline.RetryPolicy != route.Idempotent && reply.Length != 0 {
 		return at.handleLost(ctx, "stream ended without an event")
 	}
-	if !at.gotFirstByte {
-		at.startResponse(reply)
-	}
 	if rest := rn.framer.Partial(); len(rest) > 0 {
-		if failure := rn.response.Write(at.number, rest); failure != nil {
-			return attemptResult{outcome: Gone{}}
+		if len(bytes.Trim(rest, "\n")) > 0 {
+			return at.handleLost(ctx, "stream ended inside an event")
+		}
+		// Empty lines after the last event belong to the body.
+		if failure := at.forwardPart(reply, rest); failure != nil {
+			return at.handleWriteError(ctx, failure)
 		}
 	}
-	if rn.Crashes.Status(rn.fingerprint) != quarantine.Clear {
-		rn.Crashes.ReportSuccess(rn.fingerprint)
+	if !at.gotFirstByte {
+		at.recordFirstByte()
 	}
+	at.beginResponse(reply)
+	if err := at.body.Complete(); err != nil {
+		return at.handleLost(ctx, err.Error())
+	}
+	rn.reportSuccess()
 	at.finish(placement.Served, "Answered", fmt.Sprintf("status=%d bytes=%d", reply.Status, total))
 	rn.detail = fmt.Sprintf("status=%d", reply.Status)
 	return attemptResult{outcome: Answered{}}
 }
 
-// handleBrokenStream handles a stream that ended with a read error.
-func (at *attempt) handleBrokenStream(ctx context.Context, cause error) attemptResult {
+// handleNotContinued handles an answer that does not continue the response that an earlier attempt began.
+func (at *attempt) handleNotContinued(ctx context.Context, cause error) attemptResult {
 	rn := at.run
-	result := at.handleLost(ctx, cause.Error())
-	if !rn.responseStarted || result.tryNext {
-		rn.framer.DiscardPartial()
-		return result
-	}
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrTimeout) {
-		return attemptResult{outcome: Gone{}}
+	if ctx.Err() != nil {
+		at.finish(placement.Abandoned, "Abandoned", cause.Error())
+		return attemptResult{outcome: rn.contextOutcome(ctx)}
 	}
-	rn.detail = "stream interrupted: " + cause.Error()
-	return attemptResult{outcome: CutOff{}}
+	at.finish(placement.Failed, "NotContinued", cause.Error())
+	rn.detail = cause.Error()
+	return attemptResult{outcome: Failed{Cause: cause.Error()}, tryNext: rn.takeRetry(ctx)}
 }
--- a/response/response.go
+++ b/response/response.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"mime"
 	"net/http"
+
+	"github.com/turmericdoor/turmericdoor/invariant"
 )
 
 // Sink is the connection to the caller.
@@ -13,13 +16,52 @@
 	Write(part []byte) error
 }
 
-// Response records what the caller of one request receives; it is not safe for concurrent use.
+// Head is the head of the answer to an attempt.
+type Head struct {
+	Attempt int
+	Status  int
+	Header  http.Header
+	// Length is the length of the body, or -1 if it is unknown.
+	Length int64
+	// Streamed is set if the body is written as it arrives, Resumable if another answer may continue it.
+	Streamed  bool
+	Resumable bool
+}
+
+// isEventStream reports whether the body is a stream of server-sent events.
+func (hd Head) isEventStream() bool {
+	return hd.Streamed && hd.mediaType() == "text/event-stream"
+}
+
+// mediaType returns the content type without its parameters, in lower case.
+func (hd Head) mediaType() string {
+	name, _, err := mime.ParseMediaType(hd.Header.Get("Content-Type"))
+	if err != nil {
+		return hd.Header.Get("Content-Type")
+	}
+	return name
+}
+
+// state is how far a response is.
+type state int
+
+const (
+	notBegun state = iota
+	begun
+	complete
+	cutOff
+)
+
+// Response is what the caller of one request receives: one head, then the body of one answer and of those that continue
+// it. It ends once, complete or cut off. It is not safe for concurrent use.
 type Response struct {
-	sink    Sink
-	status  int
-	begunBy int
-	endedBy int
-	bytes   int64
+	sink  Sink
+	state state
+	head  Head
+	// body is the only one that may write.
+	body     *Body
+	bytes    int64
+	position position
 }
 
 // New returns a response that has not begun.
@@ -27,33 +69,77 @@
 	return &Response{sink: sink}
 }
 
-// Start writes the head of the answer to an attempt.
-func (rs *Response) Start(attempt, status int, header http.Header, length int64) {
-	rs.endedBy = attempt
-	if rs.begunBy == 0 {
-		rs.status, rs.begunBy = status, attempt
+// Begin writes the head of an answer and returns the body; it is called once.
+func (rs *Response) Begin(head Head) *Body {
+	invariant.Check(rs.state == notBegun, "a response has one head", "attempt %d after attempt %d", head.Attempt, rs.head.Attempt)
+	length := head.Length
+	if head.Resumable {
+		// A second answer may continue the body, whose length is therefore unknown.
+		length = -1
+	}
+	rs.state, rs.head = begun, head
+	rs.body = &Body{response: rs, head: head}
+	rs.sink.Start(head.Status, head.Header, length)
+	return rs.body
+}
+
+// Resume returns the body of an answer that continues the response, or a NotContinued error.
+func (rs *Response) Resume(head Head) (*Body, error) {
+	switch {
+	case !rs.CanResume():
+		return nil, NotContinued{Cause: "the response can't be resumed"}
+	case head.Status != http.StatusOK:
+		return nil, NotContinued{Cause: fmt.Sprintf("status=%d", head.Status)}
+	case head.mediaType() != rs.head.mediaType():
+		return nil, NotContinued{Cause: fmt.Sprintf("content type %q after %q", head.mediaType(), rs.head.mediaType())}
+	}
+	rs.body = &Body{response: rs, head: head, resumed: true}
+	return rs.body, nil
+}
+
+// CutOff ends a response that has begun and is not complete.
+func (rs *Response) CutOff() {
+	if rs.state == begun {
+		rs.state = cutOff
 	}
-	rs.sink.Start(status, header, length)
 }
 
-// Write writes a part of the body of the answer to an attempt.
-func (rs *Response) Write(attempt int, part []byte) error {
-	rs.endedBy = attempt
-	rs.bytes += int64(len(part))
-	return rs.sink.Write(part)
+// IsBegun reports whether the head has been written.
+func (rs *Response) IsBegun() bool {
+	return rs.state != notBegun
+}
+
+// IsComplete reports whether the caller has received the whole response.
+func (rs *Response) IsComplete() bool {
+	return rs.state == complete
+}
+
+// CanResume reports whether another answer may continue the response after LastEventID.
+func (rs *Response) CanResume() bool {
+	return rs.state == begun && rs.head.Resumable && rs.position.isKnown()
+}
+
+// LastEventID returns the id of the last event that the caller received, or "".
+func (rs *Response) LastEventID() string {
+	return rs.position.last
 }
 
 // BegunBy returns the number of the attempt whose answer began the response, or 0.
 func (rs *Response) BegunBy() int {
-	return rs.begunBy
+	return rs.head.Attempt
 }
 
-// IsResumed reports whether an attempt after the first one wrote to the response.
+// IsResumed reports whether the answer to a second attempt continued the response.
 func (rs *Response) IsResumed() bool {
-	return rs.begunBy != rs.endedBy
+	return rs.body != nil && rs.body.resumed
 }
 
 // Summary returns what the caller has received.
 func (rs *Response) Summary() string {
-	return fmt.Sprintf("callerstatus=%d begunby=%d endedby=%d bytes=%d", rs.status, rs.begunBy, rs.endedBy, rs.bytes)
+	endedBy := 0
+	if rs.body != nil {
+		endedBy = rs.body.head.Attempt
+	}
+	return fmt.Sprintf("callerstatus=%d begunby=%d endedby=%d bytes=%d lastevent=%q",
+		rs.head.Status, rs.head.Attempt, endedBy, rs.bytes, rs.position.last)
 }
