Soak: streams break and their resumed attempts are answered without continuing them

No randomised run had a resumed attempt that got an answer: a flaky upstream rejected, reset or hung. The new fault ResumesFail breaks streams and answers most resumed attempts with an error status, an empty, cut, unsigned or foreign body, or the stream from its start. Besides the body, the soak now checks that a response has one head if it is answered or cut off and none if it is refused or failed. The variant completesCutOff, which ends cut streams as complete, must be detected.

--- a/entry/checks_test.go
+++ b/entry/checks_test.go
@@ -18,6 +18,7 @@
 	if strings.HasPrefix(request.Path, "/stream/") || strings.HasPrefix(request.Path, "/draft/") {
 		want = completeStream(request.ID)
 	}
+	sk.checkHead(request, outcome, out)
 	switch outcome.(type) {
 	case gateway.Answered:
 		if out.body.String() != want {
@@ -34,6 +35,21 @@
 	}
 }
 
+// checkHead checks that a response has one head if it is answered or cut off, at most one if its caller left, and none
+// otherwise.
+func (sk *soak) checkHead(request *gateway.Request, outcome gateway.Outcome, out *sink) {
+	least, most := 0, 0
+	switch outcome.(type) {
+	case gateway.Answered, gateway.CutOff:
+		least, most = 1, 1
+	case gateway.Gone:
+		most = 1
+	}
+	if out.heads < least || out.heads > most {
+		sk.violations = append(sk.violations, fmt.Sprintf("%s ended %s with %d heads", request.Path, gateway.OutcomeName(outcome), out.heads))
+	}
+}
+
 // checkRevisions checks that no instance returned to an older configuration.
 func (sk *soak) checkRevisions() {
 	for _, nd := range sk.fleet.live() {
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -19,6 +19,7 @@
 		{"UpstreamCrash", sk.upstreamCrash},
 		{"UpstreamHangs", sk.upstreamHangs},
 		{"UpstreamFlaky", sk.upstreamFlaky},
+		{"ResumesFail", sk.resumesFail},
 	}
 	chosen := all[sk.random.IntN(len(all))]
 	for _, fault := range sk.activeFaults {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -62,6 +62,8 @@
 	sendsTwice bool
 	deniesRuns bool
 	mixesItems bool
+	// completesCutOff ends responses that were cut off as complete.
+	completesCutOff bool
 }
 
 var domains = []string{"a", "b"}
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -222,13 +222,14 @@
 	})
 }
 
-// sink collects the body of an answer.
+// sink collects the body of an answer and counts its heads.
 type sink struct {
-	body strings.Builder
+	heads int
+	body  strings.Builder
 }
 
-// Start ignores the status and the headers.
-func (sn *sink) Start(int, http.Header, int64) {}
+// Start counts a head.
+func (sn *sink) Start(int, http.Header, int64) { sn.heads++ }
 
 // Write appends a part of the body.
 func (sn *sink) Write(part []byte) error { sn.body.Write(part); return nil }
@@ -240,6 +241,9 @@
 	}
 	out := &sink{}
 	outcome := nd.entry.Serve(httpRequest, request, out)
+	if _, cut := outcome.(gateway.CutOff); cut && sk.variant.completesCutOff {
+		outcome = gateway.Answered{}
+	}
 	took := time.Since(request.Arrived)
 	sk.mu.Lock()
 	defer sk.mu.Unlock()
@@ -296,7 +300,7 @@
 
 // summary returns the counts of outcomes and faults in one line.
 func (sk *soak) summary() string {
-	parts := []string{}
+	parts := []string{fmt.Sprintf("failed resumes=%d", sk.fleet.upstreams.failedResumes)}
 	for name, count := range sk.outcomes {
 		parts = append(parts, fmt.Sprintf("%s=%d", name, count))
 	}
@@ -364,6 +368,7 @@
 		"results swapped between requests": {defects{mixesItems: true}, "received input"},
 		"ignored leaving mark":             {defects{decoder: func(dc decoder) catalog.Decoder { return staleDecoder{decoder: dc, ignoresLeaving: true} }}, "which left"},
 		"ignored key revocation":           {defects{decoder: func(dc decoder) catalog.Decoder { return staleDecoder{decoder: dc, ignoresRevocation: true} }}, "whose key was revoked"},
+		"cut streams that look complete":   {defects{completesCutOff: true}, "returned body"},
 		"unlimited retry budget":           {defects{budget: retryquota.Config{Ratio: 5, Extra: 5000, Window: 10 * time.Second}}, "retries in a window"},
 	}
 	for name, each := range variants {
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -50,6 +50,9 @@
 	// revokedAt is when each organisation's key was revoked.
 	revokedAt  map[string]time.Time
 	violations []string
+	// resumesFail is set while streams break and resumed attempts fail; failedResumes counts them.
+	resumesFail   bool
+	failedResumes int
 }
 
 // arrival is a request or an item that an upstream received; repeated is set if it was received before.
@@ -286,8 +289,12 @@
 	if lost {
 		return nil, errReset
 	}
+	if answer := us.failedResume(exchange); answer != nil {
+		return answer, nil
+	}
 	reply := &gateway.UpstreamResponse{Status: http.StatusOK, Header: http.Header{}, Signed: true, Length: -1}
 	if strings.HasPrefix(exchange.Request.Path, "/stream/") || strings.HasPrefix(exchange.Request.Path, "/draft/") {
+		reply.Header.Set("Content-Type", eventStreamType)
 		first := 0
 		_, _ = fmt.Sscan(exchange.LastEventID, &first)
 		reply.Body = &eventStream{ctx: ctx, upstreams: us, up: up, id: exchange.Request.ID, next: first + 1}
@@ -317,7 +324,8 @@
 		return 0, es.ctx.Err()
 	}
 	es.upstreams.mu.Lock()
-	broken := es.up.crashed || es.up.flaky && es.upstreams.random.IntN(12) == 0
+	broken := es.up.crashed || es.up.flaky && es.upstreams.random.IntN(12) == 0 ||
+		es.upstreams.resumesFail && es.upstreams.random.IntN(streamBreakage) == 0
 	es.upstreams.mu.Unlock()
 	if broken {
 		return 0, errReset
