--- a/gateway/resumed_test.go
+++ b/gateway/resumed_test.go
@@ -23,7 +23,7 @@
 		outcome, _ := serve(t, fk, "/query/1", withoutStages)
 		assertOutcome(t, "Answered", outcome)
 		assertDetails(t, fk, wire.EventKind_EventAttemptEnded, "reset", "status=200 bytes=7 resumes=1")
-		assertDetails(t, fk, wire.EventKind_EventRequestEnded, `status=200 callerstatus=200 begunby=1 endedby=2 bytes=14 lastevent="2" end=Complete`)
+		assertDetails(t, fk, wire.EventKind_EventRequestEnded, `status=200 callerstatus=200 begunby=1 endedby=2 bytes=14 lastevent=2 end=Complete`)
 		must.StrContains(t, fk.metrics, `turmericdoor_responses_total{pipeline="query",resumed="true",end="Complete"} 1`)
 	})
 	t.Run("a stream that no other upstream continued", func(t *testing.T) {
@@ -31,7 +31,7 @@
 		outcome, _ := serve(t, fk, "/query/1", withoutStages)
 		assertOutcome(t, "CutOff", outcome)
 		assertDetails(t, fk, wire.EventKind_EventAttemptEnded, "reset", "connection reset resumes=1")
-		assertDetails(t, fk, wire.EventKind_EventRequestEnded, `connection reset callerstatus=200 begunby=1 endedby=1 bytes=7 lastevent="1" end=CutOff`)
+		assertDetails(t, fk, wire.EventKind_EventRequestEnded, `connection reset callerstatus=200 begunby=1 endedby=1 bytes=7 lastevent=1 end=CutOff`)
 		must.StrContains(t, fk.metrics, `turmericdoor_responses_total{pipeline="query",resumed="false",end="CutOff"} 1`)
 	})
 	t.Run("a response that has not begun", func(t *testing.T) {
--- a/response/response.go
+++ b/response/response.go
@@ -140,6 +140,6 @@
 	if rs.body != nil {
 		endedBy = rs.body.head.Attempt
 	}
-	return fmt.Sprintf("callerstatus=%d begunby=%d endedby=%d bytes=%d lastevent=%q",
+	return fmt.Sprintf("callerstatus=%d begunby=%d endedby=%d bytes=%d lastevent=%s",
 		rs.head.Status, rs.head.Attempt, endedBy, rs.bytes, rs.position.last)
 }
