Serve: a stream that is cut inside an event is resumed, and doesn't begin anew

What callers saw: an engine that stopped in the middle of an event, or sent a token that can't be read, ended the whole instance: every caller of the process was cut off.

Cause: the half line was taken for an invalid answer, which dropped the tokens that the caller already had.

Why this fix holds: a last line without its line feed is never a token, so a cut stream is Broken like any other; and an invalid answer hands on the valid tokens before it, from which the next attempt resumes.

--- a/runner/evaluate.go
+++ b/runner/evaluate.go
@@ -24,7 +24,7 @@
 	detail      string
 	// payload is the payload for the next stage, if the attempt succeeded.
 	payload payloadState
-	// tokens are the tokens that arrived before the upstream broke off, from which a retry can resume.
+	// tokens are the valid tokens that arrived before the attempt failed, from which a retry can resume.
 	tokens []string
 	waited time.Duration
 	load   int64
@@ -49,7 +49,7 @@
 		return evaluation{result: result{failure, false}, status: dispatch.Succeeded, outcomeName: "Rejected", detail: ended.Detail, load: -1}
 	case upstream.Garbage:
 		sr.tracker.End(id)
-		return evaluation{result: sr.failedResult("the upstream's answer made no sense"), status: dispatch.Failed, outcomeName: "Garbage", detail: ended.Cause, load: -1}
+		return evaluation{result: sr.failedResult("the upstream's answer made no sense"), status: dispatch.Failed, outcomeName: "Garbage", detail: ended.Cause, tokens: ended.Tokens, load: -1}
 	}
 	invariant.Check(false, "a call has a known outcome", "outcome of type %T", outcome)
 	return evaluation{}
--- a/upstream/codec.go
+++ b/upstream/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -62,6 +63,9 @@
 // StreamEnd is the data of the last event of a streamed completion.
 const StreamEnd = "[DONE]"
 
+// dataPrefix begins the lines of a stream that carry data.
+const dataPrefix = "data: "
+
 // encode returns the path and the request body of a call.
 func encode(call *Call) (string, []byte) {
 	switch call.Kind {
@@ -137,8 +141,9 @@
 	payload.Tokens = append([]string{}, call.Payload.Tokens...)
 	scanner := bufio.NewScanner(response.Body)
 	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	scanner.Split(splitLines)
 	for scanner.Scan() {
-		data, isData := strings.CutPrefix(scanner.Text(), "data: ")
+		data, isData := strings.CutPrefix(scanner.Text(), dataPrefix)
 		if !isData {
 			continue
 		}
@@ -146,7 +151,7 @@
 			return newReplied(response, payload)
 		}
 		if cause := appendToken(call, &payload, data); cause != "" {
-			return Garbage{Cause: cause}
+			return Garbage{Cause: cause, Tokens: payload.Tokens}
 		}
 	}
 	err := scanner.Err()
@@ -156,6 +161,15 @@
 	return cl.transportFailure(ctx, call, err, payload.Tokens)
 }
 
+// splitLines splits like bufio.ScanLines, but drops a last line without a line feed, which may be cut off, unless it is
+// the end marker.
+func splitLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	if atEOF && !bytes.Contains(data, []byte("\n")) && string(data) != dataPrefix+StreamEnd {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 // appendToken appends one streamed token to the payload. It returns why the token is invalid, or "" if it is valid.
 func appendToken(call *Call, payload *Payload, data string) string {
 	chunk := CompletionChunk{}
--- a/upstream/outcome.go
+++ b/upstream/outcome.go
@@ -101,6 +101,8 @@
 // Garbage is an invalid answer; Cause states why it is invalid.
 type Garbage struct {
 	Cause string
+	// Tokens are the valid tokens that have arrived, including those in the call's payload.
+	Tokens []string
 }
 
 func (Garbage) outcome() {}
