Serve: the tokens of another answer don't reach the caller

What callers saw: when an engine answered with the stream of another request or attempt, its tokens were sent on to the caller, and the retry after it ended the whole instance.

Cause: the identity in the head was compared only after the end of the stream, when the tokens had been sent.

Why this fix holds: a stream whose head bears another identity is not read; it is returned with that identity, and evaluateReply drops it as before.

--- a/instancecore/stream_test.go
+++ b/instancecore/stream_test.go
@@ -266,3 +266,22 @@
 		})
 	}
 }
+
+// TestTokensOfAnotherAnswerAreNotForwarded guards against the tokens of another request's answer in a stream.
+func TestTokensOfAnotherAnswerAreNotForwarded(t *testing.T) {
+	foreign := func(request *http.Request, resumed int) string {
+		request.Header.Set(upstream.HeaderRequestID, "another")
+		return chunked("data: {\"index\":0,\"text\":\"x\"}\n\n", done)(request, resumed)
+	}
+	t.Run("at the start", func(t *testing.T) {
+		assertWhole(t, stream(t, engineText, &script{responses: []response{foreign, remaining}}))
+	})
+	t.Run("at a resumption", func(t *testing.T) {
+		earlier := func(request *http.Request, resumed int) string {
+			request.Header.Set(upstream.HeaderAttempt, "1")
+			return chunked(token2, token3, done)(request, resumed)
+		}
+		begun := chunked(token0, token1)
+		assertFailed(t, stream(t, engineText, &script{responses: []response{begun, earlier}}), "a", "b")
+	})
+}
--- a/upstream/codec.go
+++ b/upstream/codec.go
@@ -135,8 +135,11 @@
 const maxLineBytes = 1 << 20
 
 // readStream reads the tokens that an engine streams. They must continue the tokens in the call's payload: a token
-// that is repeated is skipped, and a gap makes the answer invalid.
+// that is repeated is skipped, and a gap makes the answer invalid. No token is read from the answer to another call.
 func (cl *Client) readStream(ctx context.Context, call *Call, response *http.Response) Outcome {
+	if reportedIdentity(response) != call.Identity {
+		return newReplied(response, call.Payload)
+	}
 	payload := call.Payload
 	payload.Tokens = append([]string{}, call.Payload.Tokens...)
 	scanner := bufio.NewScanner(response.Body)
