Serve: an error in an engine's stream is not taken for a token

What callers saw: a stream in which an engine reported an error (an event such as {"error": ...}), or continued another text than the one to be resumed, ended as Answered: with an empty token in place of the error, or with tokens missing, or with the tokens of two texts joined.

Why this fix holds: a token must have an index of 0 or more and a text, and one that is repeated must have the text that has arrived. Anything else makes the answer invalid, and the next attempt resumes from the valid tokens.

--- a/instancecore/stream_test.go
+++ b/instancecore/stream_test.go
@@ -285,3 +285,30 @@
 		assertFailed(t, stream(t, engineText, &script{responses: []response{begun, earlier}}), "a", "b")
 	})
 }
+
+// TestErrorInAStreamIsNotAToken guards against a stream that ends as complete although its engine reported an error, or
+// continued another text than the one that it was to resume.
+func TestErrorInAStreamIsNotAToken(t *testing.T) {
+	begun := chunked(token0, token1)
+	for name, event := range map[string]string{
+		"an error":                 "data: {\"error\":\"out of memory\"}\n\n",
+		"an error of one word":     "data: \"overloaded\"\n\n",
+		"null":                     "data: null\n\n",
+		"another text for a token": "data: {\"index\":1,\"text\":\"x\"}\n\n",
+		"a token with no index":    "data: {\"text\":\"c\"}\n\n",
+		"a token with no text":     "data: {\"index\":2}\n\n",
+		"a token before the first": "data: {\"index\":-1,\"text\":\"c\"}\n\n",
+	} {
+		t.Run(name+" at a resumption", func(t *testing.T) {
+			assertFailed(t, stream(t, engineText, &script{responses: []response{begun, chunked(event, done)}}), "a", "b")
+		})
+		t.Run(name+" in the first stream", func(t *testing.T) {
+			sc := &script{responses: []response{chunked(token0, token1, event, done), remaining}}
+			assertWhole(t, stream(t, engineText, sc))
+		})
+	}
+	t.Run("a token that is repeated with its text", func(t *testing.T) {
+		repeating := chunked(token1, token2, token3, done)
+		assertWhole(t, stream(t, engineText, &script{responses: []response{begun, repeating}}))
+	})
+}
--- a/upstream/codec.go
+++ b/upstream/codec.go
@@ -173,25 +173,42 @@
 	return bufio.ScanLines(data, atEOF)
 }
 
+// sentChunk is a CompletionChunk as received, in which missing fields can be told from empty ones.
+type sentChunk struct {
+	Index *int    `json:"index"`
+	Text  *string `json:"text"`
+}
+
 // appendToken appends one streamed token to the payload. It returns why the token is invalid, or "" if it is valid.
 func appendToken(call *Call, payload *Payload, data string) string {
-	chunk := CompletionChunk{}
+	chunk := sentChunk{}
 	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
 		return "token is not valid JSON: " + err.Error()
 	}
-	expected := len(payload.Tokens)
-	if chunk.Index < expected {
-		return ""
+	if chunk.Index == nil || chunk.Text == nil || *chunk.Index < 0 {
+		return "token has no index or no text"
+	}
+	index, text, expected := *chunk.Index, *chunk.Text, len(payload.Tokens)
+	if index < expected {
+		return checkRepeated(index, text, payload.Tokens[index])
 	}
-	if chunk.Index > expected {
-		return fmt.Sprintf("token has index %d, expected %d", chunk.Index, expected)
+	if index > expected {
+		return fmt.Sprintf("token has index %d, expected %d", index, expected)
 	}
 	if int64(expected) >= call.MaxTokens {
 		return fmt.Sprintf("more than the requested %d tokens", call.MaxTokens)
 	}
-	payload.Tokens = append(payload.Tokens, chunk.Text)
+	payload.Tokens = append(payload.Tokens, text)
 	if call.OnToken != nil {
-		call.OnToken(chunk.Index, chunk.Text)
+		call.OnToken(index, text)
 	}
 	return ""
 }
+
+// checkRepeated returns why a repeated token is invalid, or "" if it is the one that is known.
+func checkRepeated(index int, text, known string) string {
+	if text == known {
+		return ""
+	}
+	return fmt.Sprintf("token %d is repeated with another text", index)
+}
