Serve: an engine resumes only from the tokens of its own stage

What callers saw: in a pipeline with two engine stages the answer was the text of the first one, Answered, without one token of it in the stream. Where the first one broke off and was left out (Brownout = Skip), the second continued its half text, and the instance ended with its first token.

Cause: the tokens of a stage, whole or not, stayed in the payload, and the next engine was told to resume from them.

Evidence: TestTokensOfAnotherStageAreNotResumed failed on the old code ("after a whole stage": tokens [a b c d] expected, none got; "after a stage that failed and is left out": EOF, the process would have ended).

Why this fix holds: an engine stage begins with no tokens, and a stage that is left out leaves the payload as it was before.

--- a/instancecore/stream_test.go
+++ b/instancecore/stream_test.go
@@ -312,3 +312,19 @@
 		assertWhole(t, stream(t, engineText, &script{responses: []response{begun, repeating}}))
 	})
 }
+
+// TestTokensOfAnotherStageAreNotResumed guards against an answer that is joined from the tokens of two stages.
+func TestTokensOfAnotherStageAreNotResumed(t *testing.T) {
+	text := strings.Replace(engineText, "Stages = draft", "Stages = outline, draft", 1) +
+		"[Stage outline]\nPool = engines\nMaxTokens = 4\nBrownout = Skip\n"
+	t.Run("after a whole stage", func(t *testing.T) {
+		sc := &script{responses: []response{remaining}}
+		assertWhole(t, stream(t, text, sc))
+		must.Eq(t, [][]string{nil, nil}, sc.resumes)
+	})
+	t.Run("after a stage that failed and is left out", func(t *testing.T) {
+		sc := &script{responses: []response{chunked(token0), status(404, "no such model"), remaining}}
+		assertWhole(t, stream(t, text, sc))
+		must.Eq(t, [][]string{nil, {"a"}, nil}, sc.resumes)
+	})
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -93,8 +93,12 @@
 		if run.shouldSkip(at) {
 			continue
 		}
-		if failure := run.runStage(ctx, at, stage); failure != nil && !run.continueWithout(ctx, at) {
-			return run.complete(*failure)
+		before := run.payload
+		if failure := run.runStage(ctx, at, stage); failure != nil {
+			if !run.continueWithout(ctx, at) {
+				return run.complete(*failure)
+			}
+			run.payload = before
 		}
 	}
 	return run.complete(answer.Answer{Outcome: answer.Answered})
--- a/runner/stage.go
+++ b/runner/stage.go
@@ -54,6 +54,10 @@
 		requestRun: rr, stageConfig: config, at: at, pool: rr.runner.Pools.Pool(config.Pool.Name),
 		report: answer.StageReport{Name: config.Name},
 	}
+	if config.Pool.Kind == document.Engine {
+		// An engine resumes from the tokens of its own stage only.
+		rr.payload.Tokens = nil
+	}
 	defer func() { rr.stageReports = append(rr.stageReports, sr.report) }()
 	for {
 		failure, retryable := sr.tryOnce(ctx)
