Serve: a part of a kept answer is not replayed as an answer

What callers saw: a request with a known IdempotencyKey whose kept answer had lost its fields got an answer with an empty outcome and the status 503, or one with the outcome Answered and no output, or NotRun though the request had run: each invites a new key and a second run.

Cause: any JSON object counted as a kept answer.

Why this fix holds: an answer is replayed only if it is one that is kept: Answered with an output, or Failed with a code. Anything else is Unknown, 409.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -278,16 +278,29 @@
 	return ended
 }
 
-// replayedAnswer decodes the stored answer of an earlier request with the same idempotency key.
+// replayedAnswer decodes the stored answer of an earlier request with the same idempotency key. A part of an answer has
+// no known outcome.
 func replayedAnswer(stored json.RawMessage) answer.Answer {
 	ended := answer.Answer{}
-	if json.Unmarshal(stored, &ended) != nil {
+	if json.Unmarshal(stored, &ended) != nil || !isKept(ended) {
 		return answer.Answer{Outcome: answer.Unknown, Code: answer.InProgressOrUnknown, Message: "the kept answer can't be read"}
 	}
 	ended.Replayed = true
 	return ended
 }
 
+// isKept reports whether an answer is one that runClaimed keeps: an output, or the reason of a failure.
+func isKept(ended answer.Answer) bool {
+	switch ended.Outcome {
+	case answer.Answered:
+		return len(ended.Output) > 0
+	case answer.Failed:
+		return ended.Code != answer.NoCode
+	case answer.NotRun, answer.Unknown:
+	}
+	return false
+}
+
 func (hd *Handler) recordEvent(kind wire.EventKind, pr *parsedRequest, ended answer.Answer, took time.Duration) {
 	hd.Events.Record(&wire.Event{
 		Kind: kind, RequestId: pr.request.ID, Organisation: pr.request.Organisation.Name, Rank: pr.request.Rank.Name,
--- a/instancecore/stream_test.go
+++ b/instancecore/stream_test.go
@@ -23,6 +23,7 @@
 	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/peer"
 	"github.com/turmericdoor/turmericdoor/schema/settings"
+	"github.com/turmericdoor/turmericdoor/table"
 	"github.com/turmericdoor/turmericdoor/timer"
 	"github.com/turmericdoor/turmericdoor/upstream"
 )
@@ -134,7 +135,7 @@
 		got.violations = append(got.violations, violation)
 		panic(http.ErrAbortHandler)
 	}
-	cr := startCore(t, text, sc)
+	cr := startEngines(t, text, sc)
 	server := httptest.NewServer(invariant.Handler(cr.CallerHandler(), abort))
 	defer server.Close()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/v1/pipelines/draft", strings.NewReader(`{"Rank":"Urgent","Input":"q","Stream":true}`))
@@ -176,14 +177,20 @@
 // engineCount is the number of engines that follow one script.
 const engineCount = 3
 
-// startCore starts an instance with a document whose pool "engines" has engines that follow the script.
-func startCore(t *testing.T, text string, sc *script) *instancecore.Core {
+// startEngines starts engines that follow the script, and an instance with a document in which they are the pool "engines".
+func startEngines(t *testing.T, text string, sc *script) *instancecore.Core {
 	t.Helper()
 	for index := range engineCount {
 		engine := httptest.NewServer(sc)
 		t.Cleanup(engine.Close)
 		text += fmt.Sprintf("[Upstream e%d]\nPool = engines\nAddress = %s\nFailureDomain = a\nSlots = 4\n", index, engine.Listener.Addr())
 	}
+	return startCore(t, text, emptyStore{})
+}
+
+// startCore starts an instance with a document and a table service.
+func startCore(t *testing.T, text string, store table.Store) *instancecore.Core {
+	t.Helper()
 	client := upstream.New()
 	cr := instancecore.New(instancecore.Parts{
 		Settings: &settings.Settings{
@@ -193,7 +200,7 @@
 			Operators: &settings.Operators{KeyDigest: digest.OfKey("k").String()},
 			Limits:    &settings.Limits{MaxBodyBytes: 1 << 20, MaxWaiting: 100, TimelineEvents: 1024},
 		},
-		Timers: timer.New(), Random: entropy.New(1), Store: emptyStore{}, UpstreamClient: client,
+		Timers: timer.New(), Random: entropy.New(1), Store: store, UpstreamClient: client,
 		EngineClient: instantUpstream{}, Prober: client, Dialer: func(string) (peer.Link, error) { return nil, net.ErrClosed },
 	})
 	cr.Start()
