Claims: a claim without its fields isn't a reused key

What callers saw: a claim whose row held no fields was answered with IdempotencyKeyReused and NotRun, which tells the caller that the key belongs to another request and that this one may be sent with a new key.

Cause: the digest of the request was compared with the missing one.

Evidence: TestEvaluate failed on the old code ("a row without fields", "a row that is null"), and TestPartOfAKeptAnswerIsNotReplayed ("a claim without fields", "a claim that is null").

Why this fix holds: a row that names no request is HeldByOther, as one that can't be decoded: the request may have run.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -69,7 +69,7 @@
 func (KeyReused) status() {}
 
 // HeldByOther means that another attempt holds the claim and has stored no answer, or that the row can't be
-// decoded; the request may have run.
+// decoded or names no request; the request may have run.
 type HeldByOther struct{}
 
 func (HeldByOther) status() {}
@@ -80,7 +80,7 @@
 		return Absent{}
 	}
 	record := Record{}
-	if json.Unmarshal(row.Value, &record) != nil {
+	if json.Unmarshal(row.Value, &record) != nil || record.Body == "" {
 		return HeldByOther{}
 	}
 	switch {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -28,6 +28,8 @@
 		"another body":                        {row(held), "m", "c", claim.KeyReused{}},
 		"a stored answer":                     {row(done), "m", "b", claim.Replay{Answer: json.RawMessage(`{}`)}},
 		"a row that can't be decoded":         {table.Row{Version: 1, Value: []byte("?")}, "n", "b", claim.HeldByOther{}},
+		"a row without fields":                {table.Row{Version: 1, Value: []byte("{}")}, "n", "b", claim.HeldByOther{}},
+		"a row that is null":                  {table.Row{Version: 1, Value: []byte("null")}, "n", "b", claim.HeldByOther{}},
 		"this attempt's claim with an answer": {row(done), "n", "b", claim.Replay{Answer: json.RawMessage(`{}`)}},
 	}
 	for name, tc := range cases {
--- a/instancecore/replay_test.go
+++ b/instancecore/replay_test.go
@@ -79,7 +79,7 @@
 	}
 	whole := claimWith(`{"Outcome":"Answered","Output":{"a":1}}`)
 	for name, value := range map[string]string{
-		"a claim that is cut off": string(whole[:len(whole)-9]), "an empty claim": ``,
+		"a claim that is cut off": string(whole[:len(whole)-9]), "a claim without fields": `{}`, "a claim that is null": `null`, "an empty claim": ``,
 	} {
 		t.Run(name, func(t *testing.T) { assertUnknown(t, []byte(value)) })
 	}
