Replica: a full update has the older rows too

What callers would see: an instance that had fallen behind by more than a minute in which a row was deleted lost all rows that had not changed since: routes, keys and upstreams, so 404, 401 and 503, until it read the store.

Cause: the answer to such an instance was marked as the full table, but held only the rows newer than its version; the receiver of a full table deletes what it lacks.

Evidence: TestFullUpdateAfterPruningIsWhole failed on the old code (rows "b" and "c" deleted besides "a").

Why this fix holds: a full update holds all live rows, whatever the version in the request.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -123,7 +123,7 @@
 func (rp *Replica) ChangesSince(version int64) Update {
 	update := Update{Version: rp.version, Full: version == 0 || version < rp.prunedVersion}
 	for _, row := range rp.rows {
-		if row.Version > version && (!update.Full || !row.Deleted) {
+		if update.Full && !row.Deleted || !update.Full && row.Version > version {
 			update.Rows = append(update.Rows, row)
 		}
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -55,6 +55,19 @@
 	assertKeys(t, page.Rows, "b")
 }
 
+// TestFullUpdateAfterPruningIsWhole guards against a full update that lacks the older rows: its receiver deletes them.
+func TestFullUpdateAfterPruningIsWhole(t *testing.T) {
+	ahead, behind := replica.New(), replica.New()
+	for _, rp := range []*replica.Replica{ahead, behind} {
+		rp.Apply(start, replica.Update{Full: true, Version: 3, Rows: []replica.Row{row("a", 1), row("b", 2), row("c", 3)}})
+	}
+	ahead.Apply(start, replica.Update{Version: 4, Rows: []replica.Row{{Key: "a", Version: 4, Deleted: true}}})
+	ahead.Apply(start.Add(time.Hour), replica.Update{Version: 5, Rows: []replica.Row{row("d", 5)}})
+	changed := behind.Apply(start, ahead.ChangesSince(behind.Version()))
+	assertKeys(t, changed, "d", "a")
+	assertKeys(t, behind.ChangesSince(0).Rows, "b", "c", "d")
+}
+
 // TestReplicasAgree guards against replicas that diverge: one gets the store's changes in order, another gets updates of
 // the first, some of them late or twice. Both must end with the store's rows.
 func TestReplicasAgree(t *testing.T) {
