--- a/replica/replica.go
+++ b/replica/replica.go
@@ -28,7 +28,8 @@
 	newestChange int64
 	hasSnapshot  bool
 	tombstones   map[string]time.Time
-	// prunedVersion is the newest version of a tombstone that has been pruned.
+	// prunedVersion is the version up to which deletions may be unknown, since their tombstones have been pruned or the full
+	// table was read after them.
 	prunedVersion int64
 }
 
@@ -73,6 +74,7 @@
 	if update.Full {
 		changed = append(changed, rp.deleteAbsent(now, present, update.Version)...)
 		rp.hasSnapshot = true
+		rp.prunedVersion = max(rp.prunedVersion, update.Version)
 	}
 	rp.version = update.Version
 	return changed
@@ -118,8 +120,8 @@
 	}
 }
 
-// ChangesSince returns the changes after a version, ordered by version. It returns the full table if version is 0 or a
-// tombstone newer than version has been pruned.
+// ChangesSince returns the changes after a version, ordered by version. It returns the full table if version is 0 or rows
+// may have been deleted after version without a tombstone.
 func (rp *Replica) ChangesSince(version int64) Update {
 	update := Update{Version: rp.version, Full: version == 0 || version < rp.prunedVersion}
 	for _, row := range rp.rows {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -68,6 +68,36 @@
 	assertKeys(t, behind.ChangesSince(0).Rows, "b", "c", "d")
 }
 
+// TestDeletionsBeforeASnapshotReachOtherReplicas guards against deleted rows that come back: a replica knows nothing of the
+// rows that were deleted before its full table was read.
+func TestDeletionsBeforeASnapshotReachOtherReplicas(t *testing.T) {
+	behind := func() *replica.Replica {
+		rp := replica.New()
+		rp.Apply(start, replica.Update{Full: true, Version: 5, Rows: []replica.Row{row("a", 4), row("b", 5)}})
+		return rp
+	}
+	full := replica.Update{Full: true, Version: 9, Rows: []replica.Row{row("b", 5), row("c", 9)}}
+	t.Run("from a new replica", func(t *testing.T) {
+		ahead, rp := replica.New(), behind()
+		ahead.Apply(start, full)
+		rp.Apply(start, ahead.ChangesSince(rp.Version()))
+		must.Eq(t, int64(9), rp.Version())
+		assertKeys(t, rp.ChangesSince(0).Rows, "b", "c")
+	})
+	t.Run("from a replica that was at an older version", func(t *testing.T) {
+		ahead, rp := replica.New(), behind()
+		ahead.Apply(start, replica.Update{Full: true, Version: 3})
+		ahead.Apply(start, full)
+		rp.Apply(start, ahead.ChangesSince(rp.Version()))
+		assertKeys(t, rp.ChangesSince(0).Rows, "b", "c")
+	})
+	t.Run("a replica at the version of the full table gets changes only", func(t *testing.T) {
+		ahead := replica.New()
+		ahead.Apply(start, full)
+		must.False(t, ahead.ChangesSince(9).Full)
+	})
+}
+
 // TestReplicasAgree guards against replicas that diverge: one gets the store's changes in order, another gets updates of
 // the first, some of them late or twice. Both must end with the store's rows.
 func TestReplicasAgree(t *testing.T) {
