Gather: a job isn't finished by a part of its results

What callers would see: a request whose stage had results for some items only, or the same result for two, went on to its next stage or to its engine with these as its inputs.

Cause: any last reply of the owner of a queue, an empty one too, counted as the results of the job.

A stream that ends early without an error held before: it counts as an owner that did not respond.

Why this fix holds: the client counts the results and their handles; a reply with fewer, more or the same ones leaves the job unfinished, and it is submitted to another instance. The results are not freed, as they may be those of another job.

--- a/gather/client.go
+++ b/gather/client.go
@@ -165,7 +165,7 @@
 		case Unfinished:
 			job.MayHaveRun = job.MayHaveRun || result.MayHaveRun
 			switch result.Cause {
-			case causeUnresponsive:
+			case causeUnresponsive, causeIncomplete:
 				tried[owner.ID] = true
 			case causeNotOwner:
 				cl.freeResults(ctx, key, result.Results)
@@ -227,6 +227,8 @@
 const (
 	// causeUnresponsive is the cause if the owner of the queue did not respond.
 	causeUnresponsive = "owner of the queue did not respond"
+	// causeIncomplete is the cause if the owner's reply lacks the result of an item.
+	causeIncomplete = "the owner's results are incomplete"
 	// causeNoUpstream is the cause if no upstream of the queue is usable; peers compare this text.
 	causeNoUpstream = "no usable upstream"
 	// causeNotOwner is the cause if another instance owns the queue, or if this one is stopping and accepts no more jobs;
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -172,6 +172,8 @@
 	frozen    map[string]bool
 	left      map[string]bool
 	cores     map[string]int64
+	// scripted holds, by instance, the replies to each submitted job, after which the stream ends without an error.
+	scripted map[string][]*wire.GatherReply
 }
 
 // setLeft removes an instance from the live ones, or adds it again.
@@ -211,6 +213,9 @@
 }
 
 func (lk link) Gather(ctx context.Context, in *wire.GatherRequest, _ ...grpc.CallOption) (grpc.ServerStreamingClient[wire.GatherReply], error) {
+	if replies := lk.fleet.scripted[lk.to]; replies != nil {
+		return &scriptedStream{replies: replies}, nil
+	}
 	stream := &stream{ctx: ctx, replies: make(chan *wire.GatherReply, 100), ended: make(chan error, 1)}
 	if !lk.fleet.frozen[lk.to] {
 		go func() { stream.ended <- lk.fleet.servers[lk.to].Gather(in, stream) }()
--- a/gather/submit.go
+++ b/gather/submit.go
@@ -95,11 +95,26 @@
 				Results: fromWireResults(reply.GetResults()),
 			}
 		default:
-			return Finished{Results: fromWireResults(reply.GetResults())}
+			return newFinished(job, fromWireResults(reply.GetResults()))
 		}
 	}
 }
 
+// newFinished returns Finished if each item of the job has a result of its own. Otherwise the results may be those of
+// another job, and the job is Unfinished without them.
+func newFinished(job Job, results []ItemResult) Result {
+	handles := map[string]bool{}
+	for _, one := range results {
+		if one.Handle != "" {
+			handles[one.Handle] = true
+		}
+	}
+	if len(results) != job.Count || len(handles) != job.Count {
+		return Unfinished{Cause: causeIncomplete, MayHaveRun: true}
+	}
+	return Finished{Results: results}
+}
+
 // errUnresponsive cancels a call to an instance that does not respond.
 var errUnresponsive = errors.New(causeUnresponsive)
 
