Table service: a reply that lacks its rows or its result is none

What callers would see: after a reply with the status 200 and an empty object the document counted as empty, a claim as absent (NotRun, though another attempt may hold it), and a transaction that may have been committed as a conflict without effect.

Cause: missing fields counted as no rows and as not committed.

Why this fix holds: a read without rows, or with a row that has no version, is Unavailable, and a commit that doesn't say how it ended is Unknown, so that it is read back.

--- a/tableservice/tableservice.go
+++ b/tableservice/tableservice.go
@@ -71,19 +71,44 @@
 }
 
 func (cl *Client) read(ctx context.Context, request ReadRequest) table.Outcome {
-	reply := ReadReply{}
+	reply := receivedRows{}
 	if err := cl.post(ctx, "/v1/read", request, &reply); err != nil {
 		return table.Unavailable{Cause: err.Error()}
 	}
-	return table.Rows{Rows: reply.Rows}
+	rows, whole := reply.decode()
+	if !whole {
+		return table.Unavailable{Cause: "the reply lacks rows or their versions"}
+	}
+	return table.Rows{Rows: rows}
+}
+
+// receivedRows is a ReadReply as received, in which missing rows can be told from none.
+type receivedRows struct {
+	Rows json.RawMessage
+}
+
+// decode returns the rows, and false if they or the version of one is missing.
+func (rr receivedRows) decode() ([]table.Row, bool) {
+	rows := []table.Row{}
+	if json.Unmarshal(rr.Rows, &rows) != nil {
+		return nil, false
+	}
+	for _, row := range rows {
+		if row.Version <= 0 {
+			return nil, false
+		}
+	}
+	return rows, true
 }
 
 // Commit returns table.Committed, table.Conflict, table.Unknown or table.Unavailable.
 func (cl *Client) Commit(ctx context.Context, transaction table.Transaction) table.Outcome {
-	reply := CommitReply{}
+	reply := receivedCommit{}
 	err := cl.post(ctx, "/v1/commit", transaction, &reply)
 	switch {
-	case err == nil && reply.Committed:
+	case err == nil && reply.Committed == nil:
+		return table.Unknown{Cause: "the reply doesn't say whether the transaction was committed"}
+	case err == nil && *reply.Committed:
 		return table.Committed{}
 	case err == nil:
 		return table.Conflict{Keys: reply.Conflicts}
@@ -94,6 +119,12 @@
 	}
 }
 
+// receivedCommit is a CommitReply as received, in which a missing result can be told from a conflict.
+type receivedCommit struct {
+	Committed *bool
+	Conflicts []string
+}
+
 // Instances returns the instance list.
 func (cl *Client) Instances(ctx context.Context) ([]ListedInstance, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+cl.address+"/v1/instances", nil)
