--- a/instancecore/replay_test.go
+++ b/instancecore/replay_test.go
@@ -41,7 +41,7 @@
 func repeat(t *testing.T, value []byte) (int, caller.AnswerBody) {
 	t.Helper()
 	text := strings.Replace(documentText, "Stages = note\n", "Stages = note\nIdempotent = false\n", 1)
-	cr := startCore(t, text, claimedStore{value: value})
+	cr := startCore(t, text, claimedStore{value: value}, instantUpstream{})
 	request := httptest.NewRequest(http.MethodPost, "/v1/pipelines/note", strings.NewReader(`{"Rank":"Urgent","Input":1,"IdempotencyKey":"k"}`))
 	request.Header.Set("Authorization", "Bearer key")
 	recorder := httptest.NewRecorder()
--- a/instancecore/stream_test.go
+++ b/instancecore/stream_test.go
@@ -22,6 +22,7 @@
 	"github.com/turmericdoor/turmericdoor/instancecore"
 	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/peer"
+	"github.com/turmericdoor/turmericdoor/runner"
 	"github.com/turmericdoor/turmericdoor/schema/settings"
 	"github.com/turmericdoor/turmericdoor/table"
 	"github.com/turmericdoor/turmericdoor/timer"
@@ -185,13 +186,12 @@
 		t.Cleanup(engine.Close)
 		text += fmt.Sprintf("[Upstream e%d]\nPool = engines\nAddress = %s\nFailureDomain = a\nSlots = 4\n", index, engine.Listener.Addr())
 	}
-	return startCore(t, text, emptyStore{})
+	return startCore(t, text, emptyStore{}, upstream.New())
 }
 
-// startCore starts an instance with a document and a table service.
-func startCore(t *testing.T, text string, store table.Store) *instancecore.Core {
+// startCore starts an instance with a document, a table service and a client of the upstreams.
+func startCore(t *testing.T, text string, store table.Store, client runner.UpstreamClient) *instancecore.Core {
 	t.Helper()
-	client := upstream.New()
 	cr := instancecore.New(instancecore.Parts{
 		Settings: &settings.Settings{
 			Instance:  &settings.Instance{Id: "i", FailureDomain: "a", PeerAddress: "127.0.0.1:1"},
@@ -201,7 +201,7 @@
 			Limits:    &settings.Limits{MaxBodyBytes: 1 << 20, MaxWaiting: 100, TimelineEvents: 1024},
 		},
 		Timers: timer.New(), Random: entropy.New(1), Store: store, UpstreamClient: client,
-		EngineClient: instantUpstream{}, Prober: client, Dialer: func(string) (peer.Link, error) { return nil, net.ErrClosed },
+		EngineClient: instantUpstream{}, Prober: instantUpstream{}, Dialer: func(string) (peer.Link, error) { return nil, net.ErrClosed },
 	})
 	cr.Start()
 	t.Cleanup(cr.Kill)
