Streams without end: each event and each stream is bounded, and only whole events pass

Callers would see: bytes that are no event, passed on from a stream that is not resumable until the deadline; and after an event without end the instance slows down for all others, because the time of the framer grew with the square of the event's size and its buffer had no bound.

Cause: events.Framer searched the whole buffer for each chunk and had no maximum; streams that are not resumable were forwarded without it; nothing bounded the stream.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,20 +8,33 @@
 
 	"github.com/turmericdoor/turmericdoor/placement"
 	"github.com/turmericdoor/turmericdoor/quarantine"
+	"github.com/turmericdoor/turmericdoor/readlimit"
 	"github.com/turmericdoor/turmericdoor/route"
 )
 
-// streamBuffer is the size of one read from a stream, in bytes.
-const streamBuffer = 4096
+const (
+	// streamBuffer is the size of one read from a stream, in bytes.
+	streamBuffer = 4096
+	// maxStream bounds the stream of one attempt, in bytes.
+	maxStream = 16 << 20
+)
 
-// forwardStream forwards a stream to the caller as it arrives.
+// forwardStream forwards the events of a stream to the caller as they arrive, each when it is complete.
 func (at *attempt) forwardStream(ctx context.Context, reply *UpstreamResponse) attemptResult {
 	rn := at.run
 	buffer := make([]byte, streamBuffer)
-	total := 0
+	received, total := 0, 0
 	for {
 		count, err := reply.Body.Read(buffer)
-		if part := rn.completeEvents(buffer[:count]); len(part) > 0 {
+		received += count
+		if received > maxStream {
+			return at.handleBrokenStream(ctx, readlimit.Exceeded{Limit: maxStream})
+		}
+		part, oversized := rn.framer.Push(buffer[:count])
+		if oversized != nil {
+			return at.handleBrokenStream(ctx, oversized)
+		}
+		if len(part) > 0 {
 			if !at.gotFirstByte {
 				at.startResponse(reply)
 			}
@@ -40,14 +53,6 @@
 	}
 }
 
-// completeEvents returns the part of a chunk that may be forwarded: complete events only if the stream is resumable.
-func (rn *run) completeEvents(part []byte) []byte {
-	if rn.pipeline.RetryPolicy != route.Resumable {
-		return part
-	}
-	return rn.framer.Push(part)
-}
-
 // startResponse records the latency of the first byte and writes the response head unless an earlier attempt has written
 // it. It then releases the results of the stages if the stream is not resumable: no other upstream can take over such a
 // stream, so none will read them.
@@ -70,7 +75,8 @@
 // finishStream handles the regular end of a stream.
 func (at *attempt) finishStream(ctx context.Context, reply *UpstreamResponse, total int) attemptResult {
 	rn := at.run
-	if !at.gotFirstByte && rn.pipeline.RetryPolicy != route.Idempotent && reply.Length != 0 {
+	withoutEvent := rn.pipeline.RetryPolicy == route.Resumable || len(rn.framer.Partial()) == 0
+	if !at.gotFirstByte && withoutEvent && rn.pipeline.RetryPolicy != route.Idempotent && reply.Length != 0 {
 		return at.handleLost(ctx, "stream ended without an event")
 	}
 	if !at.gotFirstByte {
--- /dev/null
+++ b/readlimit/doc.go
@@ -0,0 +1,2 @@
+// Package readlimit reads the answers of other processes up to a limit.
+package readlimit
