Buffered responses: one budget for all calls together

Callers would see: an instance that runs out of memory while several upstreams answer without end, and drops the requests of all its callers.

Cause: the limit of 8 MB holds for one response; nothing bounded all of them, and the buffers doubled past it.

A Content-Length above the limit fails at once.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/placement"
 	"github.com/turmericdoor/turmericdoor/quarantine"
+	"github.com/turmericdoor/turmericdoor/readlimit"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -372,16 +372,24 @@
 	})
 }
 
-// maxBufferedResponse bounds a response that is read completely before it is forwarded, in bytes.
-const maxBufferedResponse = 8 << 20
+const (
+	// maxBufferedResponse bounds a response that is read completely before it is forwarded, in bytes.
+	maxBufferedResponse = 8 << 20
+	// bufferedBudget bounds all such responses at one time, in bytes.
+	bufferedBudget = 16 << 20
+)
 
 // forwardBuffered reads the complete response, then forwards it or retries the request.
 func (at *attempt) forwardBuffered(ctx context.Context, reply *UpstreamResponse) attemptResult {
 	rn := at.run
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedResponse+1))
-	if err != nil || len(body) > maxBufferedResponse {
-		return at.handleLost(ctx, fmt.Sprintf("response is incomplete or larger than %d bytes: %v", maxBufferedResponse, err))
+	if reply.Length > maxBufferedResponse {
+		return at.handleLost(ctx, readlimit.Exceeded{Limit: maxBufferedResponse}.Error())
+	}
+	body, release, err := rn.buffered.All(reply.Body, maxBufferedResponse)
+	if err != nil {
+		return at.handleLost(ctx, "response is incomplete: "+err.Error())
 	}
+	defer release()
 	at.recordFirstByte()
 	failed := reply.Status >= http.StatusInternalServerError
 	if failed && rn.takeRetry(ctx) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/overload"
 	"github.com/turmericdoor/turmericdoor/quarantine"
+	"github.com/turmericdoor/turmericdoor/readbudget"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/sendaudit"
@@ -53,11 +54,14 @@
 // Gateway serves callers' requests; it is safe for concurrent use.
 type Gateway struct {
 	Parts
+
+	// buffered is the memory for responses that are read completely.
+	buffered *readbudget.Budget
 }
 
 // New returns a gateway with the given dependencies.
 func New(parts Parts) *Gateway {
-	return &Gateway{Parts: parts}
+	return &Gateway{Parts: parts, buffered: readbudget.New(bufferedBudget)}
 }
 
 // run holds the state of one request while the gateway serves it.
@@ -84,7 +88,7 @@
 	audit     *sendaudit.Tracker
 	// responseStarted is set once a part of the response has been written to the sink.
 	responseStarted bool
-	// framer cuts a resumable stream into complete events.
+	// framer cuts a stream into complete events.
 	framer *events.Framer
 	// detail explains the outcome in the event log.
 	detail string
--- a/layers_test.go
+++ b/layers_test.go
@@ -18,7 +18,7 @@
 
 // ground packages know nothing of the others; core packages decide and do no I/O; all others are outside.
 var (
-	ground = []string{"timer", "priority", "hlc", "invariant", "digest", "entropy", "timeline", "inifile", "schema", "events", "readlimit", "calibration"}
+	ground = []string{"timer", "priority", "hlc", "invariant", "digest", "entropy", "timeline", "inifile", "schema", "events", "readlimit", "readbudget", "calibration"}
 	core   = []string{
 		"answer", "document", "fairqueue", "limit", "choice", "retry", "dispatch", "admission", "attempt", "claim", "lease",
 		"order", "quarantine", "subset", "member", "gossip", "revision", "drain", "table",
