serve: answers of upstreams without end are bounded and promise nothing

A caller of `serve` would get "not run" for a request after a refusal without end, wait until its deadline for a stream of lines that are no token, and share an instance that reads 10 MB of each head.

Cause: net/http's default for heads, an error body that was cut silently, and no limit on a stream or on the memory of all answers together.

Evidence, on the old code: TestEndlessAnswers failed in 51 subtests, such as "streams/lines": "expected <=" bytes sent, "answers/a status line": "expected <= 1114112", and all seven bodies of "refusals" and "rejections" ("expected not to execute this code path": the outcome was Refused or Rejected).

Fix: limits on heads, lines, streams, error bodies and the state of an engine, each with an error; answers longer than 64 KB share a budget. A refusal or rejection whose body does not end is Broken. A line of a stream may have 256 KB, as an event of the other role has.

--- a/readlimit/readlimit.go
+++ b/readlimit/readlimit.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 )
 
 // Exceeded reports that an answer was longer than its limit, in bytes.
@@ -40,3 +41,31 @@
 	}
 	return Exceeded{Limit: limit}
 }
+
+// BrokeOff reports whether err means that an answer ended early, with its connection.
+func BrokeOff(err error) bool {
+	lost := &net.OpError{}
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &lost) && !lost.Timeout()
+}
+
+// NewReader returns a reader of an answer that fails with Exceeded after limit bytes.
+func NewReader(answer io.Reader, limit int64) io.Reader {
+	return &limitedReader{answer: answer, limit: limit, left: limit}
+}
+
+type limitedReader struct {
+	answer      io.Reader
+	limit, left int64
+}
+
+func (lr *limitedReader) Read(part []byte) (int, error) {
+	if int64(len(part)) > lr.left+1 {
+		part = part[:lr.left+1]
+	}
+	count, err := lr.answer.Read(part)
+	lr.left -= int64(count)
+	if lr.left < 0 {
+		return count - 1, Exceeded{Limit: lr.limit}
+	}
+	return count, err
+}
--- a/readlimit/readlimit_test.go
+++ b/readlimit/readlimit_test.go
@@ -52,3 +52,16 @@
 		must.ErrorIs(t, readlimit.Discard(broken(), limit), io.ErrUnexpectedEOF)
 	})
 }
+
+func TestReader(t *testing.T) {
+	t.Run("an answer as long as the limit is whole", func(t *testing.T) {
+		content, err := io.ReadAll(readlimit.NewReader(strings.NewReader(strings.Repeat("x", limit)), limit))
+		must.NoError(t, err)
+		must.Len(t, limit, content)
+	})
+	t.Run("an answer without end is an error after the limit", func(t *testing.T) {
+		content, err := io.ReadAll(readlimit.NewReader(zeros{}, limit))
+		must.Len(t, limit, content)
+		assertExceeded(t, err)
+	})
+}
--- a/upstream/codec.go
+++ b/upstream/codec.go
@@ -10,6 +10,7 @@
 
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/invariant"
+	"github.com/turmericdoor/turmericdoor/readlimit"
 )
 
 // The bodies below follow the completions, embeddings and rerank APIs that model servers have in common.
@@ -127,15 +128,18 @@
 	return payload, ""
 }
 
-// maxLineBytes limits the length of one line of a stream.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes limits the length of one line of a stream, and maxStreamBytes that of a stream.
+	maxLineBytes   = 256 << 10
+	maxStreamBytes = 16 << 20
+)
 
 // readStream reads the tokens that an engine streams. They must continue the tokens in the call's payload: a token
 // that is repeated is skipped, and a gap makes the answer invalid.
 func (cl *Client) readStream(ctx context.Context, call *Call, response *http.Response) Outcome {
 	payload := call.Payload
 	payload.Tokens = append([]string{}, call.Payload.Tokens...)
-	scanner := bufio.NewScanner(response.Body)
+	scanner := bufio.NewScanner(readlimit.NewReader(response.Body, maxStreamBytes))
 	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
 	for scanner.Scan() {
 		data, isData := strings.CutPrefix(scanner.Text(), "data: ")
--- a/upstream/control.go
+++ b/upstream/control.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/turmericdoor/turmericdoor/order"
+	"github.com/turmericdoor/turmericdoor/readlimit"
 )
 
 // ModelsBody is the request body of POST /v1/models and the answer to GET /v1/models of an engine.
@@ -45,6 +45,9 @@
 	return cl.control(ctx, http.MethodPost, address, encoded, &ModelsBody{})
 }
 
+// maxControlBytes limits the answer of an engine about its models.
+const maxControlBytes = 1 << 20
+
 // control calls /v1/models of an engine and decodes the answer into body.
 func (cl *Client) control(ctx context.Context, method, address string, encoded []byte, body *ModelsBody) error {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/v1/models", bytes.NewReader(encoded))
@@ -60,7 +63,7 @@
 	if response.StatusCode != http.StatusOK {
 		return StatusError{Status: response.StatusCode}
 	}
-	raw, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	raw, err := readlimit.All(response.Body, maxControlBytes)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/upstream/endless_test.go
@@ -0,0 +1,99 @@
+package upstream_test
+
+import (
+	"context"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/faultserver"
+	"github.com/turmericdoor/turmericdoor/upstream"
+)
+
+// The limits in docs/OPERATIONS.md, in bytes.
+const (
+	headLimit      = 64 << 10
+	replyLimit     = 8 << 20
+	rejectionLimit = 64 << 10
+	lineLimit      = 256 << 10
+	streamLimit    = 16 << 20
+	controlLimit   = 1 << 20
+)
+
+const (
+	// callTimeout is the timeout of the calls below, and closeSlack how much later the connection may be closed.
+	callTimeout = 700 * time.Millisecond
+	closeSlack  = 500 * time.Millisecond
+	okHead      = "HTTP/1.1 200 OK\r\n"
+	refusedHead = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"
+	invalidHead = "HTTP/1.1 400 Bad Request\r\n"
+)
+
+// assertEndless makes a call to servers whose answers do not end and checks that the connection is closed.
+func assertEndless(t *testing.T, bodies map[string]faultserver.Case, call func(t *testing.T, ctx context.Context, address string)) {
+	t.Helper()
+	cases := faultserver.Heads(okHead, headLimit)
+	maps.Copy(cases, bodies)
+	for name, body := range cases {
+		t.Run(name, func(t *testing.T) {
+			sv, err := faultserver.New(t.Context(), body.Answer)
+			must.NoError(t, err)
+			defer sv.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+			defer cancel()
+			call(t, ctx, sv.Address)
+			select {
+			case closed := <-sv.Closed:
+				must.LessEq(t, body.Limit+faultserver.SocketBytes, closed.Sent)
+				must.LessEq(t, callTimeout+closeSlack, closed.After)
+			case <-time.After(time.Minute):
+				must.Unreachable(t, must.Sprint("the connection was not closed"))
+			}
+		})
+	}
+}
+
+// assertUnusable returns a call of a kind whose outcome must be neither an answer nor the promise that it did not run.
+func assertUnusable(kind document.Kind) func(t *testing.T, ctx context.Context, address string) {
+	return func(t *testing.T, ctx context.Context, address string) {
+		t.Helper()
+		outcome := upstream.New().Do(ctx, &upstream.Call{Kind: kind, Upstream: "u", Address: address, Path: "/act", MaxTokens: 8, Candidates: 2})
+		switch outcome.(type) {
+		case upstream.Broken, upstream.Garbage:
+		default:
+			must.Unreachable(t, must.Sprintf("%#v", outcome))
+		}
+	}
+}
+
+// TestEndlessAnswers guards against answers without end that fill the memory or are taken for answers.
+func TestEndlessAnswers(t *testing.T) {
+	t.Run("answers", func(t *testing.T) {
+		assertEndless(t, faultserver.Bodies(okHead, replyLimit, headLimit), assertUnusable(document.Encoder))
+	})
+	t.Run("streams", func(t *testing.T) {
+		bodies := faultserver.Bodies(okHead, lineLimit, headLimit)
+		for name, line := range map[string]string{"lines": "x\n", "empty lines": "\n", "repeated tokens": `data: {"index":-1,"text":"a"}` + "\n\n"} {
+			bodies[name] = faultserver.Case{Answer: faultserver.Answer{Head: okHead + "\r\n", Repeated: line}, Limit: streamLimit}
+		}
+		assertEndless(t, bodies, assertUnusable(document.Engine))
+	})
+	t.Run("refusals", func(t *testing.T) {
+		assertEndless(t, faultserver.Bodies(refusedHead, rejectionLimit, headLimit), assertUnusable(document.Engine))
+	})
+	t.Run("rejections", func(t *testing.T) {
+		assertEndless(t, faultserver.Bodies(invalidHead, rejectionLimit, headLimit), assertUnusable(document.Engine))
+	})
+	t.Run("the state of an engine", func(t *testing.T) {
+		bodies := faultserver.Bodies(okHead, controlLimit, headLimit)
+		bodies["blanks after an answer"] = faultserver.Case{Answer: faultserver.Answer{Head: okHead + "\r\n{}", Repeated: " "}, Limit: controlLimit}
+		assertEndless(t, bodies, func(t *testing.T, ctx context.Context, address string) {
+			t.Helper()
+			_, err := upstream.New().ReadEngine(ctx, address)
+			must.Error(t, err)
+		})
+	})
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +13,8 @@
 
 	"github.com/turmericdoor/turmericdoor/attempt"
 	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/readbudget"
+	"github.com/turmericdoor/turmericdoor/readlimit"
 )
 
 // The headers that identify a call, and those with which an upstream reports its state.
@@ -29,8 +30,11 @@
 )
 
 const (
-	// maxReplyBytes limits the size of an answer.
+	// maxHeadBytes limits the size of the head of an answer, and maxReplyBytes that of its body.
+	maxHeadBytes  = 64 << 10
 	maxReplyBytes = 8 << 20
+	// replyBudget limits the answers of all calls at one time, in bytes.
+	replyBudget = 16 << 20
 	// maxIdleConnsPerUpstream limits the idle connections that are kept to one upstream.
 	maxIdleConnsPerUpstream = 64
 	// dialTimeout is the time for a connection attempt; attempts to an upstream that the network cuts off time out.
@@ -45,19 +49,27 @@
 	pooled   *http.Client
 	unpooled *http.Client
 	dialer   *net.Dialer
+	// answers is the memory for answers.
+	answers *readbudget.Budget
 }
 
 // New returns a client that connects over the network of its host.
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	pooled := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerUpstream, DisableCompression: true}
+	pooled := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerUpstream, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
 	// A call that must not run twice gets a new connection: net/http may resend a request on another connection if
 	// the reused one turns out to be stale, which RFC 9110, section 9.2.2, allows only for idempotent requests.
-	unpooled := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	unpooled := &http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
+	}
 	return &Client{
 		pooled:   &http.Client{Transport: pooled, CheckRedirect: keepRedirect},
 		unpooled: &http.Client{Transport: unpooled, CheckRedirect: keepRedirect},
 		dialer:   dialer,
+		answers:  readbudget.New(replyBudget),
 	}
 }
 
@@ -143,9 +155,14 @@
 	return true
 }
 
-// statusOutcome returns the outcome of a call that was answered with a status other than 200.
+// statusOutcome returns the outcome of a call that was answered with a status other than 200. An answer that does not end
+// states nothing.
 func statusOutcome(response *http.Response) Outcome {
-	detail, _ := io.ReadAll(io.LimitReader(response.Body, maxDetailBytes))
+	detail, err := readlimit.All(response.Body, maxErrorBytes)
+	if err != nil && !readlimit.BrokeOff(err) {
+		return Broken{Cause: err.Error()}
+	}
+	detail = detail[:min(len(detail), maxDetailBytes)]
 	switch response.StatusCode {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
@@ -161,8 +178,11 @@
 	}
 }
 
-// maxDetailBytes limits how much of the body of an error answer is kept.
-const maxDetailBytes = 512
+const (
+	// maxErrorBytes limits the body of an error answer, and maxDetailBytes how much of it is kept.
+	maxErrorBytes  = 64 << 10
+	maxDetailBytes = 512
+)
 
 // reportedLoad returns the load that the upstream reported, or -1 if it reported none.
 func reportedLoad(response *http.Response) int64 {
@@ -198,13 +218,15 @@
 }
 
 func (cl *Client) readBody(ctx context.Context, call *Call, response *http.Response) Outcome {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
-	if err != nil {
+	body, release, err := cl.answers.All(response.Body, maxReplyBytes)
+	exceeded := readlimit.Exceeded{}
+	switch {
+	case errors.As(err, &exceeded):
+		return Garbage{Cause: err.Error()}
+	case err != nil:
 		return cl.transportFailure(ctx, call, err, nil)
 	}
-	if len(body) > maxReplyBytes {
-		return Garbage{Cause: "answer larger than " + strconv.Itoa(maxReplyBytes) + " bytes"}
-	}
+	defer release()
 	if !json.Valid(body) {
 		return Garbage{Cause: "answer is not JSON"}
 	}
