Table service: answers without end are bounded, and are neither a commit nor its refusal

A caller of `serve` would get "not run" for a claim that the platform may have stored, or an answer for one that it may not have stored, from a service that answers without end.

Cause: the body of a failure was not read, that of a success was cut silently, and heads had net/http's limit.

Fix: limits with errors, a budget for all answers together, and a failure counts only if it ends.

--- a/faultserver/faultserver.go
+++ b/faultserver/faultserver.go
@@ -8,10 +8,17 @@
 	"time"
 )
 
-// SocketBytes is the number of bytes that the buffers of both sockets may hold beyond what the peer has read.
-const SocketBytes = 1 << 20
+// MaxSent returns how many bytes a server may send to a peer that reads at most limit bytes: the kernel's buffers hold
+// more, and the receive buffer grows with what the peer reads.
+func MaxSent(limit int64) int64 {
+	return limit + socketBytes + min(limit, maxReceiveGrowth)
+}
 
 const (
+	// socketBytes is the size of the buffers of both sockets at first, and maxReceiveGrowth how far the receive buffer may
+	// grow with what the peer reads, in bytes.
+	socketBytes      = 1 << 20
+	maxReceiveGrowth = 6 << 20
 	// sendBuffer is the size of the send buffer of a connection, in bytes.
 	sendBuffer = 64 << 10
 	// writeSize is the smallest size of one write of an answer without pauses, in bytes.
--- a/tableservice/tableservice.go
+++ b/tableservice/tableservice.go
@@ -6,10 +6,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 
+	"github.com/turmericdoor/turmericdoor/readbudget"
+	"github.com/turmericdoor/turmericdoor/readlimit"
 	"github.com/turmericdoor/turmericdoor/table"
 )
 
@@ -45,16 +46,24 @@
 type Client struct {
 	address string
 	client  *http.Client
+	// answers is the memory for responses.
+	answers *readbudget.Budget
 }
 
-// maxReplyBytes is the maximum size of a response body; the rest is not read.
-const maxReplyBytes = 16 << 20
+const (
+	// maxHeadBytes, maxReplyBytes and maxErrorBytes limit the head of a response, the body of a success and that of a failure.
+	maxHeadBytes  = 64 << 10
+	maxReplyBytes = 16 << 20
+	maxErrorBytes = 64 << 10
+	// replyBudget limits the responses of all calls at one time, in bytes.
+	replyBudget = 32 << 20
+)
 
 // New returns a client for the table service at address, an IP address and port.
 func New(address string) *Client {
 	dialer := &net.Dialer{}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns}
-	return &Client{address: address, client: &http.Client{Transport: transport}}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes}
+	return &Client{address: address, client: &http.Client{Transport: transport}, answers: readbudget.New(replyBudget)}
 }
 
 // maxIdleConns is the maximum number of idle connections kept for later calls.
@@ -147,11 +156,20 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return StatusError{Status: response.StatusCode}
+		return statusError(response)
 	}
-	encoded, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	encoded, release, err := cl.answers.All(response.Body, maxReplyBytes)
 	if err != nil {
 		return err
 	}
+	defer release()
 	return json.Unmarshal(encoded, reply)
 }
+
+// statusError returns a StatusError for a failure that ends, and another error for one that does not and states nothing.
+func statusError(response *http.Response) error {
+	if err := readlimit.Discard(response.Body, maxErrorBytes); err != nil && !readlimit.BrokeOff(err) {
+		return err
+	}
+	return StatusError{Status: response.StatusCode}
+}
