Commands: answers without end are bounded

An operator's command collected an answer without end until its timeout, up to the memory of the machine.

Fix: 64 KB for a head, 32 MB for an answer, 64 MB for a streamed answer, each with an error and the exit code for an instance that can't be reached. A stream that breaks off has that exit code now too; it had none of its own before.

--- a/command/ask.go
+++ b/command/ask.go
@@ -13,6 +13,7 @@
 
 	"github.com/turmericdoor/turmericdoor/answer"
 	"github.com/turmericdoor/turmericdoor/caller"
+	"github.com/turmericdoor/turmericdoor/readlimit"
 )
 
 func askFlags(op *options, sub *flaggy.Subcommand) {
@@ -52,10 +53,12 @@
 // printAnswer prints the answer and returns an error with the exit code of its outcome.
 func (cl *CLI) printAnswer(response *http.Response) error {
 	if cl.options.stream && response.StatusCode == http.StatusOK {
-		_, err := io.Copy(cl.out, response.Body)
-		return err
+		if _, err := io.Copy(cl.out, readlimit.NewReader(response.Body, maxStream)); err != nil {
+			return exitErrorf(ExitUnreachable, "read answer of %q: %v", cl.options.address, err)
+		}
+		return nil
 	}
-	raw, err := io.ReadAll(response.Body)
+	raw, err := readlimit.All(response.Body, maxAnswer)
 	if err != nil {
 		return exitErrorf(ExitUnreachable, "read answer of %q: %v", cl.options.address, err)
 	}
--- a/command/remote.go
+++ b/command/remote.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"os"
@@ -20,6 +19,7 @@
 	"github.com/turmericdoor/turmericdoor/editor"
 	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/operator"
+	"github.com/turmericdoor/turmericdoor/readlimit"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timeline"
 )
@@ -38,7 +38,7 @@
 		return 0, err
 	}
 	defer response.Body.Close()
-	raw, err := io.ReadAll(response.Body)
+	raw, err := readlimit.All(response.Body, maxAnswer)
 	if err != nil {
 		return 0, exitErrorf(ExitUnreachable, "read answer of %q: %v", cl.options.address, err)
 	}
@@ -49,6 +49,18 @@
 	return response.StatusCode, json.Unmarshal(raw, result)
 }
 
+const (
+	// maxHead bounds the head of an answer, maxAnswer an answer and maxStream a streamed answer, in bytes.
+	maxHead   = 64 << 10
+	maxAnswer = 32 << 20
+	maxStream = 64 << 20
+)
+
+// newHTTPClient returns the client for one command.
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead}}
+}
+
 // send makes an HTTP request with the key of the options; the caller of send closes the response body.
 func (cl *CLI) send(ctx context.Context, method, path string, encoded []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, cl.baseURL()+path, bytes.NewReader(encoded))
@@ -56,7 +68,7 @@
 		return nil, exitErrorf(ExitBadInput, "invalid address %q: %v", cl.options.address, err)
 	}
 	request.Header.Set("Authorization", "Bearer "+cl.options.key)
-	response, err := http.DefaultClient.Do(request)
+	response, err := newHTTPClient().Do(request)
 	if err != nil {
 		return nil, exitErrorf(ExitUnreachable, "instance %q can't be reached: %v", cl.options.address, err)
 	}
