Peers: headers and the start of a connection are bounded on both sides

An instance reads 16 MB of headers from whatever now listens at the address of another instance, and keeps a connection on which nothing or half a preface arrives for two minutes.

Cause: the defaults of gRPC for the size of headers and the time of a handshake; both roles dialled without limits.

Evidence, without the limits: TestEndlessAnswers/headers: "expected <= 1179648" bytes sent; TestEndlessCalls: headers "expected <= 1179648", nothing and half a preface "expected 10.002353846s <= 2.5s". HTTP/1.1 bytes, zeros and a connection that is not opened ended in time without the limits too; their subtests guard that.

Fix: package peerlimit holds the limits for clients and servers of both roles: 64 KB of headers, 4 MB for a message (the default, now named), 1000 calls on a connection, 2 s for a handshake.

--- a/entrypoint/link.go
+++ b/entrypoint/link.go
@@ -10,6 +10,7 @@
 
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/peer"
+	"github.com/turmericdoor/turmericdoor/peerlimit"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
 
@@ -28,7 +29,7 @@
 
 // dial returns a connection to another instance; gRPC connects in the background.
 func dial(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
+	options := append(peerlimit.DialOptions(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithNoProxy(),
 		grpc.WithDisableServiceConfig(),
@@ -38,6 +39,7 @@
 		}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	)
+	return grpc.NewClient("passthrough:///"+address, options...)
 }
 
 // peerLink is a connection to the peer service of another instance.
@@ -81,5 +83,6 @@
 }
 
 func newPeerServer() *grpc.Server {
-	return grpc.NewServer(grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}))
+	keepalives := grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout})
+	return grpc.NewServer(append(peerlimit.ServerOptions(), keepalives)...)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -15,6 +15,7 @@
 	"github.com/turmericdoor/turmericdoor/instancecore"
 	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/peer"
+	"github.com/turmericdoor/turmericdoor/peerlimit"
 	"github.com/turmericdoor/turmericdoor/schema/settings"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/tableservice"
@@ -173,7 +174,8 @@
 
 // dialPeer creates a link to another instance; the connection is made with the first call.
 func (in *Instance) dialPeer(address string) (peer.Link, error) {
-	connection, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(in.peerCredentials()))
+	options := append(peerlimit.DialOptions(), grpc.WithTransportCredentials(in.peerCredentials()))
+	connection, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, err
 	}
--- a/instance/secure.go
+++ b/instance/secure.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/turmericdoor/turmericdoor/credential"
+	"github.com/turmericdoor/turmericdoor/peerlimit"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
 
@@ -56,9 +57,10 @@
 // newPeerServer returns the gRPC server for peers, with TLS if the settings name a certificate for peers.
 func (in *Instance) newPeerServer() *grpc.Server {
 	if in.peerTLS == nil {
-		return grpc.NewServer()
+		return grpc.NewServer(peerlimit.ServerOptions()...)
 	}
-	return grpc.NewServer(grpc.Creds(credentials.NewTLS(in.peerTLS.ServerConfig("h2"))))
+	secure := grpc.Creds(credentials.NewTLS(in.peerTLS.ServerConfig("h2")))
+	return grpc.NewServer(append(peerlimit.ServerOptions(), secure)...)
 }
 
 // peerCredentials returns the credentials for calls to peers, with TLS if the settings name a certificate for peers.
