--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,19 +1,23 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 
 	"github.com/turmericdoor/turmericdoor/placement"
+	"github.com/turmericdoor/turmericdoor/readlimit"
 	"github.com/turmericdoor/turmericdoor/response"
 	"github.com/turmericdoor/turmericdoor/route"
 )
 
-// streamBuffer is the size of one read from a stream, in bytes.
-const streamBuffer = 4096
+const (
+	// streamBuffer is the size of one read from a stream, in bytes.
+	streamBuffer = 4096
+	// maxStream bounds the stream of one attempt, in bytes.
+	maxStream = 16 << 20
+)
 
 // resumeStream continues a response that an earlier attempt began; an answer that can't continue it is a failed attempt.
 func (at *attempt) resumeStream(ctx context.Context, reply *UpstreamResponse) attemptResult {
@@ -33,15 +37,23 @@
 	}
 }
 
-// forwardStream forwards a stream to the caller as it arrives.
+// forwardStream forwards the events of a stream to the caller as they arrive, each when it is complete.
 func (at *attempt) forwardStream(ctx context.Context, reply *UpstreamResponse) attemptResult {
 	rn := at.run
 	rn.framer.DiscardPartial()
 	buffer := make([]byte, streamBuffer)
-	total := 0
+	received, total := 0, 0
 	for {
 		count, err := reply.Body.Read(buffer)
-		if part := rn.completeEvents(buffer[:count]); len(part) > 0 {
+		received += count
+		if received > maxStream {
+			return at.handleLost(ctx, readlimit.Exceeded{Limit: maxStream}.Error())
+		}
+		part, oversized := rn.framer.Push(buffer[:count])
+		if oversized != nil {
+			return at.handleLost(ctx, oversized.Error())
+		}
+		if len(part) > 0 {
 			total += len(part)
 			if failure := at.forwardPart(reply, part); failure != nil {
 				return at.handleWriteError(ctx, failure)
@@ -56,14 +68,6 @@
 	}
 }
 
-// completeEvents returns the part of a chunk that may be forwarded: complete events only if the stream is resumable.
-func (rn *run) completeEvents(part []byte) []byte {
-	if rn.pipeline.RetryPolicy != route.Resumable {
-		return part
-	}
-	return rn.framer.Push(part)
-}
-
 // forwardPart writes a part of the stream to the caller.
 func (at *attempt) forwardPart(reply *UpstreamResponse, part []byte) error {
 	if !at.gotFirstByte {
@@ -97,14 +101,15 @@
 // finishStream handles the regular end of a stream.
 func (at *attempt) finishStream(ctx context.Context, reply *UpstreamResponse, total int) attemptResult {
 	rn := at.run
-	if total == 0 && rn.pipeline.RetryPolicy != route.Idempotent && reply.Length != 0 {
+	rest := rn.framer.Partial()
+	isEmpty := total == 0 && (len(rest) == 0 || rn.pipeline.RetryPolicy == route.Resumable)
+	if isEmpty && rn.pipeline.RetryPolicy != route.Idempotent && reply.Length != 0 {
 		return at.handleLost(ctx, "stream ended without an event")
 	}
-	if rest := rn.framer.Partial(); len(rest) > 0 {
-		if len(bytes.Trim(rest, "\n")) > 0 {
+	if len(rest) > 0 {
+		if rn.pipeline.RetryPolicy == route.Resumable || at.head(reply).IsEventStream() {
 			return at.handleLost(ctx, "stream ended inside an event")
 		}
-		// Empty lines after the last event belong to the body.
 		if failure := at.forwardPart(reply, rest); failure != nil {
 			return at.handleWriteError(ctx, failure)
 		}
--- a/response/body.go
+++ b/response/body.go
@@ -89,7 +89,7 @@
 	invariant.Check(rs.state == begun && rs.body == bd, "a response is completed by the answer that wrote last",
 		"attempt %d, last attempt %d, state %d", bd.head.Attempt, rs.body.head.Attempt, rs.state)
 	switch {
-	case bd.head.isEventStream() && bd.bytes > 0 && !endsEvent(bd.tail):
+	case bd.head.IsEventStream() && bd.bytes > 0 && !endsEvent(bd.tail):
 		return Unfinished{Cause: "stream ended inside an event"}
 	case bd.resumed && bd.bytes == 0 && bd.head.Length != 0:
 		return Unfinished{Cause: "stream ended without an event"}
--- a/response/response.go
+++ b/response/response.go
@@ -28,8 +28,8 @@
 	Resumable bool
 }
 
-// isEventStream reports whether the body is a stream of server-sent events.
-func (hd Head) isEventStream() bool {
+// IsEventStream reports whether the body is a stream of server-sent events.
+func (hd Head) IsEventStream() bool {
 	return hd.Streamed && hd.mediaType() == "text/event-stream"
 }
 
