--- a/soak/response_test.go
+++ b/soak/response_test.go
@@ -56,6 +56,10 @@
 	// One of so many answers is without end, to requests and to the calls of the upstream's own interface.
 	endlessShare    = 150
 	endlessOwnShare = 100
+	// endlessReportShare is the one for reports, which an instance asks for after a call without memory for results, one of
+	// noRoomShare.
+	endlessReportShare = 5
+	noRoomShare        = 30
 	// cutPercent is the share of answers that break off; an error follows in errorPercent of the sends after the first.
 	cutPercent   = 12
 	errorPercent = 50
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -72,19 +73,29 @@
 // serveOwn serves the upstream's own interface.
 func (us *upstream) serveOwn(writer http.ResponseWriter, request *http.Request, body []byte) {
 	random := seededRandom(us.seed, fmt.Sprintf("%s/%d", us.id, us.calls.Add(1)))
-	if random.IntN(endlessOwnShare) == 0 {
+	share := endlessOwnShare
+	if request.URL.Path == "/v1/report" {
+		share = endlessReportShare
+	}
+	if random.IntN(share) == 0 {
 		us.ledger.writeEndless(writer, random, us.id+request.URL.Path, ownDeadline, "", "")
 		return
 	}
 	switch request.URL.Path {
 	case "/v1/stage-run":
-		us.runStage(writer, body)
+		us.runStage(writer, body, random.IntN(noRoomShare) == 0)
 	case "/v1/report":
 		_, _ = io.WriteString(writer, `{"free_mb":36}`)
 	}
 }
 
-func (us *upstream) runStage(writer http.ResponseWriter, body []byte) {
+// runStage executes the items of a call, or none of them for want of memory.
+func (us *upstream) runStage(writer http.ResponseWriter, body []byte, noRoom bool) {
+	if noRoom {
+		items := slices.Repeat([]string{`{"reason":"room"}`}, strings.Count(string(body), `"piece"`))
+		_, _ = fmt.Fprintf(writer, `{"items":[%s]}`, strings.Join(items, ","))
+		return
+	}
 	results, err := standin.StageResults(body, us.id)
 	if err != nil {
 		writer.WriteHeader(http.StatusBadRequest)
