--- a/soak/response_test.go
+++ b/soak/response_test.go
@@ -53,8 +53,10 @@
 }
 
 const (
-	// One of so many answers is without end, to requests and to the calls of the upstream's own interface.
-	endlessShare    = 150
+	// One of so many answers to requests is without end, in every tenth seed one of manyEndlessShare.
+	endlessShare     = 150
+	manyEndlessShare = 15
+	// endlessOwnShare is the one for the calls of the upstream's own interface.
 	endlessOwnShare = 100
 	// endlessReportShare is the one for reports, which an instance asks for after a call without memory for results, one of
 	// noRoomShare.
@@ -67,8 +69,8 @@
 
 // pickFault returns the fault of an answer: a cut at any send, an error only after an earlier send. A regular close inside
 // an event is played on streams only, whose format shows that the event isn't complete.
-func pickFault(random *rand.Rand, number int, streaming, resumed bool) fault {
-	if random.IntN(endlessShare) == 0 {
+func pickFault(random *rand.Rand, share, number int, streaming, resumed bool) fault {
+	if random.IntN(share) == 0 {
 		return endless
 	}
 	if number > 1 && random.IntN(100) < errorPercent {
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -126,7 +126,7 @@
 	number := us.ledger.recordArrival(id)
 	random := seededRandom(us.seed, fmt.Sprintf("%s/%d", id, number))
 	resumed := request.Header.Get("Last-Event-Id")
-	fault := pickFault(random, number, kind.streaming, resumed != request.Header.Get(fromHeader))
+	fault := pickFault(random, us.endlessShare(), number, kind.streaming, resumed != request.Header.Get(fromHeader))
 	us.ledger.recordPlayed(id, fault.String())
 	if fault != errorNotRun {
 		us.ledger.recordRun(id, kind.limit)
@@ -142,6 +142,13 @@
 	us.respond(writer, fault, answer)
 }
 
+func (us *upstream) endlessShare() int {
+	if us.seed%10 == 9 {
+		return manyEndlessShare
+	}
+	return endlessShare
+}
+
 // requestDeadline returns how long the sender of a request waits.
 func requestDeadline(request *http.Request) time.Duration {
 	left, _ := strconv.Atoi(request.Header.Get("Turmericdoor-Deadline-Ms"))
