Jobs: replies of an owner without end are bounded, and a reply without results is no result

An instance that asks another for the results of stages would read keepalives without end until the request's deadline, and take an empty message, which any gRPC service may send, for a finished job without results.

Fix: at most 1000 replies to one job, and a result counts only with one entry for each item. Otherwise the owner counts as unresponsive and the job goes to another one, as after silence.

--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -170,8 +170,10 @@
 	servers   map[string]*gather.Server
 	clients   map[string]*gather.Client
 	frozen    map[string]bool
-	left      map[string]bool
-	cores     map[string]int64
+	// endless holds replies that instances send without end instead of their own.
+	endless map[string]*endlessReplies
+	left    map[string]bool
+	cores   map[string]int64
 }
 
 // setLeft removes an instance from the live ones, or adds it again.
@@ -212,6 +214,9 @@
 
 func (lk link) Gather(ctx context.Context, in *wire.GatherRequest, _ ...grpc.CallOption) (grpc.ServerStreamingClient[wire.GatherReply], error) {
 	stream := &stream{ctx: ctx, replies: make(chan *wire.GatherReply, 100), ended: make(chan error, 1)}
+	if replies, is := lk.fleet.endless[lk.to]; is {
+		return replies, nil
+	}
 	if !lk.fleet.frozen[lk.to] {
 		go func() { stream.ended <- lk.fleet.servers[lk.to].Gather(in, stream) }()
 	}
@@ -249,7 +254,7 @@
 		fk := newFakes()
 		fl := &fleet{
 			fakes: fk, names: names, gatherers: map[string]*gather.Gatherer{}, servers: map[string]*gather.Server{},
-			clients: map[string]*gather.Client{}, frozen: map[string]bool{}, left: map[string]bool{},
+			clients: map[string]*gather.Client{}, frozen: map[string]bool{}, endless: map[string]*endlessReplies{}, left: map[string]bool{},
 		}
 		timers := timer.New()
 		ctx, cancel := context.WithCancel(context.Background())
--- a/gather/submit.go
+++ b/gather/submit.go
@@ -58,6 +58,9 @@
 	return cl.gatherer.Submit(key.FailureDomain, job)
 }
 
+// maxReplies bounds the replies to one job: with keepalives every 250 ms, they last for four minutes.
+const maxReplies = 1000
+
 // runRemote submits a job to the queue of another instance and waits for its result.
 func (cl *Client) runRemote(ctx context.Context, link Link, key QueueKey, job Job) Result {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -69,7 +72,10 @@
 		return cl.streamFailure(ctx, err, false)
 	}
 	accepted := false
-	for {
+	for received := 0; ; received++ {
+		if received == maxReplies {
+			return Unfinished{Cause: causeUnresponsive, MayHaveRun: accepted}
+		}
 		reply, err := stream.Recv()
 		if err != nil {
 			return cl.streamFailure(ctx, err, accepted)
@@ -94,6 +100,8 @@
 				Cause: reply.GetFailed(), Wait: timer.Milliseconds(reply.GetWaitMs()), MayHaveRun: reply.GetMayHaveRun(),
 				Results: fromWireResults(reply.GetResults()),
 			}
+		case len(reply.GetResults()) != job.Count:
+			return Unfinished{Cause: causeUnresponsive, MayHaveRun: true}
 		default:
 			return Finished{Results: fromWireResults(reply.GetResults())}
 		}
