--- a/gather/submit.go
+++ b/gather/submit.go
@@ -100,8 +100,6 @@
 				Cause: reply.GetFailed(), Wait: timer.Milliseconds(reply.GetWaitMs()), MayHaveRun: reply.GetMayHaveRun(),
 				Results: fromWireResults(reply.GetResults()),
 			}
-		case len(reply.GetResults()) != job.Count:
-			return Unfinished{Cause: causeUnresponsive, MayHaveRun: true}
 		default:
 			return newFinished(job, fromWireResults(reply.GetResults()))
 		}
