Pause between answers of the store that bring nothing

A store that answers each wait at once with no rows, or that never has the history, was called in a busy loop: processor time without end, and each call is priced and may be refused above the store's rate. Run paused only after failed calls and after changes.

Evidence: TestEmptyAnswers on the old code, with answers that take 1 ms: "expected 999 <= 12" calls in a second for both stores.

Two answers that bring nothing are now at least minEmptyInterval (200 ms) apart. The pause comes before the next call and only after a second such answer within that time, so neither a change after a wait of full length nor one in an answer is delayed; a full table is read at once after the first lost history. The test's harness ends the watcher with a defer, so that a failed check is reported and not a deadlock.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -62,6 +62,9 @@
 	// minBackoff and maxBackoff bound the backoff after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// minEmptyInterval is the least time between two answers of the store that bring nothing, so that a store that does
+	// not wait, or has never a history, is not called in a busy loop.
+	minEmptyInterval = 200 * time.Millisecond
 	// coalescePause is the pause after a change, so that changes in quick succession need only one call.
 	coalescePause = 60 * time.Millisecond
 	// maxStaleness is the staleness at which an instance that relies on others reads the store itself.
@@ -181,6 +184,7 @@
 	defer close(done)
 	backoff := minBackoff
 	full := true
+	emptyAt := time.Time{}
 	for ctx.Err() == nil {
 		if !wt.shouldReadStore() {
 			_ = wt.timers.Sleep(ctx, roleCheckInterval)
@@ -190,14 +194,19 @@
 		err := wt.fetch(ctx, full)
 		switch {
 		case err == nil:
-			full, backoff = false, minBackoff
+			backoff = minBackoff
 			wt.recordSuccess()
-			if wt.NewestChange() != before {
+			switch {
+			case wt.NewestChange() != before:
 				_ = wt.timers.Sleep(ctx, coalescePause)
+			case !full:
+				emptyAt = wt.pauseAfterEmpty(ctx, emptyAt)
 			}
+			full = false
 			continue
 		case errors.Is(err, ErrHistoryGone):
 			full = true
+			emptyAt = wt.pauseAfterEmpty(ctx, emptyAt)
 			continue
 		case ctx.Err() != nil:
 			return
@@ -208,6 +217,15 @@
 	}
 }
 
+// pauseAfterEmpty pauses after an answer that brought nothing, until minEmptyInterval after the one before, and returns
+// the current time. An answer that was waited for, or the first one, is followed by no pause.
+func (wt *Watcher) pauseAfterEmpty(ctx context.Context, last time.Time) time.Time {
+	if left := minEmptyInterval - wt.timers.Now().Sub(last); left > 0 {
+		_ = wt.timers.Sleep(ctx, left)
+	}
+	return wt.timers.Now()
+}
+
 // fetch makes one call to the store and applies the result.
 func (wt *Watcher) fetch(ctx context.Context, full bool) error {
 	if full || !wt.hasSnapshot() {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -24,10 +24,15 @@
 	down    bool
 	hanging bool
 	stale   bool
-	oldest  int64
-	calls   int
+	// impatient makes the store answer a wait after callTime.
+	impatient bool
+	oldest    int64
+	calls     int
 }
 
+// callTime is how long a call takes that is answered at once.
+const callTime = time.Millisecond
+
 func newStore() *store {
 	return &store{page: replica.Update{Full: true, Version: 1}, changed: make(chan struct{})}
 }
@@ -71,6 +76,9 @@
 	st.mu.Lock()
 	st.calls++
 	down, hanging, oldest, changed, version := st.down, st.hanging, st.oldest, st.changed, st.page.Version
+	if st.impatient {
+		wait = callTime
+	}
 	st.mu.Unlock()
 	switch {
 	case down:
@@ -79,6 +87,7 @@
 		<-ctx.Done()
 		return replica.Update{}, ctx.Err()
 	case after < oldest:
+		time.Sleep(callTime)
 		return replica.Update{}, watch.ErrHistoryGone
 	}
 	if version == after {
@@ -140,10 +149,9 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go wt.Run(ctx, done)
+		defer func() { cancel(); <-done }()
 		time.Sleep(time.Second)
 		play(st, wt, lg)
-		cancel()
-		<-done
 	})
 }
 
@@ -270,3 +278,48 @@
 		<-done
 	})
 }
+
+// callsInOneSecond returns how many calls the watcher makes in a second.
+func callsInOneSecond(st *store) int {
+	before := st.callCount()
+	time.Sleep(time.Second)
+	return st.callCount() - before
+}
+
+// maxEmptyCalls bounds the calls in a second to a store whose answers bring nothing: 5 waits, each with the full table.
+const maxEmptyCalls = 12
+
+// TestEmptyAnswers guards against a busy loop of calls to a store whose answers come at once and bring nothing.
+func TestEmptyAnswers(t *testing.T) {
+	t.Run("waits that are answered at once", func(t *testing.T) {
+		runWatcher(t, true, func(st *store, _ *watch.Watcher, _ *log) {
+			st.set(func() { st.impatient = true })
+			time.Sleep(3 * time.Second)
+			must.LessEq(t, maxEmptyCalls, callsInOneSecond(st))
+		})
+	})
+	t.Run("a history that is never there", func(t *testing.T) {
+		runWatcher(t, true, func(st *store, _ *watch.Watcher, _ *log) {
+			st.set(func() { st.oldest = 1 << 40 })
+			time.Sleep(3 * time.Second)
+			must.LessEq(t, maxEmptyCalls, callsInOneSecond(st))
+		})
+	})
+	t.Run("a change after an empty answer is delivered at once", func(t *testing.T) {
+		runWatcher(t, true, func(st *store, _ *watch.Watcher, lg *log) {
+			time.Sleep(2501 * time.Millisecond)
+			st.put("a")
+			time.Sleep(time.Millisecond)
+			must.Eq(t, []string{"a"}, lg.seen())
+		})
+	})
+	t.Run("changes are delivered while the store answers waits at once", func(t *testing.T) {
+		runWatcher(t, true, func(st *store, _ *watch.Watcher, lg *log) {
+			st.set(func() { st.impatient = true })
+			time.Sleep(3 * time.Second)
+			st.put("a")
+			time.Sleep(201 * time.Millisecond)
+			must.Eq(t, []string{"a"}, lg.seen())
+		})
+	})
+}
