Bound the memory of long events of all streams together

Many upstreams that begin events without end at once took 256 KB each and more while the buffers grew: an instance of 184 MB ran out of memory and was killed with all its requests. The limit was one for each event only.

Incomplete events above 16 KB, and those that are being written to a caller, take their memory from a budget of 8 MB; a stream that finds none left counts as lost, as a long buffered answer does. Short events never take any of it. Existing tests of events pass a budget to New; their checks are unchanged.

--- a/events/events_test.go
+++ b/events/events_test.go
@@ -11,9 +11,15 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericdoor/turmericdoor/events"
+	"github.com/turmericdoor/turmericdoor/readbudget"
 	"github.com/turmericdoor/turmericdoor/readlimit"
 )
 
+// newFramer returns a framer with memory for the longest event and no more.
+func newFramer() *events.Framer {
+	return events.New(readbudget.New(2 * events.MaxEvent))
+}
+
 func push(t *testing.T, fr *events.Framer, chunk string) string {
 	t.Helper()
 	complete, err := fr.Push([]byte(chunk))
@@ -23,14 +29,14 @@
 
 func TestFramer(t *testing.T) {
 	t.Run("an incomplete event is buffered", func(t *testing.T) {
-		fr := events.New()
+		fr := newFramer()
 		must.Eq(t, "", push(t, fr, "id: 1\ndata: a\n"))
 		must.Eq(t, "id: 1\ndata: a\n\n", push(t, fr, "\nid: 2\nda"))
 		must.Eq(t, "1", fr.LastEventID())
 		must.Eq(t, "id: 2\nda", string(fr.Partial()))
 	})
 	t.Run("an incomplete event is discarded before the stream resumes", func(t *testing.T) {
-		fr := events.New()
+		fr := newFramer()
 		push(t, fr, "id: 1\n\nid: 2\nda")
 		fr.DiscardPartial()
 		must.Eq(t, "id: 2\n\nid: 3\n\n", push(t, fr, "id: 2\n\nid: 3\n\n"))
@@ -43,14 +49,14 @@
 	for name, end := range map[string]string{"line feeds": "\n", "carriage returns": "\r", "both": "\r\n"} {
 		t.Run(name, func(t *testing.T) {
 			event := "id: 7" + end + "data: a" + end + end
-			fr := events.New()
+			fr := newFramer()
 			must.Eq(t, event+event, push(t, fr, event+event+"id: 8"+end))
 			must.Eq(t, "7", fr.LastEventID())
 			must.Eq(t, "id: 8"+end, string(fr.Partial()))
 		})
 		t.Run(name+", byte by byte", func(t *testing.T) {
 			event := "id: 7" + end + "data: a" + end + end
-			fr := events.New()
+			fr := newFramer()
 			passed := ""
 			for _, char := range event + event {
 				passed += push(t, fr, string(char))
@@ -73,13 +79,13 @@
 func TestOversizedEvent(t *testing.T) {
 	longest := strings.Repeat("x", events.MaxEvent-2) + "\n\n"
 	t.Run("the longest event passes", func(t *testing.T) {
-		fr := events.New()
+		fr := newFramer()
 		must.Eq(t, longest, push(t, fr, longest))
 		must.Eq(t, "", push(t, fr, longest[:events.MaxEvent-1]))
 		must.Eq(t, longest, push(t, fr, "\n"))
 	})
 	t.Run("a longer one is an error, in one chunk or many", func(t *testing.T) {
-		fr := events.New()
+		fr := newFramer()
 		complete, err := fr.Push([]byte("id: 1\n\nx" + longest))
 		assertExceeded(t, complete, err)
 		push(t, fr, longest[:events.MaxEvent-2])
@@ -105,7 +111,7 @@
 func TestProcessorTimeOfALongEvent(t *testing.T) {
 	for name, size := range map[string]int{"in chunks of 4 KB": 4096, "byte by byte": 1} {
 		t.Run(name, func(t *testing.T) {
-			fr := events.New()
+			fr := newFramer()
 			chunk := bytes.Repeat([]byte("x"), size)
 			failed := error(nil)
 			before := processorTime(t)
@@ -118,3 +124,24 @@
 		})
 	}
 }
+
+// TestLongEventsAtOnce guards against a limit for each event that many streams at once turn into all of the memory.
+func TestLongEventsAtOnce(t *testing.T) {
+	long := strings.Repeat("x", events.MaxEvent-2)
+	bu := readbudget.New(events.MaxEvent)
+	first, second := events.New(bu), events.New(bu)
+	push(t, first, long)
+	complete, err := second.Push([]byte(long))
+	must.ErrorIs(t, err, readbudget.ErrExhausted)
+	must.Nil(t, complete)
+	must.SliceEmpty(t, second.Partial())
+	short := strings.Repeat("x", events.FreeBytes-2) + "\n\n"
+	must.Eq(t, short, push(t, second, short))
+	must.Eq(t, long+"\n\n", push(t, first, "\n\n"))
+	must.Less(t, events.MaxEvent, bu.Left(), must.Sprint("the event that was returned takes memory until the next call"))
+	push(t, first, "")
+	must.Eq(t, events.MaxEvent, bu.Left())
+	push(t, first, long)
+	first.DiscardPartial()
+	must.Eq(t, events.MaxEvent, bu.Left())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,11 +59,13 @@
 
 	// buffered is the memory for responses that are read completely.
 	buffered *readbudget.Budget
+	// eventBytes is the memory for long events.
+	eventBytes *readbudget.Budget
 }
 
 // New returns a gateway with the given dependencies.
 func New(parts Parts) *Gateway {
-	return &Gateway{Parts: parts, buffered: readbudget.New(bufferedBudget)}
+	return &Gateway{Parts: parts, buffered: readbudget.New(bufferedBudget), eventBytes: readbudget.New(eventBudget)}
 }
 
 // run holds the state of one request while the gateway serves it.
@@ -102,7 +104,7 @@
 // for the caller's connection to report.
 func (gw *Gateway) Serve(ctx context.Context, request *Request, sink Sink) Outcome {
 	rn := &run{
-		Gateway: gw, request: request, response: response.New(sink), framer: events.New(),
+		Gateway: gw, request: request, response: response.New(sink), framer: events.New(gw.eventBytes),
 		audit: sendaudit.New(request.ID, sendaudit.Limits{AtMostOnce: true}),
 	}
 	outcome := rn.finalOutcome(rn.serve(ctx))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,6 +17,8 @@
 	streamBuffer = 4096
 	// maxStream bounds the stream of one attempt, in bytes.
 	maxStream = 16 << 20
+	// eventBudget bounds the long events that are incomplete at one time, in bytes.
+	eventBudget = 8 << 20
 )
 
 // resumeStream continues a response that an earlier attempt began; an answer that can't continue it is a failed attempt.
@@ -41,6 +43,7 @@
 func (at *attempt) forwardStream(ctx context.Context, reply *UpstreamResponse) attemptResult {
 	rn := at.run
 	rn.framer.DiscardPartial()
+	defer rn.framer.DiscardPartial()
 	buffer := make([]byte, streamBuffer)
 	received, total := 0, 0
 	for {
@@ -49,9 +52,9 @@
 		if received > maxStream {
 			return at.handleLost(ctx, readlimit.Exceeded{Limit: maxStream}.Error())
 		}
-		part, oversized := rn.framer.Push(buffer[:count])
-		if oversized != nil {
-			return at.handleLost(ctx, oversized.Error())
+		part, failed := rn.framer.Push(buffer[:count])
+		if failed != nil {
+			return at.handleLost(ctx, failed.Error())
 		}
 		if len(part) > 0 {
 			total += len(part)
--- a/readbudget/readbudget.go
+++ b/readbudget/readbudget.go
@@ -85,3 +85,30 @@
 		}
 	}
 }
+
+// Share is the part of the budget that one growing buffer takes; it is not safe for concurrent use.
+type Share struct {
+	budget *Budget
+	free   int64
+	taken  int64
+}
+
+// NewShare returns a share of nothing. A buffer of at most free bytes takes nothing from the budget.
+func (bu *Budget) NewShare(free int64) *Share {
+	return &Share{budget: bu, free: free}
+}
+
+// Resize sets the size of the buffer, in bytes. The error is ErrExhausted, and the share unchanged, if not enough is left.
+func (sh *Share) Resize(size int64) error {
+	if size <= sh.free {
+		size = 0
+	}
+	if size > sh.taken && !sh.budget.take(size-sh.taken) {
+		return ErrExhausted
+	}
+	if size < sh.taken {
+		sh.budget.giveBack(sh.taken - size)
+	}
+	sh.taken = size
+	return nil
+}
--- a/readbudget/readbudget_test.go
+++ b/readbudget/readbudget_test.go
@@ -64,3 +64,20 @@
 		assertError(t, bu, io.MultiReader(strings.NewReader(strings.Repeat("x", limit)), iotest.ErrReader(broken)), broken)
 	})
 }
+
+func TestShare(t *testing.T) {
+	const free = 100
+	bu := readbudget.New(budgetSize)
+	share, other := bu.NewShare(free), bu.NewShare(free)
+	must.NoError(t, share.Resize(free))
+	must.Eq(t, budgetSize, bu.Left())
+	must.NoError(t, share.Resize(budgetSize-free))
+	must.Eq(t, free, bu.Left())
+	must.ErrorIs(t, other.Resize(free+1), readbudget.ErrExhausted)
+	must.NoError(t, other.Resize(free))
+	must.Eq(t, free, bu.Left())
+	must.NoError(t, share.Resize(free+1))
+	must.Eq(t, budgetSize-free-1, bu.Left())
+	must.NoError(t, share.Resize(0))
+	must.Eq(t, budgetSize, bu.Left())
+}
