Count a tiny part of a stream as more than its bytes

A stream without end that arrives in tiny parts cost far more processor time than one of 16 MB in large parts, since each part is read, framed, written and flushed on its own: only the deadline ended it, and one such stream took up more than a core until then.

A part counts as at least 64 bytes of the 16 MB: 262144 parts, more than any answer has tokens. A part of nothing but blank lines is no answer and counts as 1 KB more; comments, which keep connections alive, don't.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -69,9 +69,11 @@
 	unsigned     bool
 	inputMissing bool
 	body         string
-	interrupted  bool
-	after        time.Duration
-	contentType  string
+	// reader replaces body if it is set.
+	reader      io.Reader
+	interrupted bool
+	after       time.Duration
+	contentType string
 	// sized sets the length to that of the body, mismatch marks the response to another request.
 	sized    bool
 	mismatch bool
@@ -135,6 +137,9 @@
 		return nil, next.err
 	}
 	body := io.Reader(strings.NewReader(next.body))
+	if next.reader != nil {
+		body = next.reader
+	}
 	if next.interrupted {
 		body = io.MultiReader(body, broken{})
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +18,10 @@
 	streamBuffer = 4096
 	// maxStream bounds the stream of one attempt, in bytes.
 	maxStream = 16 << 20
+	// minPart is the size that each part of a stream counts as at least, as its time does not depend on its size, in bytes.
+	minPart = 64
+	// blankPart is the size that a part without any field counts as besides its own, as it brings no answer, in bytes.
+	blankPart = 1 << 10
 	// eventBudget bounds the long events that are incomplete at one time, in bytes.
 	eventBudget = 8 << 20
 )
@@ -49,6 +54,9 @@
 	for {
 		count, err := reply.Body.Read(buffer)
 		received += count
+		if err == nil {
+			received += max(minPart-count, 0)
+		}
 		if received > maxStream {
 			return at.handleLost(ctx, readlimit.Exceeded{Limit: maxStream}.Error())
 		}
@@ -57,6 +65,9 @@
 			return at.handleLost(ctx, failed.Error())
 		}
 		if len(part) > 0 {
+			if len(bytes.Trim(part, "\r\n")) == 0 {
+				received += blankPart
+			}
 			total += len(part)
 			if failure := at.forwardPart(reply, part); failure != nil {
 				return at.handleWriteError(ctx, failure)
