Log: an attempt that was not executed ends under the number it was chosen with

An operator who follows a cut stream by its id saw UpstreamChosen attempt=2 and then AttemptEnded attempt=1 for an attempt that was rejected or not sent: a second end of attempt 1 beside its own. The number was read after such a send had been taken out of the count.

TestRejectedAttemptIsLoggedUnderAnotherNumber failed on the code before: ended 1, 1, 2 where chosen were 1, 2, 2. The number of the attempt is now the one that was taken when it began.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -186,7 +186,7 @@
 	}
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAttemptEnded, RequestId: rn.request.ID, Upstream: choice.Upstream.ID, Stage: rn.pool.Name,
-		Attempt: int64(rn.audit.Executions()), Outcome: at.outcome, Detail: at.detail, DurationMicros: rn.Timers.Now().Sub(startedAt).Microseconds(),
+		Attempt: int64(at.number), Outcome: at.outcome, Detail: at.detail, DurationMicros: rn.Timers.Now().Sub(startedAt).Microseconds(),
 	})
 	return result
 }
