--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,9 +10,12 @@
 	"github.com/turmericdoor/turmericdoor/digest"
 	"github.com/turmericdoor/turmericdoor/events"
 	"github.com/turmericdoor/turmericdoor/gather"
+	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/overload"
 	"github.com/turmericdoor/turmericdoor/quarantine"
+	"github.com/turmericdoor/turmericdoor/readbudget"
+	"github.com/turmericdoor/turmericdoor/response"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/sendaudit"
@@ -53,18 +56,21 @@
 // Gateway serves callers' requests; it is safe for concurrent use.
 type Gateway struct {
 	Parts
+
+	// buffered is the memory for responses that are read completely.
+	buffered *readbudget.Budget
 }
 
 // New returns a gateway with the given dependencies.
 func New(parts Parts) *Gateway {
-	return &Gateway{Parts: parts}
+	return &Gateway{Parts: parts, buffered: readbudget.New(bufferedBudget)}
 }
 
 // run holds the state of one request while the gateway serves it.
 type run struct {
 	*Gateway
 	request      *Request
-	sink         Sink
+	response     *response.Response
 	table        *route.Table
 	pipeline     *route.Pipeline
 	pool         route.Pool
@@ -82,9 +88,7 @@
 	abandonAt time.Time
 	targetAt  time.Time
 	audit     *sendaudit.Tracker
-	// responseStarted is set once a part of the response has been written to the sink.
-	responseStarted bool
-	// framer cuts a resumable stream into complete events.
+	// framer cuts a stream into complete events.
 	framer *events.Framer
 	// detail explains the outcome in the event log.
 	detail string
@@ -97,12 +101,33 @@
 // Serve processes a request until it ends. An upstream's response is written to sink; every other outcome is returned
 // for the caller's connection to report.
 func (gw *Gateway) Serve(ctx context.Context, request *Request, sink Sink) Outcome {
-	rn := &run{Gateway: gw, request: request, sink: sink, framer: events.New(), audit: sendaudit.New(request.ID, sendaudit.Limits{AtMostOnce: true})}
-	outcome := rn.serve(ctx)
+	rn := &run{
+		Gateway: gw, request: request, response: response.New(sink), framer: events.New(),
+		audit: sendaudit.New(request.ID, sendaudit.Limits{AtMostOnce: true}),
+	}
+	outcome := rn.finalOutcome(rn.serve(ctx))
 	rn.recordEnd(outcome)
 	return outcome
 }
 
+// finalOutcome adjusts an outcome to the response written so far: a response that has begun can only be completed,
+// abandoned by the caller, or cut off.
+func (rn *run) finalOutcome(outcome Outcome) Outcome {
+	_, answered := outcome.(Answered)
+	invariant.Check(answered == rn.response.IsComplete(), "a request is answered exactly if its response is complete",
+		"request %s: outcome %s", rn.request.ID, OutcomeName(outcome))
+	rn.response.CutOff()
+	if !rn.response.IsBegun() {
+		return outcome
+	}
+	switch outcome.(type) {
+	case Answered, Gone:
+		return outcome
+	default:
+		return CutOff{}
+	}
+}
+
 func (rn *run) serve(ctx context.Context) Outcome {
 	if refusal := rn.resolveRoute(); refusal != nil {
 		return refusal
@@ -225,10 +250,27 @@
 		name = rn.pipeline.Name
 		event.Pipeline, event.Revision = name, rn.table.Revision
 	}
-	rn.Events.Record(event)
 	_, answered := outcome.(Answered)
+	if rn.response.IsBegun() {
+		end := responseEnd(outcome)
+		event.Detail += fmt.Sprintf(" %s end=%s", rn.response.Summary(), end)
+		rn.Metrics.RecordResponse(metric.Response{Pipeline: name, Resumed: rn.response.IsResumed(), End: end})
+	}
+	rn.Events.Record(event)
 	rn.Metrics.RecordRequest(metric.Request{
 		Rank: fmt.Sprint(rn.rank), Organisation: rn.organisation.Name, Pipeline: name, Outcome: OutcomeName(outcome),
 		DeadlineMet: answered && !rn.Timers.Now().After(rn.deadline), Duration: took,
 	})
 }
+
+// responseEnd returns how a response that has begun ended for its caller.
+func responseEnd(outcome Outcome) string {
+	switch outcome.(type) {
+	case Answered:
+		return "Complete"
+	case Gone:
+		return "CallerGone"
+	default:
+		return "CutOff"
+	}
+}
--- a/tableservice/tableservice.go
+++ b/tableservice/tableservice.go
@@ -6,10 +6,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 
+	"github.com/turmericdoor/turmericdoor/readbudget"
+	"github.com/turmericdoor/turmericdoor/readlimit"
 	"github.com/turmericdoor/turmericdoor/table"
 )
 
@@ -45,16 +46,24 @@
 type Client struct {
 	address string
 	client  *http.Client
+	// answers is the memory for responses.
+	answers *readbudget.Budget
 }
 
-// maxReplyBytes is the maximum size of a response body; the rest is not read.
-const maxReplyBytes = 16 << 20
+const (
+	// maxHeadBytes, maxReplyBytes and maxErrorBytes limit the head of a response, the body of a success and that of a failure.
+	maxHeadBytes  = 64 << 10
+	maxReplyBytes = 16 << 20
+	maxErrorBytes = 64 << 10
+	// replyBudget limits the responses of all calls at one time, in bytes.
+	replyBudget = 32 << 20
+)
 
 // New returns a client for the table service at address, an IP address and port.
 func New(address string) *Client {
 	dialer := &net.Dialer{}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns}
-	return &Client{address: address, client: &http.Client{Transport: transport}}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes}
+	return &Client{address: address, client: &http.Client{Transport: transport}, answers: readbudget.New(replyBudget)}
 }
 
 // maxIdleConns is the maximum number of idle connections kept for later calls.
@@ -71,19 +80,44 @@
 }
 
 func (cl *Client) read(ctx context.Context, request ReadRequest) table.Outcome {
-	reply := ReadReply{}
+	reply := receivedRows{}
 	if err := cl.post(ctx, "/v1/read", request, &reply); err != nil {
 		return table.Unavailable{Cause: err.Error()}
 	}
-	return table.Rows{Rows: reply.Rows}
+	rows, whole := reply.decode()
+	if !whole {
+		return table.Unavailable{Cause: "the reply lacks rows or their versions"}
+	}
+	return table.Rows{Rows: rows}
+}
+
+// receivedRows is a ReadReply as received, in which missing rows can be told from none.
+type receivedRows struct {
+	Rows json.RawMessage
+}
+
+// decode returns the rows, and false if they or the version of one is missing.
+func (rr receivedRows) decode() ([]table.Row, bool) {
+	rows := []table.Row{}
+	if json.Unmarshal(rr.Rows, &rows) != nil {
+		return nil, false
+	}
+	for _, row := range rows {
+		if row.Version <= 0 {
+			return nil, false
+		}
+	}
+	return rows, true
 }
 
 // Commit returns table.Committed, table.Conflict, table.Unknown or table.Unavailable.
 func (cl *Client) Commit(ctx context.Context, transaction table.Transaction) table.Outcome {
-	reply := CommitReply{}
+	reply := receivedCommit{}
 	err := cl.post(ctx, "/v1/commit", transaction, &reply)
 	switch {
-	case err == nil && reply.Committed:
+	case err == nil && reply.Committed == nil:
+		return table.Unknown{Cause: "the reply doesn't say whether the transaction was committed"}
+	case err == nil && *reply.Committed:
 		return table.Committed{}
 	case err == nil:
 		return table.Conflict{Keys: reply.Conflicts}
@@ -94,6 +128,12 @@
 	}
 }
 
+// receivedCommit is a CommitReply as received, in which a missing result can be told from a conflict.
+type receivedCommit struct {
+	Committed *bool
+	Conflicts []string
+}
+
 // Instances returns the instance list.
 func (cl *Client) Instances(ctx context.Context) ([]ListedInstance, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+cl.address+"/v1/instances", nil)
@@ -147,11 +187,20 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return StatusError{Status: response.StatusCode}
+		return statusError(response)
 	}
-	encoded, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	encoded, release, err := cl.answers.All(response.Body, maxReplyBytes)
 	if err != nil {
 		return err
 	}
+	defer release()
 	return json.Unmarshal(encoded, reply)
 }
+
+// statusError returns a StatusError for a failure that ends, and another error for one that does not and states nothing.
+func statusError(response *http.Response) error {
+	if err := readlimit.Discard(response.Body, maxErrorBytes); err != nil && !readlimit.BrokeOff(err) {
+		return err
+	}
+	return StatusError{Status: response.StatusCode}
+}
--- a/upstream/codec.go
+++ b/upstream/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +11,7 @@
 
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/invariant"
+	"github.com/turmericdoor/turmericdoor/readlimit"
 )
 
 // The bodies below follow the completions, embeddings and rerank APIs that model servers have in common.
@@ -62,6 +64,9 @@
 // StreamEnd is the data of the last event of a streamed completion.
 const StreamEnd = "[DONE]"
 
+// dataPrefix begins the lines of a stream that carry data.
+const dataPrefix = "data: "
+
 // encode returns the path and the request body of a call.
 func encode(call *Call) (string, []byte) {
 	switch call.Kind {
@@ -127,18 +132,25 @@
 	return payload, ""
 }
 
-// maxLineBytes limits the length of one line of a stream.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes limits the length of one line of a stream, and maxStreamBytes that of a stream.
+	maxLineBytes   = 256 << 10
+	maxStreamBytes = 16 << 20
+)
 
 // readStream reads the tokens that an engine streams. They must continue the tokens in the call's payload: a token
-// that is repeated is skipped, and a gap makes the answer invalid.
+// that is repeated is skipped, and a gap makes the answer invalid. No token is read from the answer to another call.
 func (cl *Client) readStream(ctx context.Context, call *Call, response *http.Response) Outcome {
+	if reportedIdentity(response) != call.Identity {
+		return newReplied(response, call.Payload)
+	}
 	payload := call.Payload
 	payload.Tokens = append([]string{}, call.Payload.Tokens...)
-	scanner := bufio.NewScanner(response.Body)
+	scanner := bufio.NewScanner(readlimit.NewReader(response.Body, maxStreamBytes))
 	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	scanner.Split(splitLines)
 	for scanner.Scan() {
-		data, isData := strings.CutPrefix(scanner.Text(), "data: ")
+		data, isData := strings.CutPrefix(scanner.Text(), dataPrefix)
 		if !isData {
 			continue
 		}
@@ -146,7 +158,7 @@
 			return newReplied(response, payload)
 		}
 		if cause := appendToken(call, &payload, data); cause != "" {
-			return Garbage{Cause: cause}
+			return Garbage{Cause: cause, Tokens: payload.Tokens}
 		}
 	}
 	err := scanner.Err()
@@ -156,25 +168,51 @@
 	return cl.transportFailure(ctx, call, err, payload.Tokens)
 }
 
+// splitLines splits like bufio.ScanLines, but drops a last line without a line feed, which may be cut off, unless it is
+// the end marker.
+func splitLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	if atEOF && !bytes.Contains(data, []byte("\n")) && string(data) != dataPrefix+StreamEnd {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
+// sentChunk is a CompletionChunk as received, in which missing fields can be told from empty ones.
+type sentChunk struct {
+	Index *int    `json:"index"`
+	Text  *string `json:"text"`
+}
+
 // appendToken appends one streamed token to the payload. It returns why the token is invalid, or "" if it is valid.
 func appendToken(call *Call, payload *Payload, data string) string {
-	chunk := CompletionChunk{}
+	chunk := sentChunk{}
 	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
 		return "token is not valid JSON: " + err.Error()
 	}
-	expected := len(payload.Tokens)
-	if chunk.Index < expected {
-		return ""
+	if chunk.Index == nil || chunk.Text == nil || *chunk.Index < 0 {
+		return "token has no index or no text"
 	}
-	if chunk.Index > expected {
-		return fmt.Sprintf("token has index %d, expected %d", chunk.Index, expected)
+	index, text, expected := *chunk.Index, *chunk.Text, len(payload.Tokens)
+	if index < expected {
+		return checkRepeated(index, text, payload.Tokens[index])
+	}
+	if index > expected {
+		return fmt.Sprintf("token has index %d, expected %d", index, expected)
 	}
 	if int64(expected) >= call.MaxTokens {
 		return fmt.Sprintf("more than the requested %d tokens", call.MaxTokens)
 	}
-	payload.Tokens = append(payload.Tokens, chunk.Text)
+	payload.Tokens = append(payload.Tokens, text)
 	if call.OnToken != nil {
-		call.OnToken(chunk.Index, chunk.Text)
+		call.OnToken(index, text)
 	}
 	return ""
 }
+
+// checkRepeated returns why a repeated token is invalid, or "" if it is the one that is known.
+func checkRepeated(index int, text, known string) string {
+	if text == known {
+		return ""
+	}
+	return fmt.Sprintf("token %d is repeated with another text", index)
+}
