Runner: a hedge that fires after the first result is not started

What callers saw: the process stopped with "invariant broken: a stage runs until it has a result", and every request on it broke off; seen once in TestGracefulStop beside load.

Cause: the first attempt's result was accepted in the tracker, and only later was the dispatcher told of its end. A hedge that fired in between still got a slot and began a second attempt. It could also read the payload that the first attempt had replaced by its result.

Evidence: TestHedgeStartsAfterResult lets the hedge fire in this gap, in fake time, and failed on the code before: "panic: invariant broken: a stage runs until it has a result: request r1 stage encode".

Fix: Tracker.BeginBeside decides under the lock that Accept takes whether an attempt may begin beside others. A hedge first takes its slot, then begins; if the stage has its result, it isn't counted as dispatched and its slot is released. The payload of a hedge is read before it begins, so it is that of the first attempt. Begin keeps its invariant.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -47,12 +47,21 @@
 	return &Tracker{requestID: requestID, isIdempotent: idempotent, openAttempts: map[int64]bool{}, accepted: map[string]int64{}}
 }
 
-// Begin opens an attempt of a stage and closes the attempts of earlier stages.
+// Begin opens an attempt of a stage, which must not have a result, and closes the attempts of earlier stages.
 func (tr *Tracker) Begin(stage string) Identity {
+	id, begun := tr.BeginBeside(stage)
+	invariant.Check(begun, "a stage runs until it has a result", "request %s stage %s", tr.requestID, stage)
+	return id
+}
+
+// BeginBeside opens an attempt of a stage beside those that run, and closes the attempts of earlier stages. It opens
+// none and reports false if a result of the stage has been accepted.
+func (tr *Tracker) BeginBeside(stage string) (Identity, bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	_, hasResult := tr.accepted[stage]
-	invariant.Check(!hasResult, "a stage runs until it has a result", "request %s stage %s", tr.requestID, stage)
+	if _, hasResult := tr.accepted[stage]; hasResult {
+		return Identity{}, false
+	}
 	if tr.stage != stage {
 		tr.stage = stage
 		clear(tr.openAttempts)
@@ -61,7 +70,7 @@
 	tr.openAttempts[tr.lastAttempt] = true
 	tr.dispatched++
 	invariant.Check(tr.isIdempotent || tr.dispatched == 1, "a non-idempotent request is dispatched once", "request %s", tr.requestID)
-	return Identity{RequestID: tr.requestID, Stage: stage, Attempt: tr.lastAttempt}
+	return Identity{RequestID: tr.requestID, Stage: stage, Attempt: tr.lastAttempt}, true
 }
 
 // MarkNotSent closes an attempt that has not reached its upstream, so that another one may begin.
--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -60,3 +60,27 @@
 		must.True(t, tr.AnyDispatched())
 	})
 }
+
+func TestBeginBeside(t *testing.T) {
+	t.Run("opens a second attempt of a stage without a result", func(t *testing.T) {
+		tr := attempt.New("r1", true)
+		tr.Begin("encode")
+		second, begun := tr.BeginBeside("encode")
+		must.True(t, begun)
+		must.Eq(t, attempt.Accepted, tr.Accept(second))
+	})
+	t.Run("opens and counts none once a result is accepted", func(t *testing.T) {
+		tr := attempt.New("r1", true)
+		first := tr.Begin("encode")
+		must.Eq(t, attempt.Accepted, tr.Accept(first))
+		_, begun := tr.BeginBeside("encode")
+		must.False(t, begun)
+		tr.MarkNotSent(first)
+		must.False(t, tr.AnyDispatched())
+	})
+	t.Run("a first attempt of a stage with a result breaks an invariant", func(t *testing.T) {
+		tr := attempt.New("r1", true)
+		must.Eq(t, attempt.Accepted, tr.Accept(tr.Begin("encode")))
+		mustBreach(t, func() { tr.Begin("encode") })
+	})
+}
--- /dev/null
+++ b/runner/hedge_test.go
@@ -0,0 +1,126 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/attempt"
+	"github.com/turmericdoor/turmericdoor/dispatch"
+	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/hlc"
+	"github.com/turmericdoor/turmericdoor/limit"
+	"github.com/turmericdoor/turmericdoor/pool"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+	"github.com/turmericdoor/turmericdoor/upstream"
+)
+
+const hedgeAfter = 40 * time.Millisecond
+
+// clientFunc is an upstream client that consists of one function.
+type clientFunc func(call *upstream.Call) upstream.Outcome
+
+func (cf clientFunc) Do(_ context.Context, call *upstream.Call) upstream.Outcome { return cf(call) }
+
+// unreachable is a prober that reaches no upstream.
+type unreachable struct{}
+
+func (unreachable) Reachable(context.Context, string) bool { return false }
+
+// hedgedStage is a stage with a pool of two upstreams that hedges, and the calls that its client has made.
+type hedgedStage struct {
+	*stageRun
+	mu    sync.Mutex
+	calls []*upstream.Call
+}
+
+// newHedgedStage returns a stage whose client answers each call as reply does.
+func newHedgedStage(reply func(hs *hedgedStage, call *upstream.Call) upstream.Outcome) *hedgedStage {
+	timers := timer.New()
+	config := &document.Pool{Name: "encoders", Kind: document.Encoder, HedgeAfter: hedgeAfter, RetryPercent: 100, StageTime: hedgeAfter}
+	for _, name := range []string{"u1", "u2"} {
+		config.Upstreams = append(config.Upstreams, &document.Upstream{Name: name, FailureDomain: "a", Slots: 1, Incarnation: 1})
+	}
+	rank := &document.Rank{Name: "Urgent"}
+	dispatcher := dispatch.New(limit.Divided{}, rand.New(rand.NewPCG(1, 2)), 10, config.StageTime)
+	encoders := pool.New(timers, dispatcher, unreachable{})
+	encoders.Update(config, []*document.Rank{rank})
+	stage := &document.Stage{Name: "encode", Pool: config}
+	hs := &hedgedStage{}
+	client := clientFunc(func(call *upstream.Call) upstream.Outcome {
+		hs.mu.Lock()
+		hs.calls = append(hs.calls, call)
+		hs.mu.Unlock()
+		return reply(hs, call)
+	})
+	request := &Request{
+		ID: "r1", Organisation: &document.Organisation{Name: "o", Weight: 1}, Rank: rank, Deadline: timers.Now().Add(time.Minute),
+		Pipeline: &document.Pipeline{Name: "search", Idempotent: true, Stages: []*document.Stage{stage}},
+	}
+	hs.stageRun = &stageRun{
+		requestRun: &requestRun{
+			runner:  &Runner{Timers: timers, FailureDomain: "a", Client: client, Events: timeline.New("i", hlc.New(timers), 100, nil)},
+			request: request, tracker: attempt.New("r1", true), payload: payloadState{Tokens: []string{"input"}},
+		},
+		stageConfig: stage, pool: encoders,
+	}
+	return hs
+}
+
+func reply(call *upstream.Call) upstream.Outcome {
+	return upstream.Replied{Identity: call.Identity, Payload: payloadState{Tokens: []string{"output"}}, Load: -1}
+}
+
+// assertInFlight checks how many slots of upstreams the calls of the stage hold.
+func assertInFlight(t *testing.T, hs *hedgedStage, want int64) {
+	t.Helper()
+	statuses, _ := hs.pool.Statuses()
+	held := int64(0)
+	for _, status := range statuses {
+		held += status.InFlight
+	}
+	must.Eq(t, want, held)
+}
+
+// TestHedgeStartsAfterResult guards against a hedge that fires after the result of the first attempt was accepted and
+// before the dispatcher has been told of its end, and that is still sent.
+func TestHedgeStartsAfterResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hs := newHedgedStage(func(hs *hedgedStage, call *upstream.Call) upstream.Outcome {
+			must.Eq(t, attempt.Accepted, hs.tracker.Accept(call.Identity))
+			time.Sleep(2 * hedgeAfter)
+			assertInFlight(t, hs, 1)
+			return reply(call)
+		})
+		hs.acquireAndCall(t.Context(), false)
+		must.SliceLen(t, 1, hs.calls)
+		must.Eq(t, 1, hs.report.Attempts)
+		assertInFlight(t, hs, 0)
+	})
+}
+
+func TestHedge(t *testing.T) {
+	t.Run("a slow call is made a second time with the same payload, and the first result counts", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			hs := newHedgedStage(func(_ *hedgedStage, call *upstream.Call) upstream.Outcome {
+				if call.Identity.Attempt == 1 {
+					time.Sleep(10 * hedgeAfter)
+				}
+				return reply(call)
+			})
+			ended := hs.acquireAndCall(t.Context(), false)
+			must.Nil(t, ended.failure)
+			must.SliceLen(t, 2, hs.calls)
+			must.NotEq(t, hs.calls[0].Upstream, hs.calls[1].Upstream)
+			must.Eq(t, hs.calls[0].Payload, hs.calls[1].Payload)
+			must.Eq(t, hs.calls[1].Upstream, hs.report.Upstream)
+			assertInFlight(t, hs, 0)
+		})
+	})
+}
--- a/runner/stage.go
+++ b/runner/stage.go
@@ -185,15 +185,39 @@
 			}
 		case <-hedge:
 			hedge = nil
-			if second := sr.pool.Hedge(id); second != nil {
+			if sr.startHedge(ctx, id, ended) {
 				outstanding++
-				go sr.makeAttempt(ctx, id, second, ended)
 			}
 		}
 	}
 	return last
 }
 
+// startHedge starts a second attempt and reports whether it did. It starts none if no upstream has capacity or if the
+// stage has got its result; the attempt is not counted then and its slot is released.
+func (sr *stageRun) startHedge(ctx context.Context, id uint64, ended chan<- result) bool {
+	// The payload is read before the attempt begins: after that, the first attempt may replace it by its result.
+	payload := sr.currentPayload()
+	second := sr.pool.Hedge(id)
+	if second == nil {
+		return false
+	}
+	identity, begun := sr.tracker.BeginBeside(sr.stageConfig.Name)
+	if !begun {
+		sr.pool.Finish(dispatch.CallResult{ID: id, Upstream: second.Name, Status: dispatch.Cancelled, Load: -1})
+		return false
+	}
+	go sr.runAttempt(ctx, id, sr.newCall(identity, second, payload), second, ended)
+	return true
+}
+
+// currentPayload returns the payload that an attempt which begins now gets.
+func (sr *stageRun) currentPayload() payloadState {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	return sr.payload
+}
+
 // drain waits for attempts whose results are no longer needed.
 func (sr *stageRun) drain(ended <-chan result, outstanding int) {
 	for range outstanding {
@@ -210,9 +234,15 @@
 	return sr.runner.Timers.After(config.HedgeAfter)
 }
 
-// makeAttempt makes one call and sends its result to ended.
+// makeAttempt begins an attempt, makes its call and sends its result to ended.
 func (sr *stageRun) makeAttempt(ctx context.Context, id uint64, up *document.Upstream, ended chan<- result) {
 	identity := sr.tracker.Begin(sr.stageConfig.Name)
+	sr.runAttempt(ctx, id, sr.newCall(identity, up, sr.currentPayload()), up, ended)
+}
+
+// runAttempt makes the call of an attempt that has begun and sends its result to ended.
+func (sr *stageRun) runAttempt(ctx context.Context, id uint64, call *upstream.Call, up *document.Upstream, ended chan<- result) {
+	identity := call.Identity
 	sr.recordEvent(wire.EventKind_EventAttemptStarted, sr.stageConfig.Name, up.Name, "", "", identity.Attempt, 0)
 	if timeout := sr.stageConfig.Pool.AttemptTimeout; timeout > 0 {
 		limited, cancel := context.WithTimeout(ctx, timeout)
@@ -220,7 +250,7 @@
 		ctx = limited
 	}
 	startedAt := sr.runner.Timers.Now()
-	outcome := sr.runner.Client.Do(ctx, sr.newCall(identity, up))
+	outcome := sr.runner.Client.Do(ctx, call)
 	elapsed := sr.runner.Timers.Now().Sub(startedAt)
 	ev := sr.evaluate(ctx, identity, up, outcome)
 	sr.pool.Finish(dispatch.CallResult{
@@ -253,11 +283,8 @@
 	}
 }
 
-func (sr *stageRun) newCall(identity attempt.Identity, up *document.Upstream) *upstream.Call {
+func (sr *stageRun) newCall(identity attempt.Identity, up *document.Upstream, payload payloadState) *upstream.Call {
 	config := sr.stageConfig
-	sr.mu.Lock()
-	payload := sr.payload
-	sr.mu.Unlock()
 	call := &upstream.Call{
 		Kind: config.Pool.Kind, Upstream: up.Name, Address: up.Address, Path: config.Pool.Path, Identity: identity,
 		Priority: sr.request.Rank.Index, Payload: payload, Candidates: config.Candidates, MaxTokens: config.MaxTokens,
