Gateway: a status that promises "not run" needs the upstream's mark

What callers would see: a non-idempotent request is answered 503 (429, 408, 421) though it may have run; the caller takes the status as a promise, sends the request again, and it runs twice.

Cause: forwardBuffered passed on such a status also from an upstream that did not mark it as not executed.

Evidence: TestUnmarkedStatusPromisesNotRun failed on the code before for each status: outcome "Answered", want "Failed".

Fix: without the mark, none of the four statuses reaches a caller. What each kind of request gets: - At most once: Failed at once, without the upstream's headers and body. - Idempotent, and resumable streams that have not begun: another upstream, within the pool's budget and the pipeline's limit. A 503 was retried before; now 408, 421 and 429 are too, since their answer can't be used. Without a retry left: Failed, as a copy may have run or still run. - Resumable streams that have begun: as before, an answer that does not continue them. Other errors of an upstream are passed on as before.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -389,15 +389,21 @@
 	defer release()
 	at.recordFirstByte()
 	failed := reply.Status >= http.StatusInternalServerError
-	if failed && rn.takeRetry(ctx) {
-		at.finish(placement.Failed, "Error", fmt.Sprintf("status=%d", reply.Status))
-		return attemptResult{outcome: Failed{Cause: fmt.Sprintf("upstream responded with status %d", reply.Status)}, tryNext: true}
-	}
-	rn.reportSuccess()
 	result := placement.Served
 	if failed {
 		result = placement.Failed
 	}
+	withheld := promisesNotRun(reply.Status)
+	if (failed || withheld) && rn.takeRetry(ctx) {
+		at.finish(result, "Error", fmt.Sprintf("status=%d", reply.Status))
+		return attemptResult{outcome: Failed{Cause: fmt.Sprintf("upstream responded with status %d", reply.Status)}, tryNext: true}
+	}
+	rn.reportSuccess()
+	if withheld {
+		rn.detail = fmt.Sprintf("status=%d withheld: the request may have run", reply.Status)
+		at.finish(result, "Error", rn.detail)
+		return attemptResult{outcome: Failed{Cause: rn.detail}}
+	}
 	at.finish(result, "Answered", fmt.Sprintf("status=%d bytes=%d", reply.Status, len(body)))
 	rn.detail = fmt.Sprintf("status=%d", reply.Status)
 	caller := rn.response.Begin(response.Head{Attempt: at.number, Status: reply.Status, Header: reply.Header, Length: int64(len(body))})
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -210,3 +212,53 @@
 		must.NotEq(t, "p3", each.Upstream.ID)
 	}
 }
+
+// notRunStatuses promise the caller that its request has not run and never will.
+var notRunStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// assertNoPromise checks that the request failed and that no part of an upstream's answer reached the caller.
+func assertNoPromise(t *testing.T, outcome gateway.Outcome, out *sink) {
+	t.Helper()
+	assertOutcome(t, "Failed", outcome)
+	must.Zero(t, out.heads)
+	must.Eq(t, "", out.body)
+}
+
+// TestUnmarkedStatusPromisesNotRun guards against a status that promises the caller that its request has not run, taken from
+// an upstream that did not say so.
+func TestUnmarkedStatusPromisesNotRun(t *testing.T) {
+	for _, status := range notRunStatuses {
+		unmarked := response{status: status, body: "full"}
+		for _, path := range []string{"/once/1", "/draft/1"} {
+			t.Run(fmt.Sprintf("a request to %s that must not be sent again fails after %d", path, status), func(t *testing.T) {
+				fk := &fakes{responses: []response{unmarked}}
+				outcome, out := serve(t, fk, path, nil)
+				assertNoPromise(t, outcome, out)
+				must.SliceLen(t, 1, fk.sends)
+			})
+		}
+		t.Run(fmt.Sprintf("an idempotent request is retried after %d", status), func(t *testing.T) {
+			fk := &fakes{responses: []response{unmarked}}
+			outcome, out := serve(t, fk, "/lookup/1", nil)
+			assertOutcome(t, "Answered", outcome)
+			must.Eq(t, "whole", out.body)
+			must.SliceLen(t, 2, fk.sends)
+		})
+		t.Run(fmt.Sprintf("an idempotent request without a retry left fails after %d", status), func(t *testing.T) {
+			fk := &fakes{responses: []response{unmarked, unmarked}}
+			outcome, out := serve(t, fk, "/lookup/1", nil)
+			assertNoPromise(t, outcome, out)
+			must.SliceLen(t, 2, fk.sends)
+		})
+		t.Run(fmt.Sprintf("a resumable stream without a retry left fails after %d", status), func(t *testing.T) {
+			fk := &fakes{responses: []response{unmarked, unmarked}}
+			outcome, out := serve(t, fk, "/query/1", withoutStages)
+			assertNoPromise(t, outcome, out)
+		})
+	}
+	t.Run("other errors of an upstream are forwarded", func(t *testing.T) {
+		outcome, out := serve(t, &fakes{responses: []response{{status: http.StatusBadGateway, body: "no"}}}, "/once/1", nil)
+		assertOutcome(t, "Answered", outcome)
+		must.Eq(t, http.StatusBadGateway, out.status)
+	})
+}
--- a/gateway/sender.go
+++ b/gateway/sender.go
@@ -42,6 +42,16 @@
 	RequestMismatch bool
 }
 
+// promisesNotRun reports whether a status tells the caller that its request has not run and never will. Only an upstream
+// that says so with UpstreamResponse.NotExecuted vouches for that.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Sender sends requests to upstreams.
 type Sender interface {
 	// Send sends a request once and returns the response head. The error is a NotSentError if the upstream can't have
