Runner: a refusal without X-Not-Run is not "not sent"

What callers would see: an idempotent request is answered NotRun though an upstream that refused it may have run it.

Cause: evaluateRefused marked an idempotent attempt as not sent also if the refusal had no X-Not-Run.

Fix: only a refusal with the mark is not sent. Without it an idempotent request is retried as before and, when no retry is left, Failed with the code Overloaded and a RetryAfter; a non-idempotent one is Unknown as before.

--- a/runner/evaluate.go
+++ b/runner/evaluate.go
@@ -87,20 +87,24 @@
 	return ev
 }
 
-// evaluateRefused handles an upstream that has no capacity or is leaving. A non-idempotent request is retried only
-// if the answer states with the header X-Not-Run that the request did not run.
+// evaluateRefused handles an upstream that has no capacity or is leaving. The attempt counts as not sent only if the
+// answer states with the header X-Not-Run that the request did not run, and a non-idempotent request is retried only
+// then.
 func (sr *stageRun) evaluateRefused(id attempt.Identity, up *document.Upstream, refused upstream.Refused) evaluation {
 	ev := evaluation{status: dispatch.Busy, outcomeName: "Refused", load: refused.Load}
 	if refused.Leaving {
 		ev.status, ev.outcomeName = dispatch.Leaving, "Leaving"
 		sr.runner.LeavingReporter.ReportUpstreamLeaving(up)
 	}
-	if !sr.request.Pipeline.Idempotent && !refused.NotRun {
+	if refused.NotRun {
+		sr.tracker.MarkNotSent(id)
+	} else {
 		sr.tracker.End(id)
+	}
+	if !sr.request.Pipeline.Idempotent && !refused.NotRun {
 		ev.result = sr.failedResult("the upstream refused without saying whether the request ran")
 		return ev
 	}
-	sr.tracker.MarkNotSent(id)
 	ev.result = result{sr.refusal(answer.Overloaded, max(refused.RetryAfter, minRetryAfter), "the upstream has no room"), true}
 	return ev
 }
--- a/runner/stage_test.go
+++ b/runner/stage_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/turmericdoor/turmericdoor/answer"
 	"github.com/turmericdoor/turmericdoor/attempt"
 	"github.com/turmericdoor/turmericdoor/dispatch"
 	"github.com/turmericdoor/turmericdoor/document"
@@ -124,3 +125,32 @@
 		})
 	})
 }
+
+// TestRefusalWithoutMarkIsNotRun guards against the outcome NotRun after an upstream that refused a call without stating
+// that it had no effect.
+func TestRefusalWithoutMarkIsNotRun(t *testing.T) {
+	refuse := func(marked bool) (result, int64) {
+		ended, refusals := result{}, int64(0)
+		synctest.Test(t, func(t *testing.T) {
+			hs := newHedgedStage(func(*hedgedStage, *upstream.Call) upstream.Outcome {
+				return upstream.Refused{NotRun: marked, Load: -1}
+			})
+			ended = hs.acquireAndCall(t.Context(), false)
+			refusals = hs.report.Attempts
+			assertInFlight(t, hs, 0)
+		})
+		return ended, refusals
+	}
+	t.Run("an idempotent request may have run and may be retried", func(t *testing.T) {
+		ended, attempts := refuse(false)
+		must.Eq(t, answer.Failed, ended.failure.Outcome)
+		must.Eq(t, answer.Overloaded, ended.failure.Code)
+		must.True(t, ended.retryable)
+		must.Eq(t, 1, attempts)
+	})
+	t.Run("a request of which the upstream states that it had no effect has not run", func(t *testing.T) {
+		ended, _ := refuse(true)
+		must.Eq(t, answer.NotRun, ended.failure.Outcome)
+		must.True(t, ended.retryable)
+	})
+}
