Core: a task that starts during a stop no longer blocks it

What operators would see: an instance that is stopped while it installs a document with a new pool never ends.

Cause: awaitTasks held the tasks' lock while it waited for the tasks; the task that installs the document waits for that lock to start the pool's tasks.

Evidence: TestStopHangsOnLateTask failed on the code before: "panic: test timed out after 10s", in awaitTasks.

Fix: the lock is held only to take the list; the wait is repeated until no task was added.

--- a/instancecore/instancecore.go
+++ b/instancecore/instancecore.go
@@ -170,13 +170,23 @@
 	}
 }
 
-// awaitTasks waits until every background task has returned.
+// awaitTasks waits until every background task has returned, those included that tasks start meanwhile.
 func (cr *Core) awaitTasks() {
+	for running := cr.takeTasks(); len(running) > 0; running = cr.takeTasks() {
+		for _, done := range running {
+			<-done
+		}
+	}
+}
+
+// takeTasks returns the tasks that have not been taken before. It holds the lock only for that, since a task may start
+// another one before it returns.
+func (cr *Core) takeTasks() []<-chan struct{} {
 	cr.tasksMu.Lock()
 	defer cr.tasksMu.Unlock()
-	for _, done := range cr.tasks {
-		<-done
-	}
+	running := cr.tasks
+	cr.tasks = nil
+	return running
 }
 
 // CallerHandler returns the HTTP handler for callers' requests.
