Start: a process that can't open all listeners serves on none

What operators would see: an address that is taken ends the start, but meanwhile the process had accepted callers on the listeners opened before (front), or kept them open (serve).

Cause: entrypoint.listen served each listener before it opened the next; instance.listen left the earlier ones open.

Fix: listener.OpenAll opens all or none; both serve only after it.

--- a/entrypoint/entrypoint.go
+++ b/entrypoint/entrypoint.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +16,7 @@
 
 	"github.com/turmericdoor/turmericdoor/entry"
 	"github.com/turmericdoor/turmericdoor/invariant"
+	"github.com/turmericdoor/turmericdoor/listener"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
@@ -151,7 +151,7 @@
 	_ = sv.metrics.Close()
 }
 
-// listen opens the listeners and starts to serve on each. It is called before the instance starts, so that an address
+// listen opens all listeners, then starts to serve on each. It is called before the instance starts, so that an address
 // that can't be opened fails the whole start.
 func (sv *Server) listen() error {
 	sv.callers = &http.Server{
@@ -163,22 +163,17 @@
 	sv.peers = newPeerServer()
 	wire.RegisterPeerServer(sv.peers, sv.entry.Peer())
 	wire.RegisterBatchesServer(sv.peers, sv.entry.Batches())
-	starts := []struct {
-		name    string
-		address string
-		serve   func(net.Listener) error
-	}{
-		{"CallerAddress", sv.settings.CallerAddress, sv.callers.Serve},
-		{"ReadyAddress", sv.settings.ReadyAddress, sv.ready.Serve},
-		{"PeerAddress", sv.settings.PeerAddress, sv.peers.Serve},
-		{"MetricsAddress", sv.settings.MetricsAddress, sv.metrics.Serve},
+	opened, err := listener.OpenAll(
+		listener.Address{Setting: "CallerAddress", Address: sv.settings.CallerAddress},
+		listener.Address{Setting: "ReadyAddress", Address: sv.settings.ReadyAddress},
+		listener.Address{Setting: "PeerAddress", Address: sv.settings.PeerAddress},
+		listener.Address{Setting: "MetricsAddress", Address: sv.settings.MetricsAddress},
+	)
+	if err != nil {
+		return err
 	}
-	for _, each := range starts {
-		listener, err := net.Listen("tcp", each.address)
-		if err != nil {
-			return fmt.Errorf("listen on %s: %w", each.name, err)
-		}
-		go func() { sv.report(each.serve(listener)) }()
+	for at, serve := range []func(net.Listener) error{sv.callers.Serve, sv.ready.Serve, sv.peers.Serve, sv.metrics.Serve} {
+		go func() { sv.report(serve(opened[at])) }()
 	}
 	return nil
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net"
 	"net/http"
 
 	"github.com/charmbracelet/log"
@@ -14,6 +12,7 @@
 	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/instancecore"
 	"github.com/turmericdoor/turmericdoor/invariant"
+	"github.com/turmericdoor/turmericdoor/listener"
 	"github.com/turmericdoor/turmericdoor/peer"
 	"github.com/turmericdoor/turmericdoor/peerlimit"
 	"github.com/turmericdoor/turmericdoor/schema/settings"
@@ -117,18 +116,15 @@
 	if err := in.loadCertificates(); err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", own.GetCallerAddress())
+	opened, err := listener.OpenAll(
+		listener.Address{Setting: "CallerAddress", Address: own.GetCallerAddress()},
+		listener.Address{Setting: "OperatorAddress", Address: own.GetOperatorAddress()},
+		listener.Address{Setting: "PeerAddress", Address: own.GetPeerAddress()},
+	)
 	if err != nil {
-		return fmt.Errorf("listen on CallerAddress: %w", err)
-	}
-	operators, err := net.Listen("tcp", own.GetOperatorAddress())
-	if err != nil {
-		return fmt.Errorf("listen on OperatorAddress: %w", err)
-	}
-	peers, err := net.Listen("tcp", own.GetPeerAddress())
-	if err != nil {
-		return fmt.Errorf("listen on PeerAddress: %w", err)
+		return err
 	}
+	callers, operators, peers := opened[0], opened[1], opened[2]
 	in.caller = in.newHTTPServer(in.core.CallerHandler())
 	in.operator = in.newHTTPServer(in.core.OperatorHandler())
 	in.grpcServer = in.newPeerServer()
