Batch: an upstream that was slow long ago gets full calls again

What callers would see: after one slow call, an upstream gets calls of a quarter of a batch until its next calls have ended, however long ago that was; stages wait longer than they need to.

Cause: buildCall compared the slowdown as of the last call, without its decay, unlike the order of the upstreams.

Evidence: TestOldSlowdownLimitsCalls failed on the code before: a minute after a slow call 2 items, want 8.

Fix: buildCall uses currentSlowdown too.

That a call the upstream refused (OutcomeFull) keeps the send count of its items is no fault: the refused items have arrived there, and arrivals that an upstream rejects count against the retry budget. A subtest of TestRetries, which passed before too, and a comment now say so.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -231,6 +231,8 @@
 			gr.waiting = append(gr.waiting, item.Index)
 		}
 	}
+	// Only an upstream without a connection got no items: those that an upstream refused have reached it, and the retry
+	// budget counts that.
 	for _, item := range report.Unsent {
 		if gr := sc.groups[item.GroupID]; gr != nil && gr.sendCounts[item.Index] > 0 && report.Outcome == OutcomeUnreachable {
 			gr.sendCounts[item.Index]--
--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -102,6 +102,28 @@
 		must.SliceLen(t, 2, again[0].Items)
 		must.Zero(t, again[0].RetriedItems)
 	})
+	t.Run("items of a call that the upstream refused count as retries", func(t *testing.T) {
+		refused := func(end *batch.CallResult, items []batch.Item) { end.Unsent = items }
+		must.SliceEmpty(t, sends(fail(batch.OutcomeFull, refused).Step(later, 0)))
+	})
+}
+
+// TestOldSlowdownLimitsCalls guards against small calls to an upstream that was slow long ago.
+func TestOldSlowdownLimitsCalls(t *testing.T) {
+	for after, want := range map[time.Duration]int{time.Millisecond: config.MaxBatch / 4, time.Minute: config.MaxBatch} {
+		t.Run(after.String()+" after a slow call", func(t *testing.T) {
+			scheduler := newScheduler(config)
+			submit(scheduler, 1, 1, 10)
+			send := sends(scheduler.Step(start, 0))[0]
+			slow := start.Add(10 * send.ExpectedDuration)
+			scheduler.CallEnded(slow, batch.CallResult{CallID: send.CallID, Results: results(send, "h")})
+			now := slow.Add(after)
+			scheduler.Submit(batch.Group{ID: 2, Count: config.MaxBatch, Due: now.Add(5 * time.Second), Expires: now.Add(9 * time.Second), ResultBytes: 10})
+			again := sends(scheduler.Step(now, 0))
+			must.SliceLen(t, 1, again)
+			must.SliceLen(t, want, again[0].Items)
+		})
+	}
 }
 
 func TestExpired(t *testing.T) {
--- a/batch/fill.go
+++ b/batch/fill.go
@@ -9,7 +9,7 @@
 // yet: the memory is used, it suffices for less than half a batch and more may soon be free, or the retries are spent.
 func (sc *Scheduler) buildCall(now time.Time, up *upstream, order []*group, retriesLeft *int) *Send {
 	limit := sc.config.MaxBatch
-	if up.slowdown > slowThreshold {
+	if up.currentSlowdown(now) > slowThreshold {
 		limit = max(limit/slowBatchDivisor, 1)
 	}
 	available := sc.availableBytes(now, up)
