Gather: an acceptance with a wait of 0 ms is no keepalive

What callers would see: while a queue is short, an instance doesn't learn of the upcoming items of its requests, expects a shorter wait at the later pools than there is, and admits requests that then come late.

Cause: runRemote told an acceptance from a keepalive by its wait, which rounds to 0 below a millisecond.

Evidence: TestAcceptanceWithoutWaitIsKeepalive failed on the code before: projected wait "expected 166ms > 166ms".

Fix: the first accepting reply is the acceptance, all later ones are keepalives.

--- a/gather/partial_test.go
+++ b/gather/partial_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"testing"
 
+	"github.com/shoenig/test/must"
 	"google.golang.org/grpc"
 
+	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
 
@@ -55,3 +57,19 @@
 		})
 	}
 }
+
+// TestAcceptanceWithoutWaitIsKeepalive guards against an acceptance whose expected wait rounds to 0 ms and whose upcoming
+// items are ignored, or a keepalive that clears them.
+func TestAcceptanceWithoutWaitIsKeepalive(t *testing.T) {
+	replies := []*wire.GatherReply{
+		{Accepted: true, Upcoming: []*wire.PoolItems{{Pool: "p", Items: 50, Soon: 50}}},
+		{Accepted: true},
+		{Results: []*wire.StageResult{{Handle: "u/1/r", FailureDomain: "b"}}},
+	}
+	runFleet(t, []string{"b1", "b2", "a1"}, func(ctx context.Context, fl *fleet, _ *fakes) {
+		fl.scripted = map[string][]*wire.GatherReply{owner(fl): replies}
+		cl := fl.clients["a1"]
+		assertFinished(t, cl.Run(ctx, "b", newJob("r", 1)), "r", 1)
+		must.Greater(t, cl.ExpectedWait("p", "b", gather.JobClass{}), cl.ProjectedWait("p", "b", gather.JobClass{}))
+	})
+}
--- a/gather/submit.go
+++ b/gather/submit.go
@@ -84,11 +84,12 @@
 		case reply.GetRefused():
 			return Refused{Wait: timer.Milliseconds(reply.GetWaitMs()), Cause: "refused by the owner of the queue"}
 		case reply.GetAccepted():
-			accepted = true
 			watchdog.reset(keepaliveTimeout)
-			if reply.GetWaitMs() > 0 {
+			if !accepted {
+				// Only the acceptance carries upcoming items; the replies after it are keepalives.
 				cl.updateUpcoming(key, fromWireItems(reply.GetUpcoming()))
 			}
+			accepted = true
 		case reply.GetFailed() != "":
 			return Unfinished{
 				Cause: reply.GetFailed(), Wait: timer.Milliseconds(reply.GetWaitMs()), MayHaveRun: reply.GetMayHaveRun(),
