Gateway: a resumed attempt no longer raises the forecast

What callers would see: after a stream was resumed, further requests of its pipeline are expected to begin later than they do, and near the limit they are refused.

Cause: recordFirstByte of every attempt fed the forecast's correction with the time since the request had arrived, also where an earlier attempt had begun the response, or where an error was retried.

Evidence: TestResumedAttemptRaisesForecast failed on the code before: "expected=114ms" for the next request, want "expected=60ms".

Fix: the time is observed where the response to the caller begins, which happens once.

The fakes' serveTo can serve earlier requests through the same gateway; what it does for one request is unchanged.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -354,12 +354,11 @@
 	}()
 }
 
-// recordFirstByte records the latency of the first byte and stops the timer that waits for it.
+// recordFirstByte records the latency of the upstream's first byte and stops the timer that waits for it.
 func (at *attempt) recordFirstByte() {
 	rn := at.run
 	at.gotFirstByte = true
 	at.stopTimeout()
-	rn.Pools.observeLatency(rn.pipeline.Name, rn.forecast, rn.Timers.Now().Sub(rn.request.Arrived))
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAnswerBegan, RequestId: rn.request.ID, Upstream: at.choice.Upstream.ID, Stage: rn.pool.Name,
 		Attempt: int64(rn.audit.Executions()), DurationMicros: rn.Timers.Now().Sub(at.startedAt).Microseconds(),
@@ -406,7 +405,7 @@
 	}
 	at.finish(result, "Answered", fmt.Sprintf("status=%d bytes=%d", reply.Status, len(body)))
 	rn.detail = fmt.Sprintf("status=%d", reply.Status)
-	caller := rn.response.Begin(response.Head{Attempt: at.number, Status: reply.Status, Header: reply.Header, Length: int64(len(body))})
+	caller := at.begin(response.Head{Attempt: at.number, Status: reply.Status, Header: reply.Header, Length: int64(len(body))})
 	if err := caller.Write(body); err != nil {
 		return attemptResult{outcome: Gone{}}
 	}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -98,6 +98,8 @@
 	dead       bool
 	crashes    []quarantine.Crash
 	status     quarantine.Status
+	// earlier is the number of requests that the gateway serves before the one whose response is checked.
+	earlier int
 }
 
 func (fk *fakes) Configuration(replica.Row) (*route.Table, error) {
@@ -255,14 +257,11 @@
 			FailureDomain: "a", Catalog: ct, Pools: gateway.NewPools(timers, budget, func() int { return 1 }), Stages: fk, Sender: fk,
 			Crashes: fk, Timers: timers, Events: events, Metrics: set,
 		})
-		request := &gateway.Request{
-			ID: "r1", Method: "POST", Host: "h", Path: path, APIKey: "key", Arrived: time.Now(), CallerTimeout: 4 * time.Second, ItemCounts: []int{2, 1}, ItemKey: "ik",
-		}
-		if change != nil {
-			change(request)
-		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-		outcome = gw.Serve(ctx, request, out)
+		for range fk.earlier {
+			_ = gw.Serve(ctx, newRequest(path, change), &sink{})
+		}
+		outcome = gw.Serve(ctx, newRequest(path, change), out)
 		cancel()
 		time.Sleep(2 * time.Second)
 		page := &strings.Builder{}
@@ -272,6 +271,17 @@
 	return outcome
 }
 
+// newRequest returns a request that arrives now.
+func newRequest(path string, change func(*gateway.Request)) *gateway.Request {
+	request := &gateway.Request{
+		ID: "r1", Method: "POST", Host: "h", Path: path, APIKey: "key", Arrived: time.Now(), CallerTimeout: 4 * time.Second, ItemCounts: []int{2, 1}, ItemKey: "ik",
+	}
+	if change != nil {
+		change(request)
+	}
+	return request
+}
+
 func (fk *fakes) record(event *wire.Event) {
 	fk.mu.Lock()
 	defer fk.mu.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -92,12 +92,19 @@
 	if at.body != nil {
 		return
 	}
-	at.body = at.run.response.Begin(at.head(reply))
+	at.body = at.begin(at.head(reply))
 	if at.run.pipeline.RetryPolicy != route.Resumable {
 		at.stages.releaseAll()
 	}
 }
 
+// begin begins the response to the caller, and observes how long that took against the forecast.
+func (at *attempt) begin(head response.Head) *response.Body {
+	rn := at.run
+	rn.Pools.observeLatency(rn.pipeline.Name, rn.forecast, rn.Timers.Now().Sub(rn.request.Arrived))
+	return rn.response.Begin(head)
+}
+
 // finishStream handles the regular end of a stream.
 func (at *attempt) finishStream(ctx context.Context, reply *UpstreamResponse, total int) attemptResult {
 	rn := at.run
