Editor: an unavailable table service is reported with its cause

What operators would see: "table service unavailable: " without a cause, in an answer or in the log.

Cause: HeadRevision, FindEdit, History and the read of the teams' texts dropped the cause; an answer of an unknown kind to the read of the head passed for an empty document.

Fix: rowsOf turns each answer to a read into rows or the error with its cause.

--- a/editor/editor.go
+++ b/editor/editor.go
@@ -127,11 +127,11 @@
 
 // HeadRevision returns the revision of the stored document, or 0 if there is no document.
 func (ed *Editor) HeadRevision(ctx context.Context) (int64, error) {
-	rows, isRows := ed.store.Read(ctx, headKey).(table.Rows)
-	if !isRows {
-		return 0, UnavailableError{}
+	rows, err := rowsOf(ed.store.Read(ctx, headKey))
+	if err != nil {
+		return 0, err
 	}
-	row := table.Find(rows.Rows, headKey)
+	row := table.Find(rows, headKey)
 	if row.Version == 0 {
 		return 0, nil
 	}
@@ -149,6 +149,17 @@
 	return "table service unavailable: " + ue.Cause
 }
 
+// rowsOf returns the rows that the table service answered, or an UnavailableError.
+func rowsOf(outcome table.Outcome) ([]table.Row, error) {
+	switch answered := outcome.(type) {
+	case table.Rows:
+		return answered.Rows, nil
+	case table.Unavailable:
+		return nil, UnavailableError{Cause: answered.Cause}
+	}
+	return nil, UnavailableError{Cause: fmt.Sprintf("a read was answered with %T", outcome)}
+}
+
 func unmarshalInto(row table.Row, value any) error {
 	if err := json.Unmarshal(row.Value, value); err != nil {
 		return fmt.Errorf("row %s: %w", row.Key, err)
@@ -189,28 +200,27 @@
 // read reads the head and the teams' texts in two calls.
 func (ed *Editor) read(ctx context.Context) (snapshot, error) {
 	sn := snapshot{}
-	switch rows := ed.store.List(ctx, "document/head").(type) {
-	case table.Rows:
-		row := table.Find(rows.Rows, headKey)
-		sn.versions = append(sn.versions, table.Condition{Key: headKey, Version: row.Version})
-		if row.Version > 0 {
-			if err := unmarshalInto(row, &sn.head); err != nil {
-				return sn, err
-			}
+	rows, err := rowsOf(ed.store.List(ctx, headKey))
+	if err != nil {
+		return sn, err
+	}
+	row := table.Find(rows, headKey)
+	sn.versions = append(sn.versions, table.Condition{Key: headKey, Version: row.Version})
+	if row.Version > 0 {
+		if err := unmarshalInto(row, &sn.head); err != nil {
+			return sn, err
 		}
-	case table.Unavailable:
-		return sn, UnavailableError{Cause: rows.Cause}
 	}
 	return sn, ed.readTeams(ctx, &sn)
 }
 
 func (ed *Editor) readTeams(ctx context.Context, sn *snapshot) error {
 	sn.text.Revision = sn.head.Revision
-	rows, isRows := ed.store.List(ctx, teamPrefix).(table.Rows)
-	if !isRows {
-		return UnavailableError{}
+	rows, err := rowsOf(ed.store.List(ctx, teamPrefix))
+	if err != nil {
+		return err
 	}
-	for _, row := range rows.Rows {
+	for _, row := range rows {
 		team := document.TeamText{}
 		if err := unmarshalInto(row, &team); err != nil {
 			return err
@@ -342,11 +352,11 @@
 // FindEdit returns the history entry of an edit id and whether the edit was accepted.
 func (ed *Editor) FindEdit(ctx context.Context, editID string) (Entry, bool, error) {
 	key := editPrefix + editID
-	rows, isRows := ed.store.Read(ctx, key).(table.Rows)
-	if !isRows {
-		return Entry{}, false, UnavailableError{}
+	rows, err := rowsOf(ed.store.Read(ctx, key))
+	if err != nil {
+		return Entry{}, false, err
 	}
-	row := table.Find(rows.Rows, key)
+	row := table.Find(rows, key)
 	if row.Version == 0 {
 		return Entry{}, false, nil
 	}
@@ -356,12 +366,12 @@
 
 // History returns the entries of all revisions, newest first.
 func (ed *Editor) History(ctx context.Context) ([]Entry, error) {
-	rows, isRows := ed.store.List(ctx, historyPrefix).(table.Rows)
-	if !isRows {
-		return nil, UnavailableError{}
+	rows, err := rowsOf(ed.store.List(ctx, historyPrefix))
+	if err != nil {
+		return nil, err
 	}
 	list := []Entry{}
-	for _, row := range rows.Rows {
+	for _, row := range rows {
 		entry := Entry{}
 		if err := unmarshalInto(row, &entry); err != nil {
 			return nil, err
