Editor, table service: results are filled before they are returned

What callers would see: revision 0, an empty edit, document or instance list without an error, with a compiler that loads the returned variable before it makes the call that fills it; the language leaves this order open.

Evidence: by reading only. With the compiler in use the results are right, and TestStoredRows, which passed before too, holds them.

Fix: the call comes first, in its own statement.

--- a/editor/editor.go
+++ b/editor/editor.go
@@ -136,7 +136,8 @@
 		return 0, nil
 	}
 	current := head{}
-	return current.Revision, unmarshalInto(row, &current)
+	err = unmarshalInto(row, &current)
+	return current.Revision, err
 }
 
 // UnavailableError means that the document could not be read from the table service.
@@ -211,7 +212,8 @@
 			return sn, err
 		}
 	}
-	return sn, ed.readTeams(ctx, &sn)
+	err = ed.readTeams(ctx, &sn)
+	return sn, err
 }
 
 func (ed *Editor) readTeams(ctx context.Context, sn *snapshot) error {
@@ -361,7 +363,8 @@
 		return Entry{}, false, nil
 	}
 	entry := Entry{}
-	return entry, true, unmarshalInto(row, &entry)
+	err = unmarshalInto(row, &entry)
+	return entry, true, err
 }
 
 // History returns the entries of all revisions, newest first.
--- a/tableservice/tableservice.go
+++ b/tableservice/tableservice.go
@@ -141,7 +141,8 @@
 		return nil, err
 	}
 	list := []ListedInstance{}
-	return list, cl.do(request, &list)
+	err = cl.do(request, &list)
+	return list, err
 }
 
 // StatusError is returned for a response with a status other than 200.
