Platform: a request's arrival is read from the server's clock

What callers would see: nothing with the system clock; under another clock, deadlines that count from another time than the one they are measured by.

Cause: decodeRequest read the wall clock.

Fix: the server that measures the deadlines tells the time.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -239,6 +239,11 @@
 // defaultMaxBodyBytes is the limit of a request body until a configuration sets one.
 const defaultMaxBodyBytes = 4 << 20
 
+// Now returns the time by which requests' deadlines are measured.
+func (en *Instance) Now() time.Time {
+	return en.timers.Now()
+}
+
 // MaxBodyBytes returns the limit of a request body.
 func (en *Instance) MaxBodyBytes() int64 {
 	if table := en.catalog.RoutingTable(); table != nil && table.Limits.BodyBytes > 0 {
