--- a/experiment/scale.go
+++ b/experiment/scale.go
@@ -38,17 +38,18 @@
 	return domains[index%len(domains)]
 }
 
-// leastLoaded returns the upstream with the fewest running and waiting calls.
+// leastLoaded returns the upstream with the fewest running and waiting calls among those that have not crashed, or among
+// all if they have.
 func (sim *simulation) leastLoaded(pool *document.Pool) string {
-	best := pool.Upstreams[0].Name
+	best := sim.upstreams[pool.Upstreams[0].Name]
 	offset := sim.random.IntN(len(pool.Upstreams))
 	for at := range pool.Upstreams {
-		name := pool.Upstreams[(at+offset)%len(pool.Upstreams)].Name
-		if sim.upstreams[name].load() < sim.upstreams[best].load() {
-			best = name
+		other := sim.upstreams[pool.Upstreams[(at+offset)%len(pool.Upstreams)].Name]
+		if other.isLessLoaded(best) {
+			best = other
 		}
 	}
-	return best
+	return best.config.Name
 }
 
 // largeDocument returns a document with one pool of engines in one failure domain, one pipeline and one
--- a/experiment/upstream.go
+++ b/experiment/upstream.go
@@ -107,6 +107,15 @@
 	return int64(len(up.running) + up.waiting.Len())
 }
 
+// isLessLoaded reports whether the upstream has fewer running and waiting calls than another, or only the other has
+// crashed.
+func (up *fakeUpstream) isLessLoaded(other *fakeUpstream) bool {
+	if up.crashed != other.crashed {
+		return other.crashed
+	}
+	return up.load() < other.load()
+}
+
 // end frees the slot of a call, or its place in the queue, and calls onEnd. Further calls of end do
 // nothing.
 func (cl *call) end(outcome callOutcome) {
