--- a/entry/entry.go
+++ b/entry/entry.go
@@ -131,7 +131,7 @@
 		Timers: parts.Timers, Clock: clock, Events: en.events, Holder: revision.New(nil), Listener: peerListener{},
 		Members: member.New(self, config, parts.Random.Generator("member"), now), Dialer: parts.PeerDialer,
 		Random: parts.Random.Fork("peer"), Replicas: peerReplicas{en},
-	}, peer.Config{Member: config, Seeds: en.settings.Seeds, Heartbeat: heartbeat})
+	}, peer.Config{Seeds: en.settings.Seeds, Heartbeat: heartbeat})
 }
 
 // recordEvent counts an event in the metrics and writes it to the log.
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -95,9 +95,8 @@
 
 // stageError reports why the stages were not completed.
 type stageError struct {
-	refused bool
-	wait    time.Duration
-	cause   string
+	wait  time.Duration
+	cause string
 	// laterPoolFull is set if a pool after the first stage has no capacity in time in the planned failure domain.
 	laterPoolFull bool
 }
@@ -159,7 +158,7 @@
 	case gather.Finished:
 		return nil
 	case gather.Refused:
-		return stageError{refused: true, wait: result.Wait, cause: each.stage.Pool + ": " + result.Cause, laterPoolFull: result.FullPool != ""}
+		return stageError{wait: result.Wait, cause: each.stage.Pool + ": " + result.Cause, laterPoolFull: result.FullPool != ""}
 	case gather.Unfinished:
 		return stageError{wait: result.Wait, cause: each.stage.Pool + ": " + result.Cause}
 	}
--- a/instancecore/instancecore.go
+++ b/instancecore/instancecore.go
@@ -132,7 +132,7 @@
 		Timers: cr.timers, Clock: clock, Events: cr.events, Holder: cr.holder, Listener: cr, Members: members,
 		Dialer: dialer, Random: cr.random.Fork("peer"),
 	}
-	return peer.New(parts, peer.Config{Member: config, Seeds: peers.GetSeeds(), Heartbeat: heartbeat})
+	return peer.New(parts, peer.Config{Seeds: peers.GetSeeds(), Heartbeat: heartbeat})
 }
 
 func (cr *Core) registerGauges() {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -69,7 +69,6 @@
 
 // Config configures a peer; Seeds are addresses to contact while no other member is known.
 type Config struct {
-	Member    member.Config
 	Seeds     []string
 	Heartbeat time.Duration
 }
