--- a/peerlimit/peerlimit.go
+++ b/peerlimit/peerlimit.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// MaxHeaders bounds the headers of a call or of its answer, and MaxMessage one message, in bytes.
+	// MaxHeaders bounds the headers of a call or of its answer, in bytes.
 	MaxHeaders = 64 << 10
+	// MaxMessage bounds one message, in bytes.
 	MaxMessage = 4 << 20
 	// HandshakeTimeout bounds the start of a connection that was accepted.
 	HandshakeTimeout = 2 * time.Second
