Runner: the test of a late hedge checks in the test's own goroutine

A check that failed in the call's goroutine ended that goroutine only, and the test by a deadlock. The checks are the same; that the accepted result was the first one's and the held slots are now compared in the test's goroutine.

--- a/runner/stage_test.go
+++ b/runner/stage_test.go
@@ -78,31 +78,33 @@
 	return upstream.Replied{Identity: call.Identity, Payload: payloadState{Tokens: []string{"output"}}, Load: -1}
 }
 
-// assertInFlight checks how many slots of upstreams the calls of the stage hold.
-func assertInFlight(t *testing.T, hs *hedgedStage, want int64) {
-	t.Helper()
+// slotsHeld returns how many slots of upstreams the calls of the stage hold.
+func slotsHeld(hs *hedgedStage) int64 {
 	statuses, _ := hs.pool.Statuses()
 	held := int64(0)
 	for _, status := range statuses {
 		held += status.InFlight
 	}
-	must.Eq(t, want, held)
+	return held
 }
 
 // TestHedgeStartsAfterResult guards against a hedge that fires after the result of the first attempt was accepted and
 // before the dispatcher has been told of its end, and that is still sent.
 func TestHedgeStartsAfterResult(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		accepted, held := attempt.AttemptUnknown, int64(0)
 		hs := newHedgedStage(func(hs *hedgedStage, call *upstream.Call) upstream.Outcome {
-			must.Eq(t, attempt.Accepted, hs.tracker.Accept(call.Identity))
+			accepted = hs.tracker.Accept(call.Identity)
 			time.Sleep(2 * hedgeAfter)
-			assertInFlight(t, hs, 1)
+			held = slotsHeld(hs)
 			return reply(call)
 		})
 		hs.acquireAndCall(t.Context(), false)
+		must.Eq(t, attempt.Accepted, accepted)
 		must.SliceLen(t, 1, hs.calls)
 		must.Eq(t, 1, hs.report.Attempts)
-		assertInFlight(t, hs, 0)
+		must.Eq(t, 1, held, must.Sprint("the late hedge has released its slot"))
+		must.Zero(t, slotsHeld(hs))
 	})
 }
 
@@ -121,7 +123,7 @@
 			must.NotEq(t, hs.calls[0].Upstream, hs.calls[1].Upstream)
 			must.Eq(t, hs.calls[0].Payload, hs.calls[1].Payload)
 			must.Eq(t, hs.calls[1].Upstream, hs.report.Upstream)
-			assertInFlight(t, hs, 0)
+			must.Zero(t, slotsHeld(hs))
 		})
 	})
 }
@@ -137,7 +139,7 @@
 			})
 			ended = hs.acquireAndCall(t.Context(), false)
 			refusals = hs.report.Attempts
-			assertInFlight(t, hs, 0)
+			must.Zero(t, slotsHeld(hs))
 		})
 		return ended, refusals
 	}
