Streams: one parser for events, whatever ends their lines

A caller of a resumable stream whose lines end with CR LF got 1, 2, 1, 2, 3 with a regular end. The framer ended events at LF, CR LF and CR, but the response split its parts at two line feeds, so that a whole part counted as one event with the last id in it; with CR alone the id was the rest of the part.

The new tests on the code before: TestLineEndsHideARepeatedEvent, "expected non-nil error; got nil" (CR LF) and LastEventID "1\rdata: x\r\rid: 2\rdata: x" instead of "2" (CR); TestResumedStreamWithCarriageReturnsRepeatsEvents, body 1, 2, 1, 2, 3 instead of 1, 2.

events.Scanner is now the only code that finds events and reads their ids; the framer and the response both use it. Framer.LastEventID, which only tests called, goes; its assertions are replaced by TestLineEndsHideIDs, which checks the id of each event, not only the last one, for the same three line ends.

--- a/events/events.go
+++ b/events/events.go
@@ -20,13 +20,9 @@
 // Framer buffers the incomplete event at the end of a stream; it is not safe for concurrent use.
 type Framer struct {
 	// share holds the memory of the buffer and of the events that the last Push returned.
-	share  *readbudget.Share
-	buffer []byte
-	// size is the size of the incomplete event, and lineSize that of its last line, in bytes.
-	size, lineSize int
-	// afterCR is true if the last byte was a carriage return, to whose line end a line feed belongs.
-	afterCR bool
-	lastID  string
+	share   *readbudget.Share
+	buffer  []byte
+	scanner Scanner
 }
 
 // New returns an empty framer whose buffers above FreeBytes take their memory from budget; DiscardPartial gives it back.
@@ -34,19 +30,17 @@
 	return &Framer{share: budget.NewShare(FreeBytes)}
 }
 
-var idField = []byte("id:")
-
 // Push appends a chunk of the stream and returns the events that are complete, or nil; they may be used until the next
 // call. The error is readlimit.Exceeded if an event is longer than MaxEvent, or readbudget.ErrExhausted; the chunk and the
 // incomplete event are dropped then.
 func (fr *Framer) Push(chunk []byte) ([]byte, error) {
 	cut := 0
 	for at, char := range chunk {
-		if fr.size == MaxEvent {
+		if fr.scanner.size == MaxEvent {
 			fr.DiscardPartial()
 			return nil, readlimit.Exceeded{Limit: MaxEvent}
 		}
-		if fr.endsEvent(char) {
+		if fr.scanner.endsEvent(char) {
 			cut = at + 1
 		}
 	}
@@ -60,7 +54,6 @@
 	}
 	complete := fr.buffer[:len(fr.buffer)-len(chunk)+cut]
 	fr.buffer = bytes.Clone(chunk[cut:])
-	fr.recordLastID(complete)
 	return complete, nil
 }
 
@@ -79,53 +72,10 @@
 	return nil
 }
 
-// endsEvent counts a byte of the stream and reports whether an event is complete with it: after a blank line, and after
-// the line feed that belongs to the carriage return of a blank line. Lines end with a line feed, a carriage return or both.
-func (fr *Framer) endsEvent(char byte) bool {
-	completesLineEnd := char == '\n' && fr.afterCR
-	fr.afterCR = char == '\r'
-	if completesLineEnd && fr.size == 0 {
-		return true
-	}
-	fr.size++
-	switch {
-	case completesLineEnd:
-		return false
-	case char != '\n' && char != '\r':
-		fr.lineSize++
-		return false
-	case fr.lineSize > 0:
-		fr.lineSize = 0
-		return false
-	}
-	fr.size = 0
-	return true
-}
-
-// recordLastID stores the last event id in complete, if it has any; ids before it are not kept.
-func (fr *Framer) recordLastID(complete []byte) {
-	for len(complete) > 0 {
-		line := complete
-		if end := bytes.IndexAny(complete, "\r\n"); end >= 0 {
-			line, complete = complete[:end], complete[end+1:]
-		} else {
-			complete = nil
-		}
-		if id, is := bytes.CutPrefix(line, idField); is {
-			fr.lastID = string(bytes.TrimSpace(id))
-		}
-	}
-}
-
-// LastEventID returns the id of the last complete event that has one, or "".
-func (fr *Framer) LastEventID() string {
-	return fr.lastID
-}
-
 // DiscardPartial drops the incomplete event and gives all memory back to the budget.
 func (fr *Framer) DiscardPartial() {
 	_ = fr.share.Resize(0)
-	*fr = Framer{share: fr.share, lastID: fr.lastID}
+	*fr = Framer{share: fr.share}
 }
 
 // Partial returns the incomplete event.
--- a/events/events_test.go
+++ b/events/events_test.go
@@ -32,7 +32,6 @@
 		fr := newFramer()
 		must.Eq(t, "", push(t, fr, "id: 1\ndata: a\n"))
 		must.Eq(t, "id: 1\ndata: a\n\n", push(t, fr, "\nid: 2\nda"))
-		must.Eq(t, "1", fr.LastEventID())
 		must.Eq(t, "id: 2\nda", string(fr.Partial()))
 	})
 	t.Run("an incomplete event is discarded before the stream resumes", func(t *testing.T) {
@@ -40,7 +39,6 @@
 		push(t, fr, "id: 1\n\nid: 2\nda")
 		fr.DiscardPartial()
 		must.Eq(t, "id: 2\n\nid: 3\n\n", push(t, fr, "id: 2\n\nid: 3\n\n"))
-		must.Eq(t, "3", fr.LastEventID())
 	})
 }
 
@@ -51,7 +49,6 @@
 			event := "id: 7" + end + "data: a" + end + end
 			fr := newFramer()
 			must.Eq(t, event+event, push(t, fr, event+event+"id: 8"+end))
-			must.Eq(t, "7", fr.LastEventID())
 			must.Eq(t, "id: 8"+end, string(fr.Partial()))
 		})
 		t.Run(name+", byte by byte", func(t *testing.T) {
@@ -91,7 +88,6 @@
 		push(t, fr, longest[:events.MaxEvent-2])
 		complete, err = fr.Push([]byte("xxx"))
 		assertExceeded(t, complete, err)
-		must.Eq(t, "", fr.LastEventID())
 		must.SliceEmpty(t, fr.Partial())
 	})
 }
--- a/response/body.go
+++ b/response/body.go
@@ -1,8 +1,7 @@
 package response
 
 import (
-	"bytes"
-
+	"github.com/turmericdoor/turmericdoor/events"
 	"github.com/turmericdoor/turmericdoor/invariant"
 )
 
@@ -12,8 +11,8 @@
 	head     Head
 	resumed  bool
 	bytes    int64
-	// tail holds the last bytes written.
-	tail []byte
+	// scanner has read what was written of a stream.
+	scanner events.Scanner
 }
 
 // NotContinued is the error of an answer that does not continue the response.
@@ -36,8 +35,6 @@
 	return uf.Cause
 }
 
-var eventEnd = []byte("\n\n")
-
 // Write writes a part of the body: whole events if the response is resumable. The error is NotContinued at the first event
 // that does not follow the last one of an earlier answer; events before it have been written.
 func (bd *Body) Write(part []byte) error {
@@ -45,40 +42,36 @@
 	invariant.Check(rs.state == begun && rs.body == bd, "a response is written by one answer at a time",
 		"attempt %d, last attempt %d, state %d", bd.head.Attempt, rs.body.head.Attempt, rs.state)
 	if !rs.head.Resumable {
+		bd.scanner.Skip(part)
 		return bd.pass(part)
 	}
-	end, reached, failure := bd.following(part)
+	end, failure := bd.advance(part)
 	if end == 0 {
 		return failure
 	}
-	rs.position = reached
 	if err := bd.pass(part[:end]); err != nil {
 		return err
 	}
 	return failure
 }
 
-// following returns the length of the events that may be written and the position after them.
-func (bd *Body) following(part []byte) (int, position, error) {
-	end, reached := 0, bd.response.position
-	for event := range bytes.SplitAfterSeq(part, eventEnd) {
-		next, follows := reached.after(event)
-		if bd.resumed && !follows {
-			return end, reached, NotContinued{Cause: "event " + next.last + " after event " + reached.last}
+// advance moves the position of the response after the events that may be written and returns their length.
+func (bd *Body) advance(part []byte) (int, error) {
+	reached := &bd.response.position
+	end := 0
+	for event := range bd.scanner.Events(part) {
+		if err := reached.check(event); bd.resumed && err != nil {
+			return end, err
 		}
-		end, reached = end+len(event), next
+		reached.advance(event)
+		end += len(event.Text)
 	}
-	return end, reached, nil
+	return end, nil
 }
 
-// tailBytes is the length of the longest end of an event.
-const tailBytes = 4
-
 func (bd *Body) pass(part []byte) error {
 	bd.bytes += int64(len(part))
 	bd.response.bytes += int64(len(part))
-	joined := append(bd.tail, part[max(len(part)-tailBytes, 0):]...)
-	bd.tail = joined[max(len(joined)-tailBytes, 0):]
 	return bd.response.sink.Write(part)
 }
 
@@ -89,7 +82,7 @@
 	invariant.Check(rs.state == begun && rs.body == bd, "a response is completed by the answer that wrote last",
 		"attempt %d, last attempt %d, state %d", bd.head.Attempt, rs.body.head.Attempt, rs.state)
 	switch {
-	case bd.head.IsEventStream() && bd.bytes > 0 && !endsEvent(bd.tail):
+	case bd.head.IsEventStream() && bd.bytes > 0 && !bd.scanner.IsAfterEvent():
 		return Unfinished{Cause: "stream ended inside an event"}
 	case bd.resumed && bd.bytes == 0 && bd.head.Length != 0:
 		return Unfinished{Cause: "stream ended without an event"}
@@ -97,8 +90,3 @@
 	rs.state = complete
 	return nil
 }
-
-// endsEvent reports whether text ends with the empty line that ends an event.
-func endsEvent(text []byte) bool {
-	return bytes.HasSuffix(text, eventEnd) || bytes.HasSuffix(text, []byte("\r\n\r\n")) || bytes.HasSuffix(text, []byte("\r\r"))
-}
--- a/response/position.go
+++ b/response/position.go
@@ -1,8 +1,9 @@
 package response
 
 import (
-	"bytes"
 	"strconv"
+
+	"github.com/turmericdoor/turmericdoor/events"
 )
 
 // position is the place that a stream of events has reached.
@@ -14,27 +15,32 @@
 }
 
 // isKnown reports whether a continuation after the last id neither repeats nor leaves out an event.
-func (ps position) isKnown() bool {
+func (ps *position) isKnown() bool {
 	return ps.last != "" && !ps.unnumbered
 }
 
-// after returns the position after an event, and whether the event may follow the ones before.
-func (ps position) after(event []byte) (position, bool) {
-	id, hasID, hasFields := eventID(event)
-	if !hasID {
-		ps.unnumbered = ps.unnumbered || hasFields
-		return ps, true
+// advance moves the position after an event.
+func (ps *position) advance(event events.Event) {
+	if !event.HasID {
+		ps.unnumbered = ps.unnumbered || event.HasFields
+		return
 	}
-	follows := ps.isFollowedBy(id)
 	if ps.first == "" {
-		ps.first = id
+		ps.first = event.ID
+	}
+	ps.last, ps.unnumbered = event.ID, false
+}
+
+// check returns a NotContinued error if an event may not come next: its id must be a higher number, or a text that neither
+// began nor ended the stream.
+func (ps *position) check(event events.Event) error {
+	if !event.HasID || ps.isFollowedBy(event.ID) {
+		return nil
 	}
-	ps.last, ps.unnumbered = id, false
-	return ps, follows
+	return NotContinued{Cause: "event " + event.ID + " after event " + ps.last}
 }
 
-// isFollowedBy reports whether an id may come next: a higher number, or a text that neither began nor ended the stream.
-func (ps position) isFollowedBy(id string) bool {
+func (ps *position) isFollowedBy(id string) bool {
 	last, lastErr := strconv.ParseUint(ps.last, 10, 64)
 	next, nextErr := strconv.ParseUint(id, 10, 64)
 	if lastErr == nil && nextErr == nil {
@@ -42,16 +48,3 @@
 	}
 	return id != ps.first && id != ps.last
 }
-
-// eventID returns the id of an event, and whether the event has an id and any field at all.
-func eventID(event []byte) (id string, hasID, hasFields bool) {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if len(line) > 0 && line[0] != ':' {
-			hasFields = true
-		}
-		if value, is := bytes.CutPrefix(line, []byte("id:")); is {
-			id, hasID = string(bytes.TrimSpace(value)), true
-		}
-	}
-	return id, hasID, hasFields
-}
