Streams: a malformed parameter of the content type hides no event stream

A stream of the type "text/event-stream; charset" was not seen as one: a part of an event at the end of a closed connection was passed on and the response ended as complete. The type was parsed with its parameters, and an error took the whole header for the type.

On the code before, TestMalformedParameterHidesAnEventStream: outcome Answered instead of CutOff. The type is now what stands before the first semicolon.

--- a/response/response.go
+++ b/response/response.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"mime"
 	"net/http"
+	"strings"
 
 	"github.com/turmericdoor/turmericdoor/invariant"
 )
@@ -33,13 +33,10 @@
 	return hd.Streamed && hd.mediaType() == "text/event-stream"
 }
 
-// mediaType returns the content type without its parameters, in lower case.
+// mediaType returns the content type without its parameters, which may be malformed, in lower case.
 func (hd Head) mediaType() string {
-	name, _, err := mime.ParseMediaType(hd.Header.Get("Content-Type"))
-	if err != nil {
-		return hd.Header.Get("Content-Type")
-	}
-	return name
+	name, _, _ := strings.Cut(hd.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
 }
 
 // state is how far a response is.
