Streams: a caller that resumes gets no event again

A caller that asked to go on after event 5 got 1 and 2 as a complete response if the upstream began the stream anew: the position of a response began at nothing, so the first answer was not compared with what the caller already had.

On the code before: TestCallerThatResumesIsPassedTheStreamFromItsStart, "id: 1 id: 2" instead of "id: 6"; TestCallerThatResumesHasNoHeadOfAnUnusableAnswer, Answered instead of Failed. (The two other new tests pass on both.)

A response now begins at the caller's last event id, and each event of each answer must follow it. The first id of an answer is checked before the head is written, so that another upstream can still begin the response. Pipelines that are not resumable are passed on as before: their upstreams may ignore the id.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -178,7 +178,7 @@
 	rn.audit.Start()
 	reply, err := rn.Sender.Send(at.ctx, UpstreamRequest{
 		Request: rn.request, Upstream: choice.Upstream, Organisation: rn.organisation.Name,
-		Remaining: rn.deadline.Sub(startedAt), Inputs: inputs, Rank: rn.rank, Engine: rn.pool.Engine != nil, LastEventID: rn.lastEventID(),
+		Remaining: rn.deadline.Sub(startedAt), Inputs: inputs, Rank: rn.rank, Engine: rn.pool.Engine != nil, LastEventID: rn.response.LastEventID(),
 	})
 	result := at.handleResponse(ctx, reply, err)
 	if begunBy := rn.response.BegunBy(); begunBy != 0 && begunBy < at.number {
@@ -191,14 +191,6 @@
 	return result
 }
 
-// lastEventID returns the id of the event after which the upstream must resume the stream.
-func (rn *run) lastEventID() string {
-	if id := rn.response.LastEventID(); id != "" {
-		return id
-	}
-	return rn.request.LastEventID
-}
-
 const (
 	// firstByteTargets is how many target latencies a retryable request waits for the first byte before it is sent to
 	// another upstream, but at least minFirstByteTimeout.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,7 +104,7 @@
 // for the caller's connection to report.
 func (gw *Gateway) Serve(ctx context.Context, request *Request, sink Sink) Outcome {
 	rn := &run{
-		Gateway: gw, request: request, response: response.New(sink), framer: events.New(gw.eventBytes),
+		Gateway: gw, request: request, response: response.NewAfter(sink, request.LastEventID), framer: events.New(gw.eventBytes),
 		audit: sendaudit.New(request.ID, sendaudit.Limits{AtMostOnce: true}),
 	}
 	outcome := rn.finalOutcome(rn.serve(ctx))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -84,6 +84,11 @@
 
 // forwardPart writes a part of the stream to the caller.
 func (at *attempt) forwardPart(reply *UpstreamResponse, part []byte) error {
+	if at.body == nil {
+		if err := at.run.response.CheckFirst(at.head(reply), part); err != nil {
+			return err
+		}
+	}
 	if !at.gotFirstByte {
 		at.recordFirstByte()
 	}
@@ -141,7 +146,7 @@
 	return attemptResult{outcome: Answered{}}
 }
 
-// handleNotContinued handles an answer that does not continue the response that an earlier attempt began.
+// handleNotContinued handles an answer that does not continue what an earlier attempt or an earlier response brought.
 func (at *attempt) handleNotContinued(ctx context.Context, cause error) attemptResult {
 	rn := at.run
 	if ctx.Err() != nil {
--- a/response/body.go
+++ b/response/body.go
@@ -9,8 +9,10 @@
 type Body struct {
 	response *Response
 	head     Head
-	resumed  bool
-	bytes    int64
+	// resumed is set if another answer began the response, mustFollow if the caller already has events of the stream.
+	resumed    bool
+	mustFollow bool
+	bytes      int64
 	// scanner has read what was written of a stream.
 	scanner events.Scanner
 }
@@ -36,7 +38,7 @@
 }
 
 // Write writes a part of the body: whole events if the response is resumable. The error is NotContinued at the first event
-// that does not follow the last one of an earlier answer; events before it have been written.
+// that does not follow those that the caller already had; events before it have been written.
 func (bd *Body) Write(part []byte) error {
 	rs := bd.response
 	invariant.Check(rs.state == begun && rs.body == bd, "a response is written by one answer at a time",
@@ -60,7 +62,7 @@
 	reached := &bd.response.position
 	end := 0
 	for event := range bd.scanner.Events(part) {
-		if err := reached.check(event); bd.resumed && err != nil {
+		if err := reached.check(event); bd.mustFollow && err != nil {
 			return end, err
 		}
 		reached.advance(event)
--- a/response/response.go
+++ b/response/response.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/turmericdoor/turmericdoor/events"
 	"github.com/turmericdoor/turmericdoor/invariant"
 )
 
@@ -66,6 +67,31 @@
 	return &Response{sink: sink}
 }
 
+// NewAfter returns a response that has not begun, to a caller that already has the events of the stream up to the one with
+// an id, or none if it is "".
+func NewAfter(sink Sink, lastEventID string) *Response {
+	rs := New(sink)
+	if lastEventID != "" {
+		rs.position.advance(events.Event{ID: lastEventID, HasID: true})
+	}
+	return rs
+}
+
+// CheckFirst returns a NotContinued error if the first part of an answer does not follow the events that the caller already
+// has. It is called before Begin, so that another answer can still begin the response.
+func (rs *Response) CheckFirst(head Head, part []byte) error {
+	if !head.Resumable {
+		return nil
+	}
+	sc := events.Scanner{}
+	for event := range sc.Events(part) {
+		if event.HasID {
+			return rs.position.check(event)
+		}
+	}
+	return nil
+}
+
 // Begin writes the head of an answer and returns the body; it is called once.
 func (rs *Response) Begin(head Head) *Body {
 	invariant.Check(rs.state == notBegun, "a response has one head", "attempt %d after attempt %d", head.Attempt, rs.head.Attempt)
@@ -75,7 +101,7 @@
 		length = -1
 	}
 	rs.state, rs.head = begun, head
-	rs.body = &Body{response: rs, head: head}
+	rs.body = &Body{response: rs, head: head, mustFollow: rs.position.last != ""}
 	rs.sink.Start(head.Status, head.Header, length)
 	return rs.body
 }
@@ -90,7 +116,7 @@
 	case head.mediaType() != rs.head.mediaType():
 		return nil, NotContinued{Cause: fmt.Sprintf("content type %q after %q", head.mediaType(), rs.head.mediaType())}
 	}
-	rs.body = &Body{response: rs, head: head, resumed: true}
+	rs.body = &Body{response: rs, head: head, resumed: true, mustFollow: true}
 	return rs.body, nil
 }
 
@@ -116,7 +142,7 @@
 	return rs.state == begun && rs.head.Resumable && rs.position.isKnown()
 }
 
-// LastEventID returns the id of the last event that the caller received, or "".
+// LastEventID returns the id of the last event that the caller has, or "".
 func (rs *Response) LastEventID() string {
 	return rs.position.last
 }
