Requests: a rejection of another request is not believed

An at-most-once request was sent twice, or refused as not executed, after a late answer to another request that said "not executed": the mark was looked at before the id in the answer.

The id is now looked at first: an answer with another id says nothing about this request, which therefore may have run. A rejection without an id, or with a content encoding, stays a rejection; the encoding has a field of its own.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -244,15 +244,20 @@
 	case err != nil:
 		rn.audit.MarkMaybeExecuted()
 		return at.handleLost(ctx, err.Error())
+	case reply.RequestMismatch:
+		// It says nothing about this request, not even that it was not executed.
+		rn.audit.MarkMaybeExecuted()
+		_ = reply.Body.Close()
+		return at.handleLost(ctx, "response belongs to another request")
 	case reply.NotExecuted:
 		rn.audit.MarkNotExecuted()
 		_ = reply.Body.Close()
 		return at.handleRejected(ctx, reply)
 	}
 	rn.audit.MarkMaybeExecuted()
-	if reply.RequestMismatch || reply.Status < http.StatusMultipleChoices && !reply.Signed {
+	if reply.Encoded || reply.Status < http.StatusMultipleChoices && !reply.Signed {
 		_ = reply.Body.Close()
-		return at.handleLost(ctx, "response is unsigned or belongs to another request")
+		return at.handleLost(ctx, "response is unsigned or encoded")
 	}
 	defer reply.Body.Close()
 	if rn.response.IsBegun() {
--- a/gateway/sender.go
+++ b/gateway/sender.go
@@ -38,8 +38,9 @@
 	NotExecuted  bool
 	Misdirected  bool
 	InputMissing bool
-	// RequestMismatch reports that the response belongs to another request.
+	// RequestMismatch reports that the response names another request, Encoded that its body has a content encoding.
 	RequestMismatch bool
+	Encoded         bool
 }
 
 // Sender sends requests to upstreams.
