Streams: an answer that is no event stream is read and passed on whole

On a streaming pipeline, a success of another content type than that of events was cut at blank lines: held back until one came, and lost above 256 KB; one that broke off after a blank line left the caller with a part of it.

Such an answer is now read like any other that is no stream, within the same bounds, and passed on when it is complete. Without a content type it stays a stream.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -263,7 +263,7 @@
 	if rn.response.IsBegun() {
 		return at.resumeStream(ctx, reply)
 	}
-	if rn.pipeline.Streaming && reply.Status == http.StatusOK {
+	if rn.pipeline.Streaming && reply.Status == http.StatusOK && at.head(reply).MayBeEventStream() {
 		return at.forwardStream(ctx, reply)
 	}
 	return at.forwardBuffered(ctx, reply)
--- a/response/response.go
+++ b/response/response.go
@@ -29,9 +29,18 @@
 	Resumable bool
 }
 
+// eventStream is the content type of server-sent events.
+const eventStream = "text/event-stream"
+
 // IsEventStream reports whether the body is a stream of server-sent events.
 func (hd Head) IsEventStream() bool {
-	return hd.Streamed && hd.mediaType() == "text/event-stream"
+	return hd.Streamed && hd.mediaType() == eventStream
+}
+
+// MayBeEventStream reports whether the body has the content type of server-sent events or none.
+func (hd Head) MayBeEventStream() bool {
+	name := hd.mediaType()
+	return name == eventStream || name == ""
 }
 
 // mediaType returns the content type without its parameters, which may be malformed, in lower case.
