Streams: a framer for each attempt, and plainer names at the end of a stream

No change of behaviour but one cause in the log: a stream that can be resumed and ends inside its first event is lost as "stream ended inside an event".

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -224,8 +224,8 @@
 	// stopTimeout stops the timer of the first byte.
 	stopTimeout  func()
 	gotFirstByte bool
-	// body is what the attempt writes to the caller, or nil before its first part.
-	body    *response.Body
+	// output is what the attempt writes to the caller, or nil before its first part.
+	output  *response.Body
 	outcome string
 	detail  string
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,7 +8,6 @@
 
 	"github.com/turmericdoor/turmericdoor/catalog"
 	"github.com/turmericdoor/turmericdoor/digest"
-	"github.com/turmericdoor/turmericdoor/events"
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/metric"
@@ -90,8 +89,6 @@
 	abandonAt time.Time
 	targetAt  time.Time
 	audit     *sendaudit.Tracker
-	// framer cuts a stream into complete events.
-	framer *events.Framer
 	// detail explains the outcome in the event log.
 	detail string
 }
@@ -104,7 +101,7 @@
 // for the caller's connection to report.
 func (gw *Gateway) Serve(ctx context.Context, request *Request, sink Sink) Outcome {
 	rn := &run{
-		Gateway: gw, request: request, response: response.NewAfter(sink, request.LastEventID), framer: events.New(gw.eventBytes),
+		Gateway: gw, request: request, response: response.NewAfter(sink, request.LastEventID),
 		audit: sendaudit.New(request.ID, sendaudit.Limits{AtMostOnce: true}),
 	}
 	outcome := rn.finalOutcome(rn.serve(ctx))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 
+	"github.com/turmericdoor/turmericdoor/events"
 	"github.com/turmericdoor/turmericdoor/placement"
 	"github.com/turmericdoor/turmericdoor/readlimit"
 	"github.com/turmericdoor/turmericdoor/response"
@@ -32,7 +33,7 @@
 	if err != nil {
 		return at.handleNotContinued(ctx, err)
 	}
-	at.body = body
+	at.output = body
 	return at.forwardStream(ctx, reply)
 }
 
@@ -46,9 +47,8 @@
 
 // forwardStream forwards the events of a stream to the caller as they arrive, each when it is complete.
 func (at *attempt) forwardStream(ctx context.Context, reply *UpstreamResponse) attemptResult {
-	rn := at.run
-	rn.framer.DiscardPartial()
-	defer rn.framer.DiscardPartial()
+	framer := events.New(at.run.eventBytes)
+	defer framer.DiscardPartial()
 	buffer := make([]byte, streamBuffer)
 	received, total := 0, 0
 	for {
@@ -60,7 +60,7 @@
 		if received > maxStream {
 			return at.handleLost(ctx, readlimit.Exceeded{Limit: maxStream}.Error())
 		}
-		part, failed := rn.framer.Push(buffer[:count])
+		part, failed := framer.Push(buffer[:count])
 		if failed != nil {
 			return at.handleLost(ctx, failed.Error())
 		}
@@ -75,7 +75,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return at.finishStream(ctx, reply, total)
+			return at.finishStream(ctx, reply, total, framer.Partial())
 		case err != nil:
 			return at.handleLost(ctx, err.Error())
 		}
@@ -84,7 +84,7 @@
 
 // forwardPart writes a part of the stream to the caller.
 func (at *attempt) forwardPart(reply *UpstreamResponse, part []byte) error {
-	if at.body == nil {
+	if at.output == nil {
 		if err := at.run.response.CheckFirst(at.head(reply), part); err != nil {
 			return err
 		}
@@ -93,7 +93,7 @@
 		at.recordFirstByte()
 	}
 	at.beginResponse(reply)
-	return at.body.Write(part)
+	return at.output.Write(part)
 }
 
 // handleWriteError handles a part of the stream that could not be written.
@@ -108,27 +108,26 @@
 // beginResponse writes the response head unless this or an earlier attempt has written it. It then releases the results of
 // the stages if the stream is not resumable: no other upstream can take over such a stream, so none will read them.
 func (at *attempt) beginResponse(reply *UpstreamResponse) {
-	if at.body != nil {
+	if at.output != nil {
 		return
 	}
-	at.body = at.run.response.Begin(at.head(reply))
+	at.output = at.run.response.Begin(at.head(reply))
 	if at.run.pipeline.RetryPolicy != route.Resumable {
 		at.stages.releaseAll()
 	}
 }
 
-// finishStream handles the regular end of a stream.
-func (at *attempt) finishStream(ctx context.Context, reply *UpstreamResponse, total int) attemptResult {
+// finishStream handles the regular end of a stream of which total bytes were forwarded and the incomplete event rest not.
+func (at *attempt) finishStream(ctx context.Context, reply *UpstreamResponse, total int, rest []byte) attemptResult {
 	rn := at.run
-	rest := rn.framer.Partial()
-	isEmpty := total == 0 && (len(rest) == 0 || rn.pipeline.RetryPolicy == route.Resumable)
-	if isEmpty && rn.pipeline.RetryPolicy != route.Idempotent && reply.Length != 0 {
+	// Clients drop an event without its blank line, also at the explicit end of a body: the caller would miss it unnoticed.
+	if len(rest) > 0 && (rn.pipeline.RetryPolicy == route.Resumable || at.head(reply).IsEventStream()) {
+		return at.handleLost(ctx, "stream ended inside an event")
+	}
+	if total+len(rest) == 0 && rn.pipeline.RetryPolicy != route.Idempotent && reply.Length != 0 {
 		return at.handleLost(ctx, "stream ended without an event")
 	}
 	if len(rest) > 0 {
-		if rn.pipeline.RetryPolicy == route.Resumable || at.head(reply).IsEventStream() {
-			return at.handleLost(ctx, "stream ended inside an event")
-		}
 		if failure := at.forwardPart(reply, rest); failure != nil {
 			return at.handleWriteError(ctx, failure)
 		}
@@ -137,7 +136,7 @@
 		at.recordFirstByte()
 	}
 	at.beginResponse(reply)
-	if err := at.body.Complete(); err != nil {
+	if err := at.output.Complete(); err != nil {
 		return at.handleLost(ctx, err.Error())
 	}
 	rn.reportSuccess()
