--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -178,7 +178,7 @@
 	rn.audit.Start()
 	reply, err := rn.Sender.Send(at.ctx, UpstreamRequest{
 		Request: rn.request, Upstream: choice.Upstream, Organisation: rn.organisation.Name,
-		Remaining: rn.deadline.Sub(startedAt), Inputs: inputs, Rank: rn.rank, Engine: rn.pool.Engine != nil, LastEventID: rn.lastEventID(),
+		Remaining: rn.deadline.Sub(startedAt), Inputs: inputs, Rank: rn.rank, Engine: rn.pool.Engine != nil, LastEventID: rn.response.LastEventID(),
 	})
 	result := at.handleResponse(ctx, reply, err)
 	if begunBy := rn.response.BegunBy(); begunBy != 0 && begunBy < at.number {
@@ -191,14 +191,6 @@
 	return result
 }
 
-// lastEventID returns the id of the event after which the upstream must resume the stream.
-func (rn *run) lastEventID() string {
-	if id := rn.response.LastEventID(); id != "" {
-		return id
-	}
-	return rn.request.LastEventID
-}
-
 const (
 	// firstByteTargets is how many target latencies a retryable request waits for the first byte before it is sent to
 	// another upstream, but at least minFirstByteTimeout.
@@ -232,8 +224,8 @@
 	// stopTimeout stops the timer of the first byte.
 	stopTimeout  func()
 	gotFirstByte bool
-	// body is what the attempt writes to the caller, or nil before its first part.
-	body    *response.Body
+	// output is what the attempt writes to the caller, or nil before its first part.
+	output  *response.Body
 	outcome string
 	detail  string
 }
@@ -252,21 +244,26 @@
 	case err != nil:
 		rn.audit.MarkMaybeExecuted()
 		return at.handleLost(ctx, err.Error())
+	case reply.RequestMismatch:
+		// It says nothing about this request, not even that it was not executed.
+		rn.audit.MarkMaybeExecuted()
+		_ = reply.Body.Close()
+		return at.handleLost(ctx, "response belongs to another request")
 	case reply.NotExecuted:
 		rn.audit.MarkNotExecuted()
 		_ = reply.Body.Close()
 		return at.handleRejected(ctx, reply)
 	}
 	rn.audit.MarkMaybeExecuted()
-	if reply.RequestMismatch || reply.Status < http.StatusMultipleChoices && !reply.Signed {
+	if reply.Encoded || reply.Status < http.StatusMultipleChoices && !reply.Signed {
 		_ = reply.Body.Close()
-		return at.handleLost(ctx, "response is unsigned or belongs to another request")
+		return at.handleLost(ctx, "response is unsigned or encoded")
 	}
 	defer reply.Body.Close()
 	if rn.response.IsBegun() {
 		return at.resumeStream(ctx, reply)
 	}
-	if rn.pipeline.Streaming && reply.Status == http.StatusOK {
+	if rn.pipeline.Streaming && reply.Status == http.StatusOK && at.head(reply).MayBeEventStream() {
 		return at.forwardStream(ctx, reply)
 	}
 	return at.forwardBuffered(ctx, reply)
