Bound the start of a connection to a peer in serve too

serve's connections to other instances kept gRPC's connect timeout of 20 s, and a backoff of up to 120 s that lengthens it: a server that stays silent at the address of an instance that has ended held a connection long after the call that needed it had failed.

Evidence: TestConnectionThatDoesNotStart with the old options of a client: "the connection was not closed" within 10 s, for silence and for half a frame; now within 1 s. front's own connect options move to peerlimit unchanged, so that both instances dial alike; TestOtherServerAtTheAddressOfAnInstance and TestOtherServerAtTheAddressOfAPeer show it through their real dials.

--- a/entrypoint/link.go
+++ b/entrypoint/link.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
@@ -15,13 +14,6 @@
 )
 
 const (
-	// minReconnectDelay and maxReconnectDelay bound the backoff between attempts to connect to another instance.
-	minReconnectDelay = 100 * time.Millisecond
-	maxReconnectDelay = time.Second
-	// reconnectFactor is the factor between two backoffs; reconnectJitter is the jitter as a fraction of the backoff.
-	reconnectFactor = 1.6
-	reconnectJitter = 0.2
-	connectTimeout  = 500 * time.Millisecond
 	// keepaliveTime is the silence after which a connection is pinged; keepaliveTimeout bounds the wait for the reply.
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 2 * time.Second
@@ -33,10 +25,6 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithNoProxy(),
 		grpc.WithDisableServiceConfig(),
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: minReconnectDelay, Multiplier: reconnectFactor, Jitter: reconnectJitter, MaxDelay: maxReconnectDelay},
-			MinConnectTimeout: connectTimeout,
-		}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	)
 	return grpc.NewClient("passthrough:///"+address, options...)
--- a/instance/cluster_test.go
+++ b/instance/cluster_test.go
@@ -41,6 +41,8 @@
 	noticeMs      int64
 	checkInterval time.Duration
 	readTimeoutMs int64
+	// seeds are addresses to which all instances send heartbeats besides those of the earlier members.
+	seeds []string
 }
 
 // running is one started instance: its settings, its stop function and the channel with the result of Run.
@@ -105,10 +107,10 @@
 	return started
 }
 
-// start adds an instance whose seeds are the earlier members.
+// start adds an instance whose seeds are the earlier members and the cluster's seeds.
 func (cl *cluster) start() *running {
 	number := len(cl.members)
-	seeds := []string{}
+	seeds := append([]string{}, cl.seeds...)
 	for _, member := range cl.members {
 		seeds = append(seeds, member.settings.GetInstance().GetPeerAddress())
 	}
--- a/peerlimit/peerlimit_test.go
+++ b/peerlimit/peerlimit_test.go
@@ -75,6 +75,32 @@
 	}
 }
 
+// TestConnectionThatDoesNotStart guards against a connection that is waited for after the call that needed it has failed.
+func TestConnectionThatDoesNotStart(t *testing.T) {
+	for name, answer := range map[string]faultserver.Answer{"silence": {}, "half a frame": {Head: settings[:5]}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sv, err := faultserver.New(t.Context(), answer)
+			must.NoError(t, err)
+			defer sv.Close()
+			options := append(peerlimit.DialOptions(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+			connection, err := grpc.NewClient("passthrough:///"+sv.Address, options...)
+			must.NoError(t, err)
+			defer func() { must.NoError(t, connection.Close()) }()
+			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+			defer cancel()
+			_, err = wire.NewPeerClient(connection).Exchange(ctx, &wire.Heartbeat{})
+			must.Error(t, err)
+			select {
+			case closed := <-sv.Closed:
+				must.LessEq(t, peerlimit.ConnectTimeout+closeSlack, closed.After)
+			case <-time.After(maxOpen):
+				must.Unreachable(t, must.Sprint("the connection was not closed"))
+			}
+		})
+	}
+}
+
 // TestEndlessCalls guards against a process that keeps a connection to the server of an instance, or fills its memory.
 func TestEndlessCalls(t *testing.T) {
 	calls := map[string]struct{ head, repeated string }{
