Test orders to an engine and probes of serve against bytes without end

Regression tests only; no fault was found. With the limit of the answer raised to 64 MB by a trial, the subtests of bodies for orders failed on the bytes that were sent.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/faultserver"
+	"github.com/turmericdoor/turmericdoor/order"
 	"github.com/turmericdoor/turmericdoor/upstream"
 )
 
@@ -96,4 +97,36 @@
 			must.Error(t, err)
 		})
 	})
+	t.Run("the answer to an order", func(t *testing.T) {
+		bodies := faultserver.Bodies(okHead, controlLimit, headLimit)
+		bodies["blanks after an answer"] = faultserver.Case{Answer: faultserver.Answer{Head: okHead + "\r\n{}", Repeated: " "}, Limit: controlLimit}
+		bodies["a refusal"] = faultserver.Case{Answer: faultserver.Answer{Head: refusedHead + "\r\n", Repeated: "x"}, Limit: rejectionLimit}
+		assertEndless(t, bodies, func(t *testing.T, ctx context.Context, address string) {
+			t.Helper()
+			must.Error(t, upstream.New().OrderEngine(ctx, address, 1, order.State{Model: "m"}))
+		})
+	})
+}
+
+// TestEndlessAnswerToAProbe guards against a probe that reads what an upstream sends, or waits for it.
+func TestEndlessAnswerToAProbe(t *testing.T) {
+	for name, answer := range map[string]faultserver.Answer{
+		"bytes":           {Repeated: "x", AtOnce: true},
+		"bytes that drip": {Repeated: "x", AtOnce: true, Every: faultserver.Drip},
+		"silence":         {AtOnce: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sv, err := faultserver.New(t.Context(), answer)
+			must.NoError(t, err)
+			defer sv.Close()
+			must.True(t, upstream.New().Reachable(t.Context(), sv.Address))
+			select {
+			case closed := <-sv.Closed:
+				must.LessEq(t, faultserver.MaxSent(0), closed.Sent)
+				must.LessEq(t, closeSlack, closed.After)
+			case <-time.After(time.Minute):
+				must.Unreachable(t, must.Sprint("the connection was not closed"))
+			}
+		})
+	}
 }
