Callers that read nothing are cut off soon after their deadline

A caller that stopped reading kept its response, and the memory for a body that was read whole, for as long as its connection lived: nothing set a write deadline. Two such callers with answers of 7 MB used up the memory for long answers, and another caller got 502 ("the memory for long answers is used up") 2 s after their deadlines.

A body that was cut this way misses its length, its last chunk, or ends with a reset.

The fakes of gateway and entry have the new method of the sink, which does nothing there.

--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -228,6 +228,9 @@
 	body  strings.Builder
 }
 
+// SetDeadline does nothing.
+func (*sink) SetDeadline(time.Time) {}
+
 // Start counts a head.
 func (sn *sink) Start(int, http.Header, int64) { sn.heads++ }
 
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -222,6 +222,8 @@
 	gone  bool
 }
 
+func (*sink) SetDeadline(time.Time) {}
+
 func (sk *sink) Start(status int, _ http.Header, _ int64) { sk.status, sk.heads = status, sk.heads+1 }
 
 func (sk *sink) Write(part []byte) error {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,7 +107,7 @@
 		Gateway: gw, request: request, response: response.New(sink), framer: events.New(gw.eventBytes),
 		audit: sendaudit.New(request.ID, sendaudit.Limits{AtMostOnce: true}),
 	}
-	outcome := rn.finalOutcome(rn.serve(ctx))
+	outcome := rn.finalOutcome(rn.serve(ctx, sink))
 	rn.recordEnd(outcome)
 	return outcome
 }
@@ -130,10 +130,11 @@
 	}
 }
 
-func (rn *run) serve(ctx context.Context) Outcome {
+func (rn *run) serve(ctx context.Context, sink Sink) Outcome {
 	if refusal := rn.resolveRoute(); refusal != nil {
 		return refusal
 	}
+	sink.SetDeadline(rn.deadline)
 	left := rn.deadline.Sub(rn.Timers.Now())
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -67,7 +67,11 @@
 }
 
 // Sink receives the response for the caller.
-type Sink = response.Sink
+type Sink interface {
+	response.Sink
+	// SetDeadline sets when the response must be complete. Writes fail soon after it, even if the caller reads nothing.
+	SetDeadline(deadline time.Time)
+}
 
 // Outcome is the result of a request. It is sealed: its variants are Answered, CutOff, Refused, NotFound, Unauthorised,
 // Failed, TimedOut and Gone.
