Answers wait for the memory for long answers

An answer that found the budget used up failed at once, and its upstream was counted as failed, although the memory was free again a moment later.

It now waits until its attempt ends. Answers that each hold a part do not wait for each other: all leave free what the answer that began to take first may still take, so that one of them always ends; the part of an answer that is complete is given back when its caller has received it, which the write deadline bounds. An attempt that ends while it waits is Abandoned, not Failed, for its upstream. Nothing runs in the background; an answer waits in its own goroutine.

The test "short answers are read after the budget is used up" gives the long answer a context of 10 ms: it must still end with ErrExhausted and take nothing.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -9,6 +9,7 @@
 
 	"github.com/turmericdoor/turmericdoor/placement"
 	"github.com/turmericdoor/turmericdoor/quarantine"
+	"github.com/turmericdoor/turmericdoor/readbudget"
 	"github.com/turmericdoor/turmericdoor/readlimit"
 	"github.com/turmericdoor/turmericdoor/response"
 	"github.com/turmericdoor/turmericdoor/roster"
@@ -382,7 +383,10 @@
 	if reply.Length > maxBufferedResponse && rn.request.Method != http.MethodHead {
 		return at.handleLost(ctx, readlimit.Exceeded{Limit: maxBufferedResponse}.Error())
 	}
-	body, release, err := rn.buffered.All(reply.Body, maxBufferedResponse)
+	body, release, err := rn.buffered.All(at.ctx, reply.Body, maxBufferedResponse)
+	if errors.Is(err, readbudget.ErrExhausted) {
+		return at.handleNoMemory(ctx, err)
+	}
 	if err != nil {
 		return at.handleLost(ctx, "response is incomplete: "+err.Error())
 	}
@@ -402,6 +406,7 @@
 	rn.detail = fmt.Sprintf("status=%d", reply.Status)
 	caller := rn.response.Begin(response.Head{Attempt: at.number, Status: reply.Status, Header: reply.Header, Length: int64(len(body))})
 	if err := caller.Write(body); err != nil {
+		rn.detail += " " + err.Error()
 		return attemptResult{outcome: Gone{}}
 	}
 	if err := caller.Complete(); err != nil {
@@ -410,6 +415,17 @@
 	return attemptResult{outcome: Answered{}}
 }
 
+// handleNoMemory handles an attempt that ended while its answer waited for memory, which is no fault of the upstream.
+func (at *attempt) handleNoMemory(ctx context.Context, cause error) attemptResult {
+	rn := at.run
+	at.finish(placement.Abandoned, "Abandoned", cause.Error())
+	if ctx.Err() != nil {
+		return attemptResult{outcome: rn.contextOutcome(ctx)}
+	}
+	rn.detail = cause.Error()
+	return attemptResult{outcome: Failed{Cause: cause.Error()}, tryNext: rn.takeRetry(ctx)}
+}
+
 // reportSuccess reports that an upstream has executed a suspected request and lives.
 func (rn *run) reportSuccess() {
 	if rn.Crashes.Status(rn.fingerprint) != quarantine.Clear {
--- a/readbudget/readbudget.go
+++ b/readbudget/readbudget.go
@@ -2,10 +2,7 @@
 
 import (
 	"errors"
-	"io"
 	"sync"
-
-	"github.com/turmericdoor/turmericdoor/readlimit"
 )
 
 // FreeBytes is the size up to which an answer takes nothing from the budget, so that short answers are read even if long
@@ -19,11 +16,15 @@
 type Budget struct {
 	mu   sync.Mutex
 	left int64
+	// growing are the answers that are being read and may take more, the one that began to take first at the front.
+	growing []*portion
+	// changed is closed, and replaced, when an answer that waits may find more.
+	changed chan struct{}
 }
 
 // New returns a budget of a size in bytes.
 func New(size int64) *Budget {
-	return &Budget{left: size}
+	return &Budget{left: size, changed: make(chan struct{})}
 }
 
 // Left returns how many bytes are left.
@@ -48,42 +49,13 @@
 	bu.mu.Lock()
 	defer bu.mu.Unlock()
 	bu.left += size
+	bu.notify()
 }
 
-// firstBuffer is the size of the first buffer of an answer, in bytes; later buffers are twice as large as the one before.
-const firstBuffer = 4 << 10
-
-// All reads an answer completely. The caller calls release when it no longer uses the content; after an error there is
-// none, and release does nothing. The error is readlimit.Exceeded if the answer is longer than limit bytes.
-func (bu *Budget) All(answer io.Reader, limit int64) (content []byte, release func(), err error) {
-	taken := int64(0)
-	release = func() { bu.giveBack(taken); taken = 0 }
-	content = make([]byte, 0, min(firstBuffer, limit+1))
-	for {
-		if len(content) == cap(content) {
-			size := min(2*int64(cap(content)), limit+1)
-			if size > FreeBytes && !bu.take(size-taken) {
-				release()
-				return nil, release, ErrExhausted
-			}
-			if size > FreeBytes {
-				taken = size
-			}
-			content = append(make([]byte, 0, size), content...)
-		}
-		count, failure := answer.Read(content[len(content):cap(content)])
-		content = content[:len(content)+count]
-		switch {
-		case int64(len(content)) > limit:
-			release()
-			return nil, release, readlimit.Exceeded{Limit: limit}
-		case errors.Is(failure, io.EOF):
-			return content, release, nil
-		case failure != nil:
-			release()
-			return nil, release, failure
-		}
-	}
+// notify wakes the answers that wait. The caller holds the lock.
+func (bu *Budget) notify() {
+	close(bu.changed)
+	bu.changed = make(chan struct{})
 }
 
 // Share is the part of the budget that one growing buffer takes; it is not safe for concurrent use.
--- a/readbudget/readbudget_test.go
+++ b/readbudget/readbudget_test.go
@@ -1,11 +1,13 @@
 package readbudget_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -23,7 +25,7 @@
 func read(t *testing.T, bu *readbudget.Budget, size int) func() {
 	t.Helper()
 	text := strings.Repeat("x", size)
-	content, release, err := bu.All(iotest.HalfReader(strings.NewReader(text)), limit)
+	content, release, err := bu.All(t.Context(), iotest.HalfReader(strings.NewReader(text)), limit)
 	must.NoError(t, err)
 	must.Eq(t, text, string(content))
 	return release
@@ -32,7 +34,9 @@
 func assertError(t *testing.T, bu *readbudget.Budget, answer io.Reader, wanted error) {
 	t.Helper()
 	left := bu.Left()
-	content, release, err := bu.All(answer, limit)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	content, release, err := bu.All(ctx, answer, limit)
 	must.ErrorIs(t, err, wanted)
 	must.Nil(t, content)
 	must.Eq(t, left, bu.Left())
--- a/tableservice/tableservice.go
+++ b/tableservice/tableservice.go
@@ -189,7 +189,7 @@
 	if response.StatusCode != http.StatusOK {
 		return statusError(response)
 	}
-	encoded, release, err := cl.answers.All(response.Body, maxReplyBytes)
+	encoded, release, err := cl.answers.All(request.Context(), response.Body, maxReplyBytes)
 	if err != nil {
 		return err
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -218,7 +218,7 @@
 }
 
 func (cl *Client) readBody(ctx context.Context, call *Call, response *http.Response) Outcome {
-	body, release, err := cl.answers.All(response.Body, maxReplyBytes)
+	body, release, err := cl.answers.All(ctx, response.Body, maxReplyBytes)
 	exceeded := readlimit.Exceeded{}
 	switch {
 	case errors.As(err, &exceeded):
