serve: a refusal that names another call no longer ends this one

An upstream's refusal, or 400, of another call on a shared connection ended a request: as not run, although it may have run, or as rejected. statusOutcome looked at the status only; the identity of an answer was compared for successes.

An answer with another status than 200 that names another request, stage or attempt is Broken now: the call may have run. One that names none is taken as before.

TestRefusalOfAnotherCallIsTaken (the reviewer's, with a case for each part of the identity and two for answers that must still be taken) failed on the code before: upstream.Refused{NotRun:true, ...} and upstream.Rejected{Status:400, ...}.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -94,7 +94,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return statusOutcome(response)
+		return statusOutcome(call, response)
 	}
 	if call.Kind == document.Engine {
 		return cl.readStream(ctx, call, response)
@@ -111,13 +111,21 @@
 	// Without GetBody, net/http can't send the body again on another connection.
 	request.GetBody = nil
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(HeaderRequestID, call.Identity.RequestID)
-	request.Header.Set(HeaderStage, call.Identity.Stage)
-	request.Header.Set(HeaderAttempt, strconv.FormatInt(call.Identity.Attempt, 10))
+	for name, value := range identityHeaders(call) {
+		request.Header.Set(name, value)
+	}
 	request.Header.Set(HeaderPriority, strconv.Itoa(call.Priority))
 	return request, nil
 }
 
+// identityHeaders returns the headers that identify a call.
+func identityHeaders(call *Call) map[string]string {
+	return map[string]string{
+		HeaderRequestID: call.Identity.RequestID, HeaderStage: call.Identity.Stage,
+		HeaderAttempt: strconv.FormatInt(call.Identity.Attempt, 10),
+	}
+}
+
 // transportFailure returns NotSent for a call whose connection attempt failed, and otherwise Broken, because the
 // call may have taken effect.
 func (cl *Client) transportFailure(ctx context.Context, call *Call, err error, tokens []string) Outcome {
@@ -156,8 +164,11 @@
 }
 
 // statusOutcome returns the outcome of a call that was answered with a status other than 200. An answer that does not end
-// states nothing.
-func statusOutcome(response *http.Response) Outcome {
+// or belongs to another call states nothing.
+func statusOutcome(call *Call, response *http.Response) Outcome {
+	if namesAnother(call, response) {
+		return Broken{Cause: "answer belongs to another call"}
+	}
 	detail, err := readlimit.All(response.Body, maxErrorBytes)
 	if err != nil && !readlimit.BrokeOff(err) {
 		return Broken{Cause: err.Error()}
@@ -209,6 +220,16 @@
 	}
 }
 
+// namesAnother reports whether an answer names another call; one that names none may belong to this call.
+func namesAnother(call *Call, response *http.Response) bool {
+	for name, wanted := range identityHeaders(call) {
+		if value := response.Header.Get(name); value != "" && value != wanted {
+			return true
+		}
+	}
+	return false
+}
+
 // newReplied returns the outcome of a complete answer with the state that its headers report.
 func newReplied(response *http.Response, payload Payload) Replied {
 	return Replied{
