--- a/command/ask.go
+++ b/command/ask.go
@@ -1,12 +1,15 @@
 package command
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -53,20 +56,25 @@
 // printAnswer prints the answer and returns an error with the exit code of its outcome.
 func (cl *CLI) printAnswer(response *http.Response) error {
 	if cl.options.stream && response.StatusCode == http.StatusOK {
-		if _, err := io.Copy(cl.out, readlimit.NewReader(response.Body, maxStream)); err != nil {
-			return exitErrorf(ExitUnreachable, "read answer of %q: %v", cl.options.address, err)
-		}
-		return nil
+		return cl.printStream(response)
 	}
 	raw, err := readlimit.All(response.Body, maxAnswer)
 	if err != nil {
 		return exitErrorf(ExitUnreachable, "read answer of %q: %v", cl.options.address, err)
 	}
 	fmt.Fprintln(cl.out, string(raw))
+	return cl.outcomeError(raw)
+}
+
+// outcomeError returns an error with the exit code of an answer's outcome, or nil for a success.
+func (cl *CLI) outcomeError(raw []byte) error {
 	parsed := caller.AnswerBody{}
 	if json.Unmarshal(raw, &parsed) != nil {
 		return exitErrorf(ExitFailed, "answer of %q is not valid JSON", cl.options.address)
 	}
+	if parsed.Error == nil {
+		parsed.Error = &caller.ErrorBody{}
+	}
 	switch parsed.Outcome {
 	case answer.Answered:
 		return nil
@@ -78,3 +86,35 @@
 		return exitErrorf(ExitFailed, "request failed: %s", parsed.Error.Code)
 	}
 }
+
+const (
+	// endEvent and dataField begin the lines of the last event of a stream.
+	endEvent  = "event: End"
+	dataField = "data: "
+)
+
+// printStream prints a stream as it arrives and returns an error with the exit code of its End event.
+func (cl *CLI) printStream(response *http.Response) error {
+	lines := bufio.NewReader(io.TeeReader(readlimit.NewReader(response.Body, maxStream), cl.out))
+	name, data, end := "", []byte(nil), []byte(nil)
+	for {
+		line, err := lines.ReadBytes('\n')
+		text := strings.TrimRight(string(line), "\r\n")
+		switch {
+		case errors.Is(err, io.EOF) && end != nil:
+			return cl.outcomeError(end)
+		case errors.Is(err, io.EOF):
+			return exitErrorf(ExitFailed, "the stream of %q was cut off: it has no End event", cl.options.address)
+		case err != nil:
+			return exitErrorf(ExitUnreachable, "read answer of %q: %v", cl.options.address, err)
+		case text == "" && name == endEvent:
+			end = data
+		case text == "":
+			name = ""
+		case strings.HasPrefix(text, "event: "):
+			name = text
+		case strings.HasPrefix(text, dataField):
+			data = []byte(text[len(dataField):])
+		}
+	}
+}
