Tests of endless answers: the allowance follows the kernel's receive buffers

The bound on what the server sent is the product's limit and what the kernel's buffers hold, for which the test assumed 6 MiB at most, the default of tcp_rmem. Where the setting is 32 MiB, the receive buffer grows further with what the command reads while the command is slow.

The allowance is read from the kernel's setting now.

--- a/faultserver/faultserver.go
+++ b/faultserver/faultserver.go
@@ -4,21 +4,41 @@
 	"bytes"
 	"context"
 	"net"
+	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
 
 // MaxSent returns how many bytes a server may send to a peer that reads at most limit bytes: the kernel's buffers hold
-// more, and the receive buffer grows with what the peer reads.
+// more, and the receive buffer grows with what the peer reads, up to the kernel's setting.
 func MaxSent(limit int64) int64 {
-	return limit + socketBytes + min(limit, maxReceiveGrowth)
+	return limit + socketBytes + min(limit, maxReceiveBuffer())
+}
+
+// receiveSettings holds the least, the first and the greatest size of a receive buffer, in bytes.
+const receiveSettings = "/proc/sys/net/ipv4/tcp_rmem"
+
+// maxReceiveBuffer returns the greatest size of a receive buffer, in bytes.
+func maxReceiveBuffer() int64 {
+	text, err := os.ReadFile(receiveSettings)
+	if err != nil {
+		return defaultReceiveBuffer
+	}
+	sizes := strings.Fields(string(text))
+	size, err := strconv.ParseInt(sizes[len(sizes)-1], 10, 64)
+	if err != nil {
+		return defaultReceiveBuffer
+	}
+	return size
 }
 
 const (
-	// socketBytes is the size of the buffers of both sockets at first, and maxReceiveGrowth how far the receive buffer may
-	// grow with what the peer reads, in bytes.
-	socketBytes      = 1 << 20
-	maxReceiveGrowth = 6 << 20
+	// socketBytes is the size of the buffers of both sockets at first, and defaultReceiveBuffer the kernel's default of the
+	// greatest size of a receive buffer, in bytes.
+	socketBytes          = 1 << 20
+	defaultReceiveBuffer = 6 << 20
 	// sendBuffer is the size of the send buffer of a connection, in bytes.
 	sendBuffer = 64 << 10
 	// writeSize is the smallest size of one write of an answer without pauses, in bytes.
