Load generator: answers without end are bounded

A load run read the body of an answer, and up to 10 MB of its head, for as long as the instance sent it; a body of blanks kept the run from its end. The head is bounded to 64 KB and the body to 32 MB now, as for the commands; such an answer counts as NoAnswer or CutShort.

TestLoadReadsAnEndlessAnswer failed on the code before: "context deadline exceeded" after 20 s for the body, and bytes sent, 1179648 allowed, for the head.

--- /dev/null
+++ b/load/endless_test.go
@@ -0,0 +1,48 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/faultserver"
+	"github.com/turmericdoor/turmericdoor/load"
+)
+
+const (
+	// headLimit and bodyLimit are the limits of a response, in bytes.
+	headLimit = 64 << 10
+	bodyLimit = 32 << 20
+	okHead    = "HTTP/1.1 200 OK\r\n"
+)
+
+// TestLoadReadsAnEndlessAnswer guards against a load run that reads an answer without end for as long as the run lasts.
+func TestLoadReadsAnEndlessAnswer(t *testing.T) {
+	heads := faultserver.Heads(okHead, headLimit)
+	cases := map[string]faultserver.Case{
+		"header lines": heads["header lines"], "a header line": heads["a header line"],
+		"a body of blanks": {Answer: faultserver.Answer{Head: okHead + "\r\n", Repeated: " "}, Limit: bodyLimit},
+	}
+	for name, each := range cases {
+		t.Run(name, func(t *testing.T) {
+			sv, err := faultserver.New(t.Context(), each.Answer)
+			must.NoError(t, err)
+			defer sv.Close()
+			run, err := load.New(writeLoadFile(t, "[Load]\nDurationMs = 5\nTargets = "+sv.Address+"\n"+streamSection))
+			must.NoError(t, err)
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			run.Do(ctx, &bytes.Buffer{})
+			must.NoError(t, ctx.Err())
+			select {
+			case closed := <-sv.Closed:
+				must.LessEq(t, faultserver.MaxSent(each.Limit), closed.Sent)
+			case <-time.After(time.Minute):
+				must.Unreachable(t, must.Sprint("the connection was not closed"))
+			}
+		})
+	}
+}
--- a/load/load.go
+++ b/load/load.go
@@ -13,6 +13,7 @@
 
 	"github.com/turmericdoor/turmericdoor/answer"
 	"github.com/turmericdoor/turmericdoor/caller"
+	"github.com/turmericdoor/turmericdoor/readlimit"
 	"github.com/turmericdoor/turmericdoor/schema/plan"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
@@ -32,6 +33,12 @@
 // and memory of this machine. Requests beyond the bound are reported as NotSent.
 const maxInFlight = 4096
 
+const (
+	// maxHead bounds the head of a response, and maxAnswer its body, in bytes.
+	maxHead   = 64 << 10
+	maxAnswer = 32 << 20
+)
+
 // New reads the load file at path and returns a run that has not started. The error lists all faults of the
 // file.
 func New(path string) (*Run, error) {
@@ -39,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: maxInFlight, MaxConnsPerHost: maxInFlight}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxInFlight, MaxConnsPerHost: maxInFlight, MaxResponseHeaderBytes: maxHead}
 	return &Run{config: config, streams: streams, client: &http.Client{Transport: transport}, report: newReport()}, nil
 }
 
@@ -138,7 +145,7 @@
 	}
 	defer response.Body.Close()
 	reply := caller.AnswerBody{}
-	if json.NewDecoder(response.Body).Decode(&reply) != nil {
+	if json.NewDecoder(readlimit.NewReader(response.Body, maxAnswer)).Decode(&reply) != nil {
 		return "CutShort", nil
 	}
 	return string(reply.Outcome), reply.Stages
