--- a/command/endless_test.go
+++ b/command/endless_test.go
@@ -8,7 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericdoor/turmericdoor/command"
-	"github.com/turmericdoor/turmericdoor/faultserver"
+	"github.com/turmericdoor/turmericdoor/endlessserver"
 )
 
 const (
@@ -23,13 +23,13 @@
 )
 
 // assertEndless runs a command against instances whose answers do not end; it must fail, and close the connection.
-func assertEndless(t *testing.T, bodies map[string]faultserver.Case, arguments ...string) {
+func assertEndless(t *testing.T, bodies map[string]endlessserver.Case, arguments ...string) {
 	t.Helper()
-	cases := faultserver.Heads(okHead, headLimit)
+	cases := endlessserver.Heads(okHead, headLimit)
 	maps.Copy(cases, bodies)
 	for name, body := range cases {
 		t.Run(name, func(t *testing.T) {
-			sv, err := faultserver.New(t.Context(), body.Answer)
+			sv, err := endlessserver.New(t.Context(), body.Answer)
 			must.NoError(t, err)
 			defer sv.Close()
 			code, out := run(append(arguments, "--address", sv.Address, "--timeout", commandTimeout)...)
@@ -38,7 +38,7 @@
 			select {
 			case closed := <-sv.Closed:
 				t.Logf("printed %d, sent %d bytes", len(out), closed.Sent)
-				must.LessEq(t, faultserver.MaxSent(body.Limit), closed.Sent)
+				must.LessEq(t, endlessserver.MaxSent(body.Limit), closed.Sent)
 				must.LessEq(t, closeWithin, closed.After)
 			case <-time.After(time.Minute):
 				must.Unreachable(t, must.Sprint("the connection was not closed"))
@@ -50,12 +50,12 @@
 // TestEndlessAnswers guards against a command that collects an answer without end until its timeout.
 func TestEndlessAnswers(t *testing.T) {
 	t.Run("status", func(t *testing.T) {
-		assertEndless(t, faultserver.Bodies(okHead, answerLimit, headLimit), "status")
+		assertEndless(t, endlessserver.Bodies(okHead, answerLimit, headLimit), "status")
 	})
 	t.Run("ask", func(t *testing.T) {
-		assertEndless(t, faultserver.Bodies(okHead, answerLimit, headLimit), "ask", "--pipeline", "p", "--input", "i")
+		assertEndless(t, endlessserver.Bodies(okHead, answerLimit, headLimit), "ask", "--pipeline", "p", "--input", "i")
 	})
 	t.Run("ask for a stream", func(t *testing.T) {
-		assertEndless(t, faultserver.Bodies(okHead, streamLimit, headLimit), "ask", "--pipeline", "p", "--input", "i", "--stream")
+		assertEndless(t, endlessserver.Bodies(okHead, streamLimit, headLimit), "ask", "--pipeline", "p", "--input", "i", "--stream")
 	})
 }
--- a/faultserver/faultserver.go
+++ b/endlessserver/endlessserver.go
@@ -1,4 +1,4 @@
-package faultserver
+package endlessserver
 
 import (
 	"bytes"
--- a/faultserver/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package faultserver is a stand-in for tests: a TCP server that sends bytes without end until its peer closes.
-package faultserver
--- a/load/endless_test.go
+++ b/load/endless_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/turmericdoor/turmericdoor/faultserver"
+	"github.com/turmericdoor/turmericdoor/endlessserver"
 	"github.com/turmericdoor/turmericdoor/load"
 )
 
@@ -21,14 +21,14 @@
 
 // TestLoadReadsAnEndlessAnswer guards against a load run that reads an answer without end for as long as the run lasts.
 func TestLoadReadsAnEndlessAnswer(t *testing.T) {
-	heads := faultserver.Heads(okHead, headLimit)
-	cases := map[string]faultserver.Case{
+	heads := endlessserver.Heads(okHead, headLimit)
+	cases := map[string]endlessserver.Case{
 		"header lines": heads["header lines"], "a header line": heads["a header line"],
-		"a body of blanks": {Answer: faultserver.Answer{Head: okHead + "\r\n", Repeated: " "}, Limit: bodyLimit},
+		"a body of blanks": {Answer: endlessserver.Answer{Head: okHead + "\r\n", Repeated: " "}, Limit: bodyLimit},
 	}
 	for name, each := range cases {
 		t.Run(name, func(t *testing.T) {
-			sv, err := faultserver.New(t.Context(), each.Answer)
+			sv, err := endlessserver.New(t.Context(), each.Answer)
 			must.NoError(t, err)
 			defer sv.Close()
 			run, err := load.New(writeLoadFile(t, "[Load]\nDurationMs = 5\nTargets = "+sv.Address+"\n"+streamSection))
@@ -39,7 +39,7 @@
 			must.NoError(t, ctx.Err())
 			select {
 			case closed := <-sv.Closed:
-				must.LessEq(t, faultserver.MaxSent(each.Limit), closed.Sent)
+				must.LessEq(t, endlessserver.MaxSent(each.Limit), closed.Sent)
 			case <-time.After(time.Minute):
 				must.Unreachable(t, must.Sprint("the connection was not closed"))
 			}
--- a/peerlimit/peerlimit_test.go
+++ b/peerlimit/peerlimit_test.go
@@ -11,7 +11,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
-	"github.com/turmericdoor/turmericdoor/faultserver"
+	"github.com/turmericdoor/turmericdoor/endlessserver"
 	"github.com/turmericdoor/turmericdoor/peerlimit"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
@@ -36,10 +36,10 @@
 )
 
 // answers are what another service may send at the address of an instance that has ended.
-var answers = map[string]faultserver.Answer{
+var answers = map[string]endlessserver.Answer{
 	"an HTTP/1.1 body":        {Head: "HTTP/1.1 200 OK\r\n\r\n", Repeated: "x", AtOnce: true},
 	"an HTTP/1.1 head":        {Head: "HTTP/1.1 200 OK\r\n", Repeated: "X-A: b\r\n"},
-	"a head that drips":       {Repeated: "x", Every: faultserver.Drip},
+	"a head that drips":       {Repeated: "x", Every: endlessserver.Drip},
 	"zeros":                   {Repeated: "\x00"},
 	"headers":                 {Head: settings + headers, Repeated: continuation},
 	"settings without end":    {Repeated: settings},
@@ -50,7 +50,7 @@
 func TestEndlessAnswers(t *testing.T) {
 	for name, answer := range answers {
 		t.Run(name, func(t *testing.T) {
-			sv, err := faultserver.New(t.Context(), answer)
+			sv, err := endlessserver.New(t.Context(), answer)
 			must.NoError(t, err)
 			defer sv.Close()
 			options := append(peerlimit.DialOptions(), grpc.WithTransportCredentials(insecure.NewCredentials()))
@@ -66,7 +66,7 @@
 				t.Log(closed)
 				must.LessEq(t, callTimeout+closeSlack, closed.After)
 				if name == "headers" {
-					must.LessEq(t, faultserver.MaxSent(peerlimit.MaxHeaders), closed.Sent)
+					must.LessEq(t, endlessserver.MaxSent(peerlimit.MaxHeaders), closed.Sent)
 				}
 			case <-time.After(time.Minute):
 				must.Unreachable(t, must.Sprint("the connection was not closed"))
@@ -93,7 +93,7 @@
 			defer func() { server.Stop(); <-served }()
 			sent, after := sendUntilClosed(t, listener.Addr().String(), call.head, call.repeated)
 			t.Log(sent, after)
-			must.LessEq(t, faultserver.MaxSent(peerlimit.MaxHeaders), sent)
+			must.LessEq(t, endlessserver.MaxSent(peerlimit.MaxHeaders), sent)
 			must.LessEq(t, peerlimit.HandshakeTimeout+closeSlack, after)
 		})
 	}
--- a/tableservice/endless_test.go
+++ b/tableservice/endless_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/turmericdoor/turmericdoor/faultserver"
+	"github.com/turmericdoor/turmericdoor/endlessserver"
 	"github.com/turmericdoor/turmericdoor/table"
 	"github.com/turmericdoor/turmericdoor/tableservice"
 )
@@ -25,13 +25,13 @@
 )
 
 // assertEndless makes a call to services whose answers do not end and checks that the connection is closed.
-func assertEndless(t *testing.T, bodies map[string]faultserver.Case, call func(t *testing.T, ctx context.Context, cl *tableservice.Client)) {
+func assertEndless(t *testing.T, bodies map[string]endlessserver.Case, call func(t *testing.T, ctx context.Context, cl *tableservice.Client)) {
 	t.Helper()
-	cases := faultserver.Heads(okHead, headLimit)
+	cases := endlessserver.Heads(okHead, headLimit)
 	maps.Copy(cases, bodies)
 	for name, body := range cases {
 		t.Run(name, func(t *testing.T) {
-			sv, err := faultserver.New(t.Context(), body.Answer)
+			sv, err := endlessserver.New(t.Context(), body.Answer)
 			must.NoError(t, err)
 			defer sv.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
@@ -39,7 +39,7 @@
 			call(t, ctx, tableservice.New(sv.Address))
 			select {
 			case closed := <-sv.Closed:
-				must.LessEq(t, faultserver.MaxSent(body.Limit), closed.Sent)
+				must.LessEq(t, endlessserver.MaxSent(body.Limit), closed.Sent)
 				must.LessEq(t, callTimeout+closeSlack, closed.After)
 			case <-time.After(time.Minute):
 				must.Unreachable(t, must.Sprint("the connection was not closed"))
@@ -49,9 +49,9 @@
 }
 
 // bodies returns bodies without end, one of them after an answer.
-func bodies(answer string) map[string]faultserver.Case {
-	cases := faultserver.Bodies(okHead, replyLimit, headLimit)
-	cases["blanks after an answer"] = faultserver.Case{Answer: faultserver.Answer{Head: okHead + "\r\n" + answer, Repeated: " "}, Limit: replyLimit}
+func bodies(answer string) map[string]endlessserver.Case {
+	cases := endlessserver.Bodies(okHead, replyLimit, headLimit)
+	cases["blanks after an answer"] = endlessserver.Case{Answer: endlessserver.Answer{Head: okHead + "\r\n" + answer, Repeated: " "}, Limit: replyLimit}
 	return cases
 }
 
@@ -75,7 +75,7 @@
 		assertEndless(t, bodies(`{"Committed":true}`), commit)
 	})
 	t.Run("refusals", func(t *testing.T) {
-		assertEndless(t, faultserver.Bodies(refusedHead, headLimit, headLimit), commit)
+		assertEndless(t, endlessserver.Bodies(refusedHead, headLimit, headLimit), commit)
 	})
 	t.Run("instances", func(t *testing.T) {
 		assertEndless(t, bodies(`[]`), func(t *testing.T, ctx context.Context, cl *tableservice.Client) {
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericdoor/turmericdoor/document"
-	"github.com/turmericdoor/turmericdoor/faultserver"
+	"github.com/turmericdoor/turmericdoor/endlessserver"
 	"github.com/turmericdoor/turmericdoor/upstream"
 )
 
@@ -33,13 +33,13 @@
 )
 
 // assertEndless makes a call to servers whose answers do not end and checks that the connection is closed.
-func assertEndless(t *testing.T, bodies map[string]faultserver.Case, call func(t *testing.T, ctx context.Context, address string)) {
+func assertEndless(t *testing.T, bodies map[string]endlessserver.Case, call func(t *testing.T, ctx context.Context, address string)) {
 	t.Helper()
-	cases := faultserver.Heads(okHead, headLimit)
+	cases := endlessserver.Heads(okHead, headLimit)
 	maps.Copy(cases, bodies)
 	for name, body := range cases {
 		t.Run(name, func(t *testing.T) {
-			sv, err := faultserver.New(t.Context(), body.Answer)
+			sv, err := endlessserver.New(t.Context(), body.Answer)
 			must.NoError(t, err)
 			defer sv.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
@@ -47,7 +47,7 @@
 			call(t, ctx, sv.Address)
 			select {
 			case closed := <-sv.Closed:
-				must.LessEq(t, faultserver.MaxSent(body.Limit), closed.Sent)
+				must.LessEq(t, endlessserver.MaxSent(body.Limit), closed.Sent)
 				must.LessEq(t, callTimeout+closeSlack, closed.After)
 			case <-time.After(time.Minute):
 				must.Unreachable(t, must.Sprint("the connection was not closed"))
@@ -72,24 +72,24 @@
 // TestEndlessAnswers guards against answers without end that fill the memory or are taken for answers.
 func TestEndlessAnswers(t *testing.T) {
 	t.Run("answers", func(t *testing.T) {
-		assertEndless(t, faultserver.Bodies(okHead, replyLimit, headLimit), assertUnusable(document.Encoder))
+		assertEndless(t, endlessserver.Bodies(okHead, replyLimit, headLimit), assertUnusable(document.Encoder))
 	})
 	t.Run("streams", func(t *testing.T) {
-		bodies := faultserver.Bodies(okHead, lineLimit, headLimit)
+		bodies := endlessserver.Bodies(okHead, lineLimit, headLimit)
 		for name, line := range map[string]string{"lines": "x\n", "empty lines": "\n", "repeated tokens": `data: {"index":-1,"text":"a"}` + "\n\n"} {
-			bodies[name] = faultserver.Case{Answer: faultserver.Answer{Head: okHead + "\r\n", Repeated: line}, Limit: streamLimit}
+			bodies[name] = endlessserver.Case{Answer: endlessserver.Answer{Head: okHead + "\r\n", Repeated: line}, Limit: streamLimit}
 		}
 		assertEndless(t, bodies, assertUnusable(document.Engine))
 	})
 	t.Run("refusals", func(t *testing.T) {
-		assertEndless(t, faultserver.Bodies(refusedHead, rejectionLimit, headLimit), assertUnusable(document.Engine))
+		assertEndless(t, endlessserver.Bodies(refusedHead, rejectionLimit, headLimit), assertUnusable(document.Engine))
 	})
 	t.Run("rejections", func(t *testing.T) {
-		assertEndless(t, faultserver.Bodies(invalidHead, rejectionLimit, headLimit), assertUnusable(document.Engine))
+		assertEndless(t, endlessserver.Bodies(invalidHead, rejectionLimit, headLimit), assertUnusable(document.Engine))
 	})
 	t.Run("the state of an engine", func(t *testing.T) {
-		bodies := faultserver.Bodies(okHead, controlLimit, headLimit)
-		bodies["blanks after an answer"] = faultserver.Case{Answer: faultserver.Answer{Head: okHead + "\r\n{}", Repeated: " "}, Limit: controlLimit}
+		bodies := endlessserver.Bodies(okHead, controlLimit, headLimit)
+		bodies["blanks after an answer"] = endlessserver.Case{Answer: endlessserver.Answer{Head: okHead + "\r\n{}", Repeated: " "}, Limit: controlLimit}
 		assertEndless(t, bodies, func(t *testing.T, ctx context.Context, address string) {
 			t.Helper()
 			_, err := upstream.New().ReadEngine(ctx, address)
