--- a/entrypoint/link_test.go
+++ b/entrypoint/link_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/turmericdoor/turmericdoor/endlessserver"
 	"github.com/turmericdoor/turmericdoor/entrypoint"
-	"github.com/turmericdoor/turmericdoor/faultserver"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
 
@@ -29,13 +29,13 @@
 )
 
 // otherServers send what is no answer of an instance on a connection that is never opened.
-var otherServers = map[string]faultserver.Answer{
+var otherServers = map[string]endlessserver.Answer{
 	"an HTTP/1.1 head":   {Head: "HTTP/1.1 200 OK\r\n", Repeated: "X-A: b\r\n"},
 	"an HTTP/1.1 body":   {Head: "HTTP/1.1 200 OK\r\n\r\n", Repeated: "x", AtOnce: true},
-	"bytes that drip":    {Repeated: "x", Every: faultserver.Drip},
+	"bytes that drip":    {Repeated: "x", Every: endlessserver.Drip},
 	"silence":            {},
 	"half a frame":       {Head: settings[:5]},
-	"a frame that drips": {Head: "\x00\x3f\xff\x04\x00\x00\x00\x00\x00", Repeated: "\x00", Every: faultserver.Drip},
+	"a frame that drips": {Head: "\x00\x3f\xff\x04\x00\x00\x00\x00\x00", Repeated: "\x00", Every: endlessserver.Drip},
 }
 
 // calls make one call to an address each and return how the link is closed.
@@ -59,12 +59,12 @@
 }
 
 // assertClosed checks that a server's connection is closed after at most limit bytes and within a time.
-func assertClosed(t *testing.T, sv *faultserver.Server, limit int64, within time.Duration) {
+func assertClosed(t *testing.T, sv *endlessserver.Server, limit int64, within time.Duration) {
 	t.Helper()
 	select {
 	case closed := <-sv.Closed:
 		t.Log(closed)
-		must.LessEq(t, faultserver.MaxSent(limit), closed.Sent)
+		must.LessEq(t, endlessserver.MaxSent(limit), closed.Sent)
 		must.LessEq(t, within, closed.After)
 	case <-time.After(within + time.Minute):
 		must.Unreachable(t, must.Sprint("the connection was not closed"))
@@ -77,7 +77,7 @@
 		for name, answer := range otherServers {
 			t.Run(service+", "+name, func(t *testing.T) {
 				t.Parallel()
-				sv, err := faultserver.New(t.Context(), answer)
+				sv, err := endlessserver.New(t.Context(), answer)
 				must.NoError(t, err)
 				defer sv.Close()
 				ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
@@ -90,7 +90,7 @@
 		}
 		// Such a connection is open, so that only its link ends it, as after each failed call to a peer.
 		t.Run(service+", settings without end", func(t *testing.T) {
-			sv, err := faultserver.New(t.Context(), faultserver.Answer{Repeated: settings})
+			sv, err := endlessserver.New(t.Context(), endlessserver.Answer{Repeated: settings})
 			must.NoError(t, err)
 			defer sv.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
--- a/entrypoint/listen_test.go
+++ b/entrypoint/listen_test.go
@@ -1,6 +1,7 @@
 package entrypoint_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -17,8 +18,11 @@
 // adapter is an adapter to a platform that is never asked.
 type adapter struct{}
 
-func (adapter) Parts(entry.Settings) entry.Parts      { return entry.Parts{Random: entropy.New(1)} }
-func (adapter) Handler(*entry.Instance) http.Handler  { return http.NotFoundHandler() }
+func (adapter) Parts(entry.Settings) entry.Parts     { return entry.Parts{Random: entropy.New(1)} }
+func (adapter) Handler(*entry.Instance) http.Handler { return http.NotFoundHandler() }
+func (adapter) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	return ctx
+}
 func (adapter) LoadSettings() (entry.Settings, error) { return entry.Settings{}, nil }
 func (adapter) SettingsChanged() bool                 { return false }
 func (adapter) ApplySettings(entry.Settings)          {}
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -9,7 +9,6 @@
 
 	"github.com/turmericdoor/turmericdoor/placement"
 	"github.com/turmericdoor/turmericdoor/quarantine"
-	"github.com/turmericdoor/turmericdoor/readlimit"
 	"github.com/turmericdoor/turmericdoor/response"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/route"
@@ -364,57 +363,3 @@
 		known.RecordFirstByte(now, at.choice.Upstream.Incarnation(), at.criteria.PromptTokens, now.Sub(at.startedAt), at.choice.ExpectedLatency)
 	})
 }
-
-const (
-	// maxBufferedResponse bounds a response that is read completely before it is forwarded, in bytes.
-	maxBufferedResponse = 8 << 20
-	// bufferedBudget bounds all such responses at one time, in bytes.
-	bufferedBudget = 16 << 20
-)
-
-// forwardBuffered reads the complete response, then forwards it or retries the request.
-func (at *attempt) forwardBuffered(ctx context.Context, reply *UpstreamResponse) attemptResult {
-	rn := at.run
-	if reply.Length > maxBufferedResponse && rn.request.Method != http.MethodHead {
-		return at.handleLost(ctx, readlimit.Exceeded{Limit: maxBufferedResponse}.Error())
-	}
-	body, release, err := rn.buffered.All(reply.Body, maxBufferedResponse)
-	if err != nil {
-		return at.handleLost(ctx, "response is incomplete: "+err.Error())
-	}
-	defer release()
-	at.recordFirstByte()
-	failed := reply.Status >= http.StatusInternalServerError
-	result := placement.Served
-	if failed {
-		result = placement.Failed
-	}
-	withheld := promisesNotRun(reply.Status)
-	if (failed || withheld) && rn.takeRetry(ctx) {
-		at.finish(result, "Error", fmt.Sprintf("status=%d", reply.Status))
-		return attemptResult{outcome: Failed{Cause: fmt.Sprintf("upstream responded with status %d", reply.Status)}, tryNext: true}
-	}
-	rn.reportSuccess()
-	if withheld {
-		rn.detail = fmt.Sprintf("status=%d withheld: the request may have run", reply.Status)
-		at.finish(result, "Error", rn.detail)
-		return attemptResult{outcome: Failed{Cause: rn.detail}}
-	}
-	at.finish(result, "Answered", fmt.Sprintf("status=%d bytes=%d", reply.Status, len(body)))
-	rn.detail = fmt.Sprintf("status=%d", reply.Status)
-	caller := at.begin(response.Head{Attempt: at.number, Status: reply.Status, Header: reply.Header, Length: int64(len(body))})
-	if err := caller.Write(body); err != nil {
-		return attemptResult{outcome: Gone{}}
-	}
-	if err := caller.Complete(); err != nil {
-		return attemptResult{outcome: Failed{Cause: err.Error()}}
-	}
-	return attemptResult{outcome: Answered{}}
-}
-
-// reportSuccess reports that an upstream has executed a suspected request and lives.
-func (rn *run) reportSuccess() {
-	if rn.Crashes.Status(rn.fingerprint) != quarantine.Clear {
-		rn.Crashes.ReportSuccess(rn.fingerprint)
-	}
-}
--- a/instance/endless_test.go
+++ b/instance/endless_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/turmericdoor/turmericdoor/faultserver"
+	"github.com/turmericdoor/turmericdoor/endlessserver"
 )
 
 const (
@@ -21,13 +21,13 @@
 
 // TestOtherServerAtTheAddressOfAPeer guards against connections that are kept although no instance answers on them.
 func TestOtherServerAtTheAddressOfAPeer(t *testing.T) {
-	for name, answer := range map[string]faultserver.Answer{
+	for name, answer := range map[string]endlessserver.Answer{
 		"an HTTP/1.1 head":     {Head: "HTTP/1.1 200 OK\r\n", Repeated: "X-A: b\r\n"},
 		"settings without end": {Repeated: emptySettings},
 		"silence":              {},
 	} {
 		t.Run(name, func(t *testing.T) {
-			sv, err := faultserver.New(t.Context(), answer)
+			sv, err := endlessserver.New(t.Context(), answer)
 			must.NoError(t, err)
 			defer sv.Close()
 			plainWithSeed := func(cl *cluster) { cl.seeds = []string{sv.Address} }
@@ -35,7 +35,7 @@
 				select {
 				case closed := <-sv.Closed:
 					t.Log(closed)
-					must.LessEq(t, faultserver.MaxSent(maxOpenBytes), closed.Sent)
+					must.LessEq(t, endlessserver.MaxSent(maxOpenBytes), closed.Sent)
 					must.LessEq(t, maxOpenTime, closed.After)
 				case <-time.After(2 * maxOpenTime):
 					must.Unreachable(t, must.Sprint("no connection was closed"))
