--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -101,7 +101,7 @@
 	if errors.As(failure, &response.NotContinued{}) {
 		return at.handleNotContinued(ctx, failure)
 	}
-	at.finish(placement.Abandoned, "Abandoned", "caller disconnected")
+	at.finish(placement.Abandoned, "Abandoned", "write to the caller: "+failure.Error())
 	return attemptResult{outcome: Gone{}}
 }
 
