--- a/entry/entry.go
+++ b/entry/entry.go
@@ -131,7 +131,7 @@
 		Timers: parts.Timers, Clock: clock, Events: en.events, Holder: revision.New(nil), Listener: peerListener{},
 		Members: member.New(self, config, parts.Random.Generator("member"), now), Dialer: parts.PeerDialer,
 		Random: parts.Random.Fork("peer"), Replicas: peerReplicas{en},
-	}, peer.Config{Member: config, Seeds: en.settings.Seeds, Heartbeat: heartbeat})
+	}, peer.Config{Seeds: en.settings.Seeds, Heartbeat: heartbeat})
 }
 
 // recordEvent counts an event in the metrics and writes it to the log.
@@ -239,6 +239,11 @@
 // defaultMaxBodyBytes is the limit of a request body until a configuration sets one.
 const defaultMaxBodyBytes = 4 << 20
 
+// Now returns the time by which requests' deadlines are measured.
+func (en *Instance) Now() time.Time {
+	return en.timers.Now()
+}
+
 // MaxBodyBytes returns the limit of a request body.
 func (en *Instance) MaxBodyBytes() int64 {
 	if table := en.catalog.RoutingTable(); table != nil && table.Limits.BodyBytes > 0 {
--- a/events/events.go
+++ b/events/events.go
@@ -3,98 +3,79 @@
 import (
 	"bytes"
 
+	"github.com/turmericdoor/turmericdoor/readbudget"
 	"github.com/turmericdoor/turmericdoor/readlimit"
 )
 
-// MaxEvent bounds one event with its blank line, in bytes.
-const MaxEvent = 256 << 10
+const (
+	// MaxEvent bounds one event with its blank line, in bytes.
+	MaxEvent = 256 << 10
+	// FreeBytes is the size up to which an event takes nothing from the budget, so that short events pass even if long
+	// ones have used it up.
+	FreeBytes = 16 << 10
+	// firstBuffer is the size of the first buffer of an event, in bytes; later buffers are twice as large as the one before.
+	firstBuffer = 1 << 10
+)
 
 // Framer buffers the incomplete event at the end of a stream; it is not safe for concurrent use.
 type Framer struct {
-	buffer []byte
-	// size is the size of the incomplete event, and lineSize that of its last line, in bytes.
-	size, lineSize int
-	// afterCR is true if the last byte was a carriage return, to whose line end a line feed belongs.
-	afterCR bool
-	lastID  string
+	// share holds the memory of the buffer and of the events that the last Push returned.
+	share   *readbudget.Share
+	buffer  []byte
+	scanner Scanner
 }
 
-// New returns an empty framer.
-func New() *Framer {
-	return &Framer{}
+// New returns an empty framer whose buffers above FreeBytes take their memory from budget; DiscardPartial gives it back.
+func New(budget *readbudget.Budget) *Framer {
+	return &Framer{share: budget.NewShare(FreeBytes)}
 }
 
-var idField = []byte("id:")
-
-// Push appends a chunk of the stream and returns the events that are complete, or nil. The error is readlimit.Exceeded if
-// an event is longer than MaxEvent; the chunk and the incomplete event are dropped then.
+// Push appends a chunk of the stream and returns the events that are complete, or nil; they may be used until the next
+// call. The error is readlimit.Exceeded if an event is longer than MaxEvent, or readbudget.ErrExhausted; the chunk and the
+// incomplete event are dropped then.
 func (fr *Framer) Push(chunk []byte) ([]byte, error) {
 	cut := 0
 	for at, char := range chunk {
-		if fr.size == MaxEvent {
+		if fr.scanner.size == MaxEvent {
 			fr.DiscardPartial()
 			return nil, readlimit.Exceeded{Limit: MaxEvent}
 		}
-		if fr.endsEvent(char) {
+		if fr.scanner.endsEvent(char) {
 			cut = at + 1
 		}
 	}
+	if err := fr.reserve(len(fr.buffer) + len(chunk)); err != nil {
+		fr.DiscardPartial()
+		return nil, err
+	}
+	fr.buffer = append(fr.buffer, chunk...)
 	if cut == 0 {
-		fr.buffer = append(fr.buffer, chunk...)
 		return nil, nil
 	}
-	complete := append(fr.buffer, chunk[:cut]...)
+	complete := fr.buffer[:len(fr.buffer)-len(chunk)+cut]
 	fr.buffer = bytes.Clone(chunk[cut:])
-	fr.recordLastID(complete)
 	return complete, nil
 }
 
-// endsEvent counts a byte of the stream and reports whether an event is complete with it: after a blank line, and after
-// the line feed that belongs to the carriage return of a blank line. Lines end with a line feed, a carriage return or both.
-func (fr *Framer) endsEvent(char byte) bool {
-	completesLineEnd := char == '\n' && fr.afterCR
-	fr.afterCR = char == '\r'
-	if completesLineEnd && fr.size == 0 {
-		return true
+// reserve makes the buffer large enough for size bytes.
+func (fr *Framer) reserve(size int) error {
+	capacity := cap(fr.buffer)
+	if size > capacity {
+		capacity = max(firstBuffer, size, min(2*capacity, MaxEvent))
 	}
-	fr.size++
-	switch {
-	case completesLineEnd:
-		return false
-	case char != '\n' && char != '\r':
-		fr.lineSize++
-		return false
-	case fr.lineSize > 0:
-		fr.lineSize = 0
-		return false
+	if err := fr.share.Resize(int64(capacity)); err != nil {
+		return err
 	}
-	fr.size = 0
-	return true
-}
-
-// recordLastID stores the last event id in complete, if it has any; ids before it are not kept.
-func (fr *Framer) recordLastID(complete []byte) {
-	for len(complete) > 0 {
-		line := complete
-		if end := bytes.IndexAny(complete, "\r\n"); end >= 0 {
-			line, complete = complete[:end], complete[end+1:]
-		} else {
-			complete = nil
-		}
-		if id, is := bytes.CutPrefix(line, idField); is {
-			fr.lastID = string(bytes.TrimSpace(id))
-		}
+	if capacity > cap(fr.buffer) {
+		fr.buffer = append(make([]byte, 0, capacity), fr.buffer...)
 	}
+	return nil
 }
 
-// LastEventID returns the id of the last complete event that has one, or "".
-func (fr *Framer) LastEventID() string {
-	return fr.lastID
-}
-
-// DiscardPartial drops the incomplete event.
+// DiscardPartial drops the incomplete event and gives all memory back to the budget.
 func (fr *Framer) DiscardPartial() {
-	*fr = Framer{lastID: fr.lastID}
+	_ = fr.share.Resize(0)
+	*fr = Framer{share: fr.share}
 }
 
 // Partial returns the incomplete event.
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -178,7 +178,7 @@
 	rn.audit.Start()
 	reply, err := rn.Sender.Send(at.ctx, UpstreamRequest{
 		Request: rn.request, Upstream: choice.Upstream, Organisation: rn.organisation.Name,
-		Remaining: rn.deadline.Sub(startedAt), Inputs: inputs, Rank: rn.rank, Engine: rn.pool.Engine != nil, LastEventID: rn.lastEventID(),
+		Remaining: rn.deadline.Sub(startedAt), Inputs: inputs, Rank: rn.rank, Engine: rn.pool.Engine != nil, LastEventID: rn.response.LastEventID(),
 	})
 	result := at.handleResponse(ctx, reply, err)
 	if begunBy := rn.response.BegunBy(); begunBy != 0 && begunBy < at.number {
@@ -186,19 +186,11 @@
 	}
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAttemptEnded, RequestId: rn.request.ID, Upstream: choice.Upstream.ID, Stage: rn.pool.Name,
-		Attempt: int64(rn.audit.Executions()), Outcome: at.outcome, Detail: at.detail, DurationMicros: rn.Timers.Now().Sub(startedAt).Microseconds(),
+		Attempt: int64(at.number), Outcome: at.outcome, Detail: at.detail, DurationMicros: rn.Timers.Now().Sub(startedAt).Microseconds(),
 	})
 	return result
 }
 
-// lastEventID returns the id of the event after which the upstream must resume the stream.
-func (rn *run) lastEventID() string {
-	if id := rn.response.LastEventID(); id != "" {
-		return id
-	}
-	return rn.request.LastEventID
-}
-
 const (
 	// firstByteTargets is how many target latencies a retryable request waits for the first byte before it is sent to
 	// another upstream, but at least minFirstByteTimeout.
@@ -232,8 +224,8 @@
 	// stopTimeout stops the timer of the first byte.
 	stopTimeout  func()
 	gotFirstByte bool
-	// body is what the attempt writes to the caller, or nil before its first part.
-	body    *response.Body
+	// output is what the attempt writes to the caller, or nil before its first part.
+	output  *response.Body
 	outcome string
 	detail  string
 }
@@ -252,21 +244,26 @@
 	case err != nil:
 		rn.audit.MarkMaybeExecuted()
 		return at.handleLost(ctx, err.Error())
+	case reply.RequestMismatch:
+		// It says nothing about this request, not even that it was not executed.
+		rn.audit.MarkMaybeExecuted()
+		_ = reply.Body.Close()
+		return at.handleLost(ctx, "response belongs to another request")
 	case reply.NotExecuted:
 		rn.audit.MarkNotExecuted()
 		_ = reply.Body.Close()
 		return at.handleRejected(ctx, reply)
 	}
 	rn.audit.MarkMaybeExecuted()
-	if reply.RequestMismatch || reply.Status < http.StatusMultipleChoices && !reply.Signed {
+	if reply.Encoded || reply.Status < http.StatusMultipleChoices && !reply.Signed {
 		_ = reply.Body.Close()
-		return at.handleLost(ctx, "response is unsigned or belongs to another request")
+		return at.handleLost(ctx, "response is unsigned or encoded")
 	}
 	defer reply.Body.Close()
 	if rn.response.IsBegun() {
 		return at.resumeStream(ctx, reply)
 	}
-	if rn.pipeline.Streaming && reply.Status == http.StatusOK {
+	if rn.pipeline.Streaming && reply.Status == http.StatusOK && at.head(reply).MayBeEventStream() {
 		return at.forwardStream(ctx, reply)
 	}
 	return at.forwardBuffered(ctx, reply)
@@ -354,12 +351,11 @@
 	}()
 }
 
-// recordFirstByte records the latency of the first byte and stops the timer that waits for it.
+// recordFirstByte records the latency of the upstream's first byte and stops the timer that waits for it.
 func (at *attempt) recordFirstByte() {
 	rn := at.run
 	at.gotFirstByte = true
 	at.stopTimeout()
-	rn.Pools.observeLatency(rn.pipeline.Name, rn.forecast, rn.Timers.Now().Sub(rn.request.Arrived))
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAnswerBegan, RequestId: rn.request.ID, Upstream: at.choice.Upstream.ID, Stage: rn.pool.Name,
 		Attempt: int64(rn.audit.Executions()), DurationMicros: rn.Timers.Now().Sub(at.startedAt).Microseconds(),
@@ -389,18 +385,24 @@
 	defer release()
 	at.recordFirstByte()
 	failed := reply.Status >= http.StatusInternalServerError
-	if failed && rn.takeRetry(ctx) {
-		at.finish(placement.Failed, "Error", fmt.Sprintf("status=%d", reply.Status))
-		return attemptResult{outcome: Failed{Cause: fmt.Sprintf("upstream responded with status %d", reply.Status)}, tryNext: true}
-	}
-	rn.reportSuccess()
 	result := placement.Served
 	if failed {
 		result = placement.Failed
 	}
+	withheld := promisesNotRun(reply.Status)
+	if (failed || withheld) && rn.takeRetry(ctx) {
+		at.finish(result, "Error", fmt.Sprintf("status=%d", reply.Status))
+		return attemptResult{outcome: Failed{Cause: fmt.Sprintf("upstream responded with status %d", reply.Status)}, tryNext: true}
+	}
+	rn.reportSuccess()
+	if withheld {
+		rn.detail = fmt.Sprintf("status=%d withheld: the request may have run", reply.Status)
+		at.finish(result, "Error", rn.detail)
+		return attemptResult{outcome: Failed{Cause: rn.detail}}
+	}
 	at.finish(result, "Answered", fmt.Sprintf("status=%d bytes=%d", reply.Status, len(body)))
 	rn.detail = fmt.Sprintf("status=%d", reply.Status)
-	caller := rn.response.Begin(response.Head{Attempt: at.number, Status: reply.Status, Header: reply.Header, Length: int64(len(body))})
+	caller := at.begin(response.Head{Attempt: at.number, Status: reply.Status, Header: reply.Header, Length: int64(len(body))})
 	if err := caller.Write(body); err != nil {
 		return attemptResult{outcome: Gone{}}
 	}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -69,9 +69,11 @@
 	unsigned     bool
 	inputMissing bool
 	body         string
-	interrupted  bool
-	after        time.Duration
-	contentType  string
+	// reader replaces body if it is set.
+	reader      io.Reader
+	interrupted bool
+	after       time.Duration
+	contentType string
 	// sized sets the length to that of the body, mismatch marks the response to another request.
 	sized    bool
 	mismatch bool
@@ -98,6 +100,8 @@
 	dead       bool
 	crashes    []quarantine.Crash
 	status     quarantine.Status
+	// earlier is the number of requests that the gateway serves before the one whose response is checked.
+	earlier int
 }
 
 func (fk *fakes) Configuration(replica.Row) (*route.Table, error) {
@@ -135,6 +139,9 @@
 		return nil, next.err
 	}
 	body := io.Reader(strings.NewReader(next.body))
+	if next.reader != nil {
+		body = next.reader
+	}
 	if next.interrupted {
 		body = io.MultiReader(body, broken{})
 	}
@@ -255,14 +262,11 @@
 			FailureDomain: "a", Catalog: ct, Pools: gateway.NewPools(timers, budget, func() int { return 1 }), Stages: fk, Sender: fk,
 			Crashes: fk, Timers: timers, Events: events, Metrics: set,
 		})
-		request := &gateway.Request{
-			ID: "r1", Method: "POST", Host: "h", Path: path, APIKey: "key", Arrived: time.Now(), CallerTimeout: 4 * time.Second, ItemCounts: []int{2, 1}, ItemKey: "ik",
-		}
-		if change != nil {
-			change(request)
-		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-		outcome = gw.Serve(ctx, request, out)
+		for range fk.earlier {
+			_ = gw.Serve(ctx, newRequest(path, change), &sink{})
+		}
+		outcome = gw.Serve(ctx, newRequest(path, change), out)
 		cancel()
 		time.Sleep(2 * time.Second)
 		page := &strings.Builder{}
@@ -272,6 +276,17 @@
 	return outcome
 }
 
+// newRequest returns a request that arrives now.
+func newRequest(path string, change func(*gateway.Request)) *gateway.Request {
+	request := &gateway.Request{
+		ID: "r1", Method: "POST", Host: "h", Path: path, APIKey: "key", Arrived: time.Now(), CallerTimeout: 4 * time.Second, ItemCounts: []int{2, 1}, ItemKey: "ik",
+	}
+	if change != nil {
+		change(request)
+	}
+	return request
+}
+
 func (fk *fakes) record(event *wire.Event) {
 	fk.mu.Lock()
 	defer fk.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,7 +8,6 @@
 
 	"github.com/turmericdoor/turmericdoor/catalog"
 	"github.com/turmericdoor/turmericdoor/digest"
-	"github.com/turmericdoor/turmericdoor/events"
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/metric"
@@ -59,11 +58,13 @@
 
 	// buffered is the memory for responses that are read completely.
 	buffered *readbudget.Budget
+	// eventBytes is the memory for long events.
+	eventBytes *readbudget.Budget
 }
 
 // New returns a gateway with the given dependencies.
 func New(parts Parts) *Gateway {
-	return &Gateway{Parts: parts, buffered: readbudget.New(bufferedBudget)}
+	return &Gateway{Parts: parts, buffered: readbudget.New(bufferedBudget), eventBytes: readbudget.New(eventBudget)}
 }
 
 // run holds the state of one request while the gateway serves it.
@@ -88,8 +89,6 @@
 	abandonAt time.Time
 	targetAt  time.Time
 	audit     *sendaudit.Tracker
-	// framer cuts a stream into complete events.
-	framer *events.Framer
 	// detail explains the outcome in the event log.
 	detail string
 }
@@ -102,7 +101,7 @@
 // for the caller's connection to report.
 func (gw *Gateway) Serve(ctx context.Context, request *Request, sink Sink) Outcome {
 	rn := &run{
-		Gateway: gw, request: request, response: response.New(sink), framer: events.New(),
+		Gateway: gw, request: request, response: response.NewAfter(sink, request.LastEventID),
 		audit: sendaudit.New(request.ID, sendaudit.Limits{AtMostOnce: true}),
 	}
 	outcome := rn.finalOutcome(rn.serve(ctx))
--- a/gateway/sender.go
+++ b/gateway/sender.go
@@ -38,8 +38,19 @@
 	NotExecuted  bool
 	Misdirected  bool
 	InputMissing bool
-	// RequestMismatch reports that the response belongs to another request.
+	// RequestMismatch reports that the response names another request, Encoded that its body has a content encoding.
 	RequestMismatch bool
+	Encoded         bool
+}
+
+// promisesNotRun reports whether a status tells the caller that its request has not run and never will. Only an upstream
+// that says so with UpstreamResponse.NotExecuted vouches for that.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // Sender sends requests to upstreams.
--- a/response/response.go
+++ b/response/response.go
@@ -2,9 +2,10 @@
 
 import (
 	"fmt"
-	"mime"
 	"net/http"
+	"strings"
 
+	"github.com/turmericdoor/turmericdoor/events"
 	"github.com/turmericdoor/turmericdoor/invariant"
 )
 
@@ -28,18 +29,24 @@
 	Resumable bool
 }
 
+// eventStream is the content type of server-sent events.
+const eventStream = "text/event-stream"
+
 // IsEventStream reports whether the body is a stream of server-sent events.
 func (hd Head) IsEventStream() bool {
-	return hd.Streamed && hd.mediaType() == "text/event-stream"
+	return hd.Streamed && hd.mediaType() == eventStream
+}
+
+// MayBeEventStream reports whether the body has the content type of server-sent events or none.
+func (hd Head) MayBeEventStream() bool {
+	name := hd.mediaType()
+	return name == eventStream || name == ""
 }
 
-// mediaType returns the content type without its parameters, in lower case.
+// mediaType returns the content type without its parameters, which may be malformed, in lower case.
 func (hd Head) mediaType() string {
-	name, _, err := mime.ParseMediaType(hd.Header.Get("Content-Type"))
-	if err != nil {
-		return hd.Header.Get("Content-Type")
-	}
-	return name
+	name, _, _ := strings.Cut(hd.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
 }
 
 // state is how far a response is.
@@ -69,6 +76,31 @@
 	return &Response{sink: sink}
 }
 
+// NewAfter returns a response that has not begun, to a caller that already has the events of the stream up to the one with
+// an id, or none if it is "".
+func NewAfter(sink Sink, lastEventID string) *Response {
+	rs := New(sink)
+	if lastEventID != "" {
+		rs.position.advance(events.Event{ID: lastEventID, HasID: true})
+	}
+	return rs
+}
+
+// CheckFirst returns a NotContinued error if the first part of an answer does not follow the events that the caller already
+// has. It is called before Begin, so that another answer can still begin the response.
+func (rs *Response) CheckFirst(head Head, part []byte) error {
+	if !head.Resumable {
+		return nil
+	}
+	sc := events.Scanner{}
+	for event := range sc.Events(part) {
+		if event.HasID {
+			return rs.position.check(event)
+		}
+	}
+	return nil
+}
+
 // Begin writes the head of an answer and returns the body; it is called once.
 func (rs *Response) Begin(head Head) *Body {
 	invariant.Check(rs.state == notBegun, "a response has one head", "attempt %d after attempt %d", head.Attempt, rs.head.Attempt)
@@ -78,7 +110,7 @@
 		length = -1
 	}
 	rs.state, rs.head = begun, head
-	rs.body = &Body{response: rs, head: head}
+	rs.body = &Body{response: rs, head: head, mustFollow: rs.position.last != ""}
 	rs.sink.Start(head.Status, head.Header, length)
 	return rs.body
 }
@@ -93,7 +125,7 @@
 	case head.mediaType() != rs.head.mediaType():
 		return nil, NotContinued{Cause: fmt.Sprintf("content type %q after %q", head.mediaType(), rs.head.mediaType())}
 	}
-	rs.body = &Body{response: rs, head: head, resumed: true}
+	rs.body = &Body{response: rs, head: head, resumed: true, mustFollow: true}
 	return rs.body, nil
 }
 
@@ -119,7 +151,7 @@
 	return rs.state == begun && rs.head.Resumable && rs.position.isKnown()
 }
 
-// LastEventID returns the id of the last event that the caller received, or "".
+// LastEventID returns the id of the last event that the caller has, or "".
 func (rs *Response) LastEventID() string {
 	return rs.position.last
 }
