Streams without length, chunks and type no longer end as complete inside an event

Cause of the users' record: the answer had neither a length nor chunks, and the close of its connection was taken for its end.

On the code before this commit TestStreamWithoutLengthAndTypeLooksComplete fails in its 4 cases 'a close inside an event' (the body is whole to its caller).

Why it holds: the adapter says whether a body ends with its connection; on a streaming pipeline such a body that ends inside an event is a failed attempt, whatever its type. TestAnswerWithoutLengthLooksComplete (whole answers, reset or closed) passed before.

--- a/gateway/sender.go
+++ b/gateway/sender.go
@@ -31,6 +31,8 @@
 	Body   io.ReadCloser
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
+	// EndsWithConnection reports that the body has neither a length nor chunks, so that its end is that of the connection.
+	EndsWithConnection bool
 	// Signed reports that the response carries the upstream's valid signature.
 	Signed bool
 	// NotExecuted reports that the upstream did not execute the request, Misdirected that the upstream is not the
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -128,7 +128,7 @@
 func (at *attempt) finishStream(ctx context.Context, reply *UpstreamResponse, total int, rest []byte) attemptResult {
 	rn := at.run
 	// Clients drop an event without its blank line, also at the explicit end of a body: the caller would miss it unnoticed.
-	if len(rest) > 0 && (rn.pipeline.RetryPolicy == route.Resumable || at.head(reply).IsEventStream()) {
+	if len(rest) > 0 && (rn.pipeline.RetryPolicy == route.Resumable || at.head(reply).IsEventStream() || reply.EndsWithConnection) {
 		return at.handleLost(ctx, "stream ended inside an event")
 	}
 	if total+len(rest) == 0 && rn.pipeline.RetryPolicy != route.Idempotent && reply.Length != 0 {
