Upstream calls: a number that ends with its connection is no whole answer

What callers saw: nothing was reported; found by testing the class of ORDER on every call. An answer without length and chunks that is cut inside a bare JSON number ('12' of '123') is valid JSON, so that serve took it for whole.

Evidence: TestCutAnswerWithoutLengthLooksComplete, 'a number that may be cut', failed on the code before (Replied with 12); its other 12 cases passed before.

Why it holds: every other JSON value says where it ends; a number needs a length, a last chunk or a character after it.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -251,9 +251,22 @@
 	if !json.Valid(body) {
 		return Garbage{Cause: "answer is not JSON"}
 	}
+	if mayBeCut(response, body) {
+		return Garbage{Cause: "answer may have been cut inside a number"}
+	}
 	payload, cause := decode(call, body)
 	if cause != "" {
 		return Garbage{Cause: cause}
 	}
 	return newReplied(response, payload)
 }
+
+// mayBeCut reports whether valid JSON may be the beginning of a longer answer: a number that ends with its connection
+// instead of a length, a last chunk or a character after it.
+func mayBeCut(response *http.Response, body []byte) bool {
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || len(body) == 0 {
+		return false
+	}
+	last := body[len(body)-1]
+	return '0' <= last && last <= '9'
+}
