Crash reports name the parts of the prompt in the log, and how far the answer was

The log told whether and when an upstream crashed, but not what the requests lost with it have in common. RequestQuarantined now ends with began=never or began=NNms and parts=ID,... (8 ids at most).

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -10,7 +10,6 @@
 	"github.com/turmericdoor/turmericdoor/placement"
 	"github.com/turmericdoor/turmericdoor/quarantine"
 	"github.com/turmericdoor/turmericdoor/response"
-	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
@@ -223,6 +222,7 @@
 	// stopTimeout stops the timer of the first byte.
 	stopTimeout  func()
 	gotFirstByte bool
+	firstByteAt  time.Time
 	// output is what the attempt writes to the caller, or nil before its first part.
 	output  *response.Body
 	outcome string
@@ -323,7 +323,7 @@
 	at.finish(placement.Failed, "Lost", cause)
 	at.cancel(nil)
 	if !errors.Is(context.Cause(at.ctx), errFirstByteTimeout) {
-		rn.reportCrash(at.choice.Upstream)
+		rn.reportCrash(at)
 	}
 	rn.detail = cause
 	return attemptResult{outcome: Failed{Cause: cause}, tryNext: rn.takeRetry(ctx)}
@@ -332,9 +332,10 @@
 // crashProbeTimeout bounds the check whether an upstream that dropped a request still accepts connections.
 const crashProbeTimeout = 400 * time.Millisecond
 
-// reportCrash reports the request's content to all instances if the upstream has died while executing it.
-func (rn *run) reportCrash(up *roster.Upstream) {
-	fingerprint, id := rn.fingerprint, rn.request.ID
+// reportCrash reports the request's content to all instances if the upstream has died while executing the attempt.
+func (rn *run) reportCrash(at *attempt) {
+	up, fingerprint, id := at.choice.Upstream, rn.fingerprint, rn.request.ID
+	detail := fmt.Sprintf("%s began=%s parts=%s", fingerprint, at.sinceFirstByte(), rn.request.Prompt.sharedIDs())
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
@@ -345,15 +346,24 @@
 			Fingerprint: fingerprint, Upstream: up.ID, ID: id + "/" + up.ID, At: rn.Timers.Now(),
 		})
 		rn.Events.Record(&wire.Event{
-			Kind: wire.EventKind_EventRequestQuarantined, RequestId: id, Upstream: up.ID, Detail: fingerprint.String(),
+			Kind: wire.EventKind_EventRequestQuarantined, RequestId: id, Upstream: up.ID, Detail: detail,
 		})
 	}()
 }
 
+// sinceFirstByte returns how long ago the upstream's first byte arrived, or "never".
+func (at *attempt) sinceFirstByte() string {
+	if !at.gotFirstByte {
+		return "never"
+	}
+	return fmt.Sprintf("%dms", at.run.Timers.Now().Sub(at.firstByteAt).Milliseconds())
+}
+
 // recordFirstByte records the latency of the upstream's first byte and stops the timer that waits for it.
 func (at *attempt) recordFirstByte() {
 	rn := at.run
 	at.gotFirstByte = true
+	at.firstByteAt = rn.Timers.Now()
 	at.stopTimeout()
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAnswerBegan, RequestId: rn.request.ID, Upstream: at.choice.Upstream.ID, Stage: rn.pool.Name,
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,6 +62,18 @@
 	return shared
 }
 
+// maxLoggedIDs bounds the ids in one log line.
+const maxLoggedIDs = 8
+
+// sharedIDs returns the ids of the parts that may be shared with other requests, separated by commas, for the log.
+func (pr Prompt) sharedIDs() string {
+	ids := []string{}
+	for at := range min(max(len(pr.Parts)-1, 0), maxLoggedIDs) {
+		ids = append(ids, pr.Parts[at].ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // ownTokens returns the number of prompt tokens that are not shared with other requests.
 func (pr Prompt) ownTokens() int {
 	return max(pr.Tokens-pr.sharedTokens(), 0)
