--- /dev/null
+++ b/entry/parts_test.go
@@ -0,0 +1,317 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/gateway"
+)
+
+const (
+	// crashesUntilBound is the number of crashes after which requests with the part may reach upstreams only for
+	// newsBound longer, but for maxLateArrivals of them.
+	crashesUntilBound = 5
+	newsBound         = 3 * time.Second
+	maxLateArrivals   = 3
+	// minSoundShare is the share of sound requests that must be answered from twice newsBound after the crashes on, as a
+	// part of the share that is answered without crashes.
+	minSoundShare = 0.5
+	badPart       = "bad"
+)
+
+// partsRun sends sound requests and requests with a part that crashes upstreams to a fleet.
+type partsRun struct {
+	soak *soak
+	// soundEvery and badEvery are the intervals of the requests, badAt the position of the bad part.
+	soundEvery, badEvery time.Duration
+	badAt                int
+	// newParts is the number of further shared parts of each request, all of them new.
+	newParts int
+	// during is called each 100 ms with the time since the first bad request.
+	during func(sk *soak, elapsed time.Duration)
+	// prepare changes the upstreams before the run.
+	prepare func(us *upstreamSet)
+
+	sent  int
+	sound []soundRequest
+}
+
+// soundRequest is a request without a bad part: when it was sent and whether it was answered.
+type soundRequest struct {
+	at       time.Time
+	answered bool
+}
+
+const (
+	calmTime = 4 * time.Second
+	badTime  = 16 * time.Second
+	tick     = 10 * time.Millisecond
+)
+
+func newPartsRun() *partsRun {
+	return &partsRun{soundEvery: 20 * time.Millisecond, badEvery: 150 * time.Millisecond, badAt: 1}
+}
+
+// play runs the fleet and returns the shares of sound requests that were answered before the first bad request, and from
+// twice newsBound after the last crash that counts on.
+func (pr *partsRun) play(t *testing.T) (calm, late float64) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		fl := newFleet(7, defects{})
+		pr.soak = &soak{fleet: fl, random: fl.random.Fork("parts"), outcomes: map[string]int{}, faults: map[string]int{}, lastOutcome: map[string]string{}, keyHolders: []string{organisationName(0)}}
+		for at := range 5 {
+			fl.upstreams.register(fmt.Sprintf("model-%d", at+4), "model", domains[at%len(domains)])
+		}
+		if pr.prepare != nil {
+			pr.prepare(fl.upstreams)
+		}
+		pr.soak.configure()
+		time.Sleep(convergenceTime + time.Second)
+		pr.sendFor(calmTime, false)
+		began := time.Now()
+		fl.upstreams.mu.Lock()
+		fl.upstreams.crashParts[badPart] = &partCrashes{}
+		fl.upstreams.mu.Unlock()
+		pr.sendFor(badTime, true)
+		pr.soak.group.Wait()
+		fl.stop()
+		calm = pr.answeredShare(time.Time{}, began)
+		late = pr.answeredShare(pr.boundFrom().Add(2*newsBound), time.Now())
+	})
+	return calm, late
+}
+
+// boundFrom returns the time of the crash from which the bounds count: the fifth, or the last if there are fewer.
+func (pr *partsRun) boundFrom() time.Time {
+	crashes := pr.soak.fleet.upstreams.crashParts[badPart].crashes
+	if len(crashes) == 0 {
+		return time.Time{}
+	}
+	return crashes[min(len(crashes), crashesUntilBound)-1]
+}
+
+func (pr *partsRun) sendFor(length time.Duration, withBad bool) {
+	began := time.Now()
+	for elapsed := time.Duration(0); elapsed < length; elapsed = time.Since(began) {
+		if elapsed%pr.soundEvery == 0 {
+			pr.send(fmt.Sprint("session-", pr.soak.random.IntN(6)), false)
+		}
+		if withBad && elapsed%pr.badEvery == 0 {
+			pr.send(badPart, true)
+		}
+		if withBad && pr.during != nil && elapsed%(100*time.Millisecond) == 0 {
+			pr.during(pr.soak, elapsed)
+		}
+		time.Sleep(tick)
+	}
+}
+
+// send sends a request, no two of which are alike, to a random instance.
+func (pr *partsRun) send(part string, bad bool) {
+	pr.sent++
+	nodes := pr.soak.fleet.live()
+	nd := nodes[pr.soak.random.IntN(len(nodes))]
+	id := fmt.Sprint("p", pr.sent)
+	request := &gateway.Request{
+		ID: id, Method: "POST", Host: "h", Path: "/stream/" + id, APIKey: "key-" + organisationName(0), Body: []byte(id),
+		Arrived: time.Now(), CallerTimeout: requestTimeout, Prompt: pr.prompt(part, id),
+	}
+	pr.soak.group.Go(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		answered := pr.soak.serveParts(ctx, nd, request)
+		if !bad && !nd.dead.Load() {
+			pr.soak.mu.Lock()
+			defer pr.soak.mu.Unlock()
+			pr.sound = append(pr.sound, soundRequest{at: request.Arrived, answered: answered})
+		}
+	})
+}
+
+// prompt returns a prompt whose first part all requests share, unless the bad part stands there.
+func (pr *partsRun) prompt(part, id string) gateway.Prompt {
+	ids := []string{"first", part}
+	if part == badPart && pr.badAt == 0 {
+		ids = []string{badPart, "session-0"}
+	}
+	for at := range pr.newParts {
+		ids = append(ids, fmt.Sprint("new-", id, "-", at))
+	}
+	prompt := gateway.Prompt{Tokens: 900, MaxOutputTokens: 20}
+	for _, each := range append(ids, "own-"+id) {
+		prompt.Parts = append(prompt.Parts, gateway.PromptPart{ID: each, Tokens: 300})
+	}
+	return prompt
+}
+
+// serveParts serves a request and reports whether it was answered.
+func (sk *soak) serveParts(ctx context.Context, nd *node, request *gateway.Request) bool {
+	before := len(sk.violations)
+	sk.serve(ctx, nd, request)
+	sk.mu.Lock()
+	defer sk.mu.Unlock()
+	return before == len(sk.violations) && sk.lastOutcome[request.ID] == "Answered"
+}
+
+// answeredShare returns the share of the sound requests of a time that were answered.
+func (pr *partsRun) answeredShare(from, until time.Time) float64 {
+	answered, sent := 0, 0
+	for _, each := range pr.sound {
+		if each.at.Before(from) || !each.at.Before(until) {
+			continue
+		}
+		sent++
+		if each.answered {
+			answered++
+		}
+	}
+	return float64(answered) / float64(max(sent, 1))
+}
+
+// lateArrivals returns how many bad requests reached upstreams later than newsBound after the fifth crash.
+func (pr *partsRun) lateArrivals() int {
+	bad := pr.soak.fleet.upstreams.crashParts[badPart]
+	if len(bad.crashes) < crashesUntilBound {
+		return 0
+	}
+	late := 0
+	for _, at := range bad.arrivals {
+		if at.After(bad.crashes[crashesUntilBound-1].Add(newsBound)) {
+			late++
+		}
+	}
+	return late
+}
+
+// assertPartIsStopped plays a run and checks that the bad part no longer reaches upstreams and sound requests are served.
+func assertPartIsStopped(t *testing.T, pr *partsRun) {
+	t.Helper()
+	calm, late := pr.play(t)
+	bad := pr.soak.fleet.upstreams.crashParts[badPart]
+	t.Logf("%d upstreams crashed, %d late arrivals of %d, sound requests answered: %.2f calm, %.2f late", len(bad.crashes), pr.lateArrivals(), len(bad.arrivals), calm, late)
+	must.SliceNotEmpty(t, bad.crashes)
+	must.LessEq(t, maxLateArrivals, pr.lateArrivals(), must.Sprint("requests with the part reached upstreams after its crashes"))
+	must.Greater(t, 0.9, calm)
+	must.GreaterEq(t, minSoundShare*calm, late, must.Sprint("sound requests with the same key and first part"))
+	must.SliceEmpty(t, pr.soak.violations)
+}
+
+// TestPartCrashesUpstreamsOneAfterTheOther guards against requests that are all different but for one part of their
+// prompts, which crashes every upstream that begins to answer it.
+func TestPartCrashesUpstreamsOneAfterTheOther(t *testing.T) {
+	t.Run("before the first event", func(t *testing.T) { assertPartIsStopped(t, newPartsRun()) })
+	t.Run("after the first event", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.prepare = func(us *upstreamSet) { us.crashAfterEvent = true }
+		assertPartIsStopped(t, pr)
+	})
+	t.Run("as the first part", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.badAt = 0
+		assertPartIsStopped(t, pr)
+	})
+	t.Run("many at once", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.badEvery = 20 * time.Millisecond
+		assertPartIsStopped(t, pr)
+	})
+	t.Run("seldom", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.badEvery = 1200 * time.Millisecond
+		assertPartIsStopped(t, pr)
+	})
+	t.Run("upstreams are back at once", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.prepare = func(us *upstreamSet) { us.restartDelay = 0 }
+		assertPartIsStopped(t, pr)
+	})
+	t.Run("beside many new parts", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.newParts = 40
+		assertPartIsStopped(t, pr)
+	})
+	t.Run("beside a failure domain that crashes again and again", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.during = func(sk *soak, elapsed time.Duration) {
+			if elapsed%(4*time.Second) == 0 {
+				sk.crashDomain("a")
+			}
+		}
+		assertPartIsStopped(t, pr)
+	})
+	t.Run("while instances are restarted", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.during = func(sk *soak, elapsed time.Duration) {
+			if elapsed%time.Second == 0 {
+				sk.restartOne()
+			}
+		}
+		assertPartIsStopped(t, pr)
+	})
+	t.Run("while an instance is cut off", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.during = func(sk *soak, elapsed time.Duration) { sk.cutOff(elapsed, 500*time.Millisecond, 5*time.Second) }
+		assertPartIsStopped(t, pr)
+	})
+}
+
+// crashDomain crashes all model engines of a failure domain at the same moment.
+func (sk *soak) crashDomain(domain string) {
+	us := sk.fleet.upstreams
+	us.mu.Lock()
+	list := []*upstream{}
+	for _, up := range us.byID {
+		if up.Pool == "model" && up.FailureDomain == domain {
+			list = append(list, up)
+		}
+	}
+	us.mu.Unlock()
+	for _, up := range list {
+		us.crash(up)
+	}
+}
+
+// restartOne kills a random instance and starts it anew.
+func (sk *soak) restartOne() {
+	nd := sk.randomNode()
+	sk.fleet.kill(nd)
+	sk.fleet.restart(nd, defects{})
+}
+
+// cutOff disconnects the first instance from the others and the store from one time to another.
+func (sk *soak) cutOff(elapsed, from, until time.Duration) {
+	nd := sk.fleet.live()[0]
+	switch elapsed {
+	case from:
+		nd.partitioned.Store(true)
+		nd.storeUnreachable.Store(true)
+	case until:
+		nd.connectedAt.Store(time.Now().UnixNano())
+		nd.partitioned.Store(false)
+		nd.storeUnreachable.Store(false)
+	}
+}
+
+// TestSharedPartIsNotBlamedForOtherCrashes guards against a part that all requests share and that is stopped because
+// upstreams crashed for another reason.
+func TestSharedPartIsNotBlamedForOtherCrashes(t *testing.T) {
+	pr := newPartsRun()
+	pr.badEvery = time.Hour
+	pr.during = func(sk *soak, elapsed time.Duration) {
+		switch {
+		case elapsed%(7*time.Second) == 0:
+			sk.crashDomain("a")
+		case elapsed%(7*time.Second) == 3500*time.Millisecond:
+			sk.crashDomain("b")
+		}
+	}
+	calm, late := pr.play(t)
+	must.Greater(t, 0.9, calm)
+	must.GreaterEq(t, 0.9, late)
+	must.Zero(t, pr.soak.outcomes["Refused CrashesUpstreams"])
+}
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -40,9 +40,11 @@
 	activeFaults []*activeFault
 	group        sync.WaitGroup
 
-	mu           sync.Mutex
-	violations   []string
-	outcomes     map[string]int
+	mu         sync.Mutex
+	violations []string
+	outcomes   map[string]int
+	// lastOutcome is the outcome of each request by its id.
+	lastOutcome  map[string]string
 	faults       map[string]int
 	sent         int
 	revision     int64
@@ -74,7 +76,7 @@
 	synctest.Test(t, func(*testing.T) {
 		fl := newFleet(seed, variant)
 		sk = &soak{
-			fleet: fl, variant: variant, random: fl.random.Fork("soak"), outcomes: map[string]int{}, faults: map[string]int{},
+			fleet: fl, variant: variant, random: fl.random.Fork("soak"), outcomes: map[string]int{}, faults: map[string]int{}, lastOutcome: map[string]string{},
 		}
 		for at := range organisationCount {
 			sk.keyHolders = append(sk.keyHolders, organisationName(at))
@@ -255,6 +257,7 @@
 		name += " " + string(refused.Cause)
 	}
 	sk.outcomes[name]++
+	sk.lastOutcome[request.ID] = name
 	if took > requestTimeout+deadlineSlack && !nd.dead.Load() {
 		sk.violations = append(sk.violations, fmt.Sprintf("outcome %s of request %s arrived late, after %v", name, request.Path, took))
 	}
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -50,6 +50,11 @@
 	// revokedAt is when each organisation's key was revoked.
 	revokedAt  map[string]time.Time
 	violations []string
+	// crashParts are the parts of prompts that crash an upstream which begins to answer them, and crashes what they did.
+	// crashAfterEvent lets the first event out before the crash; restartDelay is how long a crashed upstream is away.
+	crashParts      map[string]*partCrashes
+	crashAfterEvent bool
+	restartDelay    time.Duration
 	// resumesFail is set while streams break and resumed attempts fail; failedResumes counts them.
 	resumesFail   bool
 	failedResumes int
@@ -75,6 +80,7 @@
 	us := &upstreamSet{
 		fleet: fl, variant: variant, random: fl.random.Fork("world"), byID: map[string]*upstream{}, executions: map[string]int{},
 		arrivals: map[string][]arrival{}, arrivalCounts: map[string]int{}, results: map[string]bool{}, revokedAt: map[string]time.Time{},
+		crashParts: map[string]*partCrashes{}, restartDelay: 3 * time.Second,
 	}
 	for pool, count := range map[string]int{"model": 4, "plain": 4, "encode": 4, "rank": 2} {
 		for at := range count {
@@ -144,13 +150,17 @@
 	return list[us.random.IntN(len(list))]
 }
 
-// crash crashes an upstream and starts a new incarnation of it 3 seconds later.
+// crash crashes an upstream, unless it has crashed, and starts a new incarnation of it after restartDelay.
 func (us *upstreamSet) crash(up *upstream) {
 	us.mu.Lock()
+	defer us.mu.Unlock()
+	if up.crashed {
+		return
+	}
 	up.crashed = true
-	us.mu.Unlock()
+	delay := us.restartDelay
 	us.fleet.calls.Go(func() {
-		time.Sleep(3 * time.Second)
+		time.Sleep(delay)
 		us.register(up.ID, up.Pool, up.FailureDomain)
 	})
 }
@@ -240,6 +250,7 @@
 		}
 	}
 	us.recordRun(nd, up, exchange)
+	us.recordPart(nd, exchange)
 	up.running++
 	return nil
 }
@@ -286,6 +297,10 @@
 	if !sleep(ctx, workTime) {
 		return nil, ctx.Err()
 	}
+	us.crashOnPart(up, exchange, false)
+	us.mu.Lock()
+	lost = lost || up.crashed
+	us.mu.Unlock()
 	if lost {
 		return nil, errReset
 	}
@@ -297,7 +312,7 @@
 		reply.Header.Set("Content-Type", eventStreamType)
 		first := 0
 		_, _ = fmt.Sscan(exchange.LastEventID, &first)
-		reply.Body = &eventStream{ctx: ctx, upstreams: us, up: up, id: exchange.Request.ID, next: first + 1}
+		reply.Body = &eventStream{ctx: ctx, upstreams: us, up: up, exchange: exchange, id: exchange.Request.ID, next: first + 1}
 		return reply, nil
 	}
 	body := "whole answer to " + exchange.Request.ID
@@ -311,8 +326,10 @@
 	ctx       context.Context
 	upstreams *upstreamSet
 	up        *upstream
+	exchange  gateway.UpstreamRequest
 	id        string
 	next      int
+	written   int
 }
 
 // Read returns the next event after eventGap.
@@ -323,6 +340,9 @@
 	if !sleep(es.ctx, eventGap) {
 		return 0, es.ctx.Err()
 	}
+	if es.written > 0 {
+		es.upstreams.crashOnPart(es.up, es.exchange, true)
+	}
 	es.upstreams.mu.Lock()
 	broken := es.up.crashed || es.up.flaky && es.upstreams.random.IntN(12) == 0 ||
 		es.upstreams.resumesFail && es.upstreams.random.IntN(streamBreakage) == 0
@@ -331,6 +351,7 @@
 		return 0, errReset
 	}
 	es.next++
+	es.written++
 	return copy(into, eventText(es.id, es.next-1)), nil
 }
 
