--- a/entry/entry.go
+++ b/entry/entry.go
@@ -128,7 +128,7 @@
 		MilliCores: en.settings.MilliCores, Incarnation: uint64(now.UnixMilli()),
 	}
 	return peer.New(peer.Parts{
-		Timers: parts.Timers, Clock: clock, Events: en.events, Holder: revision.New(nil), Listener: peerListener{},
+		Timers: parts.Timers, Clock: clock, Events: en.events, Holder: revision.New(nil), Listener: peerListener{en},
 		Members: member.New(self, config, parts.Random.Generator("member"), now), Dialer: parts.PeerDialer,
 		Random: parts.Random.Fork("peer"), Replicas: peerReplicas{en},
 	}, peer.Config{Seeds: en.settings.Seeds, Heartbeat: heartbeat})
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -25,8 +25,10 @@
 	domain string
 	entry  *entry.Instance
 
-	dead             atomic.Bool
-	partitioned      atomic.Bool
+	dead        atomic.Bool
+	partitioned atomic.Bool
+	// side is the side of a split of the network on which the instance is.
+	side             atomic.Int32
 	storeUnreachable atomic.Bool
 	storeHangs       atomic.Bool
 	// connectedAt is when the instance was last started or reconnected, in Unix nanoseconds.
@@ -71,9 +73,13 @@
 const fleetSize = 6
 
 func newFleet(seed uint64, variant defects) *fleet {
+	return newFleetOf(fleetSize, seed, variant)
+}
+
+func newFleetOf(size int, seed uint64, variant defects) *fleet {
 	fl := &fleet{random: entropy.New(seed), store: newStore()}
 	fl.upstreams = newUpstreamSet(fl, variant)
-	for at := range fleetSize {
+	for at := range size {
 		nd := fl.start(fmt.Sprintf("i%d", at), domains[at%len(domains)], variant)
 		fl.mu.Lock()
 		fl.nodes = append(fl.nodes, nd)
@@ -135,7 +141,8 @@
 }
 
 func (fl *fleet) connected(from, to *node) bool {
-	return !from.dead.Load() && !to.dead.Load() && !from.partitioned.Load() && !to.partitioned.Load()
+	return !from.dead.Load() && !to.dead.Load() && !from.partitioned.Load() && !to.partitioned.Load() &&
+		from.side.Load() == to.side.Load()
 }
 
 // kill stops an instance without draining; its requests in flight get no answer.
--- a/entry/parts_test.go
+++ b/entry/parts_test.go
@@ -27,9 +27,13 @@
 // partsRun sends sound requests and requests with a part that crashes upstreams to a fleet.
 type partsRun struct {
 	soak *soak
+	// instances and upstreams are the sizes of the fleet and of the pool.
+	instances, upstreams int
 	// soundEvery and badEvery are the intervals of the requests, badAt the position of the bad part.
 	soundEvery, badEvery time.Duration
 	badAt                int
+	// companion is a second new part of each bad request, or "".
+	companion string
 	// newParts is the number of further shared parts of each request, all of them new.
 	newParts int
 	// during is called each 100 ms with the time since the first bad request.
@@ -54,7 +58,7 @@
 )
 
 func newPartsRun() *partsRun {
-	return &partsRun{soundEvery: 20 * time.Millisecond, badEvery: 150 * time.Millisecond, badAt: 1}
+	return &partsRun{instances: fleetSize, upstreams: 9, soundEvery: 20 * time.Millisecond, badEvery: 150 * time.Millisecond, badAt: 1}
 }
 
 // play runs the fleet and returns the shares of sound requests that were answered before the first bad request, and from
@@ -62,10 +66,10 @@
 func (pr *partsRun) play(t *testing.T) (calm, late float64) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
-		fl := newFleet(7, defects{})
+		fl := newFleetOf(pr.instances, max(*soakSeed, 7), defects{})
 		pr.soak = &soak{fleet: fl, random: fl.random.Fork("parts"), outcomes: map[string]int{}, faults: map[string]int{}, lastOutcome: map[string]string{}, keyHolders: []string{organisationName(0)}}
-		for at := range 5 {
-			fl.upstreams.register(fmt.Sprintf("model-%d", at+4), "model", domains[at%len(domains)])
+		for at := 4; at < pr.upstreams; at++ {
+			fl.upstreams.register(fmt.Sprintf("model-%d", at), "model", domains[at%len(domains)])
 		}
 		if pr.prepare != nil {
 			pr.prepare(fl.upstreams)
@@ -136,8 +140,11 @@
 // prompt returns a prompt whose first part all requests share, unless the bad part stands there.
 func (pr *partsRun) prompt(part, id string) gateway.Prompt {
 	ids := []string{"first", part}
-	if part == badPart && pr.badAt == 0 {
+	switch {
+	case part == badPart && pr.badAt == 0:
 		ids = []string{badPart, "session-0"}
+	case part == badPart && pr.companion != "":
+		ids = append(ids, pr.companion)
 	}
 	for at := range pr.newParts {
 		ids = append(ids, fmt.Sprint("new-", id, "-", at))
@@ -244,6 +251,11 @@
 		}
 		assertPartIsStopped(t, pr)
 	})
+	t.Run("in a fleet of seventy instances", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.instances, pr.upstreams, pr.badEvery = 70, 40, 50*time.Millisecond
+		assertPartIsStopped(t, pr)
+	})
 	t.Run("while instances are restarted", func(t *testing.T) {
 		pr := newPartsRun()
 		pr.during = func(sk *soak, elapsed time.Duration) {
@@ -253,6 +265,25 @@
 		}
 		assertPartIsStopped(t, pr)
 	})
+	t.Run("beside a new part that always comes with it", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.companion = "companion"
+		assertPartIsStopped(t, pr)
+	})
+	t.Run("after all instances were restarted at once", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.during = func(sk *soak, elapsed time.Duration) {
+			if elapsed == 0 {
+				sk.restartAll()
+			}
+		}
+		assertPartIsStopped(t, pr)
+	})
+	t.Run("while half of the instances are cut off from the others", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.during = func(sk *soak, elapsed time.Duration) { sk.split(elapsed, 200*time.Millisecond, 5*time.Second) }
+		assertPartIsStopped(t, pr)
+	})
 	t.Run("while an instance is cut off", func(t *testing.T) {
 		pr := newPartsRun()
 		pr.during = func(sk *soak, elapsed time.Duration) { sk.cutOff(elapsed, 500*time.Millisecond, 5*time.Second) }
@@ -283,6 +314,27 @@
 	sk.fleet.restart(nd, defects{})
 }
 
+// restartAll kills all instances and starts them anew.
+func (sk *soak) restartAll() {
+	for _, nd := range sk.fleet.live() {
+		sk.fleet.kill(nd)
+		sk.fleet.restart(nd, defects{})
+	}
+}
+
+// split disconnects every second instance from the others from one time to another; all reach the store.
+func (sk *soak) split(elapsed, from, until time.Duration) {
+	for at, nd := range sk.fleet.live() {
+		switch {
+		case at%2 == 0:
+		case elapsed == from:
+			nd.side.Store(1)
+		case elapsed == until:
+			nd.side.Store(0)
+		}
+	}
+}
+
 // cutOff disconnects the first instance from the others and the store from one time to another.
 func (sk *soak) cutOff(elapsed, from, until time.Duration) {
 	nd := sk.fleet.live()[0]
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -4,6 +4,7 @@
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/gossip"
 	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/poison"
 	"github.com/turmericdoor/turmericdoor/replica"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timer"
@@ -93,8 +94,11 @@
 	}
 }
 
-// peerListener ignores the peer's notifications: the number of live instances is read where it is needed.
-type peerListener struct{}
+// peerListener passes blocked parts to the gateway and ignores the peer's other notifications: the number of live
+// instances is read where it is needed.
+type peerListener struct {
+	entry *Instance
+}
 
 // MembersChanged does nothing.
 func (peerListener) MembersChanged([]member.Change, int) {}
@@ -102,5 +106,10 @@
 // UpstreamLeaving does nothing: leaving upstreams are marked in the registrations.
 func (peerListener) UpstreamLeaving(gossip.LeavingUpstream) {}
 
+// PartsBlocked ends the requests in flight that have one of the parts.
+func (pl peerListener) PartsBlocked(parts []poison.Part) {
+	pl.entry.gateway.PartsBlocked(parts)
+}
+
 // DocumentFetched does nothing: the configuration is replicated as table rows.
 func (peerListener) DocumentFetched(document.Text) {}
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -371,10 +371,18 @@
 	return body
 }
 
-// IsReachable reports whether an upstream accepts connections.
-func (uc upstreamClient) IsReachable(ctx context.Context, target *roster.Upstream) bool {
-	_, err := uc.connect(ctx, target)
-	return err == nil
+// Probe reports whether an upstream accepts connections.
+func (uc upstreamClient) Probe(ctx context.Context, target *roster.Upstream) gateway.ProcessState {
+	if _, err := uc.connect(ctx, target); err != nil {
+		return gateway.ProcessGone
+	}
+	return gateway.ProcessAlive
+}
+
+// HasRestarted reports whether another incarnation answers at the upstream's address.
+func (uc upstreamClient) HasRestarted(ctx context.Context, target *roster.Upstream) bool {
+	up, err := uc.connect(ctx, target)
+	return err == nil && up.StartUnixMs != target.StartUnixMs
 }
 
 // RunItems sends a batch of items to an upstream.
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -46,6 +46,9 @@
 		return attemptResult{outcome: Failed{Cause: fmt.Sprintf("upstream responded with status %d", reply.Status)}, tryNext: true}
 	}
 	rn.reportSuccess()
+	if reply.Status < http.StatusMultipleChoices {
+		at.reportSound()
+	}
 	if withheld {
 		rn.detail = fmt.Sprintf("status=%d withheld: the request may have run", reply.Status)
 		at.finish(result, "Error", rn.detail)
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -61,6 +61,9 @@
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return Gone{}
 	}
+	if errors.Is(context.Cause(ctx), errPartBlocked) {
+		return rn.blockedOutcome()
+	}
 	failure := stageError{}
 	errors.As(err, &failure)
 	left := rn.abandonAt.Sub(rn.Timers.Now())
@@ -90,6 +93,10 @@
 		if failure := rn.checkDeadline(ctx); failure != nil {
 			return failure, false
 		}
+		if failure := rn.checkParts(); failure != nil {
+			return failure, false
+		}
+		criteria = rn.pinSuspect(criteria)
 		criteria.Slack = rn.targetAt.Sub(rn.Timers.Now())
 		choice, found := rn.Pools.pick(rn.pool.Name, rn.Catalog.Upstreams(rn.pool.Name, ""), criteria, criteria.PromptTokens)
 		if !found {
@@ -126,6 +133,9 @@
 
 // contextOutcome returns the outcome of a request whose context has ended or whose deadline is near.
 func (rn *run) contextOutcome(ctx context.Context) Outcome {
+	if errors.Is(context.Cause(ctx), errPartBlocked) {
+		return rn.blockedOutcome()
+	}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrTimeout) {
 		return Gone{}
 	}
@@ -223,6 +233,8 @@
 	stopTimeout  func()
 	gotFirstByte bool
 	firstByteAt  time.Time
+	// isSound is set once the parts of the prompt were reported as sound.
+	isSound bool
 	// output is what the attempt writes to the caller, or nil before its first part.
 	output  *response.Body
 	outcome string
@@ -300,6 +312,9 @@
 	if rn.response.IsBegun() && !rn.response.CanResume() || rn.pipeline.RetryPolicy == route.AtMostOnce || rn.audit.Executions() >= rn.pipeline.MaxUpstreams || ctx.Err() != nil {
 		return false
 	}
+	if rn.hasSuspectPart() {
+		return false
+	}
 	return rn.takeBudget()
 }
 
@@ -332,16 +347,27 @@
 // crashProbeTimeout bounds the check whether an upstream that dropped a request still accepts connections.
 const crashProbeTimeout = 400 * time.Millisecond
 
-// reportCrash reports the request's content to all instances if the upstream has died while executing the attempt.
+// reportCrash reports the request's content, and the parts of its prompt, to all instances if the upstream has died while
+// executing the attempt. An upstream that was leaving before is not expected to live.
 func (rn *run) reportCrash(at *attempt) {
-	up, fingerprint, id := at.choice.Upstream, rn.fingerprint, rn.request.ID
+	up, fingerprint, id, isCause := at.choice.Upstream, rn.fingerprint, rn.request.ID, at.isCrashCause()
+	if !rn.Catalog.IsUsable(up.Incarnation()) {
+		return
+	}
 	detail := fmt.Sprintf("%s began=%s parts=%s", fingerprint, at.sinceFirstByte(), rn.request.Prompt.sharedIDs())
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
-		if rn.Sender.IsReachable(ctx, up) || !rn.Catalog.IsUsable(up.Incarnation()) {
+		state := rn.Sender.Probe(ctx, up)
+		if state == ProcessAlive && isCause && rn.Sender.HasRestarted(ctx, up) {
+			state = ProcessGone
+		}
+		if state == ProcessAlive {
 			return
 		}
+		if state == ProcessGone && isCause {
+			rn.Crashes.ReportPartCrash(hashIncarnation(up.Incarnation()), rn.parts)
+		}
 		rn.Crashes.ReportCrash(quarantine.Crash{
 			Fingerprint: fingerprint, Upstream: up.ID, ID: id + "/" + up.ID, At: rn.Timers.Now(),
 		})
@@ -364,6 +390,7 @@
 	rn := at.run
 	at.gotFirstByte = true
 	at.firstByteAt = rn.Timers.Now()
+	rn.isAnswering.Store(true)
 	at.stopTimeout()
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAnswerBegan, RequestId: rn.request.ID, Upstream: at.choice.Upstream.ID, Stage: rn.pool.Name,
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -22,6 +22,7 @@
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/hlc"
 	"github.com/turmericdoor/turmericdoor/metric"
+	"github.com/turmericdoor/turmericdoor/poison"
 	"github.com/turmericdoor/turmericdoor/quarantine"
 	"github.com/turmericdoor/turmericdoor/replica"
 	"github.com/turmericdoor/turmericdoor/retryquota"
@@ -98,8 +99,20 @@
 	waits      map[string]time.Duration
 	runDomains []string
 	dead       bool
-	crashes    []quarantine.Crash
-	status     quarantine.Status
+	// restarted makes another incarnation answer at the address, silent makes probes time out.
+	restarted bool
+	silent    bool
+	// partStatuses are the statuses of parts of prompts, trials lets requests with blocked parts through; partCrashes and
+	// soundParts are the parts that were reported.
+	partStatuses map[poison.Part]poison.Status
+	trials       bool
+	partCrashes  [][]poison.Part
+	soundParts   [][]poison.Part
+	// duringStages is called by the first stage, blockAfter is when the part "second" is blocked.
+	duringStages func()
+	blockAfter   time.Duration
+	crashes      []quarantine.Crash
+	status       quarantine.Status
 	// earlier is the number of requests that the gateway serves before the one whose response is checked.
 	earlier int
 }
@@ -163,9 +176,29 @@
 
 func (broken) Read([]byte) (int, error) { return 0, errors.New("reset") }
 
-func (fk *fakes) IsReachable(context.Context, *roster.Upstream) bool { return !fk.dead }
+func (fk *fakes) Probe(context.Context, *roster.Upstream) gateway.ProcessState {
+	switch {
+	case fk.dead:
+		return gateway.ProcessGone
+	case fk.silent:
+		return gateway.ProcessUnknown
+	}
+	return gateway.ProcessAlive
+}
+
+func (fk *fakes) HasRestarted(context.Context, *roster.Upstream) bool { return fk.restarted }
+
+// setStatus sets the status of the part "second".
+func (fk *fakes) setStatus(status poison.Status) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.partStatuses = statusOf(status)
+}
 
 func (fk *fakes) Run(_ context.Context, domain string, job gather.Job) gather.Result {
+	if fk.duringStages != nil {
+		fk.duringStages()
+	}
 	fk.mu.Lock()
 	defer fk.mu.Unlock()
 	fk.runDomains = append(fk.runDomains, domain)
@@ -209,6 +242,33 @@
 
 func (fk *fakes) Status(digest.Sum) quarantine.Status { return fk.status }
 func (fk *fakes) ReportSuccess(digest.Sum)            {}
+
+func (fk *fakes) PartStatus(parts []poison.Part) (poison.Status, poison.Part) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	worst, of := poison.Clear, poison.Part(0)
+	for _, part := range parts {
+		if status := fk.partStatuses[part]; status > worst {
+			worst, of = status, part
+		}
+	}
+	return worst, of
+}
+
+func (fk *fakes) BeginPartTrial([]poison.Part) bool { return fk.trials }
+
+func (fk *fakes) ReportPartCrash(_ uint64, parts []poison.Part) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.partCrashes = append(fk.partCrashes, parts)
+}
+
+func (fk *fakes) ReportPartsSound(parts []poison.Part) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.soundParts = append(fk.soundParts, parts)
+}
+
 func (fk *fakes) ReportCrash(crash quarantine.Crash) {
 	fk.mu.Lock()
 	defer fk.mu.Unlock()
@@ -264,6 +324,12 @@
 			FailureDomain: "a", Catalog: ct, Pools: gateway.NewPools(timers, budget, func() int { return 1 }), Stages: fk, Sender: fk,
 			Crashes: fk, Timers: timers, Events: events, Metrics: set,
 		})
+		if fk.blockAfter > 0 {
+			time.AfterFunc(fk.blockAfter, func() {
+				fk.setStatus(poison.Blocked)
+				gw.PartsBlocked(partsOf("second"))
+			})
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		for range fk.earlier {
 			_ = gw.Serve(ctx, newRequest(path, change), &sink{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/catalog"
@@ -12,6 +13,7 @@
 	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/overload"
+	"github.com/turmericdoor/turmericdoor/poison"
 	"github.com/turmericdoor/turmericdoor/quarantine"
 	"github.com/turmericdoor/turmericdoor/readbudget"
 	"github.com/turmericdoor/turmericdoor/response"
@@ -27,6 +29,14 @@
 	Status(fingerprint digest.Sum) quarantine.Status
 	ReportCrash(crash quarantine.Crash)
 	ReportSuccess(fingerprint digest.Sum)
+	// PartStatus returns the worst status of the parts of a prompt, and the part that has it.
+	PartStatus(parts []poison.Part) (poison.Status, poison.Part)
+	// BeginPartTrial reports whether one request with blocked parts may be sent now.
+	BeginPartTrial(parts []poison.Part) bool
+	// ReportPartCrash reports that a request with the parts was lost when an upstream crashed, ReportPartsSound that an
+	// answer to such a request survived.
+	ReportPartCrash(upstream uint64, parts []poison.Part)
+	ReportPartsSound(parts []poison.Part)
 }
 
 // StageRunner executes the items of stages and forecasts how long they wait.
@@ -60,11 +70,13 @@
 	buffered *readbudget.Budget
 	// eventBytes is the memory for long events.
 	eventBytes *readbudget.Budget
+	// inFlight are the requests whose prompt has shared parts.
+	inFlight *promptRuns
 }
 
 // New returns a gateway with the given dependencies.
 func New(parts Parts) *Gateway {
-	return &Gateway{Parts: parts, buffered: readbudget.New(bufferedBudget), eventBytes: readbudget.New(eventBudget)}
+	return &Gateway{Parts: parts, buffered: readbudget.New(bufferedBudget), eventBytes: readbudget.New(eventBudget), inFlight: newPromptRuns()}
 }
 
 // run holds the state of one request while the gateway serves it.
@@ -83,6 +95,11 @@
 	// stageDomain is the failure domain in which the stages are planned to run.
 	stageDomain string
 	fingerprint digest.Sum
+	// parts are the shared parts of the prompt; isTrial is set if the request may run although one of them is blocked.
+	parts   []poison.Part
+	isTrial bool
+	// isAnswering is set once an upstream has begun to answer.
+	isAnswering atomic.Bool
 	// deadline is when the whole response must be complete, abandonAt when the caller gives up without a first byte,
 	// targetAt when the first byte misses the pipeline's latency target.
 	deadline  time.Time
@@ -137,6 +154,7 @@
 	defer cancel(nil)
 	stop := rn.Timers.AfterFunc(left, func() { cancel(ErrTimeout) })
 	defer stop()
+	defer rn.inFlight.add(rn, cancel)()
 	if refusal := rn.checkAdmission(); refusal != nil {
 		return refusal
 	}
@@ -186,7 +204,9 @@
 	if rn.Crashes.Status(rn.fingerprint) == quarantine.Blocked {
 		return rn.refuse(0, CrashesUpstreams, "fingerprint="+rn.fingerprint.String())
 	}
-	return nil
+	rn.parts = rn.request.Prompt.shared()
+	rn.isTrial = rn.Crashes.BeginPartTrial(rn.parts)
+	return rn.checkParts()
 }
 
 const (
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/turmericdoor/turmericdoor/poison"
 	"github.com/turmericdoor/turmericdoor/response"
 )
 
@@ -62,6 +63,15 @@
 	return shared
 }
 
+// shared returns the parts that may be shared with other requests.
+func (pr Prompt) shared() []poison.Part {
+	parts := []poison.Part{}
+	for at := range min(max(len(pr.Parts)-1, 0), poison.MaxParts) {
+		parts = append(parts, poison.PartOf(pr.Parts[at].ID))
+	}
+	return parts
+}
+
 // maxLoggedIDs bounds the ids in one log line.
 const maxLoggedIDs = 8
 
@@ -116,7 +126,7 @@
 	// NoConfiguration and NoPool: the instance has no configuration yet, or the configuration has no pool for the pipeline.
 	NoConfiguration Cause = "NoConfiguration"
 	NoPool          Cause = "NoPool"
-	// CrashesUpstreams: requests with the same content have crashed upstreams.
+	// CrashesUpstreams: requests with the same content, or with one part of the prompt, have crashed upstreams.
 	CrashesUpstreams Cause = "CrashesUpstreams"
 	// Overload: the expected latency is too long for the target latency or the deadline.
 	Overload Cause = "Overload"
--- a/gateway/sender.go
+++ b/gateway/sender.go
@@ -60,10 +60,22 @@
 	// Send sends a request once and returns the response head. The error is a NotSentError if the upstream can't have
 	// read any of the request.
 	Send(ctx context.Context, request UpstreamRequest) (*UpstreamResponse, error)
-	// IsReachable reports whether an upstream accepts connections.
-	IsReachable(ctx context.Context, upstream *roster.Upstream) bool
+	// Probe reports whether an upstream's process is there.
+	Probe(ctx context.Context, upstream *roster.Upstream) ProcessState
+	// HasRestarted reports whether another incarnation answers at the upstream's address.
+	HasRestarted(ctx context.Context, upstream *roster.Upstream) bool
 }
 
+// ProcessState is what a probe tells of an upstream's process.
+type ProcessState int
+
+// The states: it accepts connections, its host refuses them, or there was no response.
+const (
+	ProcessAlive ProcessState = iota
+	ProcessGone
+	ProcessUnknown
+)
+
 // NotSentError reports a failed attempt of which the upstream can't have read anything.
 type NotSentError struct {
 	Cause error
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/turmericdoor/turmericdoor/poison"
 	"github.com/turmericdoor/turmericdoor/quarantine"
 )
 
@@ -21,6 +22,9 @@
 	leaving map[string]*leavingItem
 	crashes map[string]*crashItem
 	digest  uint64
+
+	partCrashes partQueue[poison.Crash]
+	partSounds  partQueue[poison.Sound]
 }
 
 // leavingItem is a leaving upstream; transmitsLeft is the number of further messages that will carry it.
--- a/instancecore/document.go
+++ b/instancecore/document.go
@@ -13,6 +13,7 @@
 	"github.com/turmericdoor/turmericdoor/gossip"
 	"github.com/turmericdoor/turmericdoor/limit"
 	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/poison"
 	"github.com/turmericdoor/turmericdoor/pool"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/subset"
@@ -110,6 +111,9 @@
 	}
 }
 
+// PartsBlocked does nothing: the product's own interface has prompts without parts.
+func (*Core) PartsBlocked([]poison.Part) {}
+
 // UpstreamLeaving marks an upstream as leaving in every pool, so that it gets no new work.
 func (cr *Core) UpstreamLeaving(item gossip.LeavingUpstream) {
 	cr.poolsMu.Lock()
--- a/layers_test.go
+++ b/layers_test.go
@@ -21,7 +21,7 @@
 	ground = []string{"timer", "priority", "hlc", "invariant", "digest", "entropy", "timeline", "inifile", "schema", "events", "readlimit", "readbudget", "calibration"}
 	core   = []string{
 		"answer", "document", "fairqueue", "limit", "choice", "retry", "dispatch", "admission", "attempt", "claim", "lease",
-		"order", "quarantine", "subset", "member", "gossip", "revision", "drain", "table",
+		"order", "poison", "quarantine", "subset", "member", "gossip", "revision", "drain", "table",
 		"retryquota", "batch", "storereader", "overload", "placement", "replica", "roster", "route",
 	}
 )
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -58,6 +58,8 @@
 	changes := pr.members.Tick(now)
 	pr.gossip.Expire(now)
 	pr.crashes.Expire(now)
+	pr.parts.Expire(pr.hlcTime())
+	pr.publishParts()
 	pr.mu.Unlock()
 	pr.closeLinks(linkIdleTimeout)
 	pr.notifyChanges(changes)
@@ -146,6 +148,7 @@
 		Stamp: pr.stamp(), Sender: self, Members: toWireMembers(members), Leaving: toWireLeaving(leaving),
 		Crashes: toWireCrashes(crashes), Digest: pr.members.Digest() ^ pr.gossip.Digest(), Full: full,
 	}
+	pr.setPartNews(heartbeat)
 	if pr.replicas != nil {
 		heartbeat.Versions = pr.replicas.Versions()
 	}
@@ -169,13 +172,15 @@
 	changes = append(changes, pr.members.Merge(now, fromWireMembers(heartbeat.GetMembers()))...)
 	leaving := pr.addLeaving(heartbeat.GetLeaving())
 	crashes := pr.addCrashes(now, heartbeat.GetCrashes())
+	blocks, urgent := pr.addPartNews(heartbeat)
 	requestFull := pr.needsFullExchange(now, heartbeat)
 	pr.mu.Unlock()
 	pr.notifyChanges(changes)
 	for _, item := range leaving {
 		pr.notifyLeaving(item)
 	}
-	if len(leaving) > 0 || crashes > 0 || len(changes) > 0 {
+	pr.notifyBlocks(blocks)
+	if len(leaving) > 0 || crashes > 0 || len(changes) > 0 || urgent {
 		pr.requestHeartbeat()
 	}
 	if requestFull {
--- /dev/null
+++ b/peer/parts.go
@@ -0,0 +1,212 @@
+package peer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericdoor/turmericdoor/poison"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+)
+
+// PartStatus returns the worst status of the parts, and the part that has it; it takes no lock.
+func (pr *Peer) PartStatus(parts []poison.Part) (poison.Status, poison.Part) {
+	statuses := *pr.partStatuses.Load()
+	worst, of := poison.Clear, poison.Part(0)
+	if len(statuses) == 0 {
+		return worst, of
+	}
+	for _, part := range parts {
+		if status := statuses[part]; status > worst {
+			worst, of = status, part
+		}
+	}
+	return worst, of
+}
+
+// ReportPartCrash announces to all instances that a request with the parts was lost when an upstream crashed.
+func (pr *Peer) ReportPartCrash(upstream uint64, parts []poison.Part) {
+	parts = parts[:min(len(parts), poison.MaxParts)]
+	pr.mu.Lock()
+	crash := poison.Crash{Upstream: upstream, Parts: parts, Proven: pr.parts.ProvenBits(parts), At: pr.hlcTime()}
+	fresh := pr.parts.ReportCrash(pr.hlcTime(), crash)
+	if fresh {
+		pr.gossip.AddPartCrash(crash, pr.parts.IsAccusedAgain(parts))
+	}
+	blocks := pr.decideParts()
+	pr.mu.Unlock()
+	pr.notifyBlocks(blocks)
+	if fresh {
+		pr.requestHeartbeat()
+	}
+}
+
+// ReportPartsSound records that an answer to a request with the parts survived, and announces it for those that were accused.
+func (pr *Peer) ReportPartsSound(parts []poison.Part) {
+	pr.mu.Lock()
+	cleared := []poison.Part{}
+	for _, part := range parts[:min(len(parts), poison.MaxParts)] {
+		pr.parts.MarkProven(part)
+		if !pr.parts.IsAccused(part) {
+			continue
+		}
+		sound := poison.Sound{Part: part, At: pr.hlcTime()}
+		if pr.parts.ReportSound(sound) {
+			pr.gossip.AddPartSound(sound)
+			cleared = append(cleared, part)
+		}
+	}
+	if len(cleared) > 0 {
+		pr.publishParts()
+	}
+	pr.mu.Unlock()
+	for _, part := range cleared {
+		pr.events.Record(&wire.Event{Kind: wire.EventKind_EventPartCleared, Detail: partDetail(part)})
+	}
+	if len(cleared) > 0 {
+		pr.requestHeartbeat()
+	}
+}
+
+// BeginPartTrial reports whether this instance may send one request with the blocked parts now. Of all live instances one
+// has that right for a part.
+func (pr *Peer) BeginPartTrial(parts []poison.Part) bool {
+	if status, _ := pr.PartStatus(parts); status != poison.Blocked {
+		return false
+	}
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	allowed := false
+	for _, part := range parts {
+		if status := (*pr.partStatuses.Load())[part]; status != poison.Blocked {
+			continue
+		}
+		if !pr.ownsTrial(part) || !pr.parts.BeginTrial(pr.hlcTime(), part) {
+			return false
+		}
+		allowed = true
+	}
+	return allowed
+}
+
+// ownsTrial reports whether this instance comes first in the part's rendezvous order of the live instances.
+func (pr *Peer) ownsTrial(part poison.Part) bool {
+	first, highest := "", uint64(0)
+	for _, mb := range pr.members.Live() {
+		if weight := xxhash.Sum64String(fmt.Sprint(mb.ID, "/", part)); first == "" || weight > highest {
+			first, highest = mb.ID, weight
+		}
+	}
+	return first == pr.selfID
+}
+
+// hlcTime returns the time of the hybrid logical clock, by which the instances compare crashes and sound answers.
+func (pr *Peer) hlcTime() time.Time {
+	return time.UnixMicro(pr.clock.Now().WallMicros)
+}
+
+// decideParts blocks the parts that the crashes convict and publishes the statuses; it returns the new blocks.
+func (pr *Peer) decideParts() []poison.Block {
+	blocks := pr.parts.Decide(pr.hlcTime())
+	pr.publishParts()
+	return blocks
+}
+
+func (pr *Peer) publishParts() {
+	statuses := pr.parts.Statuses()
+	pr.partStatuses.Store(&statuses)
+}
+
+// notifyBlocks records new blocks and passes them to the listener.
+func (pr *Peer) notifyBlocks(blocks []poison.Block) {
+	if len(blocks) == 0 {
+		return
+	}
+	parts := []poison.Part{}
+	for _, block := range blocks {
+		parts = append(parts, block.Part)
+		pr.events.Record(&wire.Event{
+			Kind: wire.EventKind_EventPartBlocked, Detail: fmt.Sprintf("%s lastcrash=%s trials=%d", partDetail(block.Part), block.At.UTC().Format(time.TimeOnly), block.Trials),
+		})
+	}
+	pr.listener.PartsBlocked(parts)
+	pr.requestHeartbeat()
+}
+
+func partDetail(part poison.Part) string {
+	return fmt.Sprintf("part=%016x", uint64(part))
+}
+
+// addPartNews adds the news about parts of a heartbeat. It returns the new blocks, and whether the other instances should
+// be told at once.
+func (pr *Peer) addPartNews(heartbeat *wire.Heartbeat) ([]poison.Block, bool) {
+	if len(heartbeat.GetPartCrashes())+len(heartbeat.GetPartSounds())+len(heartbeat.GetPartBlocks()) == 0 {
+		return nil, false
+	}
+	now, changed, urgent := pr.hlcTime(), false, false
+	for _, item := range heartbeat.GetPartSounds() {
+		sound := poison.Sound{Part: poison.Part(item.GetPart()), At: time.UnixMicro(item.GetWallMicros())}
+		if pr.parts.ReportSound(sound) {
+			pr.gossip.AddPartSound(sound)
+			changed, urgent = true, true
+		}
+	}
+	for _, item := range heartbeat.GetPartCrashes() {
+		crash := fromWirePartCrash(item)
+		if pr.parts.ReportCrash(now, crash) {
+			again := pr.parts.IsAccusedAgain(crash.Parts)
+			pr.gossip.AddPartCrash(crash, again)
+			changed, urgent = true, urgent || again
+		}
+	}
+	blocks := []poison.Block{}
+	for _, item := range heartbeat.GetPartBlocks() {
+		block := poison.Block{Part: poison.Part(item.GetPart()), At: time.UnixMicro(item.GetWallMicros()), Trials: int(item.GetTrials())}
+		if pr.parts.Add(now, block) {
+			blocks = append(blocks, block)
+		} else if sound, later := pr.parts.SoundSince(block); later {
+			// The sender has missed what lifted the block.
+			pr.gossip.AddPartSound(sound)
+		}
+	}
+	if changed {
+		blocks = append(blocks, pr.parts.Decide(now)...)
+	}
+	if changed || len(blocks) > 0 {
+		pr.publishParts()
+	}
+	return blocks, urgent
+}
+
+// setPartNews sets the news about parts of a heartbeat.
+func (pr *Peer) setPartNews(heartbeat *wire.Heartbeat) {
+	news := pr.gossip.TakePartNews()
+	for _, crash := range news.Crashes {
+		heartbeat.PartCrashes = append(heartbeat.PartCrashes, toWirePartCrash(crash))
+	}
+	for _, sound := range news.Sounds {
+		heartbeat.PartSounds = append(heartbeat.PartSounds, &wire.PartSound{Part: uint64(sound.Part), WallMicros: sound.At.UnixMicro()})
+	}
+	for _, block := range pr.parts.Blocks() {
+		heartbeat.PartBlocks = append(heartbeat.PartBlocks, &wire.PartBlock{
+			Part: uint64(block.Part), WallMicros: block.At.UnixMicro(), Trials: int32(block.Trials),
+		})
+	}
+}
+
+func toWirePartCrash(crash poison.Crash) *wire.PartCrash {
+	converted := &wire.PartCrash{Upstream: crash.Upstream, WallMicros: crash.At.UnixMicro(), Proven: crash.Proven}
+	for _, part := range crash.Parts {
+		converted.Parts = append(converted.Parts, uint64(part))
+	}
+	return converted
+}
+
+func fromWirePartCrash(crash *wire.PartCrash) poison.Crash {
+	converted := poison.Crash{Upstream: crash.GetUpstream(), At: time.UnixMicro(crash.GetWallMicros()), Proven: crash.GetProven()}
+	for _, part := range crash.GetParts() {
+		converted.Parts = append(converted.Parts, poison.Part(part))
+	}
+	return converted
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -13,6 +13,7 @@
 	"github.com/turmericdoor/turmericdoor/hlc"
 	"github.com/turmericdoor/turmericdoor/inflight"
 	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/poison"
 	"github.com/turmericdoor/turmericdoor/quarantine"
 	"github.com/turmericdoor/turmericdoor/revision"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -25,6 +26,8 @@
 	MembersChanged(changes []member.Change, live int)
 	UpstreamLeaving(item gossip.LeavingUpstream)
 	DocumentFetched(text document.Text)
+	// PartsBlocked receives the parts of prompts that no longer reach upstreams.
+	PartsBlocked(parts []poison.Part)
 }
 
 // Replicas are the replicas of the platform's tables, whose rows instances fetch from each other.
@@ -60,6 +63,8 @@
 	gossip           *gossip.State
 	crashes          *quarantine.Registry
 	crashedContents  atomic.Pointer[map[digest.Sum]bool]
+	parts            *poison.Registry
+	partStatuses     atomic.Pointer[map[poison.Part]poison.Status]
 	links            map[string]*keptLink
 	heartbeatDue     chan struct{}
 	lastFullExchange time.Time
@@ -94,10 +99,11 @@
 	pr := &Peer{
 		timers: parts.Timers, clock: parts.Clock, events: parts.Events, revisions: parts.Holder,
 		listener: parts.Listener, replicas: parts.Replicas, config: config, dialer: parts.Dialer, random: parts.Random, members: parts.Members,
-		gossip: gossip.New(), crashes: quarantine.New(), links: map[string]*keptLink{},
+		gossip: gossip.New(), crashes: quarantine.New(), parts: poison.New(), links: map[string]*keptLink{},
 		heartbeatDue: make(chan struct{}, 1), selfID: parts.Members.Self().ID, selfAddress: parts.Members.Self().Address,
 	}
 	pr.crashedContents.Store(&map[digest.Sum]bool{})
+	pr.partStatuses.Store(&map[poison.Part]poison.Status{})
 	return pr
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,6 +23,8 @@
 	InputBytes int64
 	// Slack is the time left until the first byte misses the target latency.
 	Slack time.Duration
+	// Pinned selects the first usable upstream in the session's order, whatever its load.
+	Pinned bool
 	// MaxInFlight bounds the requests, one connection each, that this instance has in flight at an upstream; 0 is no limit.
 	MaxInFlight int
 }
@@ -159,6 +161,9 @@
 			continue
 		}
 		expected := pl.expectedLatency(now, known, up, criteria, position)
+		if criteria.Pinned {
+			return Choice{Upstream: up, Order: position, ExpectedLatency: expected}, true
+		}
 		score := cost(expected, criteria.Slack) + known.failureRateAt(now)*float64(failureCost)
 		if up.FailureDomain != criteria.FailureDomain {
 			score += float64(remoteCost) + float64(criteria.InputBytes)*float64(remoteCostPerMB)/megabyte
--- /dev/null
+++ b/poison/poison.go
@@ -0,0 +1,318 @@
+package poison
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/digest"
+)
+
+// Part identifies a part of prompts by a hash of its name, which callers choose.
+type Part uint64
+
+// PartOf returns the identity of the part with a name.
+func PartOf(name string) Part {
+	sum := digest.OfKey(name)
+	return Part(binary.LittleEndian.Uint64(sum[:]))
+}
+
+// Status is what may be done with requests that have a part.
+type Status int
+
+// The statuses: no crash, crashes for which the part may be the cause, and a part that no longer reaches upstreams.
+const (
+	Clear Status = iota
+	Suspect
+	Blocked
+)
+
+// Crash reports a request that was lost when an upstream's process died, before its answer or soon after its beginning.
+// Parts are the shared parts of its prompt, and Proven has a bit set for each of them to which the reporter saw an answer
+// survive. Upstream identifies the incarnation that died.
+type Crash struct {
+	Upstream uint64
+	Parts    []Part
+	Proven   uint64
+	At       time.Time
+}
+
+// Sound reports that an upstream answered a request with the part and lives.
+type Sound struct {
+	Part Part
+	At   time.Time
+}
+
+// Block tells that a part is blocked because of crashes until At, or since a trial at that time. Trials is the number of
+// requests with the part that were let through since the decision.
+type Block struct {
+	Part   Part
+	At     time.Time
+	Trials int
+}
+
+const (
+	// crashesToBlock is the number of crashes after which a part is blocked of which no answer is known to have survived.
+	crashesToBlock = 3
+	// crashesToBlockAny is the number after which any part is blocked that explains crashes as well as the others do.
+	crashesToBlockAny = 5
+	// sameMoment is the time within which several crashes count as one, as of a failure domain that is lost.
+	sameMoment = 50 * time.Millisecond
+	// CrashTTL is how long a crash or a block counts.
+	CrashTTL = time.Hour
+	// maxSuspects bounds the parts with crashes, and maxCrashes the crashes that are kept of each.
+	maxSuspects = 4096
+	maxCrashes  = 8
+	// evictedShare is the part of maxSuspects that is removed at once when there is no room, as one in so many.
+	evictedShare = 4
+	// maxBlocks bounds the blocked parts.
+	maxBlocks = 256
+	// MaxParts bounds the parts of one request that a crash accuses; Crash.Proven has as many bits.
+	MaxParts = 64
+	// firstTrialAfter is how long a part is blocked until a trial; the time doubles with each trial, up to CrashTTL.
+	firstTrialAfter = time.Minute
+	maxDoublings    = 6
+)
+
+// Registry records the crashes of parts; it is not safe for concurrent use.
+type Registry struct {
+	suspects map[Part]*suspect
+	blocks   map[Part]Block
+	proven   proven
+	// fullFor is the width of the requests whose parts found no room, or 0 if there may be room.
+	fullFor int
+}
+
+// suspect holds the crashes of a part since soundAt, the last known answer to it that survived.
+type suspect struct {
+	crashes []accusation
+	soundAt time.Time
+}
+
+// accusation is a crash of which a part may be the cause. width is the number of parts that the request had.
+type accusation struct {
+	upstream uint64
+	at       time.Time
+	width    int
+}
+
+// New returns a registry without crashes.
+func New() *Registry {
+	return &Registry{suspects: map[Part]*suspect{}, blocks: map[Part]Block{}}
+}
+
+// ReportCrash adds a crash and returns whether it was news for one of its parts.
+func (rg *Registry) ReportCrash(now time.Time, crash Crash) bool {
+	if now.Sub(crash.At) > CrashTTL {
+		return false
+	}
+	fresh := false
+	for at, part := range crash.Parts[:min(len(crash.Parts), MaxParts)] {
+		if crash.Proven>>at&1 == 1 {
+			rg.proven.add(part)
+		}
+		if rg.accuse(part, accusation{upstream: crash.Upstream, at: crash.At, width: len(crash.Parts)}) {
+			fresh = true
+		}
+	}
+	return fresh
+}
+
+// accuse adds a crash of a part unless it is known, an answer survived since, or the registry is full of others that are
+// as suspicious.
+func (rg *Registry) accuse(part Part, fresh accusation) bool {
+	known, found := rg.suspects[part]
+	if !found {
+		if len(rg.suspects) >= maxSuspects && !rg.evict(fresh.width) {
+			return false
+		}
+		known = &suspect{}
+		rg.suspects[part] = known
+	}
+	if len(known.crashes) >= maxCrashes || !fresh.at.After(known.soundAt) || known.hasCrashed(fresh.upstream) {
+		return false
+	}
+	known.crashes = append(known.crashes, fresh)
+	return true
+}
+
+func (su *suspect) hasCrashed(upstream uint64) bool {
+	return slices.ContainsFunc(su.crashes, func(each accusation) bool { return each.upstream == upstream })
+}
+
+// evict makes room for a newcomer from a request with width parts: it removes the least suspicious quarter of the parts that
+// have one crash at most and that are not more suspicious than the newcomer. It returns false if there are none.
+func (rg *Registry) evict(width int) bool {
+	if rg.fullFor > 0 && width >= rg.fullFor {
+		return false
+	}
+	victims := []Part{}
+	for part, each := range rg.suspects {
+		if len(each.crashes) == 0 || len(each.crashes) == 1 && each.crashes[0].width >= width {
+			victims = append(victims, part)
+		}
+	}
+	if len(victims) == 0 {
+		rg.fullFor = width
+		return false
+	}
+	slices.SortFunc(victims, func(left, right Part) int { return rg.suspects[left].compare(rg.suspects[right]) })
+	for _, part := range victims[:min(len(victims), maxSuspects/evictedShare)] {
+		delete(rg.suspects, part)
+	}
+	return true
+}
+
+// compare returns a negative number if the part is less suspicious than another.
+func (su *suspect) compare(other *suspect) int {
+	if order := cmp.Compare(len(su.crashes), len(other.crashes)); order != 0 || len(su.crashes) == 0 {
+		return order
+	}
+	if order := cmp.Compare(other.crashes[0].width, su.crashes[0].width); order != 0 {
+		return order
+	}
+	return su.crashes[0].at.Compare(other.crashes[0].at)
+}
+
+// ReportSound records that an answer to a part survived: crashes until then no longer count, and a block is lifted. It
+// returns whether that changed anything.
+func (rg *Registry) ReportSound(sound Sound) bool {
+	rg.proven.add(sound.Part)
+	changed := false
+	if block, is := rg.blocks[sound.Part]; is && sound.At.After(block.At) {
+		delete(rg.blocks, sound.Part)
+		changed = true
+	}
+	known, found := rg.suspects[sound.Part]
+	if !found && len(rg.suspects) < maxSuspects {
+		rg.suspects[sound.Part] = &suspect{soundAt: sound.At}
+	}
+	if !found || !sound.At.After(known.soundAt) {
+		return changed
+	}
+	rg.fullFor = 0
+	before := len(known.crashes)
+	known.soundAt = sound.At
+	known.crashes = slices.DeleteFunc(known.crashes, func(each accusation) bool { return !each.at.After(sound.At) })
+	return changed || len(known.crashes) < before
+}
+
+// MarkProven remembers that an answer to a part survived, so that crashes are rather blamed on others.
+func (rg *Registry) MarkProven(part Part) {
+	rg.proven.add(part)
+}
+
+// ProvenBits returns a bit for each of the first MaxParts parts to which an answer is known to have survived.
+func (rg *Registry) ProvenBits(parts []Part) uint64 {
+	bits := uint64(0)
+	for at, part := range parts[:min(len(parts), MaxParts)] {
+		if rg.proven.has(part) {
+			bits |= 1 << at
+		}
+	}
+	return bits
+}
+
+// IsAccusedAgain reports whether one of the parts has more than one crash.
+func (rg *Registry) IsAccusedAgain(parts []Part) bool {
+	return slices.ContainsFunc(parts, func(part Part) bool {
+		known, found := rg.suspects[part]
+		return found && len(known.crashes) > 1
+	})
+}
+
+// IsAccused reports whether crashes of a part count, or the part is blocked.
+func (rg *Registry) IsAccused(part Part) bool {
+	known, found := rg.suspects[part]
+	_, blocked := rg.blocks[part]
+	return blocked || found && len(known.crashes) > 0
+}
+
+// Add adds a block that another instance decided, and returns whether it is news.
+func (rg *Registry) Add(now time.Time, block Block) bool {
+	known, found := rg.blocks[block.Part]
+	if now.Sub(block.At) > CrashTTL || found && !block.At.After(known.At) {
+		return false
+	}
+	if suspected, is := rg.suspects[block.Part]; is && !block.At.After(suspected.soundAt) {
+		return false
+	}
+	if !found && len(rg.blocks) >= maxBlocks {
+		rg.dropOldestBlock()
+	}
+	rg.blocks[block.Part] = block
+	return true
+}
+
+// SoundSince returns the last known sound answer to a blocked part, if it came after the block.
+func (rg *Registry) SoundSince(block Block) (Sound, bool) {
+	known, found := rg.suspects[block.Part]
+	if !found || !known.soundAt.After(block.At) {
+		return Sound{}, false
+	}
+	return Sound{Part: block.Part, At: known.soundAt}, true
+}
+
+func (rg *Registry) dropOldestBlock() {
+	blocks := rg.Blocks()
+	delete(rg.blocks, blocks[len(blocks)-1].Part)
+}
+
+// BeginTrial reports whether one request with a blocked part may run now, and counts it.
+func (rg *Registry) BeginTrial(now time.Time, part Part) bool {
+	block, blocked := rg.blocks[part]
+	if !blocked || now.Sub(block.At) < min(firstTrialAfter<<min(block.Trials, maxDoublings), CrashTTL) {
+		return false
+	}
+	rg.blocks[part] = Block{Part: part, At: now, Trials: block.Trials + 1}
+	return true
+}
+
+// Blocks returns the blocked parts, the newest first.
+func (rg *Registry) Blocks() []Block {
+	list := []Block{}
+	for _, block := range rg.blocks {
+		list = append(list, block)
+	}
+	slices.SortFunc(list, func(left, right Block) int {
+		if order := right.At.Compare(left.At); order != 0 {
+			return order
+		}
+		return cmp.Compare(left.Part, right.Part)
+	})
+	return list
+}
+
+// Statuses returns the status of each part that is not clear.
+func (rg *Registry) Statuses() map[Part]Status {
+	statuses := map[Part]Status{}
+	for part, each := range rg.suspects {
+		if len(each.crashes) > 0 && !rg.proven.has(part) {
+			statuses[part] = Suspect
+		}
+	}
+	for part := range rg.blocks {
+		statuses[part] = Blocked
+	}
+	return statuses
+}
+
+// Expire drops the crashes and blocks that no longer count.
+func (rg *Registry) Expire(now time.Time) {
+	rg.fullFor = 0
+	for part, each := range rg.suspects {
+		each.crashes = slices.DeleteFunc(each.crashes, func(one accusation) bool { return now.Sub(one.at) > CrashTTL })
+		if len(each.crashes) == 0 && now.Sub(each.soundAt) > soundTTL {
+			delete(rg.suspects, part)
+		}
+	}
+	for part, block := range rg.blocks {
+		if now.Sub(block.At) > CrashTTL {
+			delete(rg.blocks, part)
+		}
+	}
+}
+
+// soundTTL is how long late reports of crashes and blocks are compared with a later answer.
+const soundTTL = 10 * time.Minute
