A part that crashes many upstreams at a few moments is blocked, too

Cause: of each part 8 crashes were kept, and these may be of fewer moments than the five that it takes. Now 8 of each moment are kept, 64 in all.

--- a/entry/parts_test.go
+++ b/entry/parts_test.go
@@ -34,6 +34,8 @@
 	badAt                int
 	// companion is a second new part of each bad request, or "".
 	companion string
+	// soundBefore sends requests with the bad part before it crashes upstreams.
+	soundBefore bool
 	// newParts is the number of further shared parts of each request, all of them new.
 	newParts int
 	// during is called each 100 ms with the time since the first bad request.
@@ -105,6 +107,9 @@
 		if elapsed%pr.soundEvery == 0 {
 			pr.send(fmt.Sprint("session-", pr.soak.random.IntN(6)), false)
 		}
+		if pr.soundBefore && !withBad && elapsed%pr.badEvery == 0 {
+			pr.send(badPart, false)
+		}
 		if withBad && elapsed%pr.badEvery == 0 {
 			pr.send(badPart, true)
 		}
@@ -270,6 +275,11 @@
 		pr.companion = "companion"
 		assertPartIsStopped(t, pr)
 	})
+	t.Run("after it was sound before", func(t *testing.T) {
+		pr := newPartsRun()
+		pr.soundBefore = true
+		assertPartIsStopped(t, pr)
+	})
 	t.Run("after all instances were restarted at once", func(t *testing.T) {
 		pr := newPartsRun()
 		pr.during = func(sk *soak, elapsed time.Duration) {
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -61,9 +61,11 @@
 	sameMoment = 50 * time.Millisecond
 	// CrashTTL is how long a crash or a block counts.
 	CrashTTL = time.Hour
-	// maxSuspects bounds the parts with crashes, and maxCrashes the crashes that are kept of each.
-	maxSuspects = 4096
-	maxCrashes  = 8
+	// maxSuspects bounds the parts with crashes, maxCrashes the crashes that are kept of each, and maxCrashesOfMoment those
+	// within sameMoment, so that many at once leave room for the next ones.
+	maxSuspects        = 4096
+	maxCrashes         = 64
+	maxCrashesOfMoment = 8
 	// evictedShare is the part of maxSuspects that is removed at once when there is no room, as one in so many.
 	evictedShare = 4
 	// maxBlocks bounds the blocked parts.
@@ -130,7 +132,7 @@
 		known = &suspect{}
 		rg.suspects[part] = known
 	}
-	if len(known.crashes) >= maxCrashes || !fresh.at.After(known.soundAt) || known.hasCrashed(fresh.upstream) {
+	if !fresh.at.After(known.soundAt) || known.hasCrashed(fresh.upstream) || known.isFull(fresh.at) {
 		return false
 	}
 	known.crashes = append(known.crashes, fresh)
@@ -141,6 +143,17 @@
 	return slices.ContainsFunc(su.crashes, func(each accusation) bool { return each.upstream == upstream })
 }
 
+// isFull reports whether no further crash at a time is kept.
+func (su *suspect) isFull(at time.Time) bool {
+	atMoment := 0
+	for _, each := range su.crashes {
+		if each.at.Sub(at).Abs() <= sameMoment {
+			atMoment++
+		}
+	}
+	return len(su.crashes) >= maxCrashes || atMoment >= maxCrashesOfMoment
+}
+
 // evict makes room for a newcomer from a request with width parts: it removes the least suspicious quarter of the parts that
 // have one crash at most and that are not more suspicious than the newcomer. It returns false if there are none.
 func (rg *Registry) evict(width int) bool {
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -144,6 +144,15 @@
 		}
 		assertBlocked(t, rg, bad)
 	})
+	t.Run("many crashes at one moment leave room for later ones", func(t *testing.T) {
+		rg := newRegistry(bad)
+		for moment := range 5 {
+			for each := range 40 {
+				report(rg, poison.Crash{Upstream: uint64(moment*100 + each), Parts: []poison.Part{bad}, At: after(moment*200 + each)})
+			}
+		}
+		assertBlocked(t, rg, bad)
+	})
 	t.Run("an upstream counts once, whoever reports it", func(t *testing.T) {
 		rg := newRegistry()
 		report(rg, crashAt(0, bad), crashAt(0, bad), crashAt(100, bad), crashAt(100, bad, other))
