Soak over fakes: the retry budget counts the requests that callers sent

The check allowed retries for requests that reached a pool. The variant with an unlimited budget is still detected.

--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -253,6 +253,9 @@
 	sk.mu.Lock()
 	defer sk.mu.Unlock()
 	name := gateway.OutcomeName(outcome)
+	if _, unknown := outcome.(gateway.Unauthorised); !unknown {
+		sk.fleet.upstreams.recordSent(request)
+	}
 	if refused, is := outcome.(gateway.Refused); is {
 		name += " " + string(refused.Cause)
 	}
