Soak over fakes: learns parts of prompts that crash upstreams

Requests have prompts; one in some hundred steps starts 40 requests with one part that crashes upstreams, all different otherwise. Not more than three may reach upstreams later than 3 s after the fifth crash, from instances that have converged. The variant whose probes find every upstream alive is detected.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -66,6 +66,8 @@
 	mixesItems bool
 	// completesCutOff ends responses that were cut off as complete.
 	completesCutOff bool
+	// hidesCrashes makes probes find every upstream alive.
+	hidesCrashes bool
 }
 
 var domains = []string{"a", "b"}
--- a/entry/parts_test.go
+++ b/entry/parts_test.go
@@ -154,8 +154,13 @@
 	for at := range pr.newParts {
 		ids = append(ids, fmt.Sprint("new-", id, "-", at))
 	}
+	return promptOf(append(ids, "own-"+id)...)
+}
+
+// promptOf returns a prompt with the given parts.
+func promptOf(ids ...string) gateway.Prompt {
 	prompt := gateway.Prompt{Tokens: 900, MaxOutputTokens: 20}
-	for _, each := range append(ids, "own-"+id) {
+	for _, each := range ids {
 		prompt.Parts = append(prompt.Parts, gateway.PromptPart{ID: each, Tokens: 300})
 	}
 	return prompt
@@ -187,17 +192,7 @@
 
 // lateArrivals returns how many bad requests reached upstreams later than newsBound after the fifth crash.
 func (pr *partsRun) lateArrivals() int {
-	bad := pr.soak.fleet.upstreams.crashParts[badPart]
-	if len(bad.crashes) < crashesUntilBound {
-		return 0
-	}
-	late := 0
-	for _, at := range bad.arrivals {
-		if at.After(bad.crashes[crashesUntilBound-1].Add(newsBound)) {
-			late++
-		}
-	}
-	return late
+	return pr.soak.fleet.upstreams.crashParts[badPart].lateArrivals()
 }
 
 // assertPartIsStopped plays a run and checks that the bad part no longer reaches upstreams and sound requests are served.
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -50,6 +50,7 @@
 	revision     int64
 	keyHolders   []string
 	poisonBodies []string
+	badParts     []string
 	partitioned  bool
 }
 
@@ -149,6 +150,8 @@
 		sk.change()
 	case draw == 79 && sk.random.IntN(3) == 0:
 		sk.sendPoison()
+	case draw == 80 && sk.random.IntN(3) == 0:
+		sk.sendBadPart()
 	case len(sk.activeFaults) < maxFaults:
 		sk.startFault()
 	}
@@ -213,6 +216,7 @@
 	request := &gateway.Request{
 		ID: id, Method: http.MethodPost, Host: "h", Path: "/" + pipelineNames[kind] + "/" + id, APIKey: "key-" + holder, Body: []byte("body"),
 		Arrived: time.Now(), CallerTimeout: requestTimeout, ItemCounts: []int{2, 1}, ItemKey: id,
+		Prompt: promptOf("first-"+holder, fmt.Sprint("session-", kind), "own-"+id),
 	}
 	sk.group.Go(func() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -249,6 +253,9 @@
 	if _, cut := outcome.(gateway.CutOff); cut && sk.variant.completesCutOff {
 		outcome = gateway.Answered{}
 	}
+	if _, unknown := outcome.(gateway.Unauthorised); !unknown {
+		sk.fleet.upstreams.recordSent(request)
+	}
 	took := time.Since(request.Arrived)
 	sk.mu.Lock()
 	defer sk.mu.Unlock()
@@ -305,6 +312,7 @@
 	sk.violations = append(sk.violations, us.violations...)
 	sk.violations = append(sk.violations, us.checkBudget()...)
 	sk.checkPoisons(us)
+	sk.checkBadParts(us)
 }
 
 // summary returns the counts of outcomes and faults in one line.
@@ -378,6 +386,7 @@
 		"ignored leaving mark":             {defects{decoder: func(dc decoder) catalog.Decoder { return staleDecoder{decoder: dc, ignoresLeaving: true} }}, "which left"},
 		"ignored key revocation":           {defects{decoder: func(dc decoder) catalog.Decoder { return staleDecoder{decoder: dc, ignoresRevocation: true} }}, "whose key was revoked"},
 		"cut streams that look complete":   {defects{completesCutOff: true}, "returned body"},
+		"crashes that go unnoticed":        {defects{hidesCrashes: true}, "reached upstreams"},
 		"unlimited retry budget":           {defects{budget: retryquota.Config{Ratio: 5, Extra: 5000, Window: 10 * time.Second}}, "retries in a window"},
 	}
 	for name, each := range variants {
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -375,7 +375,7 @@
 
 // Probe reports whether an upstream accepts connections.
 func (uc upstreamClient) Probe(ctx context.Context, target *roster.Upstream) gateway.ProcessState {
-	if _, err := uc.connect(ctx, target); err != nil {
+	if _, err := uc.connect(ctx, target); err != nil && !uc.fleet.upstreams.variant.hidesCrashes {
 		return gateway.ProcessGone
 	}
 	return gateway.ProcessAlive
@@ -384,7 +384,7 @@
 // HasRestarted reports whether another incarnation answers at the upstream's address.
 func (uc upstreamClient) HasRestarted(ctx context.Context, target *roster.Upstream) bool {
 	up, err := uc.connect(ctx, target)
-	return err == nil && up.StartUnixMs != target.StartUnixMs
+	return err == nil && !uc.fleet.upstreams.variant.hidesCrashes && up.StartUnixMs != target.StartUnixMs
 }
 
 // RunItems sends a batch of items to an upstream.
