Fault soak: learns a part of prompts that crashes upstreams

All streaming requests have prompts that share their first part. Every 150 ms a request with one bad part goes to an instance in turn; the upstream that it reaches resets all its connections, refuses new ones for 700 ms and registers again with another start. From instances whose process was not ended, started, paused or woken for 3 s, not more than three may reach upstreams later than 3 s after the fifth crash, and no instance may block the first part.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -29,6 +29,8 @@
 	// http10 calls use HTTP/1.0, single calls close their connection.
 	http10 bool
 	single bool
+	// bad calls have a part in their prompts that crashes upstreams.
+	bad bool
 }
 
 // newCall returns a caller's call by its number. The periods have no common factor, so that all combinations occur.
@@ -72,6 +74,9 @@
 	} {
 		request.Header.Set(name, value)
 	}
+	if routeKinds[cl.kind].streaming {
+		request.Header.Set(prefixHeader, cl.prefix())
+	}
 	if cl.from > 0 {
 		request.Header.Set("Last-Event-Id", strconv.Itoa(cl.from-1))
 		request.Header.Set(fromHeader, strconv.Itoa(cl.from-1))
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -44,6 +44,8 @@
 	mu        sync.Mutex
 	processes []*exec.Cmd
 	version   int
+	// disturbed is when each instance was last ended, started, paused or woken.
+	disturbed [instances]time.Time
 }
 
 const services = `"services":[{"name":"model","engine":{"slot_count":64,"kv_capacity_tokens":100000}},{"name":"plain"},
@@ -78,6 +80,7 @@
 		store:  standin.New(),
 		ledger: newLedger(),
 	}
+	fl.ledger.isUndisturbed = fl.isUndisturbed
 	server := httptest.NewServer(&faultyStore{fleet: fl, seed: seed})
 	t.Cleanup(server.Close)
 	for _, pool := range []string{"model", "plain", "stage"} {
@@ -85,8 +88,9 @@
 			up := newUpstream(t, fmt.Sprintf("%s-%d", pool, at), seed, fl.ledger)
 			px := newProxy(t, strings.TrimPrefix(up.URL, "http://"))
 			fl.proxies = append(fl.proxies, px)
-			fl.store.Put("servers", up.id, fmt.Sprintf(
-				`{"service":%q,"address":%q,"zone":"z%d","version":"v","slot_count":8,"state":"ready","cold_left_ms":0,"sequence":1}`, pool, px.address(), at%2))
+			up.register = func() { fl.store.Put("servers", up.id, registration(pool, px.address(), at%2, up.born.Load())) }
+			up.crash = func() { px.crash(crashLength, up.register) }
+			up.register()
 		}
 	}
 	fl.putConfiguration()
@@ -105,6 +109,26 @@
 	return fl
 }
 
+// registration returns the row that an upstream writes for itself.
+func registration(pool, address string, domain int, born int64) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z%d","version":"v","slot_count":8,"state":"ready","cold_left_ms":0,"sequence":1,"born":%d}`,
+		pool, address, domain, born)
+}
+
+// disturb records a fault of an instance's process.
+func (fl *fleet) disturb(at int) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.disturbed[at] = time.Now()
+}
+
+// isUndisturbed reports whether the process of an instance ran for newsBound.
+func (fl *fleet) isUndisturbed(at int) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return time.Since(fl.disturbed[at]) > newsBound
+}
+
 // writeSettings writes the settings file of an instance.
 func (fl *fleet) writeSettings(at int, ports, control []string, storeAddress string) {
 	// The metrics port is the first inner port plus one.
@@ -167,8 +191,9 @@
 	case 1:
 		fl.restart(at, syscall.SIGTERM)
 	case 2:
+		fl.disturb(at)
 		_ = fl.process(at).Process.Signal(syscall.SIGSTOP)
-		time.AfterFunc(length, func() { _ = fl.process(at).Process.Signal(syscall.SIGCONT) })
+		time.AfterFunc(length, func() { _ = fl.process(at).Process.Signal(syscall.SIGCONT); fl.disturb(at) })
 	case 3:
 		_ = fl.process(at).Process.Signal(syscall.SIGHUP)
 	case 4:
@@ -198,6 +223,8 @@
 // restart ends an instance with a signal, waits for its end and starts it again.
 func (fl *fleet) restart(at int, signal syscall.Signal) {
 	command := fl.process(at)
+	fl.disturb(at)
+	defer fl.disturb(at)
 	_ = command.Process.Signal(signal)
 	_ = command.Process.Signal(syscall.SIGCONT)
 	_ = command.Wait()
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -23,6 +23,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	ended bool
 }
 
 func newProxy(t *testing.T, target string) *proxy {
@@ -30,16 +31,45 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	px := &proxy{listener: listener, target: target, conns: map[net.Conn]bool{}}
-	t.Cleanup(func() { _ = listener.Close(); px.reset() })
-	go px.accept()
+	t.Cleanup(px.end)
+	go px.accept(listener)
 	return px
 }
 
+// end closes the listener and all connections for good.
+func (px *proxy) end() {
+	px.mu.Lock()
+	px.ended = true
+	_ = px.listener.Close()
+	px.mu.Unlock()
+	px.reset()
+}
+
+// crash closes the listener and all connections, as the end of the target's process does, and listens again after a time.
+func (px *proxy) crash(length time.Duration, back func()) {
+	px.mu.Lock()
+	_ = px.listener.Close()
+	px.mu.Unlock()
+	px.reset()
+	time.AfterFunc(length, func() {
+		px.mu.Lock()
+		defer px.mu.Unlock()
+		listener, err := net.Listen("tcp", px.address())
+		if err != nil || px.ended {
+			return
+		}
+		px.listener = listener
+		go px.accept(listener)
+		back()
+	})
+}
+
+// address returns the address, which stays the same after a crash.
 func (px *proxy) address() string { return px.listener.Addr().String() }
 
-func (px *proxy) accept() {
+func (px *proxy) accept(listener net.Listener) {
 	for {
-		from, err := px.listener.Accept()
+		from, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,19 +64,22 @@
 		callers.Go(func() { fl.sendRequests(ctx, number, counts) })
 	}
 	callers.Go(func() { fl.watchMemory(ctx) })
+	callers.Go(func() { fl.sendBadParts(ctx) })
 	time.Sleep(time.Second)
 	for ctx.Err() == nil {
 		fl.injectFault(ctx)
 	}
 	callers.Wait()
+	fl.checkBadParts()
 	byStatus := map[string]int{}
 	counts.Range(func(status, count any) bool { byStatus[fmt.Sprint(status)] = *count.(*int); return true })
 	summary, _ := json.Marshal(byStatus)
 	fl.ledger.mu.Lock()
 	defer fl.ledger.mu.Unlock()
 	played, _ := json.Marshal(fl.ledger.played)
-	text := fmt.Sprintf("seed %d: answers by status %s, %d runs, responses by kind %s; endless ones were open for %v and sent up to %v bytes; instances used up to %d MB",
-		seed, summary, len(fl.ledger.runs), played, fl.ledger.longest, fl.ledger.most, fl.ledger.memoryMB)
+	text := fmt.Sprintf("seed %d: answers by status %s, %d runs, responses by kind %s; endless ones were open for %v and sent up to %v bytes; instances used up to %d MB; "+
+		"a part crashed %d upstreams, %d requests with it reached upstreams",
+		seed, summary, len(fl.ledger.runs), played, fl.ledger.longest, fl.ledger.most, fl.ledger.memoryMB, len(fl.ledger.crashes), len(fl.ledger.crashers))
 	t.Log(text)
 	if len(fl.ledger.violations) > 0 {
 		fl.keep(t, seed, text)
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -37,11 +37,16 @@
 	ledger *ledger
 	// calls counts the calls of the upstream's own interface.
 	calls atomic.Int64
+	// born is the start time of the current incarnation; register writes its registration, crash ends and restarts it.
+	born     atomic.Int64
+	register func()
+	crash    func()
 }
 
 func newUpstream(t *testing.T, id string, seed uint64, lg *ledger) *upstream {
 	t.Helper()
 	us := &upstream{id: id, seed: seed, ledger: lg}
+	us.born.Store(1)
 	us.Server = httptest.NewServer(us)
 	t.Cleanup(us.Close)
 	return us
@@ -85,7 +90,7 @@
 	case "/v1/stage-run":
 		us.runStage(writer, body, random.IntN(noRoomShare) == 0)
 	case "/v1/report":
-		_, _ = io.WriteString(writer, `{"free_mb":36}`)
+		_, _ = fmt.Fprintf(writer, `{"free_mb":36,"born":%d}`, us.born.Load())
 	}
 }
 
@@ -122,6 +127,9 @@
 func (us *upstream) serveRequest(writer http.ResponseWriter, request *http.Request, body string) {
 	id := request.Header.Get("Turmericdoor-Attempt-Id")
 	us.checkRequest(request, id, body)
+	if us.crashesOn(request, id) {
+		return
+	}
 	kind := routeKinds[routeName(request.URL.Path)]
 	number := us.ledger.recordArrival(id)
 	random := seededRandom(us.seed, fmt.Sprintf("%s/%d", id, number))
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -24,10 +24,15 @@
 	longest map[string]time.Duration
 	most    map[string]int
 	// memoryMB is the largest resident set of an instance.
-	memoryMB   int
+	memoryMB int
+	// crashes is when upstreams crashed because of a part of a prompt, crashers when such requests reached them, by instance.
+	crashes    []time.Time
+	crashers   []arrival
 	violations []string
 	// examples holds the first violation of each kind.
 	examples map[string]string
+	// isUndisturbed reports whether an instance's process ran for newsBound.
+	isUndisturbed func(instance int) bool
 }
 
 func newLedger() *ledger {
