Parts of prompts: names of the field (success, record) in place of figures; other instances may try a blocked part late

Sound answers, accusations, proofs and twins are now successes, crash records and indistinguishable parts, as quarantine names them. A blocked part is tried by the instance that owns it; the others may after four times the pause, since in a large fleet the owner may get no request with the part (TestTrials). No other change of behaviour.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -47,7 +47,7 @@
 	}
 	rn.reportSuccess()
 	if reply.Status < http.StatusMultipleChoices {
-		at.reportSound()
+		at.reportPartsSuccess()
 	}
 	if withheld {
 		rn.detail = fmt.Sprintf("status=%d withheld: the request may have run", reply.Status)
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -233,8 +233,8 @@
 	stopTimeout  func()
 	gotFirstByte bool
 	firstByteAt  time.Time
-	// isSound is set once the parts of the prompt were reported as sound.
-	isSound bool
+	// reportedSuccess is set once the success of the prompt's parts was reported.
+	reportedSuccess bool
 	// output is what the attempt writes to the caller, or nil before its first part.
 	output  *response.Body
 	outcome string
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -103,11 +103,11 @@
 	restarted bool
 	silent    bool
 	// partStatuses are the statuses of parts of prompts, trials lets requests with blocked parts through; partCrashes and
-	// soundParts are the parts that were reported.
-	partStatuses map[poison.Part]poison.Status
-	trials       bool
-	partCrashes  [][]poison.Part
-	soundParts   [][]poison.Part
+	// successfulParts are the parts that were reported.
+	partStatuses    map[poison.Part]poison.Status
+	trials          bool
+	partCrashes     [][]poison.Part
+	successfulParts [][]poison.Part
 	// duringStages is called by the first stage, blockAfter is when the part "second" is blocked.
 	duringStages func()
 	blockAfter   time.Duration
@@ -263,10 +263,10 @@
 	fk.partCrashes = append(fk.partCrashes, parts)
 }
 
-func (fk *fakes) ReportPartsSound(parts []poison.Part) {
+func (fk *fakes) ReportPartsSuccess(parts []poison.Part) {
 	fk.mu.Lock()
 	defer fk.mu.Unlock()
-	fk.soundParts = append(fk.soundParts, parts)
+	fk.successfulParts = append(fk.successfulParts, parts)
 }
 
 func (fk *fakes) ReportCrash(crash quarantine.Crash) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,10 +33,10 @@
 	PartStatus(parts []poison.Part) (poison.Status, poison.Part)
 	// BeginPartTrial reports whether one request with blocked parts may be sent now.
 	BeginPartTrial(parts []poison.Part) bool
-	// ReportPartCrash reports that a request with the parts was lost when an upstream crashed, ReportPartsSound that an
-	// answer to such a request survived.
+	// ReportPartCrash reports that a request with the parts was lost when an upstream crashed, ReportPartsSuccess that the
+	// upstream of such a request wrote its answer and lives.
 	ReportPartCrash(upstream uint64, parts []poison.Part)
-	ReportPartsSound(parts []poison.Part)
+	ReportPartsSuccess(parts []poison.Part)
 }
 
 // StageRunner executes the items of stages and forecasts how long they wait.
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -15,9 +15,9 @@
 	"github.com/turmericdoor/turmericdoor/roster"
 )
 
-// soundAfter is how long after its first byte an answer proves that the request does not crash its upstream: that happens
-// as the upstream begins to write. A crash later than that does not accuse the request.
-const soundAfter = 500 * time.Millisecond
+// successAfter is how long after its first byte an answer shows that the request does not crash its upstream, which happens
+// as the upstream begins to write. A crash later than that has another cause.
+const successAfter = 500 * time.Millisecond
 
 // errPartBlocked is the cancellation cause of a request of which a part was blocked before its answer began.
 var errPartBlocked = errors.New("a part of the prompt crashes upstreams")
@@ -94,23 +94,23 @@
 
 // isCrashCause reports whether a crash of the upstream now may be due to the attempt.
 func (at *attempt) isCrashCause() bool {
-	return len(at.run.parts) > 0 && (!at.gotFirstByte || at.run.Timers.Now().Sub(at.firstByteAt) < soundAfter)
+	return len(at.run.parts) > 0 && (!at.gotFirstByte || at.run.Timers.Now().Sub(at.firstByteAt) < successAfter)
 }
 
-// observeSurvival reports the parts of the prompt as sound once the answer has lasted long enough.
-func (at *attempt) observeSurvival() {
-	if at.gotFirstByte && at.run.Timers.Now().Sub(at.firstByteAt) >= soundAfter {
-		at.reportSound()
+// checkSurvival reports the success of the prompt's parts once the answer has lasted long enough.
+func (at *attempt) checkSurvival() {
+	if at.gotFirstByte && at.run.Timers.Now().Sub(at.firstByteAt) >= successAfter {
+		at.reportPartsSuccess()
 	}
 }
 
-// reportSound reports the parts of the prompt as sound, once for each attempt.
-func (at *attempt) reportSound() {
-	if at.isSound || len(at.run.parts) == 0 {
+// reportPartsSuccess reports the success of the prompt's parts, once for each attempt.
+func (at *attempt) reportPartsSuccess() {
+	if at.reportedSuccess || len(at.run.parts) == 0 {
 		return
 	}
-	at.isSound = true
-	at.run.Crashes.ReportPartsSound(at.run.parts)
+	at.reportedSuccess = true
+	at.run.Crashes.ReportPartsSuccess(at.run.parts)
 }
 
 // hashIncarnation identifies an incarnation in reports of crashes.
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -189,21 +189,21 @@
 	}
 }
 
-func TestSoundParts(t *testing.T) {
+func TestSuccessfulParts(t *testing.T) {
 	t.Run("a whole answer", func(t *testing.T) {
 		fk := &fakes{responses: []response{{status: 200, body: "id: 1\n\n", contentType: "text/event-stream"}}}
 		_, _ = serve(t, fk, "/query/1", withPrompt)
-		must.Eq(t, [][]poison.Part{partsOf("first", "second")}, fk.soundParts)
+		must.Eq(t, [][]poison.Part{partsOf("first", "second")}, fk.successfulParts)
 	})
 	t.Run("an answer that has lasted, once", func(t *testing.T) {
 		body := &pausing{parts: []string{"id: 1\n\n", "", "id: 2\n\n", "", "id: 3\n\n"}, pause: 600 * time.Millisecond}
 		fk := &fakes{maxUpstreams: 1, responses: []response{{status: 200, contentType: "text/event-stream", reader: body}}}
 		_, _ = serve(t, fk, "/query/1", withPrompt)
-		must.Eq(t, [][]poison.Part{partsOf("first", "second")}, fk.soundParts)
+		must.Eq(t, [][]poison.Part{partsOf("first", "second")}, fk.successfulParts)
 	})
 	t.Run("an error says nothing", func(t *testing.T) {
 		fk := &fakes{maxUpstreams: 1, responses: []response{{status: 500, body: "no", contentType: "text/plain"}}}
 		_, _ = serve(t, fk, "/query/1", withPrompt)
-		must.SliceEmpty(t, fk.soundParts)
+		must.SliceEmpty(t, fk.successfulParts)
 	})
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -92,7 +92,7 @@
 	if !at.gotFirstByte {
 		at.recordFirstByte()
 	}
-	at.observeSurvival()
+	at.checkSurvival()
 	at.beginResponse(reply)
 	return at.output.Write(part)
 }
@@ -148,7 +148,7 @@
 		return at.handleLost(ctx, err.Error())
 	}
 	rn.reportSuccess()
-	at.reportSound()
+	at.reportPartsSuccess()
 	at.finish(placement.Served, "Answered", fmt.Sprintf("status=%d bytes=%d", reply.Status, total))
 	rn.detail = fmt.Sprintf("status=%d", reply.Status)
 	return attemptResult{outcome: Answered{}}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -23,8 +23,8 @@
 	crashes map[string]*crashItem
 	digest  uint64
 
-	partCrashes partQueue[poison.Crash]
-	partSounds  partQueue[poison.Sound]
+	partCrashes   partQueue[poison.Crash]
+	partSuccesses partQueue[poison.Success]
 }
 
 // leavingItem is a leaving upstream; transmitsLeft is the number of further messages that will carry it.
--- a/gossip/parts.go
+++ b/gossip/parts.go
@@ -3,7 +3,7 @@
 import "github.com/turmericdoor/turmericdoor/poison"
 
 const (
-	// maxPartNews bounds the waiting crashes and the waiting sound answers of parts, and maxPartNewsPerMessage those in
+	// maxPartNews bounds the waiting crashes and the waiting successes of parts, and maxPartNewsPerMessage those in
 	// one message.
 	maxPartNews           = 1024
 	maxPartNewsPerMessage = 128
@@ -11,8 +11,8 @@
 
 // PartNews holds the news about parts of prompts that a message carries.
 type PartNews struct {
-	Crashes []poison.Crash
-	Sounds  []poison.Sound
+	Crashes   []poison.Crash
+	Successes []poison.Success
 }
 
 // partItem is a piece of news; urgent news stays if there is no room for all.
@@ -64,17 +64,17 @@
 	return list
 }
 
-// AddPartCrash adds a crash that was news to this instance; an urgent one accuses a part that was accused before.
+// AddPartCrash adds a crash that was news to this instance; an urgent one is not the first of a part.
 func (st *State) AddPartCrash(crash poison.Crash, urgent bool) {
 	st.partCrashes.add(crash, urgent)
 }
 
-// AddPartSound adds a sound answer that cleared a part on this instance.
-func (st *State) AddPartSound(sound poison.Sound) {
-	st.partSounds.add(sound, true)
+// AddPartSuccess adds a success that cleared a part on this instance.
+func (st *State) AddPartSuccess(success poison.Success) {
+	st.partSuccesses.add(success, true)
 }
 
 // TakePartNews returns the news about parts for the next message and uses up one transmission of each.
 func (st *State) TakePartNews() PartNews {
-	return PartNews{Crashes: st.partCrashes.take(), Sounds: st.partSounds.take()}
+	return PartNews{Crashes: st.partCrashes.take(), Successes: st.partSuccesses.take()}
 }
--- a/gossip/parts_test.go
+++ b/gossip/parts_test.go
@@ -43,9 +43,9 @@
 	must.Eq(t, 16, seen[0])
 }
 
-func TestSoundAnswersAreTold(t *testing.T) {
+func TestSuccessesAreSent(t *testing.T) {
 	st := gossip.New()
-	sound := poison.Sound{Part: 7, At: time.Unix(100, 0)}
-	st.AddPartSound(sound)
-	must.Eq(t, []poison.Sound{sound}, st.TakePartNews().Sounds)
+	success := poison.Success{Part: 7, At: time.Unix(100, 0)}
+	st.AddPartSuccess(success)
+	must.Eq(t, []poison.Success{success}, st.TakePartNews().Successes)
 }
--- a/peer/parts.go
+++ b/peer/parts.go
@@ -29,10 +29,10 @@
 func (pr *Peer) ReportPartCrash(upstream uint64, parts []poison.Part) {
 	parts = parts[:min(len(parts), poison.MaxParts)]
 	pr.mu.Lock()
-	crash := poison.Crash{Upstream: upstream, Parts: parts, Proven: pr.parts.ProvenBits(parts), At: pr.hlcTime()}
+	crash := poison.Crash{Upstream: upstream, Parts: parts, Succeeded: pr.parts.SucceededBits(parts), At: pr.hlcTime()}
 	fresh := pr.parts.ReportCrash(pr.hlcTime(), crash)
 	if fresh {
-		pr.gossip.AddPartCrash(crash, pr.parts.IsAccusedAgain(parts))
+		pr.gossip.AddPartCrash(crash, pr.parts.HasRepeatedCrash(parts))
 	}
 	blocks := pr.decideParts()
 	pr.mu.Unlock()
@@ -42,18 +42,19 @@
 	}
 }
 
-// ReportPartsSound records that an answer to a request with the parts survived, and announces it for those that were accused.
-func (pr *Peer) ReportPartsSound(parts []poison.Part) {
+// ReportPartsSuccess records that an upstream wrote an answer to a request with the parts and lives, and announces it for
+// those with crashes.
+func (pr *Peer) ReportPartsSuccess(parts []poison.Part) {
 	pr.mu.Lock()
 	cleared := []poison.Part{}
 	for _, part := range parts[:min(len(parts), poison.MaxParts)] {
-		pr.parts.MarkProven(part)
-		if !pr.parts.IsAccused(part) {
+		pr.parts.MarkSucceeded(part)
+		if !pr.parts.HasCrashes(part) {
 			continue
 		}
-		sound := poison.Sound{Part: part, At: pr.hlcTime()}
-		if pr.parts.ReportSound(sound) {
-			pr.gossip.AddPartSound(sound)
+		success := poison.Success{Part: part, At: pr.hlcTime()}
+		if pr.parts.ReportSuccess(success) {
+			pr.gossip.AddPartSuccess(success)
 			cleared = append(cleared, part)
 		}
 	}
@@ -69,8 +70,7 @@
 	}
 }
 
-// BeginPartTrial reports whether this instance may send one request with the blocked parts now. Of all live instances one
-// has that right for a part.
+// BeginPartTrial reports whether this instance may send one request with the blocked parts now.
 func (pr *Peer) BeginPartTrial(parts []poison.Part) bool {
 	if status, _ := pr.PartStatus(parts); status != poison.Blocked {
 		return false
@@ -82,7 +82,7 @@
 		if status := (*pr.partStatuses.Load())[part]; status != poison.Blocked {
 			continue
 		}
-		if !pr.ownsTrial(part) || !pr.parts.BeginTrial(pr.hlcTime(), part) {
+		if !pr.parts.BeginTrial(pr.hlcTime(), part, pr.ownsTrial(part)) {
 			return false
 		}
 		allowed = true
@@ -101,12 +101,12 @@
 	return first == pr.selfID
 }
 
-// hlcTime returns the time of the hybrid logical clock, by which the instances compare crashes and sound answers.
+// hlcTime returns the time of the hybrid logical clock, by which the instances compare crashes and success answers.
 func (pr *Peer) hlcTime() time.Time {
 	return time.UnixMicro(pr.clock.Now().WallMicros)
 }
 
-// decideParts blocks the parts that the crashes convict and publishes the statuses; it returns the new blocks.
+// decideParts blocks the parts that have caused crashes and publishes the statuses; it returns the new blocks.
 func (pr *Peer) decideParts() []poison.Block {
 	blocks := pr.parts.Decide(pr.hlcTime())
 	pr.publishParts()
@@ -141,21 +141,21 @@
 // addPartNews adds the news about parts of a heartbeat. It returns the new blocks, and whether the other instances should
 // be told at once.
 func (pr *Peer) addPartNews(heartbeat *wire.Heartbeat) ([]poison.Block, bool) {
-	if len(heartbeat.GetPartCrashes())+len(heartbeat.GetPartSounds())+len(heartbeat.GetPartBlocks()) == 0 {
+	if len(heartbeat.GetPartCrashes())+len(heartbeat.GetPartSuccesses())+len(heartbeat.GetPartBlocks()) == 0 {
 		return nil, false
 	}
 	now, changed, urgent := pr.hlcTime(), false, false
-	for _, item := range heartbeat.GetPartSounds() {
-		sound := poison.Sound{Part: poison.Part(item.GetPart()), At: time.UnixMicro(item.GetWallMicros())}
-		if pr.parts.ReportSound(sound) {
-			pr.gossip.AddPartSound(sound)
+	for _, item := range heartbeat.GetPartSuccesses() {
+		success := poison.Success{Part: poison.Part(item.GetPart()), At: time.UnixMicro(item.GetWallMicros())}
+		if pr.parts.ReportSuccess(success) {
+			pr.gossip.AddPartSuccess(success)
 			changed, urgent = true, true
 		}
 	}
 	for _, item := range heartbeat.GetPartCrashes() {
 		crash := fromWirePartCrash(item)
 		if pr.parts.ReportCrash(now, crash) {
-			again := pr.parts.IsAccusedAgain(crash.Parts)
+			again := pr.parts.HasRepeatedCrash(crash.Parts)
 			pr.gossip.AddPartCrash(crash, again)
 			changed, urgent = true, urgent || again
 		}
@@ -163,11 +163,11 @@
 	blocks := []poison.Block{}
 	for _, item := range heartbeat.GetPartBlocks() {
 		block := poison.Block{Part: poison.Part(item.GetPart()), At: time.UnixMicro(item.GetWallMicros()), Trials: int(item.GetTrials())}
-		if pr.parts.Add(now, block) {
+		if pr.parts.AddBlock(now, block) {
 			blocks = append(blocks, block)
-		} else if sound, later := pr.parts.SoundSince(block); later {
+		} else if success, later := pr.parts.SuccessSince(block); later {
 			// The sender has missed what lifted the block.
-			pr.gossip.AddPartSound(sound)
+			pr.gossip.AddPartSuccess(success)
 		}
 	}
 	if changed {
@@ -185,8 +185,8 @@
 	for _, crash := range news.Crashes {
 		heartbeat.PartCrashes = append(heartbeat.PartCrashes, toWirePartCrash(crash))
 	}
-	for _, sound := range news.Sounds {
-		heartbeat.PartSounds = append(heartbeat.PartSounds, &wire.PartSound{Part: uint64(sound.Part), WallMicros: sound.At.UnixMicro()})
+	for _, success := range news.Successes {
+		heartbeat.PartSuccesses = append(heartbeat.PartSuccesses, &wire.PartSuccess{Part: uint64(success.Part), WallMicros: success.At.UnixMicro()})
 	}
 	for _, block := range pr.parts.Blocks() {
 		heartbeat.PartBlocks = append(heartbeat.PartBlocks, &wire.PartBlock{
@@ -196,7 +196,7 @@
 }
 
 func toWirePartCrash(crash poison.Crash) *wire.PartCrash {
-	converted := &wire.PartCrash{Upstream: crash.Upstream, WallMicros: crash.At.UnixMicro(), Proven: crash.Proven}
+	converted := &wire.PartCrash{Upstream: crash.Upstream, WallMicros: crash.At.UnixMicro(), Succeeded: crash.Succeeded}
 	for _, part := range crash.Parts {
 		converted.Parts = append(converted.Parts, uint64(part))
 	}
@@ -204,7 +204,7 @@
 }
 
 func fromWirePartCrash(crash *wire.PartCrash) poison.Crash {
-	converted := poison.Crash{Upstream: crash.GetUpstream(), At: time.UnixMicro(crash.GetWallMicros()), Proven: crash.GetProven()}
+	converted := poison.Crash{Upstream: crash.GetUpstream(), At: time.UnixMicro(crash.GetWallMicros()), Succeeded: crash.GetSucceeded()}
 	for _, part := range crash.GetParts() {
 		converted.Parts = append(converted.Parts, poison.Part(part))
 	}
--- a/poison/blame.go
+++ b/poison/decide.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// Decide blocks the parts that the crashes convict and returns the new blocks. Parts without a known sound answer come
-// first, those with the most crashes before others; the crashes of a blocked part are explained and convict no other. It
-// blocks none while no sound answer to any part is known, as right after a start: the other instances decide then.
+// Decide blocks the parts that have caused crashes and returns the new blocks. Parts without a known success come first,
+// those with the most crashes before others; the crashes of a blocked part are explained and count against no other. It
+// blocks none while no success of any part is known, as right after a start: the other instances decide then.
 func (rg *Registry) Decide(now time.Time) []Block {
-	if rg.proven.isEmpty() {
+	if rg.successes.isEmpty() {
 		return nil
 	}
 	explained := map[uint64]bool{}
@@ -25,13 +25,13 @@
 		if unexplained < crashesToBlock {
 			continue
 		}
-		twins := rg.twins(part)
-		if unexplained < crashesToBlockAny && (rg.proven.has(part) || len(twins) > 0) {
+		others := rg.indistinguishable(part)
+		if unexplained < crashesToBlockAny && (rg.successes.has(part) || len(others) > 0) {
 			continue
 		}
-		for _, each := range append(twins, part) {
+		for _, each := range append(others, part) {
 			block := Block{Part: each, At: rg.suspects[each].latestCrash()}
-			if rg.Add(now, block) {
+			if rg.AddBlock(now, block) {
 				fresh = append(fresh, block)
 			}
 		}
@@ -49,8 +49,8 @@
 		}
 	}
 	slices.SortFunc(list, func(left, right Part) int {
-		if rg.proven.has(left) != rg.proven.has(right) {
-			if rg.proven.has(right) {
+		if rg.successes.has(left) != rg.successes.has(right) {
+			if rg.successes.has(right) {
 				return -1
 			}
 			return 1
@@ -63,12 +63,12 @@
 	return list
 }
 
-// twins returns the other parts that were lost with the same upstreams and to which no sound answer is known either.
-func (rg *Registry) twins(part Part) []Part {
+// indistinguishable returns the other parts without a known success that have all crashes of a part.
+func (rg *Registry) indistinguishable(part Part) []Part {
 	own := rg.suspects[part]
 	list := []Part{}
 	for other, each := range rg.suspects {
-		if other != part && each.covers(own) && !rg.proven.has(other) {
+		if other != part && each.covers(own) && !rg.successes.has(other) {
 			list = append(list, other)
 		}
 	}
@@ -101,8 +101,8 @@
 	}
 }
 
-func (su *suspect) unexplained(explained map[uint64]bool) []accusation {
-	list := []accusation{}
+func (su *suspect) unexplained(explained map[uint64]bool) []crashRecord {
+	list := []crashRecord{}
 	for _, each := range su.crashes {
 		if !explained[each.upstream] {
 			list = append(list, each)
@@ -112,7 +112,7 @@
 }
 
 // moments returns the number of moments at which upstreams crashed; crashes within sameMoment of the first are one.
-func moments(crashes []accusation) int {
+func moments(crashes []crashRecord) int {
 	times := []time.Time{}
 	for _, each := range crashes {
 		times = append(times, each.at)
--- a/poison/doc.go
+++ b/poison/doc.go
@@ -1,3 +1,3 @@
-// Package poison decides which parts of prompts crash the upstreams that answer them. Requests share parts, and a crash
-// accuses all parts of the requests that were lost with it; what sets a part apart is that no answer to it survives.
+// Package poison decides which parts of prompts crash the upstreams that answer them. Requests share parts, and each request
+// that is lost in a crash counts against all of its parts; only the part that causes crashes never has a success.
 package poison
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -29,17 +29,16 @@
 )
 
 // Crash reports a request that was lost when an upstream's process died, before its answer or soon after its beginning.
-// Parts are the shared parts of its prompt, and Proven has a bit set for each of them to which the reporter saw an answer
-// survive. Upstream identifies the incarnation that died.
+// Parts are the shared parts of its prompt, and Succeeded has a bit set for each of them with a known success. Upstream identifies the incarnation that died.
 type Crash struct {
-	Upstream uint64
-	Parts    []Part
-	Proven   uint64
-	At       time.Time
+	Upstream  uint64
+	Parts     []Part
+	Succeeded uint64
+	At        time.Time
 }
 
-// Sound reports that an upstream answered a request with the part and lives.
-type Sound struct {
+// Success reports that an upstream wrote an answer to a request with the part and lives.
+type Success struct {
 	Part Part
 	At   time.Time
 }
@@ -53,9 +52,9 @@
 }
 
 const (
-	// crashesToBlock is the number of crashes after which a part is blocked of which no answer is known to have survived.
+	// crashesToBlock is the number of crashes after which a part without a known success is blocked.
 	crashesToBlock = 3
-	// crashesToBlockAny is the number after which any part is blocked that explains crashes as well as the others do.
+	// crashesToBlockAny is the number of crashes, not explained by a blocked part, after which any part is blocked.
 	crashesToBlockAny = 5
 	// sameMoment is the time within which several crashes count as one, as of a failure domain that is lost.
 	sameMoment = 50 * time.Millisecond
@@ -70,30 +69,32 @@
 	evictedShare = 4
 	// maxBlocks bounds the blocked parts.
 	maxBlocks = 256
-	// MaxParts bounds the parts of one request that a crash accuses; Crash.Proven has as many bits.
+	// MaxParts bounds the parts of one request that are recorded; Crash.Succeeded has as many bits.
 	MaxParts = 64
-	// firstTrialAfter is how long a part is blocked until a trial; the time doubles with each trial, up to CrashTTL.
-	firstTrialAfter = time.Minute
-	maxDoublings    = 6
+	// firstTrialAfter is how long a part is blocked until a trial; the time doubles with each trial, up to CrashTTL. Instances
+	// that don't own the trial wait otherTrialFactor times as long.
+	firstTrialAfter  = time.Minute
+	maxDoublings     = 6
+	otherTrialFactor = 4
 )
 
 // Registry records the crashes of parts; it is not safe for concurrent use.
 type Registry struct {
-	suspects map[Part]*suspect
-	blocks   map[Part]Block
-	proven   proven
+	suspects  map[Part]*suspect
+	blocks    map[Part]Block
+	successes successes
 	// fullFor is the width of the requests whose parts found no room, or 0 if there may be room.
 	fullFor int
 }
 
-// suspect holds the crashes of a part since soundAt, the last known answer to it that survived.
+// suspect holds the crashes of a part since succeededAt, its last known success.
 type suspect struct {
-	crashes []accusation
-	soundAt time.Time
+	crashes     []crashRecord
+	succeededAt time.Time
 }
 
-// accusation is a crash of which a part may be the cause. width is the number of parts that the request had.
-type accusation struct {
+// crashRecord is a crash that a part may have caused. width is the number of parts that the request had.
+type crashRecord struct {
 	upstream uint64
 	at       time.Time
 	width    int
@@ -111,19 +112,19 @@
 	}
 	fresh := false
 	for at, part := range crash.Parts[:min(len(crash.Parts), MaxParts)] {
-		if crash.Proven>>at&1 == 1 {
-			rg.proven.add(part)
+		if crash.Succeeded>>at&1 == 1 {
+			rg.successes.add(part)
 		}
-		if rg.accuse(part, accusation{upstream: crash.Upstream, at: crash.At, width: len(crash.Parts)}) {
+		if rg.addCrash(part, crashRecord{upstream: crash.Upstream, at: crash.At, width: len(crash.Parts)}) {
 			fresh = true
 		}
 	}
 	return fresh
 }
 
-// accuse adds a crash of a part unless it is known, an answer survived since, or the registry is full of others that are
-// as suspicious.
-func (rg *Registry) accuse(part Part, fresh accusation) bool {
+// addCrash adds a crash of a part unless it is known, a success came later, or the registry is full of others that are as
+// suspicious.
+func (rg *Registry) addCrash(part Part, fresh crashRecord) bool {
 	known, found := rg.suspects[part]
 	if !found {
 		if len(rg.suspects) >= maxSuspects && !rg.evict(fresh.width) {
@@ -132,7 +133,7 @@
 		known = &suspect{}
 		rg.suspects[part] = known
 	}
-	if !fresh.at.After(known.soundAt) || known.hasCrashed(fresh.upstream) || known.isFull(fresh.at) {
+	if !fresh.at.After(known.succeededAt) || known.hasCrashed(fresh.upstream) || known.isFull(fresh.at) {
 		return false
 	}
 	known.crashes = append(known.crashes, fresh)
@@ -140,7 +141,7 @@
 }
 
 func (su *suspect) hasCrashed(upstream uint64) bool {
-	return slices.ContainsFunc(su.crashes, func(each accusation) bool { return each.upstream == upstream })
+	return slices.ContainsFunc(su.crashes, func(each crashRecord) bool { return each.upstream == upstream })
 }
 
 // isFull reports whether no further crash at a time is kept.
@@ -188,67 +189,67 @@
 	return su.crashes[0].at.Compare(other.crashes[0].at)
 }
 
-// ReportSound records that an answer to a part survived: crashes until then no longer count, and a block is lifted. It
-// returns whether that changed anything.
-func (rg *Registry) ReportSound(sound Sound) bool {
-	rg.proven.add(sound.Part)
+// ReportSuccess records a success of a part: crashes until then no longer count, and a block is lifted. It returns whether
+// that changed anything.
+func (rg *Registry) ReportSuccess(success Success) bool {
+	rg.successes.add(success.Part)
 	changed := false
-	if block, is := rg.blocks[sound.Part]; is && sound.At.After(block.At) {
-		delete(rg.blocks, sound.Part)
+	if block, is := rg.blocks[success.Part]; is && success.At.After(block.At) {
+		delete(rg.blocks, success.Part)
 		changed = true
 	}
-	known, found := rg.suspects[sound.Part]
+	known, found := rg.suspects[success.Part]
 	if !found && len(rg.suspects) < maxSuspects {
-		rg.suspects[sound.Part] = &suspect{soundAt: sound.At}
+		rg.suspects[success.Part] = &suspect{succeededAt: success.At}
 	}
-	if !found || !sound.At.After(known.soundAt) {
+	if !found || !success.At.After(known.succeededAt) {
 		return changed
 	}
 	rg.fullFor = 0
 	before := len(known.crashes)
-	known.soundAt = sound.At
-	known.crashes = slices.DeleteFunc(known.crashes, func(each accusation) bool { return !each.at.After(sound.At) })
+	known.succeededAt = success.At
+	known.crashes = slices.DeleteFunc(known.crashes, func(each crashRecord) bool { return !each.at.After(success.At) })
 	return changed || len(known.crashes) < before
 }
 
-// MarkProven remembers that an answer to a part survived, so that crashes are rather blamed on others.
-func (rg *Registry) MarkProven(part Part) {
-	rg.proven.add(part)
+// MarkSucceeded remembers that a part had a success, so that other parts are blocked for a crash first.
+func (rg *Registry) MarkSucceeded(part Part) {
+	rg.successes.add(part)
 }
 
-// ProvenBits returns a bit for each of the first MaxParts parts to which an answer is known to have survived.
-func (rg *Registry) ProvenBits(parts []Part) uint64 {
+// SucceededBits returns a bit for each of the first MaxParts parts with a known success.
+func (rg *Registry) SucceededBits(parts []Part) uint64 {
 	bits := uint64(0)
 	for at, part := range parts[:min(len(parts), MaxParts)] {
-		if rg.proven.has(part) {
+		if rg.successes.has(part) {
 			bits |= 1 << at
 		}
 	}
 	return bits
 }
 
-// IsAccusedAgain reports whether one of the parts has more than one crash.
-func (rg *Registry) IsAccusedAgain(parts []Part) bool {
+// HasRepeatedCrash reports whether one of the parts has more than one crash.
+func (rg *Registry) HasRepeatedCrash(parts []Part) bool {
 	return slices.ContainsFunc(parts, func(part Part) bool {
 		known, found := rg.suspects[part]
 		return found && len(known.crashes) > 1
 	})
 }
 
-// IsAccused reports whether crashes of a part count, or the part is blocked.
-func (rg *Registry) IsAccused(part Part) bool {
+// HasCrashes reports whether crashes of a part count, or the part is blocked.
+func (rg *Registry) HasCrashes(part Part) bool {
 	known, found := rg.suspects[part]
 	_, blocked := rg.blocks[part]
 	return blocked || found && len(known.crashes) > 0
 }
 
-// Add adds a block that another instance decided, and returns whether it is news.
-func (rg *Registry) Add(now time.Time, block Block) bool {
+// AddBlock adds a block that another instance decided, and returns whether it is news.
+func (rg *Registry) AddBlock(now time.Time, block Block) bool {
 	known, found := rg.blocks[block.Part]
 	if now.Sub(block.At) > CrashTTL || found && !block.At.After(known.At) {
 		return false
 	}
-	if suspected, is := rg.suspects[block.Part]; is && !block.At.After(suspected.soundAt) {
+	if suspected, is := rg.suspects[block.Part]; is && !block.At.After(suspected.succeededAt) {
 		return false
 	}
 	if !found && len(rg.blocks) >= maxBlocks {
@@ -258,13 +259,13 @@
 	return true
 }
 
-// SoundSince returns the last known sound answer to a blocked part, if it came after the block.
-func (rg *Registry) SoundSince(block Block) (Sound, bool) {
+// SuccessSince returns the last known success of a blocked part, if it came after the block.
+func (rg *Registry) SuccessSince(block Block) (Success, bool) {
 	known, found := rg.suspects[block.Part]
-	if !found || !known.soundAt.After(block.At) {
-		return Sound{}, false
+	if !found || !known.succeededAt.After(block.At) {
+		return Success{}, false
 	}
-	return Sound{Part: block.Part, At: known.soundAt}, true
+	return Success{Part: block.Part, At: known.succeededAt}, true
 }
 
 func (rg *Registry) dropOldestBlock() {
@@ -272,10 +273,15 @@
 	delete(rg.blocks, blocks[len(blocks)-1].Part)
 }
 
-// BeginTrial reports whether one request with a blocked part may run now, and counts it.
-func (rg *Registry) BeginTrial(now time.Time, part Part) bool {
+// BeginTrial reports whether one request with a blocked part may run now, and counts it. One of the instances owns the
+// trials of a part, so that not all begin one at the same time; the others step in if it gets no such request.
+func (rg *Registry) BeginTrial(now time.Time, part Part, isOwner bool) bool {
 	block, blocked := rg.blocks[part]
-	if !blocked || now.Sub(block.At) < min(firstTrialAfter<<min(block.Trials, maxDoublings), CrashTTL) {
+	pause := firstTrialAfter << min(block.Trials, maxDoublings)
+	if !isOwner {
+		pause *= otherTrialFactor
+	}
+	if !blocked || now.Sub(block.At) < min(pause, CrashTTL) {
 		return false
 	}
 	rg.blocks[part] = Block{Part: part, At: now, Trials: block.Trials + 1}
@@ -301,7 +307,7 @@
 func (rg *Registry) Statuses() map[Part]Status {
 	statuses := map[Part]Status{}
 	for part, each := range rg.suspects {
-		if len(each.crashes) > 0 && !rg.proven.has(part) {
+		if len(each.crashes) > 0 && !rg.successes.has(part) {
 			statuses[part] = Suspect
 		}
 	}
@@ -315,8 +321,8 @@
 func (rg *Registry) Expire(now time.Time) {
 	rg.fullFor = 0
 	for part, each := range rg.suspects {
-		each.crashes = slices.DeleteFunc(each.crashes, func(one accusation) bool { return now.Sub(one.at) > CrashTTL })
-		if len(each.crashes) == 0 && now.Sub(each.soundAt) > soundTTL {
+		each.crashes = slices.DeleteFunc(each.crashes, func(one crashRecord) bool { return now.Sub(one.at) > CrashTTL })
+		if len(each.crashes) == 0 && now.Sub(each.succeededAt) > successTTL {
 			delete(rg.suspects, part)
 		}
 	}
@@ -327,5 +333,5 @@
 	}
 }
 
-// soundTTL is how long late reports of crashes and blocks are compared with a later answer.
-const soundTTL = 10 * time.Minute
+// successTTL is how long late reports of crashes and blocks are compared with a later answer.
+const successTTL = 10 * time.Minute
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -27,10 +27,10 @@
 }
 
 // newRegistry returns a registry that knows sound answers to the parts, and to some other part.
-func newRegistry(proven ...poison.Part) *poison.Registry {
+func newRegistry(succeeded ...poison.Part) *poison.Registry {
 	rg := poison.New()
-	for _, part := range append(proven, poison.PartOf("elsewhere")) {
-		rg.MarkProven(part)
+	for _, part := range append(succeeded, poison.PartOf("elsewhere")) {
+		rg.MarkSucceeded(part)
 	}
 	return rg
 }
@@ -54,12 +54,12 @@
 	must.SliceLen(t, len(want), blocked)
 }
 
-func TestBlame(t *testing.T) {
+func TestDecide(t *testing.T) {
 	cases := []struct {
-		name    string
-		proven  []poison.Part
-		crashes []poison.Crash
-		want    []poison.Part
+		name      string
+		succeeded []poison.Part
+		crashes   []poison.Crash
+		want      []poison.Part
 	}{
 		{"two crashes are not enough", []poison.Part{first}, []poison.Crash{crashAt(0, first, bad), crashAt(100, first, bad)}, nil},
 		{
@@ -125,7 +125,7 @@
 	}
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
-			rg := newRegistry(each.proven...)
+			rg := newRegistry(each.succeeded...)
 			report(rg, each.crashes...)
 			assertBlocked(t, rg, each.want...)
 		})
@@ -139,7 +139,7 @@
 		rg := poison.New()
 		for _, ms := range []int{0, 100, 200} {
 			crash := crashAt(ms, first, bad)
-			crash.Proven = 1
+			crash.Succeeded = 1
 			report(rg, crash)
 		}
 		assertBlocked(t, rg, bad)
@@ -164,25 +164,25 @@
 	t.Run("clear a part", func(t *testing.T) {
 		rg := newRegistry()
 		report(rg, crashAt(0, bad), crashAt(100, bad))
-		must.True(t, rg.ReportSound(poison.Sound{Part: bad, At: after(150)}))
+		must.True(t, rg.ReportSuccess(poison.Success{Part: bad, At: after(150)}))
 		report(rg, crashAt(200, bad), crashAt(300, bad))
 		assertBlocked(t, rg)
 	})
 	t.Run("do not clear later crashes", func(t *testing.T) {
 		rg := newRegistry()
 		report(rg, crashAt(0, bad), crashAt(100, bad), crashAt(200, bad))
-		must.False(t, rg.ReportSound(poison.Sound{Part: bad, At: after(-10)}))
+		must.False(t, rg.ReportSuccess(poison.Success{Part: bad, At: after(-10)}))
 		assertBlocked(t, rg, bad)
 	})
 	t.Run("lift a block, also one that is told again", func(t *testing.T) {
 		rg := newRegistry()
 		report(rg, crashAt(0, bad), crashAt(100, bad), crashAt(200, bad))
 		old := rg.Blocks()[0]
-		must.True(t, rg.ReportSound(poison.Sound{Part: bad, At: after(300)}))
-		must.False(t, rg.Add(after(400), old))
-		sound, later := rg.SoundSince(old)
+		must.True(t, rg.ReportSuccess(poison.Success{Part: bad, At: after(300)}))
+		must.False(t, rg.AddBlock(after(400), old))
+		success, later := rg.SuccessSince(old)
 		must.True(t, later, must.Sprint("the instance that still blocks the part must be told"))
-		must.Eq(t, poison.Sound{Part: bad, At: after(300)}, sound)
+		must.Eq(t, poison.Success{Part: bad, At: after(300)}, success)
 		must.False(t, rg.ReportCrash(after(400), crashAt(100, bad)), must.Sprint("a report that comes late"))
 		assertBlocked(t, rg)
 		must.Eq(t, poison.Clear, rg.Statuses()[bad])
@@ -202,17 +202,20 @@
 func TestTrials(t *testing.T) {
 	rg := newRegistry()
 	report(rg, crashAt(0, bad), crashAt(100, bad), crashAt(200, bad))
-	must.False(t, rg.BeginTrial(after(60000), bad), must.Sprint("a minute after the last crash"))
-	must.True(t, rg.BeginTrial(after(60200), bad))
-	must.False(t, rg.BeginTrial(after(60300), bad))
-	must.False(t, rg.BeginTrial(after(179000), bad), must.Sprint("the pause doubles"))
-	must.True(t, rg.BeginTrial(after(180200), bad))
-	must.False(t, rg.BeginTrial(after(180200), other), must.Sprint("a part that is not blocked"))
+	must.False(t, rg.BeginTrial(after(60000), bad, true), must.Sprint("a minute after the last crash"))
+	must.False(t, rg.BeginTrial(after(60200), bad, false), must.Sprint("another instance owns the trial"))
+	must.True(t, rg.BeginTrial(after(60200), bad, true))
+	must.False(t, rg.BeginTrial(after(60300), bad, true))
+	must.False(t, rg.BeginTrial(after(179000), bad, true), must.Sprint("the pause doubles"))
+	must.True(t, rg.BeginTrial(after(180200), bad, true))
+	must.False(t, rg.BeginTrial(after(180200), other, true), must.Sprint("a part that is not blocked"))
+	must.False(t, rg.BeginTrial(after(180200+959000), bad, false))
+	must.True(t, rg.BeginTrial(after(180200+960000), bad, false), must.Sprint("the owner got no request with the part"))
 	t.Run("of another instance", func(t *testing.T) {
 		late := newRegistry()
 		report(late, crashAt(0, bad), crashAt(100, bad), crashAt(200, bad))
-		must.True(t, late.Add(after(180300), rg.Blocks()[0]))
-		must.False(t, late.BeginTrial(after(181000), bad))
+		must.True(t, late.AddBlock(after(1140300), rg.Blocks()[0]))
+		must.False(t, late.BeginTrial(after(1141000), bad, true))
 	})
 }
 
@@ -253,12 +256,12 @@
 		report(rg, crashAt(200, first, bad))
 		assertBlocked(t, rg, bad)
 	})
-	t.Run("parts in use stay proven", func(t *testing.T) {
+	t.Run("parts in use are remembered", func(t *testing.T) {
 		rg := newRegistry()
 		for range flood {
-			rg.MarkProven(newParts(1)[0])
-			rg.MarkProven(first)
+			rg.MarkSucceeded(newParts(1)[0])
+			rg.MarkSucceeded(first)
 		}
-		must.Eq(t, 1, rg.ProvenBits([]poison.Part{first, bad}))
+		must.Eq(t, 1, rg.SucceededBits([]poison.Part{first, bad}))
 	})
 }
