--- a/entry/parts_test.go
+++ b/entry/parts_test.go
@@ -208,92 +208,75 @@
 	must.SliceEmpty(t, pr.soak.violations)
 }
 
-// TestPartCrashesUpstreamsOneAfterTheOther guards against requests that are all different but for one part of their
-// prompts, which crashes every upstream that begins to answer it.
-func TestPartCrashesUpstreamsOneAfterTheOther(t *testing.T) {
-	t.Run("before the first event", func(t *testing.T) { assertPartIsStopped(t, newPartsRun()) })
-	t.Run("after the first event", func(t *testing.T) {
-		pr := newPartsRun()
+// partsCases are the circumstances in which requests with the bad part are sent.
+var partsCases = map[string]func(pr *partsRun){
+	"before the first event": func(_ *partsRun) {},
+	"after the first event": func(pr *partsRun) {
 		pr.prepare = func(us *upstreamSet) { us.crashAfterEvent = true }
-		assertPartIsStopped(t, pr)
-	})
-	t.Run("as the first part", func(t *testing.T) {
-		pr := newPartsRun()
+	},
+	"as the first part": func(pr *partsRun) {
 		pr.badAt = 0
-		assertPartIsStopped(t, pr)
-	})
-	t.Run("many at once", func(t *testing.T) {
-		pr := newPartsRun()
+	},
+	"many at once": func(pr *partsRun) {
 		pr.badEvery = 20 * time.Millisecond
-		assertPartIsStopped(t, pr)
-	})
-	t.Run("seldom", func(t *testing.T) {
-		pr := newPartsRun()
+	},
+	"seldom": func(pr *partsRun) {
 		pr.badEvery = 1200 * time.Millisecond
-		assertPartIsStopped(t, pr)
-	})
-	t.Run("upstreams are back at once", func(t *testing.T) {
-		pr := newPartsRun()
+	},
+	"upstreams are back at once": func(pr *partsRun) {
 		pr.prepare = func(us *upstreamSet) { us.restartDelay = 0 }
-		assertPartIsStopped(t, pr)
-	})
-	t.Run("beside many new parts", func(t *testing.T) {
-		pr := newPartsRun()
+	},
+	"beside many new parts": func(pr *partsRun) {
 		pr.newParts = 40
-		assertPartIsStopped(t, pr)
-	})
-	t.Run("beside a failure domain that crashes again and again", func(t *testing.T) {
-		pr := newPartsRun()
+	},
+	"beside a failure domain that crashes again and again": func(pr *partsRun) {
 		pr.during = func(sk *soak, elapsed time.Duration) {
 			if elapsed%(4*time.Second) == 0 {
 				sk.crashDomain("a")
 			}
 		}
-		assertPartIsStopped(t, pr)
-	})
-	t.Run("in a fleet of seventy instances", func(t *testing.T) {
-		pr := newPartsRun()
+	},
+	"in a fleet of seventy instances": func(pr *partsRun) {
 		pr.instances, pr.upstreams, pr.badEvery = 70, 40, 50*time.Millisecond
-		assertPartIsStopped(t, pr)
-	})
-	t.Run("while instances are restarted", func(t *testing.T) {
-		pr := newPartsRun()
+	},
+	"while instances are restarted": func(pr *partsRun) {
 		pr.during = func(sk *soak, elapsed time.Duration) {
 			if elapsed%time.Second == 0 {
 				sk.restartOne()
 			}
 		}
-		assertPartIsStopped(t, pr)
-	})
-	t.Run("beside a new part that always comes with it", func(t *testing.T) {
-		pr := newPartsRun()
+	},
+	"beside a new part that always comes with it": func(pr *partsRun) {
 		pr.companion = "companion"
-		assertPartIsStopped(t, pr)
-	})
-	t.Run("after it was sound before", func(t *testing.T) {
-		pr := newPartsRun()
+	},
+	"after it was sound before": func(pr *partsRun) {
 		pr.soundBefore = true
-		assertPartIsStopped(t, pr)
-	})
-	t.Run("after all instances were restarted at once", func(t *testing.T) {
-		pr := newPartsRun()
+	},
+	"after all instances were restarted at once": func(pr *partsRun) {
 		pr.during = func(sk *soak, elapsed time.Duration) {
 			if elapsed == 0 {
 				sk.restartAll()
 			}
 		}
-		assertPartIsStopped(t, pr)
-	})
-	t.Run("while half of the instances are cut off from the others", func(t *testing.T) {
-		pr := newPartsRun()
+	},
+	"while half of the instances are cut off from the others": func(pr *partsRun) {
 		pr.during = func(sk *soak, elapsed time.Duration) { sk.split(elapsed, 200*time.Millisecond, 5*time.Second) }
-		assertPartIsStopped(t, pr)
-	})
-	t.Run("while an instance is cut off", func(t *testing.T) {
-		pr := newPartsRun()
+	},
+	"while an instance is cut off": func(pr *partsRun) {
 		pr.during = func(sk *soak, elapsed time.Duration) { sk.cutOff(elapsed, 500*time.Millisecond, 5*time.Second) }
-		assertPartIsStopped(t, pr)
-	})
+	},
+}
+
+// TestPartCrashesUpstreamsOneAfterTheOther guards against requests that are all different but for one part of their
+// prompts, which crashes every upstream that begins to answer it.
+func TestPartCrashesUpstreamsOneAfterTheOther(t *testing.T) {
+	for name, change := range partsCases {
+		t.Run(name, func(t *testing.T) {
+			pr := newPartsRun()
+			change(pr)
+			assertPartIsStopped(t, pr)
+		})
+	}
 }
 
 // crashDomain crashes all model engines of a failure domain at the same moment.
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -54,76 +54,78 @@
 	must.SliceLen(t, len(want), blocked)
 }
 
-func TestDecide(t *testing.T) {
-	cases := []struct {
-		name      string
-		succeeded []poison.Part
-		crashes   []poison.Crash
-		want      []poison.Part
-	}{
-		{"two crashes are not enough", []poison.Part{first}, []poison.Crash{crashAt(0, first, bad), crashAt(100, first, bad)}, nil},
-		{
-			"three crashes block the part without a sound answer",
-			[]poison.Part{first},
-			[]poison.Crash{crashAt(0, first, bad), crashAt(100, first, bad), crashAt(200, first, bad)},
-			[]poison.Part{bad},
-		},
-		{
-			"crashes at one moment are one",
-			[]poison.Part{first},
-			[]poison.Crash{crashAt(0, first, bad), crashAt(10, first, bad), crashAt(40, first, bad), crashAt(100, first, bad)},
-			nil,
-		},
-		{
-			"innocents beside it have fewer crashes",
-			[]poison.Part{first},
-			[]poison.Crash{crashAt(0, first, bad), crashAt(0, first, other), crashAt(100, first, bad), crashAt(100, first, other), crashAt(200, first, bad), crashAt(200, first, second)},
-			[]poison.Part{bad},
-		},
-		{
-			"three crashes do not tell two new parts apart", nil,
-			[]poison.Crash{crashAt(0, second, bad), crashAt(100, second, bad), crashAt(200, second, bad)},
-			nil,
-		},
-		{
-			"the part that came without the other", nil,
-			[]poison.Crash{crashAt(0, second, bad), crashAt(100, other, bad), crashAt(200, second, bad)},
-			[]poison.Part{bad},
-		},
-		{
-			"five crashes block both", nil,
-			[]poison.Crash{crashAt(0, second, bad), crashAt(100, second, bad), crashAt(200, second, bad), crashAt(300, second, bad), crashAt(400, second, bad)},
-			[]poison.Part{second, bad},
-		},
-		{
-			"a part that was sound before",
-			[]poison.Part{bad, first},
-			[]poison.Crash{crashAt(0, bad), crashAt(100, bad), crashAt(200, bad), crashAt(300, bad)},
-			nil,
+// decideCases are crashes and the parts that they block.
+var decideCases = []struct {
+	name      string
+	succeeded []poison.Part
+	crashes   []poison.Crash
+	want      []poison.Part
+}{
+	{"two crashes are not enough", []poison.Part{first}, []poison.Crash{crashAt(0, first, bad), crashAt(100, first, bad)}, nil},
+	{
+		"three crashes block the part without a sound answer",
+		[]poison.Part{first},
+		[]poison.Crash{crashAt(0, first, bad), crashAt(100, first, bad), crashAt(200, first, bad)},
+		[]poison.Part{bad},
+	},
+	{
+		"crashes at one moment are one",
+		[]poison.Part{first},
+		[]poison.Crash{crashAt(0, first, bad), crashAt(10, first, bad), crashAt(40, first, bad), crashAt(100, first, bad)},
+		nil,
+	},
+	{
+		"innocents beside it have fewer crashes",
+		[]poison.Part{first},
+		[]poison.Crash{crashAt(0, first, bad), crashAt(0, first, other), crashAt(100, first, bad), crashAt(100, first, other), crashAt(200, first, bad), crashAt(200, first, second)},
+		[]poison.Part{bad},
+	},
+	{
+		"three crashes do not tell two new parts apart", nil,
+		[]poison.Crash{crashAt(0, second, bad), crashAt(100, second, bad), crashAt(200, second, bad)},
+		nil,
+	},
+	{
+		"the part that came without the other", nil,
+		[]poison.Crash{crashAt(0, second, bad), crashAt(100, other, bad), crashAt(200, second, bad)},
+		[]poison.Part{bad},
+	},
+	{
+		"five crashes block both", nil,
+		[]poison.Crash{crashAt(0, second, bad), crashAt(100, second, bad), crashAt(200, second, bad), crashAt(300, second, bad), crashAt(400, second, bad)},
+		[]poison.Part{second, bad},
+	},
+	{
+		"a part that was sound before",
+		[]poison.Part{bad, first},
+		[]poison.Crash{crashAt(0, bad), crashAt(100, bad), crashAt(200, bad), crashAt(300, bad)},
+		nil,
+	},
+	{
+		"five crashes block it, too",
+		[]poison.Part{bad},
+		[]poison.Crash{crashAt(0, bad), crashAt(100, bad, other), crashAt(200, bad), crashAt(300, bad), crashAt(400, bad)},
+		[]poison.Part{bad},
+	},
+	{
+		"crashes of a blocked part convict no other",
+		[]poison.Part{first},
+		[]poison.Crash{
+			crashAt(0, first, bad), crashAt(100, first, bad), crashAt(200, first, bad), crashAt(300, first, bad), crashAt(400, first, bad),
+			crashAt(500, first, bad), crashAt(600, first, other),
 		},
-		{
-			"five crashes block it, too",
-			[]poison.Part{bad},
-			[]poison.Crash{crashAt(0, bad), crashAt(100, bad, other), crashAt(200, bad), crashAt(300, bad), crashAt(400, bad)},
-			[]poison.Part{bad},
-		},
-		{
-			"crashes of a blocked part convict no other",
-			[]poison.Part{first},
-			[]poison.Crash{
-				crashAt(0, first, bad), crashAt(100, first, bad), crashAt(200, first, bad), crashAt(300, first, bad), crashAt(400, first, bad),
-				crashAt(500, first, bad), crashAt(600, first, other),
-			},
-			[]poison.Part{bad},
-		},
-		{
-			"two parts, each with its own crashes",
-			[]poison.Part{first},
-			[]poison.Crash{crashAt(0, first, bad), crashAt(100, first, other), crashAt(200, first, bad), crashAt(300, first, other), crashAt(400, first, bad), crashAt(500, first, other)},
-			[]poison.Part{bad, other},
-		},
-	}
-	for _, each := range cases {
+		[]poison.Part{bad},
+	},
+	{
+		"two parts, each with its own crashes",
+		[]poison.Part{first},
+		[]poison.Crash{crashAt(0, first, bad), crashAt(100, first, other), crashAt(200, first, bad), crashAt(300, first, other), crashAt(400, first, bad), crashAt(500, first, other)},
+		[]poison.Part{bad, other},
+	},
+}
+
+func TestDecide(t *testing.T) {
+	for _, each := range decideCases {
 		t.Run(each.name, func(t *testing.T) {
 			rg := newRegistry(each.succeeded...)
 			report(rg, each.crashes...)
