--- a/upstream/unframed_test.go
+++ b/upstream/unframed_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +11,7 @@
 
 	"github.com/turmericdoor/turmericdoor/attempt"
 	"github.com/turmericdoor/turmericdoor/document"
+	"github.com/turmericdoor/turmericdoor/rawserver"
 	"github.com/turmericdoor/turmericdoor/upstream"
 )
 
@@ -20,15 +20,7 @@
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		_, _ = io.Copy(io.Discard, request.Body)
-		connection, _, err := http.NewResponseController(writer).Hijack()
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(connection, response)
-		if tcp, is := connection.(*net.TCPConn); is && resets {
-			_ = tcp.SetLinger(0)
-		}
-		_ = connection.Close()
+		rawserver.Answer{Text: response, Resets: resets}.Send(writer)
 	}))
 	defer server.Close()
 	return upstream.New().Do(t.Context(), &upstream.Call{
