Crashes and successes of parts are ordered also while the clock stands

What callers would see: after an instance's clock was ahead and set back, the hybrid logical clock of the fleet stands until the wall clock has caught up; a crash then had the same time as an earlier success of its part and did not count, so that a part was blocked up to that much later. Change: the logical part of the clock's reading counts as nanoseconds, and the messages carry nanoseconds. Evidence: TestCrashWhileTheClockStands failed before. TestInstanceThatMissedTheSuccess is a guard (it fails without the answer to a stale block).

--- a/peer/parts.go
+++ b/peer/parts.go
@@ -101,9 +101,11 @@
 	return first == pr.selfID
 }
 
-// hlcTime returns the time of the hybrid logical clock, by which the instances compare crashes and success answers.
+// hlcTime returns a reading of the hybrid logical clock, by which the instances compare crashes and successes. The logical part
+// counts as nanoseconds, so that a success and a later crash differ also while the wall clock stands or was set back.
 func (pr *Peer) hlcTime() time.Time {
-	return time.UnixMicro(pr.clock.Now().WallMicros)
+	read := pr.clock.Now()
+	return time.UnixMicro(read.WallMicros).Add(time.Duration(read.Logical))
 }
 
 // decideParts blocks the parts that have caused crashes and publishes the statuses; it returns the new blocks.
@@ -146,7 +148,7 @@
 	}
 	now, changed, urgent := pr.hlcTime(), false, false
 	for _, item := range heartbeat.GetPartSuccesses() {
-		success := poison.Success{Part: poison.Part(item.GetPart()), At: time.UnixMicro(item.GetWallMicros())}
+		success := poison.Success{Part: poison.Part(item.GetPart()), At: time.Unix(0, item.GetUnixNanos())}
 		if pr.parts.ReportSuccess(success) {
 			pr.gossip.AddPartSuccess(success)
 			changed, urgent = true, true
@@ -162,7 +164,7 @@
 	}
 	blocks := []poison.Block{}
 	for _, item := range heartbeat.GetPartBlocks() {
-		block := poison.Block{Part: poison.Part(item.GetPart()), At: time.UnixMicro(item.GetWallMicros()), Trials: int(item.GetTrials())}
+		block := poison.Block{Part: poison.Part(item.GetPart()), At: time.Unix(0, item.GetUnixNanos()), Trials: int(item.GetTrials())}
 		if pr.parts.AddBlock(now, block) {
 			blocks = append(blocks, block)
 		} else if success, later := pr.parts.SuccessSince(block); later {
@@ -186,17 +188,17 @@
 		heartbeat.PartCrashes = append(heartbeat.PartCrashes, toWirePartCrash(crash))
 	}
 	for _, success := range news.Successes {
-		heartbeat.PartSuccesses = append(heartbeat.PartSuccesses, &wire.PartSuccess{Part: uint64(success.Part), WallMicros: success.At.UnixMicro()})
+		heartbeat.PartSuccesses = append(heartbeat.PartSuccesses, &wire.PartSuccess{Part: uint64(success.Part), UnixNanos: success.At.UnixNano()})
 	}
 	for _, block := range pr.parts.Blocks() {
 		heartbeat.PartBlocks = append(heartbeat.PartBlocks, &wire.PartBlock{
-			Part: uint64(block.Part), WallMicros: block.At.UnixMicro(), Trials: int32(block.Trials),
+			Part: uint64(block.Part), UnixNanos: block.At.UnixNano(), Trials: int32(block.Trials),
 		})
 	}
 }
 
 func toWirePartCrash(crash poison.Crash) *wire.PartCrash {
-	converted := &wire.PartCrash{Upstream: crash.Upstream, WallMicros: crash.At.UnixMicro(), Succeeded: crash.Succeeded}
+	converted := &wire.PartCrash{Upstream: crash.Upstream, UnixNanos: crash.At.UnixNano(), Succeeded: crash.Succeeded}
 	for _, part := range crash.Parts {
 		converted.Parts = append(converted.Parts, uint64(part))
 	}
@@ -204,7 +206,7 @@
 }
 
 func fromWirePartCrash(crash *wire.PartCrash) poison.Crash {
-	converted := poison.Crash{Upstream: crash.GetUpstream(), At: time.UnixMicro(crash.GetWallMicros()), Succeeded: crash.GetSucceeded()}
+	converted := poison.Crash{Upstream: crash.GetUpstream(), At: time.Unix(0, crash.GetUnixNanos()), Succeeded: crash.GetSucceeded()}
 	for _, part := range crash.GetParts() {
 		converted.Parts = append(converted.Parts, poison.Part(part))
 	}
