--- a/entry/entry.go
+++ b/entry/entry.go
@@ -151,6 +151,7 @@
 		en.metrics.RegisterGauge(fmt.Sprintf("table_age_seconds{table=%q}", each.Table()), func() float64 { return each.Staleness().Seconds() })
 	}
 	en.metrics.RegisterGauge("members_live", func() float64 { return float64(len(en.peer.Live())) })
+	en.metrics.RegisterGauge("parts_blocked", func() float64 { return float64(en.peer.BlockedParts()) })
 	en.metrics.RegisterGauge("configuration_revision", func() float64 {
 		if table := en.catalog.RoutingTable(); table != nil {
 			return float64(table.Revision)
--- a/peer/parts.go
+++ b/peer/parts.go
@@ -25,6 +25,17 @@
 	return worst, of
 }
 
+// BlockedParts returns the number of blocked parts.
+func (pr *Peer) BlockedParts() int {
+	count := 0
+	for _, status := range *pr.partStatuses.Load() {
+		if status == poison.Blocked {
+			count++
+		}
+	}
+	return count
+}
+
 // ReportPartCrash announces to all instances that a request with the parts was lost when an upstream crashed.
 func (pr *Peer) ReportPartCrash(upstream uint64, parts []poison.Part) {
 	parts = parts[:min(len(parts), poison.MaxParts)]
