--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -96,9 +96,8 @@
 		if failure := rn.checkParts(); failure != nil {
 			return failure, false
 		}
-		criteria = rn.pinSuspect(criteria)
 		criteria.Slack = rn.targetAt.Sub(rn.Timers.Now())
-		choice, found := rn.Pools.pick(rn.pool.Name, rn.Catalog.Upstreams(rn.pool.Name, ""), criteria, criteria.PromptTokens)
+		choice, found := rn.Pools.pick(rn.pool.Name, rn.Catalog.Upstreams(rn.pool.Name, ""), rn.pinSuspect(criteria), criteria.PromptTokens)
 		if !found {
 			return rn.noUpstreamOutcome(), false
 		}
