Fault soak: the check that the shared part stays unblocked finds its log lines

It now compares the words of a line, and demands that some instance blocked the bad part, so that a pattern which matches nothing fails. Found by reading.

--- a/soak/parts_test.go
+++ b/soak/parts_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -105,11 +106,28 @@
 	if late > maxLateArrivals {
 		fl.ledger.violation("%d requests with a part that crashes upstreams reached them after its crashes", late)
 	}
-	blocked := fmt.Sprintf("msg=PartBlocked detail=\"part=%016x", uint64(poison.PartOf(firstPart)))
-	for at, path := range fl.settings {
+	if fl.blockedBy(firstPart) > 0 {
+		fl.ledger.violation("%d instances blocked the part that all requests share", fl.blockedBy(firstPart))
+	}
+	if fl.blockedBy(badPart) == 0 {
+		fl.ledger.violation("no instance blocked the part that crashes upstreams")
+	}
+}
+
+// blockedBy returns how many instances logged that they blocked a part.
+func (fl *fleet) blockedBy(part string) int {
+	count, name := 0, fmt.Sprintf("part=%016x", uint64(poison.PartOf(part)))
+	for _, path := range fl.settings {
 		content, err := os.ReadFile(path + ".log")
-		if err == nil && strings.Contains(string(content), blocked) {
-			fl.ledger.violation("instance %d blocked the part that all requests share", at)
+		if err != nil {
+			fl.ledger.violation("read the log of an instance: %v", err)
+		}
+		isBlock := func(line string) bool {
+			return strings.Contains(line, "msg=PartBlocked ") && strings.Contains(line, name)
+		}
+		if slices.ContainsFunc(strings.Split(string(content), "\n"), isBlock) {
+			count++
 		}
 	}
+	return count
 }
