Parts of prompts: one place for the shared parts and for the text of a hash, names that say what they hold

Prompt.sharedParts serves the three loops over all parts but the last; poison.Part has a String method for the log, which gateway, peer and the fault soak each wrote by hand. 'name' of a part is its ID everywhere; checkSurvival is reportLastingAnswer, HasCrashes is IsSuspectOrBlocked, what the tests called sound answers are successes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,7 +95,7 @@
 	// stageDomain is the failure domain in which the stages are planned to run.
 	stageDomain string
 	fingerprint digest.Sum
-	// parts are the shared parts of the prompt; isTrial is set if the request may run although one of them is blocked.
+	// parts are the hashes of the prompt's shared parts; isTrial is set if the request may run although one of them is blocked.
 	parts   []poison.Part
 	isTrial bool
 	// isAnswering is set once an upstream has begun to answer.
@@ -204,7 +204,7 @@
 	if rn.Crashes.Status(rn.fingerprint) == quarantine.Blocked {
 		return rn.refuse(0, CrashesUpstreams, "fingerprint="+rn.fingerprint.String())
 	}
-	rn.parts = rn.request.Prompt.shared()
+	rn.parts = rn.request.Prompt.sharedHashes()
 	rn.isTrial = rn.Crashes.BeginPartTrial(rn.parts)
 	return rn.checkParts()
 }
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -70,7 +70,7 @@
 // blockedOutcome returns the outcome of a request of which a part is blocked.
 func (rn *run) blockedOutcome() Outcome {
 	_, part := rn.Crashes.PartStatus(rn.parts)
-	detail := fmt.Sprintf("part=%016x parts=%s", uint64(part), rn.request.Prompt.sharedIDs())
+	detail := fmt.Sprintf("part=%s parts=%s", part, rn.request.Prompt.sharedIDs())
 	if rn.audit.Executions() == 0 {
 		return rn.refuse(0, CrashesUpstreams, detail)
 	}
@@ -97,8 +97,8 @@
 	return len(at.run.parts) > 0 && (!at.gotFirstByte || at.run.Timers.Now().Sub(at.firstByteAt) < successAfter)
 }
 
-// checkSurvival reports the success of the prompt's parts once the answer has lasted long enough.
-func (at *attempt) checkSurvival() {
+// reportLastingAnswer reports the success of the prompt's parts once the answer has lasted for successAfter.
+func (at *attempt) reportLastingAnswer() {
 	if at.gotFirstByte && at.run.Timers.Now().Sub(at.firstByteAt) >= successAfter {
 		at.reportPartsSuccess()
 	}
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -161,7 +161,7 @@
 	})
 }
 
-func TestAccusedParts(t *testing.T) {
+func TestReportedCrashesOfParts(t *testing.T) {
 	stream := func(pause time.Duration) response {
 		return response{status: 200, contentType: "text/event-stream", reader: &pausing{parts: []string{"id: 1\n\n", "", "id: 2\n\n"}, pause: pause}}
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -54,32 +54,39 @@
 	return xxhash.Sum64String(pr.Parts[len(pr.Parts)-2].ID) | 1
 }
 
-// sharedTokens returns the number of tokens in the parts that may be shared with other requests: all but the last.
+// sharedParts returns the parts that may be shared with other requests: all but the last.
+func (pr Prompt) sharedParts() []PromptPart {
+	return pr.Parts[:max(len(pr.Parts)-1, 0)]
+}
+
+// sharedTokens returns the number of tokens in the shared parts.
 func (pr Prompt) sharedTokens() int {
-	shared := 0
-	for at := range max(len(pr.Parts)-1, 0) {
-		shared += pr.Parts[at].Tokens
+	tokens := 0
+	for _, part := range pr.sharedParts() {
+		tokens += part.Tokens
 	}
-	return shared
+	return tokens
 }
 
-// shared returns the parts that may be shared with other requests.
-func (pr Prompt) shared() []poison.Part {
-	parts := []poison.Part{}
-	for at := range min(max(len(pr.Parts)-1, 0), poison.MaxParts) {
-		parts = append(parts, poison.PartOf(pr.Parts[at].ID))
+// sharedHashes returns the hashes of the first poison.MaxParts shared parts, by which crashes are recorded.
+func (pr Prompt) sharedHashes() []poison.Part {
+	shared := pr.sharedParts()
+	hashes := []poison.Part{}
+	for _, part := range shared[:min(len(shared), poison.MaxParts)] {
+		hashes = append(hashes, poison.PartOf(part.ID))
 	}
-	return parts
+	return hashes
 }
 
-// maxLoggedIDs bounds the ids in one log line.
+// maxLoggedIDs bounds the IDs in one log line.
 const maxLoggedIDs = 8
 
-// sharedIDs returns the ids of the parts that may be shared with other requests, separated by commas, for the log.
+// sharedIDs returns the IDs of the first maxLoggedIDs shared parts, separated by commas, for the log.
 func (pr Prompt) sharedIDs() string {
+	shared := pr.sharedParts()
 	ids := []string{}
-	for at := range min(max(len(pr.Parts)-1, 0), maxLoggedIDs) {
-		ids = append(ids, pr.Parts[at].ID)
+	for _, part := range shared[:min(len(shared), maxLoggedIDs)] {
+		ids = append(ids, part.ID)
 	}
 	return strings.Join(ids, ",")
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -92,7 +92,7 @@
 	if !at.gotFirstByte {
 		at.recordFirstByte()
 	}
-	at.checkSurvival()
+	at.reportLastingAnswer()
 	at.beginResponse(reply)
 	return at.output.Write(part)
 }
--- a/gossip/parts.go
+++ b/gossip/parts.go
@@ -64,7 +64,7 @@
 	return list
 }
 
-// AddPartCrash adds a crash that was news to this instance; an urgent one is not the first of a part.
+// AddPartCrash adds a crash that was news to this instance; urgent is set if one of its parts has an earlier one.
 func (st *State) AddPartCrash(crash poison.Crash, urgent bool) {
 	st.partCrashes.add(crash, urgent)
 }
--- a/peer/parts.go
+++ b/peer/parts.go
@@ -60,7 +60,7 @@
 	cleared := []poison.Part{}
 	for _, part := range parts[:min(len(parts), poison.MaxParts)] {
 		pr.parts.MarkSucceeded(part)
-		if !pr.parts.HasCrashes(part) {
+		if !pr.parts.IsSuspectOrBlocked(part) {
 			continue
 		}
 		success := poison.Success{Part: part, At: pr.hlcTime()}
@@ -105,7 +105,7 @@
 func (pr *Peer) ownsTrial(part poison.Part) bool {
 	first, highest := "", uint64(0)
 	for _, mb := range pr.members.Live() {
-		if weight := xxhash.Sum64String(fmt.Sprint(mb.ID, "/", part)); first == "" || weight > highest {
+		if weight := xxhash.Sum64String(fmt.Sprint(mb.ID, "/", uint64(part))); first == "" || weight > highest {
 			first, highest = mb.ID, weight
 		}
 	}
@@ -148,7 +148,7 @@
 }
 
 func partDetail(part poison.Part) string {
-	return fmt.Sprintf("part=%016x", uint64(part))
+	return "part=" + part.String()
 }
 
 // addPartNews adds the news about parts of a heartbeat. It returns the new blocks, and whether the other instances should
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -3,21 +3,27 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/digest"
 )
 
-// Part identifies a part of prompts by a hash of its name, which callers choose.
+// Part identifies a part of prompts by a hash of its ID, which callers choose.
 type Part uint64
 
-// PartOf returns the identity of the part with a name.
-func PartOf(name string) Part {
-	sum := digest.OfKey(name)
+// PartOf returns the part with an ID.
+func PartOf(id string) Part {
+	sum := digest.OfKey(id)
 	return Part(binary.LittleEndian.Uint64(sum[:]))
 }
 
+// String returns the hash as 16 hexadecimal digits.
+func (pt Part) String() string {
+	return fmt.Sprintf("%016x", uint64(pt))
+}
+
 // Status is what may be done with requests that have a part.
 type Status int
 
@@ -56,7 +62,7 @@
 	crashesToBlock = 3
 	// crashesToBlockAny is the number of crashes, not explained by a blocked part, after which any part is blocked.
 	crashesToBlockAny = 5
-	// sameMoment is the time within which several crashes count as one, as of a failure domain that is lost.
+	// sameMoment is the time within which several crashes count as one, as when a failure domain is lost.
 	sameMoment = 50 * time.Millisecond
 	// CrashTTL is how long a crash or a block counts.
 	CrashTTL = time.Hour
@@ -65,7 +71,7 @@
 	maxSuspects        = 4096
 	maxCrashes         = 64
 	maxCrashesOfMoment = 8
-	// evictedShare is the part of maxSuspects that is removed at once when there is no room, as one in so many.
+	// evictedShare is the divisor of maxSuspects that gives how many are removed at once when there is no room.
 	evictedShare = 4
 	// maxBlocks bounds the blocked parts.
 	maxBlocks = 256
@@ -236,8 +242,8 @@
 	})
 }
 
-// HasCrashes reports whether crashes of a part count, or the part is blocked.
-func (rg *Registry) HasCrashes(part Part) bool {
+// IsSuspectOrBlocked reports whether a part has crashes since its last success, or is blocked.
+func (rg *Registry) IsSuspectOrBlocked(part Part) bool {
 	known, found := rg.suspects[part]
 	_, blocked := rg.blocks[part]
 	return blocked || found && len(known.crashes) > 0
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -26,7 +26,7 @@
 	return poison.Crash{Upstream: uint64(ms) + 1, Parts: parts, At: after(ms)}
 }
 
-// newRegistry returns a registry that knows sound answers to the parts, and to some other part.
+// newRegistry returns a registry that knows successes of the parts, and of some other part.
 func newRegistry(succeeded ...poison.Part) *poison.Registry {
 	rg := poison.New()
 	for _, part := range append(succeeded, poison.PartOf("elsewhere")) {
@@ -63,7 +63,7 @@
 }{
 	{"two crashes are not enough", []poison.Part{first}, []poison.Crash{crashAt(0, first, bad), crashAt(100, first, bad)}, nil},
 	{
-		"three crashes block the part without a sound answer",
+		"three crashes block the part without a success",
 		[]poison.Part{first},
 		[]poison.Crash{crashAt(0, first, bad), crashAt(100, first, bad), crashAt(200, first, bad)},
 		[]poison.Part{bad},
@@ -96,7 +96,7 @@
 		[]poison.Part{second, bad},
 	},
 	{
-		"a part that was sound before",
+		"a part that had successes before",
 		[]poison.Part{bad, first},
 		[]poison.Crash{crashAt(0, bad), crashAt(100, bad), crashAt(200, bad), crashAt(300, bad)},
 		nil,
@@ -132,7 +132,7 @@
 			assertBlocked(t, rg, each.want...)
 		})
 	}
-	t.Run("nothing is blocked while no sound answer is known", func(t *testing.T) {
+	t.Run("nothing is blocked while no success is known", func(t *testing.T) {
 		rg := poison.New()
 		report(rg, crashAt(0, first, bad), crashAt(100, first, bad), crashAt(200, first, bad), crashAt(300, first, bad), crashAt(400, first, bad))
 		assertBlocked(t, rg)
@@ -162,7 +162,7 @@
 	})
 }
 
-func TestSoundAnswers(t *testing.T) {
+func TestSuccesses(t *testing.T) {
 	t.Run("clear a part", func(t *testing.T) {
 		rg := newRegistry()
 		report(rg, crashAt(0, bad), crashAt(100, bad))
--- a/soak/parts_test.go
+++ b/soak/parts_test.go
@@ -116,7 +116,7 @@
 
 // blockedBy returns how many instances logged that they blocked a part.
 func (fl *fleet) blockedBy(part string) int {
-	count, name := 0, fmt.Sprintf("part=%016x", uint64(poison.PartOf(part)))
+	count, name := 0, "part="+poison.PartOf(part).String()
 	for _, path := range fl.settings {
 		content, err := os.ReadFile(path + ".log")
 		if err != nil {
