Answers of upstreams: the rate limit that they announce is decoded, logged and counted

AnswerBegan now ends with ratelimit=N/s, and a value that is no decimal number is an event of its own (RateLimitUnreadable, counted in turmericdoor_decisions_total). Nothing acts on a limit yet.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -9,6 +9,7 @@
 
 	"github.com/turmericdoor/turmericdoor/placement"
 	"github.com/turmericdoor/turmericdoor/quarantine"
+	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/response"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -183,7 +184,7 @@
 	at.stopTimeout = rn.Timers.AfterFunc(rn.firstByteTimeout(choice), func() { at.cancel(errFirstByteTimeout) })
 	defer at.stopTimeout()
 	rn.audit.Start()
-	reply, err := rn.Sender.Send(at.ctx, UpstreamRequest{
+	reply, err := rn.Sender.Send(ratelimit.WithObserver(at.ctx, at.observeLimit), UpstreamRequest{
 		Request: rn.request, Upstream: choice.Upstream, Organisation: rn.organisation.Name,
 		Remaining: rn.deadline.Sub(startedAt), Inputs: inputs, Rank: rn.rank, Engine: rn.pool.Engine != nil, LastEventID: rn.response.LastEventID(),
 	})
@@ -234,6 +235,8 @@
 	firstByteAt  time.Time
 	// reportedSuccess is set once the success of the prompt's parts was reported.
 	reportedSuccess bool
+	// limit is the rate limit that the answer announces, for the log.
+	limit string
 	// output is what the attempt writes to the caller, or nil before its first part.
 	output  *response.Body
 	outcome string
@@ -384,6 +387,19 @@
 	return fmt.Sprintf("%dms", at.run.Timers.Now().Sub(at.firstByteAt).Milliseconds())
 }
 
+// observeLimit records the rate limit that the upstream's answer announces.
+func (at *attempt) observeLimit(announced ratelimit.Announcement) {
+	switch announced := announced.(type) {
+	case ratelimit.Limit:
+		at.limit = "ratelimit=" + announced.String()
+	case ratelimit.Invalid:
+		at.run.Events.Record(&wire.Event{
+			Kind: wire.EventKind_EventRateLimitUnreadable, RequestId: at.run.request.ID, Upstream: at.choice.Upstream.ID, Detail: announced.Text,
+		})
+	case ratelimit.None:
+	}
+}
+
 // recordFirstByte records the latency of the upstream's first byte and stops the timer that waits for it.
 func (at *attempt) recordFirstByte() {
 	rn := at.run
@@ -393,7 +409,7 @@
 	at.stopTimeout()
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventAnswerBegan, RequestId: rn.request.ID, Upstream: at.choice.Upstream.ID, Stage: rn.pool.Name,
-		Attempt: int64(rn.audit.Executions()), DurationMicros: rn.Timers.Now().Sub(at.startedAt).Microseconds(),
+		Attempt: int64(rn.audit.Executions()), DurationMicros: rn.Timers.Now().Sub(at.startedAt).Microseconds(), Detail: at.limit,
 	})
 	rn.Pools.withPlacement(rn.pool.Name, func(now time.Time, known *placement.Pool) {
 		known.RecordFirstByte(now, at.choice.Upstream.Incarnation(), at.criteria.PromptTokens, now.Sub(at.startedAt), at.choice.ExpectedLatency)
