--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"sync"
@@ -31,6 +32,8 @@
 	side             atomic.Int32
 	storeUnreachable atomic.Bool
 	storeHangs       atomic.Bool
+	// frozen makes all calls from and to the instance wait.
+	frozen atomic.Bool
 	// connectedAt is when the instance was last started or reconnected, in Unix nanoseconds.
 	connectedAt atomic.Int64
 	revision    atomic.Int64
@@ -41,7 +44,7 @@
 
 // hasConverged reports whether the bounds on changes apply to the instance.
 func (nd *node) hasConverged() bool {
-	return !nd.dead.Load() && !nd.partitioned.Load() && time.Since(time.Unix(0, nd.connectedAt.Load())) > convergenceTime
+	return !nd.dead.Load() && !nd.partitioned.Load() && !nd.frozen.Load() && time.Since(time.Unix(0, nd.connectedAt.Load())) > convergenceTime
 }
 
 // fleet is a set of instances with a store and upstreams, run in the fake time of synctest.
@@ -142,6 +145,26 @@
 	return list
 }
 
+// freeze makes all calls from and to an instance wait for a time.
+func (fl *fleet) freeze(nd *node, length time.Duration) {
+	nd.frozen.Store(true)
+	fl.calls.Go(func() {
+		time.Sleep(length)
+		nd.connectedAt.Store(time.Now().UnixNano())
+		nd.frozen.Store(false)
+	})
+}
+
+// awaitThaw waits while an instance is frozen; it returns false if ctx ends first.
+func (nd *node) awaitThaw(ctx context.Context) bool {
+	for nd.frozen.Load() {
+		if !sleep(ctx, 10*time.Millisecond) {
+			return false
+		}
+	}
+	return true
+}
+
 func (fl *fleet) connected(from, to *node) bool {
 	return !from.dead.Load() && !to.dead.Load() && !from.partitioned.Load() && !to.partitioned.Load() &&
 		from.side.Load() == to.side.Load()
--- a/entry/items_test.go
+++ b/entry/items_test.go
@@ -17,6 +17,7 @@
 		return gather.NotSent{Cause: err.Error()}
 	}
 	us := uc.fleet.upstreams
+	us.recordLimitedCall(uc.node, up)
 	us.mu.Lock()
 	if up.StartUnixMs != target.StartUnixMs {
 		us.mu.Unlock()
@@ -35,6 +36,7 @@
 	if !sleep(ctx, workTime+time.Duration(len(items))*2*time.Millisecond) || lost {
 		return gather.Lost{Cause: "reset"}
 	}
+	us.announceLimit(ctx, uc.node, up)
 	return us.runItems(up, items)
 }
 
@@ -76,10 +78,13 @@
 
 // FreeResults frees results.
 func (uc upstreamClient) FreeResults(ctx context.Context, target *roster.Upstream, handles []string) error {
-	if _, err := uc.connect(ctx, target); err != nil {
+	up, err := uc.connect(ctx, target)
+	if err != nil {
 		return err
 	}
 	us := uc.fleet.upstreams
+	us.recordLimitedCall(uc.node, up)
+	us.announceLimit(ctx, uc.node, up)
 	us.mu.Lock()
 	defer us.mu.Unlock()
 	for _, handle := range handles {
--- a/entry/links_test.go
+++ b/entry/links_test.go
@@ -45,7 +45,7 @@
 		return nil
 	}
 	to := ln.fleet.nodeAt(ln.to)
-	if to == nil || !ln.fleet.connected(ln.from, to) {
+	if to == nil || !ln.fleet.connected(ln.from, to) || !ln.from.awaitThaw(ctx) || !to.awaitThaw(ctx) {
 		return nil
 	}
 	return to
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -243,7 +243,7 @@
 // Write appends a part of the body.
 func (sn *sink) Write(part []byte) error { sn.body.Write(part); return nil }
 
-func (sk *soak) serve(ctx context.Context, nd *node, request *gateway.Request) {
+func (sk *soak) serve(ctx context.Context, nd *node, request *gateway.Request) gateway.Outcome {
 	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, "http://h"+request.Path, nil)
 	if err != nil {
 		panic(err)
@@ -272,6 +272,7 @@
 		sk.violations = append(sk.violations, fmt.Sprintf("outcome %s of request %s arrived late, after %v", name, request.Path, took))
 	}
 	sk.checkAnswer(request, outcome, out)
+	return outcome
 }
 
 // sendPoison sends a request body that crashes upstreams, several times through different instances.
--- a/entry/store_test.go
+++ b/entry/store_test.go
@@ -146,7 +146,7 @@
 		time.Sleep(time.Millisecond)
 		return errStoreDown
 	}
-	if !sleep(ctx, slow+4*time.Millisecond) {
+	if !sleep(ctx, slow+4*time.Millisecond) || !sc.node.awaitThaw(ctx) {
 		return ctx.Err()
 	}
 	return nil
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -26,6 +26,8 @@
 	hangs   bool
 	flaky   bool
 	running int
+	// limit is the rate limit that its answers announce, or nil.
+	limit *rateLimit
 	// crashedOn counts the crashes by request body.
 	crashedOn map[string]int
 }
@@ -51,6 +53,8 @@
 	// revokedAt is when each organisation's key was revoked.
 	revokedAt  map[string]time.Time
 	violations []string
+	// limits holds what upstreams with a rate limit announced and received.
+	limits []*rateLimit
 	// crashParts are the parts of prompts that crash an upstream which begins to answer them, and crashes what they did.
 	// crashAfterEvent lets the first event out before the crash; restartDelay is how long a crashed upstream is away.
 	crashParts      map[string]*partCrashes
@@ -179,7 +183,7 @@
 
 // connect returns the upstream with the id of target after the network delay; it may be a later incarnation.
 func (uc upstreamClient) connect(ctx context.Context, target *roster.Upstream) (*upstream, error) {
-	if !sleep(ctx, time.Millisecond) {
+	if !sleep(ctx, time.Millisecond) || !uc.node.awaitThaw(ctx) {
 		return nil, gateway.NotSentError{Cause: ctx.Err()}
 	}
 	us := uc.fleet.upstreams
@@ -208,7 +212,9 @@
 		return nil, err
 	}
 	us := uc.fleet.upstreams
+	us.recordLimitedCall(uc.node, up)
 	if reply := us.reject(uc.node, up, exchange); reply != nil {
+		us.announceLimit(ctx, uc.node, up)
 		return reply, nil
 	}
 	if us.variant.sendsTwice && us.random.IntN(20) == 0 {
@@ -220,6 +226,7 @@
 	if err != nil {
 		return nil, err
 	}
+	us.announceLimit(ctx, uc.node, up)
 	if us.variant.deniesRuns && us.random.IntN(20) == 0 {
 		return newRejection(), nil
 	}
@@ -383,5 +390,9 @@
 // HasRestarted reports whether another incarnation answers at the upstream's address.
 func (uc upstreamClient) HasRestarted(ctx context.Context, target *roster.Upstream) bool {
 	up, err := uc.connect(ctx, target)
+	if err == nil {
+		uc.fleet.upstreams.recordLimitedCall(uc.node, up)
+		uc.fleet.upstreams.announceLimit(ctx, uc.node, up)
+	}
 	return err == nil && !uc.fleet.upstreams.variant.hidesCrashes && up.StartUnixMs != target.StartUnixMs
 }
