--- a/batch/batch.go
+++ b/batch/batch.go
@@ -48,6 +48,9 @@
 // Upstream is an upstream that calls may be sent to.
 type Upstream struct {
 	Name string
+	// CallsPerSecond bounds the calls if IsLimited is set.
+	IsLimited      bool
+	CallsPerSecond float64
 }
 
 // Action is what Step asks its caller to do. It is sealed: its variants are Send, Drop and Wake.
@@ -142,6 +145,7 @@
 		if !found {
 			up = &upstream{name: one.Name, slowdown: 1, results: map[string]result{}}
 		}
+		up.isLimited, up.callsPerSecond = one.IsLimited, one.CallsPerSecond
 		fresh[one.Name] = up
 		sc.names = append(sc.names, one.Name)
 	}
@@ -196,6 +200,8 @@
 	Unsent []Item
 	// Failed are the items that the upstream accepted and that have no result.
 	Failed []Item
+	// RetryAfter is when the upstream takes another call after OutcomeLimited.
+	RetryAfter time.Duration
 }
 
 // Outcome is how a call ended, as far as it decides when the upstream gets further calls.
@@ -209,6 +215,8 @@
 	OutcomeFull
 	// OutcomeUnreachable is the outcome of a call for which no connection could be made.
 	OutcomeUnreachable
+	// OutcomeLimited is the outcome of a call that was not sent, since the upstream's rate limit allows none.
+	OutcomeLimited
 	// OutcomeFailed is the outcome of a call that returned no answer, or that reached another upstream.
 	OutcomeFailed
 )
@@ -220,7 +228,7 @@
 		return
 	}
 	delete(sc.calls, report.CallID)
-	sc.updateUpstream(now, ended, report.Outcome)
+	sc.updateUpstream(now, ended, report)
 	for item, handle := range report.Results {
 		if gr := sc.groups[item.GroupID]; gr != nil {
 			ended.upstream.results[handle] = result{bytes: gr.ResultBytes, sentAt: ended.started, expiresAt: now.Add(sc.config.ResultTTL)}
@@ -231,10 +239,11 @@
 			gr.waiting = append(gr.waiting, item.Index)
 		}
 	}
-	// Only an upstream without a connection got no items: those that an upstream refused have reached it, and the retry
-	// budget counts that.
+	// Only an upstream without a connection, or without a call, got no items: those that an upstream refused have reached it,
+	// and the retry budget counts that.
+	notReached := report.Outcome == OutcomeUnreachable || report.Outcome == OutcomeLimited
 	for _, item := range report.Unsent {
-		if gr := sc.groups[item.GroupID]; gr != nil && gr.sendCounts[item.Index] > 0 && report.Outcome == OutcomeUnreachable {
+		if gr := sc.groups[item.GroupID]; gr != nil && gr.sendCounts[item.Index] > 0 && notReached {
 			gr.sendCounts[item.Index]--
 		}
 	}
@@ -261,8 +270,8 @@
 		if up.calls >= max(sc.config.Slots, 1) {
 			continue
 		}
-		if now.Before(up.ejectedUntil) {
-			wake = earliest(wake, up.ejectedUntil)
+		if until := up.unavailableUntil(); now.Before(until) {
+			wake = earliest(wake, until)
 			continue
 		}
 		if sc.waitingItems() == 0 {
--- a/batch/forecast.go
+++ b/batch/forecast.go
@@ -53,14 +53,14 @@
 // capacity returns the combined capacity of the upstreams, without those that are ejected for long.
 func (sc *Scheduler) capacity(now time.Time) capacity {
 	cp := capacity{firstIdleIn: NoUpstreamWait}
-	batchSeconds := sc.expectedDuration(sc.config.MaxBatch).Seconds()
+	batchTime := sc.expectedDuration(sc.config.MaxBatch)
 	for _, up := range sc.upstreams {
 		if now.Add(longEjection).Before(up.ejectedUntil) {
 			continue
 		}
 		cp.upstreams++
 		cp.firstIdleIn = min(cp.firstIdleIn, sc.idleIn(now, up))
-		cp.itemsPerSecond += float64(sc.config.MaxBatch) / batchSeconds / up.currentSlowdown(now)
+		cp.itemsPerSecond += sc.itemsPerSecond(now, up, batchTime)
 		cp.used += up.usedBytes(now)
 		cp.memory += int64(capacityMargin * float64(sc.config.ResultCapacity))
 	}
@@ -72,6 +72,19 @@
 	return sc.capacity(now).upstreams > 0
 }
 
+// IsLimited reports whether the rate limits of all usable upstreams allow no call for longer than maxLimitedWait.
+func (sc *Scheduler) IsLimited(now time.Time) bool {
+	for _, up := range sc.upstreams {
+		if !now.Add(maxLimitedWait).Before(up.limitedUntil) && !now.Add(longEjection).Before(up.ejectedUntil) {
+			return false
+		}
+	}
+	return true
+}
+
+// maxLimitedWait is how long groups wait for upstreams whose rate limits are used up, if there are others.
+const maxLimitedWait = 500 * time.Millisecond
+
 // WasSent reports whether items of a group were sent.
 func (sc *Scheduler) WasSent(id uint64) bool {
 	gr := sc.groups[id]
@@ -107,7 +120,7 @@
 			continue
 		}
 		aheadBytes += int64(len(gr.waiting)) * gr.ResultBytes
-		queued := time.Duration(float64(ahead) / cp.itemsPerSecond * float64(time.Second))
+		queued := cp.queueTime(ahead)
 		queued = max(queued, sc.resultMemoryWait(cp, aheadBytes))
 		ownCall := sc.expectedDuration(min(sc.config.MaxBatch, len(gr.waiting)+ahead/cp.upstreams))
 		list = append(list, cp.firstIdleIn+queued+ownCall)
@@ -116,6 +129,14 @@
 	return list
 }
 
+// queueTime returns the time in which so many items are run.
+func (cp capacity) queueTime(items int) time.Duration {
+	if items == 0 {
+		return 0
+	}
+	return min(time.Duration(min(float64(items)/cp.itemsPerSecond, NoUpstreamWait.Seconds())*float64(time.Second)), NoUpstreamWait)
+}
+
 // resultMemoryWait returns the expected time until there is memory for so many bytes of further results.
 func (sc *Scheduler) resultMemoryWait(cp capacity, bytes int64) time.Duration {
 	if cp.memory == 0 {
--- a/batch/upstream.go
+++ b/batch/upstream.go
@@ -19,6 +19,10 @@
 	otherBytes      int64
 	otherBytesUntil time.Time
 	ejectedUntil    time.Time
+	// limitedUntil is when the upstream's rate limit allows another call; callsPerSecond is that limit if isLimited is set.
+	limitedUntil   time.Time
+	isLimited      bool
+	callsPerSecond float64
 	// ejections counts the consecutive ejections.
 	ejections   int
 	lastCallEnd time.Time
@@ -105,13 +109,30 @@
 	return sc.config.CallTime + time.Duration(float64(items)*sc.itemTime)
 }
 
+// unavailableUntil returns when the upstream may be sent another call.
+func (up *upstream) unavailableUntil() time.Time {
+	if up.limitedUntil.After(up.ejectedUntil) {
+		return up.limitedUntil
+	}
+	return up.ejectedUntil
+}
+
+// itemsPerSecond returns the throughput of an upstream in full batches, each of which takes a time.
+func (sc *Scheduler) itemsPerSecond(now time.Time, up *upstream, batchTime time.Duration) float64 {
+	calls := 1 / batchTime.Seconds() / up.currentSlowdown(now)
+	if up.isLimited {
+		calls = min(calls, up.callsPerSecond)
+	}
+	return calls * float64(sc.config.MaxBatch)
+}
+
 // updateUpstream updates the state of an upstream after a call.
-func (sc *Scheduler) updateUpstream(now time.Time, ended *call, outcome Outcome) {
+func (sc *Scheduler) updateUpstream(now time.Time, ended *call, report CallResult) {
 	up := ended.upstream
 	up.calls--
 	up.lastCallEnd = now
 	up.inFlightBytes -= ended.bytes
-	switch outcome {
+	switch report.Outcome {
 	case OutcomeAnswered:
 		up.ejections = 0
 		took := now.Sub(ended.started)
@@ -121,6 +142,8 @@
 		sc.updateItemTime(took, len(ended.items), ratio)
 	case OutcomeFull:
 		up.ejectedUntil = now.Add(fullBackoff)
+	case OutcomeLimited:
+		up.limitedUntil = now.Add(report.RetryAfter)
 	case OutcomeUnreachable, OutcomeFailed:
 		up.ejectedUntil = now.Add(baseEjection << min(up.ejections, maxEjectionDoublings))
 		up.ejections++
@@ -153,7 +176,7 @@
 		return false
 	}
 	for _, other := range sc.upstreams {
-		if other == slow || now.Before(other.ejectedUntil) || other.currentSlowdown(now) >= slowThreshold {
+		if other == slow || now.Before(other.unavailableUntil()) || other.currentSlowdown(now) >= slowThreshold {
 			continue
 		}
 		if sc.idleIn(now, other)+sc.expectedDuration(sc.config.MaxBatch) < slowDuration {
@@ -166,7 +189,7 @@
 // idleIn returns the time until an upstream can take a call.
 func (sc *Scheduler) idleIn(now time.Time, up *upstream) time.Duration {
 	if up.calls < max(sc.config.Slots, 1) {
-		return max(up.ejectedUntil.Sub(now), 0)
+		return max(up.unavailableUntil().Sub(now), 0)
 	}
 	soonest := time.Duration(math.MaxInt64)
 	for _, each := range sc.calls {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/turmericdoor/turmericdoor/revision"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/storereader"
+	"github.com/turmericdoor/turmericdoor/throttle"
 	"github.com/turmericdoor/turmericdoor/timeline"
 	"github.com/turmericdoor/turmericdoor/timer"
 	"github.com/turmericdoor/turmericdoor/watch"
@@ -54,6 +55,7 @@
 	catalog  *catalog.Catalog
 	watches  []*watch.Watcher
 	peer     *peer.Peer
+	throttle *throttle.Throttle
 	pools    *gateway.Pools
 	gateway  *gateway.Gateway
 	gatherer *gather.Gatherer
@@ -102,9 +104,12 @@
 		en.watches = append(en.watches, watch.New(table, meteredSource{parts.Source, en.metrics}, parts.Timers, parts.Random.Fork(table), changeListener{en}, en.isStoreReader))
 	}
 	en.peer = en.newPeer(parts, clock)
+	en.throttle = throttle.New(throttle.Parts{
+		Self: en.settings.Instance, Fleet: en.peer, Find: en.catalog.Find, Timers: parts.Timers, Events: en.events,
+	})
 	en.pools = gateway.NewPools(parts.Timers, parts.Settings.RetryBudget, func() int { return len(en.peer.Live()) })
 	en.gatherer = gather.New(en.lifetime, gather.Parts{
-		View: en.catalog, Caller: parts.Caller, RetryBudget: en.pools, Timers: parts.Timers, Events: en.events,
+		View: en.catalog, Caller: parts.Caller, RetryBudget: en.pools, Limits: en.throttle, Timers: parts.Timers, Events: en.events,
 		Owns: func(at gather.QueueKey) bool { return en.items.Owns(at) },
 	})
 	en.items = gather.NewClient(gather.ClientParts{
@@ -114,7 +119,7 @@
 	en.batches = gather.NewServer(en.gatherer, en.items, parts.Timers)
 	en.gateway = gateway.New(gateway.Parts{
 		FailureDomain: en.settings.FailureDomain, Catalog: en.catalog, Pools: en.pools, Stages: en.items, Sender: parts.Sender,
-		Crashes: en.peer, Timers: parts.Timers, Events: en.events, Metrics: en.metrics,
+		Crashes: en.peer, Limits: en.throttle, Timers: parts.Timers, Events: en.events, Metrics: en.metrics,
 	})
 	en.registerGauges()
 	return en
@@ -130,7 +135,7 @@
 	return peer.New(peer.Parts{
 		Timers: parts.Timers, Clock: clock, Events: en.events, Holder: revision.New(nil), Listener: peerListener{en},
 		Members: member.New(self, config, parts.Random.Generator("member"), now), Dialer: parts.PeerDialer,
-		Random: parts.Random.Fork("peer"), Replicas: peerReplicas{en},
+		Random: parts.Random.Fork("peer"), Replicas: peerReplicas{en}, Limits: peerLimits{en},
 	}, peer.Config{Seeds: en.settings.Seeds, Heartbeat: heartbeat})
 }
 
@@ -152,6 +157,7 @@
 	}
 	en.metrics.RegisterGauge("members_live", func() float64 { return float64(len(en.peer.Live())) })
 	en.metrics.RegisterGauge("parts_blocked", func() float64 { return float64(en.peer.BlockedParts()) })
+	en.metrics.RegisterGauge("upstreams_limited", func() float64 { return float64(len(en.throttle.Limits())) })
 	en.metrics.RegisterGauge("configuration_revision", func() float64 {
 		if table := en.catalog.RoutingTable(); table != nil {
 			return float64(table.Revision)
@@ -171,6 +177,7 @@
 	en.startLoop(en.catalog.Run)
 	en.startLoop(en.gatherer.Run)
 	en.startLoop(en.items.ExchangeLoads)
+	en.startLoop(en.throttle.Run)
 	for _, each := range en.watches {
 		en.startLoop(each.Run)
 	}
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -1,6 +1,9 @@
 package entry_test
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // startFault starts a random fault that lasts for a random number of steps.
 func (sk *soak) startFault() {
@@ -20,6 +23,8 @@
 		{"UpstreamHangs", sk.upstreamHangs},
 		{"UpstreamFlaky", sk.upstreamFlaky},
 		{"ResumesFail", sk.resumesFail},
+		{"RateLimit", sk.rateLimit},
+		{"RateLimitOfAPool", sk.rateLimitOfAPool},
 	}
 	chosen := all[sk.random.IntN(len(all))]
 	for _, fault := range sk.activeFaults {
@@ -150,6 +155,54 @@
 	return sk.setUpstream(func(up *upstream, on bool) { up.hangs = on })
 }
 
+// rateLimit makes a random upstream announce a rate limit, some of them values that are no number, too.
+func (sk *soak) rateLimit() func() {
+	us := sk.fleet.upstreams
+	up := us.randomUpstream()
+	if up == nil {
+		return func() {}
+	}
+	us.setLimit(up.ID, []float64{0, 0.3, 1, 4, 20}[sk.random.IntN(5)])
+	us.mu.Lock()
+	if limit := us.byID[up.ID].limit; limit != nil {
+		limit.unreadable = sk.random.IntN(3) == 0
+	}
+	us.mu.Unlock()
+	return func() { sk.endLimits(up.ID) }
+}
+
+// limitEndDelay is how much longer than the fault a rate limit lasts, so that its bound applies to a part of that time.
+const limitEndDelay = 10 * time.Second
+
+// endLimits ends the rate limits of upstreams some time later.
+func (sk *soak) endLimits(ids ...string) {
+	sk.group.Go(func() {
+		time.Sleep(limitEndDelay)
+		for _, id := range ids {
+			sk.fleet.upstreams.setLimit(id, unlimited)
+		}
+	})
+}
+
+// rateLimitOfAPool makes all upstreams of a pool announce a rate limit.
+func (sk *soak) rateLimitOfAPool() func() {
+	us := sk.fleet.upstreams
+	pool := []string{"model", "plain", "encode", "rank"}[sk.random.IntN(4)]
+	ids := []string{}
+	us.mu.Lock()
+	for id, up := range us.byID {
+		if up.Pool == pool {
+			ids = append(ids, id)
+		}
+	}
+	us.mu.Unlock()
+	slices.Sort(ids)
+	for _, id := range ids {
+		us.setLimit(id, 2)
+	}
+	return func() { sk.endLimits(ids...) }
+}
+
 func (sk *soak) upstreamFlaky() func() {
 	first := sk.setUpstream(func(up *upstream, on bool) { up.flaky = on })
 	second := sk.setUpstream(func(up *upstream, on bool) { up.flaky = on })
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -69,6 +69,8 @@
 	mixesItems bool
 	// completesCutOff ends responses that were cut off as complete.
 	completesCutOff bool
+	// hidesLimits keeps the rate limits in the answers of upstreams from the instances.
+	hidesLimits bool
 	// hidesCrashes makes probes find every upstream alive.
 	hidesCrashes bool
 }
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -35,7 +35,8 @@
 	// the time until the slowest refusal, earliest the least time after which a refused caller is asked to come back.
 	answered, refused, failed int
 	slowest                   time.Duration
-	withoutTime               int
+	// slow counts the refusals that took longer than slowestRefusal, withoutTime those without such a time.
+	slow, withoutTime int
 }
 
 const (
@@ -125,6 +126,9 @@
 	case gateway.Refused:
 		lr.refused++
 		lr.slowest = max(lr.slowest, took)
+		if took > slowestRefusal {
+			lr.slow++
+		}
 		if outcome.RetryAfter <= 0 {
 			lr.withoutTime++
 		}
@@ -140,9 +144,10 @@
 func assertLimitsAreKept(t *testing.T, lr *limitRun) {
 	t.Helper()
 	lr.play(t)
-	t.Logf("answered %d, refused %d, failed %d; slowest refusal after %v", lr.answered, lr.refused, lr.failed, lr.slowest)
+	t.Logf("answered %d, refused %d, failed %d; slowest refusal after %v, %d slow", lr.answered, lr.refused, lr.failed, lr.slowest, lr.slow)
 	for _, limit := range lr.limits() {
 		assertLimitIsKept(t, limit)
+		t.Logf("%s used %.2f of its limit", limit.upstream, limit.use(lr.ended))
 		if lr.leastUse > 0 {
 			must.GreaterEq(t, lr.leastUse, limit.use(lr.ended), must.Sprintf("part of the limit of %s that was used", limit.upstream))
 		}
@@ -196,6 +201,9 @@
 	"of all upstreams of a stage": func(lr *limitRun) {
 		lr.path, lr.pool, lr.limited, lr.perSecond = "/draft/", "encode", 4, 2
 	},
+	"of all engines behind stages": func(lr *limitRun) {
+		lr.path, lr.limited, lr.upstreams, lr.perSecond = "/draft/", 9, 9, 1
+	},
 	"that falls": func(lr *limitRun) {
 		lr.perSecond, lr.every, lr.atOnce = 10, 10*time.Millisecond, 3
 		lr.during = func(lr *limitRun, elapsed time.Duration) { lr.changeAt(elapsed, 5*time.Second, 1) }
@@ -211,7 +219,6 @@
 				lr.soak.restartOne()
 			}
 		}
-		lr.leastUse = 0
 	},
 	"while instances of many are restarted": func(lr *limitRun) {
 		lr.instances, lr.upstreams, lr.limited, lr.every, lr.atOnce = 77, 40, 4, 10*time.Millisecond, 4
@@ -220,7 +227,6 @@
 				lr.soak.restartOne()
 			}
 		}
-		lr.leastUse = 0
 	},
 	"after all instances were restarted at once": func(lr *limitRun) {
 		lr.during = func(lr *limitRun, elapsed time.Duration) {
@@ -228,7 +234,6 @@
 				lr.soak.restartAll()
 			}
 		}
-		lr.leastUse = 0
 	},
 	"while an instance is cut off": func(lr *limitRun) {
 		lr.during = func(lr *limitRun, elapsed time.Duration) { lr.soak.cutOff(elapsed, 4*time.Second, 10*time.Second) }
@@ -236,7 +241,6 @@
 	"while half of the instances are cut off from the others": func(lr *limitRun) {
 		lr.perSecond, lr.every, lr.atOnce = 10, 10*time.Millisecond, 3
 		lr.during = func(lr *limitRun, elapsed time.Duration) { lr.soak.split(elapsed, 4*time.Second, 12*time.Second) }
-		lr.leastUse = 0.3
 	},
 	"while instances are frozen": func(lr *limitRun) {
 		lr.during = func(lr *limitRun, elapsed time.Duration) {
@@ -244,7 +248,6 @@
 				lr.soak.fleet.freeze(lr.soak.randomNode(), 2500*time.Millisecond)
 			}
 		}
-		lr.leastUse = 0
 	},
 	"of an upstream that is restarted": func(lr *limitRun) {
 		lr.during = func(lr *limitRun, elapsed time.Duration) {
@@ -305,6 +308,7 @@
 func TestLimitedUpstreamGetsTheRequestsOfAllInstances(t *testing.T) {
 	for name, change := range limitCases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			lr := newLimitRun()
 			change(lr)
 			assertLimitsAreKept(t, lr)
@@ -317,6 +321,7 @@
 func TestAllUpstreamsLimited(t *testing.T) {
 	for _, path := range []string{"/stream/", "/lookup/", "/once/"} {
 		t.Run(path, func(t *testing.T) {
+			t.Parallel()
 			lr := newLimitRun()
 			lr.path, lr.limited, lr.perSecond = path, 9, 2
 			if path != "/stream/" {
@@ -338,6 +343,7 @@
 func TestEndOfALimit(t *testing.T) {
 	for name, perSecond := range map[string]float64{"of one a second": 1, "of one in ten seconds": 0.1, "of zero": 0} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			lr := newLimitRun()
 			lr.perSecond, lr.leastUse, lr.limited = perSecond, 0, 1
 			ended := time.Time{}
--- /dev/null
+++ b/entry/limits.go
@@ -0,0 +1,28 @@
+package entry
+
+import "github.com/turmericdoor/turmericdoor/schema/wire"
+
+// peerLimits exposes the rate limits of upstreams to other instances.
+type peerLimits struct {
+	entry *Instance
+}
+
+// IssuePermit decides on another instance's request for a permit.
+func (lm peerLimits) IssuePermit(request *wire.PermitRequest) *wire.PermitReply {
+	return lm.entry.throttle.IssuePermit(request)
+}
+
+// ApplyReport applies what an answer to another instance announced.
+func (lm peerLimits) ApplyReport(report *wire.LimitReport) *wire.LimitReply {
+	return lm.entry.throttle.ApplyReport(report)
+}
+
+// News returns the limits for a heartbeat, all of them for a full exchange.
+func (lm peerLimits) News(full bool) []*wire.RateLimit {
+	return lm.entry.throttle.News(full)
+}
+
+// AddNews adds the limits in a heartbeat.
+func (lm peerLimits) AddNews(news []*wire.RateLimit) {
+	lm.entry.throttle.AddNews(news)
+}
--- a/entry/links_test.go
+++ b/entry/links_test.go
@@ -87,6 +87,24 @@
 	return to.entry.Peer().FetchRows(ctx, in)
 }
 
+// AcquirePermit asks for a permit.
+func (lk peerLink) AcquirePermit(ctx context.Context, in *wire.PermitRequest, _ ...grpc.CallOption) (*wire.PermitReply, error) {
+	to := lk.connect(ctx)
+	if to == nil {
+		return nil, errUnreachable
+	}
+	return to.entry.Peer().AcquirePermit(ctx, in)
+}
+
+// ReportLimit reports what an answer announced.
+func (lk peerLink) ReportLimit(ctx context.Context, in *wire.LimitReport, _ ...grpc.CallOption) (*wire.LimitReply, error) {
+	to := lk.connect(ctx)
+	if to == nil {
+		return nil, errUnreachable
+	}
+	return to.entry.Peer().ReportLimit(ctx, in)
+}
+
 // Release frees results that no request needs any more.
 func (lk batchLink) Release(ctx context.Context, in *wire.ReleaseRequest, _ ...grpc.CallOption) (*wire.ReleaseReply, error) {
 	to := lk.connect(ctx)
--- a/entry/ratelimits_test.go
+++ b/entry/ratelimits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/ratelimit"
@@ -93,6 +94,9 @@
 		announced = ratelimit.Invalid{Text: "many"}
 	}
 	us.mu.Unlock()
+	if us.variant.hidesLimits {
+		announced = ratelimit.None{}
+	}
 	ratelimit.Observe(ctx, announced)
 }
 
@@ -131,7 +135,7 @@
 // worst returns the largest number of calls in a window beyond those that are allowed, and how many they were. Calls of
 // instances with a recent fault don't count; with onlyTold neither do those of instances that no answer told of the limit.
 func (rl *rateLimit) worst(onlyTold bool) (excess float64, most int) {
-	excess = -limitExtra
+	excess = math.Inf(-1)
 	for last, end := range rl.calls {
 		allowed, bounded := rl.allowed(end.at)
 		if !bounded {
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -312,6 +312,7 @@
 	defer us.mu.Unlock()
 	sk.violations = append(sk.violations, us.violations...)
 	sk.violations = append(sk.violations, us.checkBudget()...)
+	sk.violations = append(sk.violations, us.checkLimits()...)
 	sk.checkPoisons(us)
 	sk.checkBadParts(us)
 }
@@ -388,6 +389,7 @@
 		"ignored key revocation":           {defects{decoder: func(dc decoder) catalog.Decoder { return staleDecoder{decoder: dc, ignoresRevocation: true} }}, "whose key was revoked"},
 		"cut streams that look complete":   {defects{completesCutOff: true}, "returned body"},
 		"crashes that go unnoticed":        {defects{hidesCrashes: true}, "reached upstreams"},
+		"ignored rate limits":              {defects{hidesLimits: true}, "more than its rate limit allows"},
 		"unlimited retry budget":           {defects{budget: retryquota.Config{Ratio: 5, Extra: 5000, Window: 10 * time.Second}}, "retries in a window"},
 	}
 	for name, each := range variants {
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -90,6 +90,7 @@
 		MaxInFlight: rn.Pools.maxInFlight(rn.pool),
 	}
 	connectFailures, rejections := 0, 0
+	mayWait := true
 	for {
 		if failure := rn.checkDeadline(ctx); failure != nil {
 			return failure, false
@@ -98,16 +99,18 @@
 			return failure, false
 		}
 		criteria.Slack = rn.targetAt.Sub(rn.Timers.Now())
-		choice, found := rn.Pools.pick(rn.pool.Name, rn.Catalog.Upstreams(rn.pool.Name, ""), rn.pinSuspect(criteria), criteria.PromptTokens)
+		choice, maxWait, found := rn.pick(rn.pinSuspect(criteria), mayWait)
 		if !found {
-			return rn.noUpstreamOutcome(), false
+			return rn.unavailableOutcome(criteria), false
 		}
-		criteria.Exclude = append(criteria.Exclude, choice.Upstream.Incarnation())
-		if !rn.Catalog.IsUsable(choice.Upstream.Incarnation()) {
-			rn.recordAttemptEnd(choice, criteria, false, placement.Abandoned)
+		mayWait = mayWait && maxWait == 0
+		answered := rn.acquire(ctx, choice, criteria, maxWait)
+		if answered == nil {
 			continue
 		}
-		result := rn.sendTo(ctx, choice, criteria, inputs, done)
+		rn.leaveUnsent()
+		criteria.Exclude = append(criteria.Exclude, choice.Upstream.Incarnation())
+		result := rn.sendTo(ctx, choice, criteria, inputs, done, answered)
 		if !result.tryNext {
 			return result.outcome, result.rerunStages
 		}
@@ -117,6 +120,7 @@
 		default:
 			connectFailures++
 		}
+		mayWait = true
 		if connectFailures >= maxConnectFailures || rejections >= maxRejections {
 			return result.outcome, false
 		}
@@ -170,9 +174,13 @@
 }
 
 // sendTo makes one attempt at an upstream.
-func (rn *run) sendTo(ctx context.Context, choice placement.Choice, criteria placement.Criteria, inputs []string, done *stages) attemptResult {
+func (rn *run) sendTo(
+	ctx context.Context, choice placement.Choice, criteria placement.Criteria, inputs []string, done *stages, answered func(ratelimit.Announcement),
+) attemptResult {
 	startedAt := rn.Timers.Now()
-	at := &attempt{run: rn, number: rn.audit.Executions() + 1, choice: choice, criteria: criteria, startedAt: startedAt, stages: done}
+	at := &attempt{
+		run: rn, number: rn.audit.Executions() + 1, choice: choice, criteria: criteria, startedAt: startedAt, stages: done, answered: answered,
+	}
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventUpstreamChosen, RequestId: rn.request.ID, Upstream: choice.Upstream.ID, Stage: rn.pool.Name,
 		Attempt: int64(at.number),
@@ -235,8 +243,9 @@
 	firstByteAt  time.Time
 	// reportedSuccess is set once the success of the prompt's parts was reported.
 	reportedSuccess bool
-	// limit is the rate limit that the answer announces, for the log.
-	limit string
+	// answered must be told the rate limit that the answer announces; limit is that limit for the log.
+	answered func(ratelimit.Announcement)
+	limit    string
 	// output is what the attempt writes to the caller, or nil before its first part.
 	output  *response.Body
 	outcome string
@@ -361,7 +370,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
 		state := rn.Sender.Probe(ctx, up)
-		if state == ProcessAlive && isCause && rn.Sender.HasRestarted(ctx, up) {
+		if state == ProcessAlive && isCause && rn.hasRestarted(ctx, up) {
 			state = ProcessGone
 		}
 		if state == ProcessAlive {
@@ -387,17 +396,12 @@
 	return fmt.Sprintf("%dms", at.run.Timers.Now().Sub(at.firstByteAt).Milliseconds())
 }
 
-// observeLimit records the rate limit that the upstream's answer announces.
+// observeLimit passes on the rate limit that the upstream's answer announces.
 func (at *attempt) observeLimit(announced ratelimit.Announcement) {
-	switch announced := announced.(type) {
-	case ratelimit.Limit:
-		at.limit = "ratelimit=" + announced.String()
-	case ratelimit.Invalid:
-		at.run.Events.Record(&wire.Event{
-			Kind: wire.EventKind_EventRateLimitUnreadable, RequestId: at.run.request.ID, Upstream: at.choice.Upstream.ID, Detail: announced.Text,
-		})
-	case ratelimit.None:
+	if limit, is := announced.(ratelimit.Limit); is {
+		at.limit = "ratelimit=" + limit.String()
 	}
+	at.answered(announced)
 }
 
 // recordFirstByte records the latency of the upstream's first byte and stops the timer that waits for it.
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -24,6 +24,7 @@
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/poison"
 	"github.com/turmericdoor/turmericdoor/quarantine"
+	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/replica"
 	"github.com/turmericdoor/turmericdoor/retryquota"
 	"github.com/turmericdoor/turmericdoor/roster"
@@ -113,6 +114,9 @@
 	blockAfter   time.Duration
 	crashes      []quarantine.Crash
 	status       quarantine.Status
+	// permitAfter is the time until an upstream's rate limit allows a request, asked the upstreams for which permits were asked.
+	permitAfter map[string]time.Duration
+	asked       []string
 	// earlier is the number of requests that the gateway serves before the one whose response is checked.
 	earlier int
 }
@@ -188,6 +192,32 @@
 
 func (fk *fakes) HasRestarted(context.Context, *roster.Upstream) bool { return fk.restarted }
 
+// Acquire issues a permit for each upstream, after the time in permitAfter at those that it names.
+func (fk *fakes) Acquire(ctx context.Context, up *roster.Upstream, maxWait time.Duration) (func(ratelimit.Announcement), error) {
+	fk.mu.Lock()
+	fk.asked = append(fk.asked, up.ID)
+	wait := fk.permitAfter[up.ID]
+	fk.mu.Unlock()
+	if wait > maxWait {
+		return nil, ratelimit.Exceeded{RetryAfter: wait}
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return func(ratelimit.Announcement) {}, nil
+}
+
+// Limits returns a limit of two requests a second for each upstream in permitAfter.
+func (fk *fakes) Limits() map[roster.Incarnation]float64 {
+	limits := map[roster.Incarnation]float64{}
+	for id := range fk.permitAfter {
+		limits[roster.Incarnation{ID: id}] = 2
+	}
+	return limits
+}
+
 // setStatus sets the status of the part "second".
 func (fk *fakes) setStatus(status poison.Status) {
 	fk.mu.Lock()
@@ -322,7 +352,7 @@
 		set := metric.New()
 		gw := gateway.New(gateway.Parts{
 			FailureDomain: "a", Catalog: ct, Pools: gateway.NewPools(timers, budget, func() int { return 1 }), Stages: fk, Sender: fk,
-			Crashes: fk, Timers: timers, Events: events, Metrics: set,
+			Crashes: fk, Limits: fk, Timers: timers, Events: events, Metrics: set,
 		})
 		if fk.blockAfter > 0 {
 			time.AfterFunc(fk.blockAfter, func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,7 @@
 	Stages        StageRunner
 	Sender        Sender
 	Crashes       CrashTracker
+	Limits        RateLimiter
 	Timers        *timer.Service
 	Events        *timeline.Ring
 	Metrics       *metric.Set
@@ -106,6 +107,8 @@
 	abandonAt time.Time
 	targetAt  time.Time
 	audit     *sendaudit.Tracker
+	// leaveUnsent is called once the request has a permit.
+	leaveUnsent func()
 	// detail explains the outcome in the event log.
 	detail string
 }
@@ -159,6 +162,8 @@
 		return refusal
 	}
 	rn.Pools.RecordRequest(rn.pool.Name)
+	rn.leaveUnsent = rn.Pools.enter(rn.pool.Name)
+	defer rn.leaveUnsent()
 	return rn.execute(ctx)
 }
 
@@ -229,7 +234,7 @@
 	rn.lowUrgency = rn.isLowUrgency(active)
 	chosen := rn.planStages(active)
 	rn.stageDomain = chosen.domain
-	rn.forecast = rn.Pools.forecastLatency(rn.pipeline.Name, chosen.expected+rn.engineLatency())
+	rn.forecast = rn.Pools.forecastLatency(rn.pipeline.Name, max(chosen.expected, rn.permitWait())+rn.engineLatency())
 	expected := rn.forecast.expected
 	estimate := overload.Estimate{ExpectedLatency: expected, UntilTarget: rn.targetAt.Sub(now), UntilDeadline: rn.abandonAt.Sub(now)}
 	rn.detail = fmt.Sprintf("expected=%dms due=%dms left=%dms domain=%s", expected.Milliseconds(),
--- /dev/null
+++ b/gateway/limits.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/placement"
+	"github.com/turmericdoor/turmericdoor/ratelimit"
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+)
+
+// RateLimiter keeps the requests of all instances to an upstream within the rate limit that it announces.
+type RateLimiter interface {
+	// Acquire waits until a request may be sent, at most maxWait, and returns the function that must be told what its answer
+	// announces. The error is ratelimit.Exceeded or that of ctx; then the request must not be sent.
+	Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(ratelimit.Announcement), error)
+	// Limits returns the limits in force, in requests per second.
+	Limits() map[roster.Incarnation]float64
+}
+
+const (
+	// resumePermitWait is how long an interrupted stream waits for an upstream whose rate limit is used up.
+	resumePermitWait = time.Second
+	// maxLimitedRetryAfter bounds the delay after which a caller is asked to retry if the rate limits of all upstreams are used up.
+	maxLimitedRetryAfter = 10 * time.Second
+)
+
+// pick selects an upstream and returns how long its permit may be waited for: not at all while another upstream may be tried.
+// Once none is left, it selects the one whose rate limit first allows another request, if that is soon enough.
+func (rn *run) pick(criteria placement.Criteria, mayWait bool) (placement.Choice, time.Duration, bool) {
+	list := rn.Catalog.Upstreams(rn.pool.Name, "")
+	if choice, found := rn.Pools.pick(rn.pool.Name, list, criteria, criteria.PromptTokens); found {
+		return choice, 0, true
+	}
+	if !mayWait {
+		return placement.Choice{}, 0, false
+	}
+	choice, wait, found := rn.Pools.pickLimited(rn.pool.Name, list, criteria)
+	allowed := rn.permitPatience(choice)
+	if !found || wait > allowed {
+		return placement.Choice{}, 0, false
+	}
+	rn.Pools.start(rn.pool.Name, choice, criteria.PromptTokens)
+	return choice, allowed, true
+}
+
+// permitPatience returns how long the request may wait for a permit: until its first byte would be late or, while its answer
+// is interrupted, for a fixed time.
+func (rn *run) permitPatience(choice placement.Choice) time.Duration {
+	now := rn.Timers.Now()
+	if rn.response.IsBegun() {
+		return min(resumePermitWait, rn.deadline.Sub(now))
+	}
+	return min(rn.targetAt.Sub(now)-choice.ExpectedLatency, rn.deadline.Sub(now)-minTimeToSend)
+}
+
+// acquire waits until the request may be sent to an upstream. It returns nil if the rate limit does not allow it, or if the
+// request may no longer be sent there.
+func (rn *run) acquire(ctx context.Context, choice placement.Choice, criteria placement.Criteria, maxWait time.Duration) func(ratelimit.Announcement) {
+	incarnation := choice.Upstream.Incarnation()
+	answered, err := rn.Limits.Acquire(ctx, choice.Upstream, maxWait)
+	exceeded := ratelimit.Exceeded{}
+	if errors.As(err, &exceeded) {
+		rn.Pools.withPlacement(rn.pool.Name, func(now time.Time, known *placement.Pool) {
+			known.RecordLimited(incarnation, now.Add(exceeded.RetryAfter))
+		})
+		rn.Events.Record(&wire.Event{
+			Kind: wire.EventKind_EventPermitDenied, RequestId: rn.request.ID, Upstream: choice.Upstream.ID, Stage: rn.pool.Name,
+			DurationMicros: exceeded.RetryAfter.Microseconds(),
+		})
+	}
+	if err != nil || !rn.Catalog.IsUsable(incarnation) || rn.checkDeadline(ctx) != nil || rn.checkParts() != nil {
+		rn.recordAttemptEnd(choice, criteria, false, placement.Abandoned)
+		return nil
+	}
+	return answered
+}
+
+// unavailableOutcome returns the outcome of a request for which there is no upstream left to try now.
+func (rn *run) unavailableOutcome(criteria placement.Criteria) Outcome {
+	list := rn.Catalog.Upstreams(rn.pool.Name, "")
+	_, wait, limited := rn.Pools.pickLimited(rn.pool.Name, list, criteria)
+	if !limited || rn.audit.Executions() > 0 {
+		return rn.noUpstreamOutcome()
+	}
+	after := rn.Pools.retryAfterLimited(rn.pool.Name, wait, rn.totalLimit(list))
+	return rn.refuse(after, RateLimited, fmt.Sprintf("the rate limits of the upstreams are used up for %dms", wait.Milliseconds()))
+}
+
+// totalLimit returns the sum of the upstreams' rate limits in requests per second.
+func (rn *run) totalLimit(list []*roster.Upstream) float64 {
+	total, limits := 0.0, rn.Limits.Limits()
+	for _, up := range list {
+		total += limits[up.Incarnation()]
+	}
+	return total
+}
+
+// permitWait returns the expected wait for a permit if all upstreams of the pool have a rate limit, or 0.
+func (rn *run) permitWait() time.Duration {
+	limits := rn.Limits.Limits()
+	if len(limits) == 0 {
+		return 0
+	}
+	list := rn.Catalog.Upstreams(rn.pool.Name, "")
+	for _, up := range list {
+		if _, limited := limits[up.Incarnation()]; !limited {
+			return 0
+		}
+	}
+	return rn.Pools.permitWait(rn.pool.Name, rn.totalLimit(list))
+}
+
+// hasRestarted reports whether another incarnation answers at the upstream's address, or false if its rate limit does not
+// allow to ask.
+func (rn *run) hasRestarted(ctx context.Context, up *roster.Upstream) bool {
+	answered, err := rn.Limits.Acquire(ctx, up, 0)
+	return err == nil && rn.Sender.HasRestarted(ratelimit.WithObserver(ctx, answered), up)
+}
+
+// pickLimited returns the upstream whose rate limit first allows another request, and how long that takes.
+func (pl *Pools) pickLimited(pool string, list []*roster.Upstream, criteria placement.Criteria) (placement.Choice, time.Duration, bool) {
+	choice, wait, found := placement.Choice{}, time.Duration(0), false
+	pl.withPlacement(pool, func(now time.Time, known *placement.Pool) {
+		choice, wait, found = known.PickLimited(now, list, criteria)
+	})
+	return choice, wait, found
+}
+
+// start records the start of a request on an upstream.
+func (pl *Pools) start(pool string, choice placement.Choice, tokens int) {
+	pl.withPlacement(pool, func(_ time.Time, known *placement.Pool) { known.RecordStart(choice.Upstream.Incarnation(), tokens) })
+}
+
+// enter counts a request of a pool that will need a permit, and returns the function to call once it has one or has ended.
+func (pl *Pools) enter(pool string) func() {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.unsent[pool]++
+	return sync.OnceFunc(func() {
+		pl.mu.Lock()
+		defer pl.mu.Unlock()
+		pl.unsent[pool]--
+	})
+}
+
+// share returns the time in which this instance's share of a rate, in requests per second, allows so many requests.
+func (pl *Pools) share(requests int, perSecond float64) time.Duration {
+	if requests == 0 {
+		return 0
+	}
+	seconds := float64(requests) * float64(max(pl.liveInstances(), 1)) / perSecond
+	return time.Duration(min(seconds, maxLimitedRetryAfter.Seconds()) * float64(time.Second))
+}
+
+// permitWait returns the expected wait for a permit behind the requests of this instance that will need one.
+func (pl *Pools) permitWait(pool string, perSecond float64) time.Duration {
+	pl.mu.Lock()
+	waiting := pl.unsent[pool]
+	pl.mu.Unlock()
+	return pl.share(waiting, perSecond)
+}
+
+// retryAfterLimited returns after what time a caller is asked to retry if the rate limits of a pool's upstreams are used up for
+// wait. Callers are asked to return one after the other, at this instance's share of the limits.
+func (pl *Pools) retryAfterLimited(pool string, wait time.Duration, perSecond float64) time.Duration {
+	each := pl.share(1, perSecond)
+	now := pl.timers.Now()
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	at := now.Add(wait)
+	if next := pl.nextReturn[pool]; next.After(at) {
+		at = next
+	}
+	pl.nextReturn[pool] = at.Add(each)
+	return min(at.Sub(now), maxLimitedRetryAfter)
+}
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -24,6 +24,10 @@
 	quotas     map[string]*retryquota.Quota
 	// forecastFactors are the factors that correct the latency forecasts, by pipeline.
 	forecastFactors map[string]*calibration.Factor
+	// unsent counts the admitted requests of each pool that were not sent yet. nextReturn is when the next caller is asked to
+	// return that finds the rate limits of a pool's upstreams used up.
+	unsent     map[string]int
+	nextReturn map[string]time.Time
 }
 
 // NewPools returns the state of pools without observations; liveInstances returns the number of live instances.
@@ -31,7 +35,7 @@
 	return &Pools{
 		timers: timers, config: config, liveInstances: liveInstances,
 		placements: map[string]*placement.Pool{}, quotas: map[string]*retryquota.Quota{},
-		forecastFactors: map[string]*calibration.Factor{},
+		forecastFactors: map[string]*calibration.Factor{}, unsent: map[string]int{}, nextReturn: map[string]time.Time{},
 	}
 }
 
@@ -67,6 +71,13 @@
 	return pl.quota(pool).Spend(pl.timers.Now(), live)
 }
 
+// Refund returns one retry that was not sent to a pool's budget.
+func (pl *Pools) Refund(pool string) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.quota(pool).Refund()
+}
+
 // maxInFlight returns how many requests, one connection each, this instance may have in flight at one upstream: an
 // equal share of the upstream's connection limit, or 0 for no limit.
 func (pl *Pools) maxInFlight(pool route.Pool) int {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -143,6 +143,8 @@
 	// NoUpstream: the pool has no upstream to try; UpstreamsFull: the upstreams tried rejected the request.
 	NoUpstream    Cause = "NoUpstream"
 	UpstreamsFull Cause = "UpstreamsFull"
+	// RateLimited: the rate limits of the upstreams are used up.
+	RateLimited Cause = "RateLimited"
 	// NoTime: the deadline passed before the request was sent.
 	NoTime Cause = "NoTime"
 	// Closed: the instance no longer accepts requests.
--- a/gather/client.go
+++ b/gather/client.go
@@ -1,16 +1,14 @@
 package gather
 
 import (
-	"cmp"
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/turmericdoor/turmericdoor/batch"
 	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/ownership"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timeline"
 	"github.com/turmericdoor/turmericdoor/timer"
@@ -95,43 +93,9 @@
 	maxAttempts = 4
 )
 
-// rankedOwners returns the live instances, ranked as owners of a queue. Instances that know the same members agree on the
-// order: those in the queue's failure domain first, then those with enough CPU, then by rendezvous hash.
+// rankedOwners returns the live instances, ranked as owners of a queue.
 func (cl *Client) rankedOwners(key QueueKey) []member.Member {
-	live := cl.members.Live()
-	maxMilliCores := int64(0)
-	for _, each := range live {
-		maxMilliCores = max(maxMilliCores, each.MilliCores)
-	}
-	slices.SortFunc(live, func(left, right member.Member) int {
-		return cmp.Or(
-			trueFirst(left.FailureDomain == key.FailureDomain, right.FailureDomain == key.FailureDomain),
-			trueFirst(hasEnoughCPU(left, maxMilliCores), hasEnoughCPU(right, maxMilliCores)),
-			cmp.Compare(rendezvousHash(key, right.ID), rendezvousHash(key, left.ID)),
-		)
-	})
-	return live
-}
-
-// hasEnoughCPU reports whether an instance has at least half the CPU of the largest one: the owner of a queue handles
-// the jobs of all instances.
-func hasEnoughCPU(mb member.Member, maxMilliCores int64) bool {
-	return 2*mb.MilliCores >= maxMilliCores
-}
-
-// trueFirst compares two booleans so that true sorts first.
-func trueFirst(left, right bool) int {
-	switch {
-	case left == right:
-		return 0
-	case left:
-		return -1
-	}
-	return 1
-}
-
-func rendezvousHash(key QueueKey, id string) uint64 {
-	return xxhash.Sum64String(key.Pool + "/" + key.FailureDomain + "/" + id)
+	return ownership.Rank(cl.members.Live(), key.FailureDomain, key.Pool+"/"+key.FailureDomain)
 }
 
 // Run submits a job in the given failure domain and waits for its result. It tries another failure domain if that one
--- /dev/null
+++ b/gather/free.go
@@ -0,0 +1,132 @@
+package gather
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/ratelimit"
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+)
+
+// freeUntracked frees results of calls that other instances made: a handle starts with its upstream's address.
+func (gt *Gatherer) freeUntracked(pool string, handles []string) {
+	byUpstream := map[string][]string{}
+	for _, handle := range handles {
+		for _, up := range gt.view.Upstreams(pool, "") {
+			if len(handle) > len(up.Address) && handle[:len(up.Address)+1] == up.Address+"/" {
+				byUpstream[up.ID] = append(byUpstream[up.ID], handle)
+			}
+		}
+	}
+	for id, list := range byUpstream {
+		gt.free(id, list, func() {})
+	}
+}
+
+const (
+	// freeTimeout bounds a call that frees results; the upstream frees them by itself some seconds later if it fails.
+	freeTimeout = time.Second
+	// maxWaitingFrees bounds the results that wait to be freed at one upstream; the upstream frees further ones by itself.
+	maxWaitingFrees = 4096
+)
+
+// free frees results in the background and calls freed once the upstream has confirmed.
+func (gt *Gatherer) free(id string, handles []string, freed func()) {
+	if gt.joinWaitingFree(id, handles, freed) {
+		return
+	}
+	gt.background.Go(func() { gt.freeNow(id, handles, freed) })
+}
+
+// waitingFree holds results that are freed in one call as soon as the upstream's rate limit allows it.
+type waitingFree struct {
+	handles []string
+	freed   []func()
+}
+
+// joinWaitingFree adds results to those that wait to be freed at an upstream, and reports whether there are any.
+func (gt *Gatherer) joinWaitingFree(id string, handles []string, freed func()) bool {
+	gt.mu.Lock()
+	defer gt.mu.Unlock()
+	waiting := gt.waitingFrees[id]
+	if waiting == nil {
+		return false
+	}
+	if len(waiting.handles)+len(handles) <= maxWaitingFrees {
+		waiting.handles = append(waiting.handles, handles...)
+		waiting.freed = append(waiting.freed, freed)
+	}
+	return true
+}
+
+// freeNow makes the call that frees results, or has them wait until the upstream's rate limit allows it.
+func (gt *Gatherer) freeNow(id string, handles []string, freed func()) {
+	up := gt.view.Find(id)
+	if up == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(gt.ctx, freeTimeout)
+	defer cancel()
+	answered, err := gt.limits.Acquire(ctx, up, 0)
+	exceeded := ratelimit.Exceeded{}
+	if errors.As(err, &exceeded) {
+		gt.freeLater(id, handles, freed, exceeded.RetryAfter)
+		return
+	}
+	if err == nil {
+		err = gt.caller.FreeResults(ratelimit.WithObserver(ctx, answered), up, handles)
+	}
+	if err != nil {
+		gt.events.Record(&wire.Event{Kind: wire.EventKind_EventCallFailed, Upstream: id, Detail: "free results: " + err.Error()})
+		return
+	}
+	freed()
+}
+
+// freeLater frees results after a time, together with those that are to be freed at the upstream until then.
+func (gt *Gatherer) freeLater(id string, handles []string, freed func(), after time.Duration) {
+	if gt.joinWaitingFree(id, handles, freed) {
+		return
+	}
+	gt.mu.Lock()
+	gt.waitingFrees[id] = &waitingFree{handles: handles, freed: []func(){freed}}
+	gt.mu.Unlock()
+	gt.background.Go(func() {
+		_ = gt.timers.Sleep(gt.ctx, after)
+		gt.mu.Lock()
+		waiting := gt.waitingFrees[id]
+		delete(gt.waitingFrees, id)
+		gt.mu.Unlock()
+		gt.freeNow(id, waiting.handles, func() {
+			for _, each := range waiting.freed {
+				each()
+			}
+		})
+	})
+}
+
+// availableResultBytes asks an upstream for the memory that it has left for results.
+func (gt *Gatherer) availableResultBytes(ctx context.Context, up *roster.Upstream) (int64, error) {
+	answered, err := gt.limits.Acquire(ctx, up, 0)
+	if err != nil {
+		return 0, err
+	}
+	return gt.caller.AvailableResultBytes(ratelimit.WithObserver(ctx, answered), up)
+}
+
+// runItems makes a call with items, unless the upstream's rate limit does not allow it or the upstream is no longer usable.
+func (gt *Gatherer) runItems(ctx context.Context, up *roster.Upstream, items []Item) Outcome {
+	answered, err := gt.limits.Acquire(ctx, up, 0)
+	exceeded := ratelimit.Exceeded{}
+	switch {
+	case errors.As(err, &exceeded):
+		return Limited{RetryAfter: exceeded.RetryAfter}
+	case err != nil:
+		return NotSent{Cause: err.Error()}
+	case !gt.view.IsUsable(up.Incarnation()):
+		return NotSent{Cause: "the upstream is leaving"}
+	}
+	return gt.caller.RunItems(ratelimit.WithObserver(ctx, answered), up, items)
+}
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -15,6 +15,7 @@
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/hlc"
 	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -38,6 +39,8 @@
 	freed          []string
 	budget         int
 	availableBytes int64
+	// limitedUntil is when the rate limit of an upstream allows another call.
+	limitedUntil map[string]time.Time
 }
 
 // call records one call that an instance made.
@@ -64,7 +67,7 @@
 		upstreams: []*roster.Upstream{
 			{ID: "a1", Pool: "p", FailureDomain: "a"}, {ID: "a2", Pool: "p", FailureDomain: "a"}, {ID: "b1", Pool: "p", FailureDomain: "b"},
 		},
-		leaving: map[string]bool{}, dead: map[string]bool{}, outcome: map[string]gather.Outcome{}, budget: 100, availableBytes: 36e6,
+		leaving: map[string]bool{}, dead: map[string]bool{}, outcome: map[string]gather.Outcome{}, budget: 100, availableBytes: 36e6, limitedUntil: map[string]time.Time{},
 	}
 }
 
@@ -108,6 +111,34 @@
 	return fk.budget >= 0
 }
 
+func (fk *fakes) Refund(string) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.budget++
+}
+
+// Acquire permits every call, unless the rate limit of the upstream is used up.
+func (fk *fakes) Acquire(_ context.Context, up *roster.Upstream, _ time.Duration) (func(ratelimit.Announcement), error) {
+	time.Sleep(time.Millisecond)
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	if left := time.Until(fk.limitedUntil[up.ID]); left > 0 {
+		return nil, ratelimit.Exceeded{RetryAfter: left}
+	}
+	return func(ratelimit.Announcement) {}, nil
+}
+
+// Limits returns a limit of one call in two seconds for each upstream whose limit was ever used up.
+func (fk *fakes) Limits() map[roster.Incarnation]float64 {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	limits := map[roster.Incarnation]float64{}
+	for id := range fk.limitedUntil {
+		limits[roster.Incarnation{ID: id}] = 0.5
+	}
+	return limits
+}
+
 func (fk *fakes) runItems(ctx context.Context, instance string, up *roster.Upstream, items []gather.Item) gather.Outcome {
 	fk.mu.Lock()
 	fk.calls = append(fk.calls, call{at: time.Now(), instance: instance, upstream: up.ID, items: items})
@@ -267,7 +298,7 @@
 		for _, name := range names {
 			events := timeline.New(name, hlc.New(timers), 100, nil)
 			gatherer := gather.New(ctx, gather.Parts{
-				View: fk, Caller: caller{fk, name}, RetryBudget: fk, Timers: timers, Events: events,
+				View: fk, Caller: caller{fk, name}, RetryBudget: fk, Limits: fk, Timers: timers, Events: events,
 				Owns: func(key gather.QueueKey) bool { return fl.clients[name].Owns(key) },
 			})
 			fl.gatherers[name] = gatherer
--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -12,9 +12,9 @@
 	"github.com/turmericdoor/turmericdoor/batch"
 	"github.com/turmericdoor/turmericdoor/calibration"
 	"github.com/turmericdoor/turmericdoor/inflight"
+	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/route"
-	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timeline"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
@@ -24,6 +24,17 @@
 	RecordRequest(pool string)
 	Remaining(pool string) int
 	Spend(pool string) bool
+	// Refund returns one retry that was not sent.
+	Refund(pool string)
+}
+
+// RateLimiter keeps the calls of all instances to an upstream within the rate limit that it announces.
+type RateLimiter interface {
+	// Acquire waits until a call may be made, at most maxWait, and returns the function that must be told what its answer
+	// announces. The error is ratelimit.Exceeded or that of ctx; then the call must not be made.
+	Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(ratelimit.Announcement), error)
+	// Limits returns the limits in force, in requests per second.
+	Limits() map[roster.Incarnation]float64
 }
 
 // View is the part of the configuration and of the upstreams' registrations that a Gatherer reads.
@@ -39,15 +50,18 @@
 	view        View
 	caller      Caller
 	retryBudget RetryBudget
+	limits      RateLimiter
 	owns        func(key QueueKey) bool
 	timers      *timer.Service
 	events      *timeline.Ring
 
-	mu         sync.Mutex
-	queues     map[QueueKey]*queue
-	ctx        context.Context
-	background inflight.Group
-	stopping   atomic.Bool
+	mu     sync.Mutex
+	queues map[QueueKey]*queue
+	// waitingFrees holds the results to be freed at upstreams whose rate limit is used up, by the upstream's id.
+	waitingFrees map[string]*waitingFree
+	ctx          context.Context
+	background   inflight.Group
+	stopping     atomic.Bool
 }
 
 // QueueKey identifies the queue of one pool in one failure domain.
@@ -61,6 +75,7 @@
 	View        View
 	Caller      Caller
 	RetryBudget RetryBudget
+	Limits      RateLimiter
 	Timers      *timer.Service
 	Events      *timeline.Ring
 	// Owns reports whether this instance owns a queue.
@@ -70,8 +85,8 @@
 // New returns a gatherer whose queues run until ctx ends.
 func New(ctx context.Context, parts Parts) *Gatherer {
 	return &Gatherer{
-		view: parts.View, caller: parts.Caller, retryBudget: parts.RetryBudget, owns: parts.Owns, timers: parts.Timers, events: parts.Events,
-		queues: map[QueueKey]*queue{}, ctx: ctx,
+		view: parts.View, caller: parts.Caller, retryBudget: parts.RetryBudget, limits: parts.Limits, owns: parts.Owns,
+		timers: parts.Timers, events: parts.Events, queues: map[QueueKey]*queue{}, waitingFrees: map[string]*waitingFree{}, ctx: ctx,
 	}
 }
 
@@ -208,38 +223,3 @@
 		gt.freeUntracked(pool, left)
 	}
 }
-
-// freeUntracked frees results of calls that other instances made: a handle starts with its upstream's address.
-func (gt *Gatherer) freeUntracked(pool string, handles []string) {
-	byUpstream := map[string][]string{}
-	for _, handle := range handles {
-		for _, up := range gt.view.Upstreams(pool, "") {
-			if len(handle) > len(up.Address) && handle[:len(up.Address)+1] == up.Address+"/" {
-				byUpstream[up.ID] = append(byUpstream[up.ID], handle)
-			}
-		}
-	}
-	for id, list := range byUpstream {
-		gt.free(id, list, func() {})
-	}
-}
-
-// freeTimeout bounds a call that frees results; the upstream frees them by itself some seconds later if it fails.
-const freeTimeout = time.Second
-
-// free frees results in the background and calls freed once the upstream has confirmed.
-func (gt *Gatherer) free(id string, handles []string, freed func()) {
-	gt.background.Go(func() {
-		up := gt.view.Find(id)
-		if up == nil {
-			return
-		}
-		ctx, cancel := context.WithTimeout(gt.ctx, freeTimeout)
-		defer cancel()
-		if err := gt.caller.FreeResults(ctx, up, handles); err != nil {
-			gt.events.Record(&wire.Event{Kind: wire.EventKind_EventCallFailed, Upstream: id, Detail: "free results: " + err.Error()})
-			return
-		}
-		freed()
-	})
-}
--- a/gather/queue.go
+++ b/gather/queue.go
@@ -178,12 +178,17 @@
 		qu.scheduler.SetConfig(batchConfig(pool))
 	}
 	list := []batch.Upstream{}
+	limits := qu.gatherer.limits.Limits()
 	for _, up := range qu.gatherer.view.Upstreams(qu.key.Pool, qu.key.FailureDomain) {
-		list = append(list, batch.Upstream{Name: upstreamName(up)})
+		limit, limited := limits[up.Incarnation()]
+		list = append(list, batch.Upstream{Name: upstreamName(up), IsLimited: limited, CallsPerSecond: runShare * limit})
 	}
 	qu.scheduler.SetUpstreams(list)
 }
 
+// runShare is the part of the calls to an upstream that run items; the others free their results.
+const runShare = 0.5
+
 // upstreamName returns a name that differs between incarnations of an upstream.
 func upstreamName(up *roster.Upstream) string {
 	return fmt.Sprintf("%s@%d", up.ID, up.StartUnixMs)
@@ -221,7 +226,7 @@
 	wake := time.Duration(0)
 	now := qu.gatherer.timers.Now()
 	if len(qu.jobs) > 0 {
-		if !qu.scheduler.HasUsableUpstream(now) {
+		if !qu.scheduler.HasUsableUpstream(now) || qu.scheduler.IsLimited(now) {
 			qu.failOver()
 		}
 		qu.returnJobsIfNotOwner(now)
@@ -240,10 +245,13 @@
 	return wake
 }
 
-// failOver returns the jobs to their clients if another failure domain has upstreams of the pool.
+// failOver returns the jobs to their clients if another failure domain has upstreams of the pool, one of them without a rate
+// limit if those of this one are limited.
 func (qu *queue) failOver() {
+	limits, wantsUnlimited := qu.gatherer.limits.Limits(), qu.scheduler.HasUsableUpstream(qu.gatherer.timers.Now())
 	for _, up := range qu.gatherer.view.Upstreams(qu.key.Pool, "") {
-		if up.FailureDomain != qu.key.FailureDomain {
+		_, limited := limits[up.Incarnation()]
+		if up.FailureDomain != qu.key.FailureDomain && !(wantsUnlimited && limited) {
 			qu.returnJobs(causeNoUpstream)
 			return
 		}
@@ -339,7 +347,7 @@
 	qu.gatherer.background.Go(func() {
 		limited, cancel := context.WithTimeout(ctx, callTimeoutFactor*action.ExpectedDuration+callTimeoutMargin)
 		defer cancel()
-		outcome := qu.gatherer.caller.RunItems(limited, up, items)
+		outcome := qu.gatherer.runItems(limited, up, items)
 		qu.callEnded(up, action, outcome, qu.gatherer.timers.Now().Sub(now))
 	})
 }
@@ -381,6 +389,11 @@
 		}
 	case NotSent:
 		end.Outcome, end.Unsent = batch.OutcomeUnreachable, action.Items
+	case Limited:
+		end.Outcome, end.Unsent, end.RetryAfter = batch.OutcomeLimited, action.Items, outcome.RetryAfter
+		for range action.RetriedItems {
+			qu.gatherer.retryBudget.Refund(qu.key.Pool)
+		}
 	case Lost:
 		end.Outcome, end.Failed = batch.OutcomeFailed, action.Items
 	}
--- a/gather/results.go
+++ b/gather/results.go
@@ -18,6 +18,8 @@
 		return reasonCounts(outcome)
 	case NotSent:
 		return outcome.Cause
+	case Limited:
+		return fmt.Sprintf("retryafter=%dms", outcome.RetryAfter.Milliseconds())
 	case Lost:
 		return outcome.Cause
 	case NotRun:
@@ -50,6 +52,8 @@
 		return "NotRun"
 	case NotSent:
 		return "NotSent"
+	case Limited:
+		return "Limited"
 	case Lost:
 		return "Lost"
 	}
@@ -92,7 +96,7 @@
 	qu.gatherer.background.Go(func() {
 		ctx, cancel := context.WithTimeout(qu.gatherer.ctx, freeTimeout)
 		defer cancel()
-		available, err := qu.gatherer.caller.AvailableResultBytes(ctx, up)
+		available, err := qu.gatherer.availableResultBytes(ctx, up)
 		if err != nil {
 			qu.gatherer.events.Record(&wire.Event{Kind: wire.EventKind_EventCallFailed, Upstream: up.ID, Detail: "get available result bytes: " + err.Error()})
 			return
--- a/gather/work.go
+++ b/gather/work.go
@@ -76,7 +76,8 @@
 	Reason        Reason
 }
 
-// Outcome is how a call to an upstream ended. It is sealed: its variants are Ran, NotRun, NotSent and Lost.
+// Outcome is how a call to an upstream ended. It is sealed: its variants are Ran, NotRun, NotSent, Limited and
+// Lost.
 type Outcome interface {
 	outcome()
 }
@@ -102,6 +103,13 @@
 
 func (NotSent) outcome() {}
 
+// Limited is the outcome of a call that was not sent, since the upstream's rate limit allows none for RetryAfter.
+type Limited struct {
+	RetryAfter time.Duration
+}
+
+func (Limited) outcome() {}
+
 // Lost is the outcome of a call that was sent and returned no usable answer; its items may have run.
 type Lost struct {
 	Cause string
--- a/member/watch.go
+++ b/member/watch.go
@@ -81,6 +81,18 @@
 	return list
 }
 
+// LostCount returns the number of members that were declared dead within a time before now and are not back. They may be cut
+// off and still at work.
+func (vw *View) LostCount(now time.Time, within time.Duration) int {
+	count := 0
+	for _, rc := range vw.records {
+		if rc.member.Liveness == Dead && now.Sub(rc.since) < within {
+			count++
+		}
+	}
+	return count
+}
+
 // RandomDead returns a random dead member, which may be reachable again, or false if there is none.
 func (vw *View) RandomDead() (Member, bool) {
 	list := []Member{}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -58,7 +58,7 @@
 	changes := pr.members.Tick(now)
 	pr.gossip.Expire(now)
 	pr.crashes.Expire(now)
-	pr.parts.Expire(pr.hlcTime())
+	pr.parts.Expire(pr.Time())
 	pr.publishParts()
 	pr.mu.Unlock()
 	pr.closeLinks(linkIdleTimeout)
@@ -152,6 +152,9 @@
 	if pr.replicas != nil {
 		heartbeat.Versions = pr.replicas.Versions()
 	}
+	if pr.limits != nil {
+		heartbeat.RateLimits = pr.limits.News(full)
+	}
 	return heartbeat
 }
 
@@ -189,6 +192,9 @@
 	if heartbeat.GetSender().GetRevision() > pr.revisions.Revision() {
 		pr.fetchDocument(ctx, sender.Address)
 	}
+	if pr.limits != nil {
+		pr.limits.AddNews(heartbeat.GetRateLimits())
+	}
 	if pr.replicas != nil {
 		pr.fetchMissingRows(ctx, sender.Address, heartbeat.GetVersions())
 	}
--- a/peer/parts.go
+++ b/peer/parts.go
@@ -40,8 +40,8 @@
 func (pr *Peer) ReportPartCrash(upstream uint64, parts []poison.Part) {
 	parts = parts[:min(len(parts), poison.MaxParts)]
 	pr.mu.Lock()
-	crash := poison.Crash{Upstream: upstream, Parts: parts, Succeeded: pr.parts.SucceededBits(parts), At: pr.hlcTime()}
-	fresh := pr.parts.ReportCrash(pr.hlcTime(), crash)
+	crash := poison.Crash{Upstream: upstream, Parts: parts, Succeeded: pr.parts.SucceededBits(parts), At: pr.Time()}
+	fresh := pr.parts.ReportCrash(pr.Time(), crash)
 	if fresh {
 		pr.gossip.AddPartCrash(crash, pr.parts.HasRepeatedCrash(parts))
 	}
@@ -63,7 +63,7 @@
 		if !pr.parts.IsSuspectOrBlocked(part) {
 			continue
 		}
-		success := poison.Success{Part: part, At: pr.hlcTime()}
+		success := poison.Success{Part: part, At: pr.Time()}
 		if pr.parts.ReportSuccess(success) {
 			pr.gossip.AddPartSuccess(success)
 			cleared = append(cleared, part)
@@ -93,7 +93,7 @@
 		if status := (*pr.partStatuses.Load())[part]; status != poison.Blocked {
 			continue
 		}
-		if !pr.parts.BeginTrial(pr.hlcTime(), part, pr.ownsTrial(part)) {
+		if !pr.parts.BeginTrial(pr.Time(), part, pr.ownsTrial(part)) {
 			return false
 		}
 		allowed = true
@@ -112,16 +112,16 @@
 	return first == pr.selfID
 }
 
-// hlcTime returns a reading of the hybrid logical clock, by which the instances compare crashes and successes. The logical part
+// Time returns a reading of the hybrid logical clock, by which the instances compare crashes and successes. The logical part
 // counts as nanoseconds, so that a success and a later crash differ also while the wall clock stands or was set back.
-func (pr *Peer) hlcTime() time.Time {
+func (pr *Peer) Time() time.Time {
 	read := pr.clock.Now()
 	return time.UnixMicro(read.WallMicros).Add(time.Duration(read.Logical))
 }
 
 // decideParts blocks the parts that have caused crashes and publishes the statuses; it returns the new blocks.
 func (pr *Peer) decideParts() []poison.Block {
-	blocks := pr.parts.Decide(pr.hlcTime())
+	blocks := pr.parts.Decide(pr.Time())
 	pr.publishParts()
 	return blocks
 }
@@ -157,7 +157,7 @@
 	if len(heartbeat.GetPartCrashes())+len(heartbeat.GetPartSuccesses())+len(heartbeat.GetPartBlocks()) == 0 {
 		return nil, false
 	}
-	now, changed, urgent := pr.hlcTime(), false, false
+	now, changed, urgent := pr.Time(), false, false
 	for _, item := range heartbeat.GetPartSuccesses() {
 		success := poison.Success{Part: poison.Part(item.GetPart()), At: time.Unix(0, item.GetUnixNanos())}
 		if pr.parts.ReportSuccess(success) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -68,6 +68,8 @@
 	// pendingTokens are the prompt tokens of the requests without a first byte.
 	pendingTokens int
 	ejectedUntil  time.Time
+	// limitedUntil is when the upstream's rate limit allows another request.
+	limitedUntil time.Time
 	// ejections counts the consecutive connection failures.
 	ejections int
 	// failureRate and slowdown are moving averages at observedAt; a slowdown of 1 is the expected latency.
@@ -154,7 +156,7 @@
 	for position, at := range pl.order(list, criteria.Session) {
 		up := list[at]
 		known := pl.state(up.Incarnation())
-		if now.Before(known.ejectedUntil) || slices.Contains(criteria.Exclude, up.Incarnation()) {
+		if now.Before(known.ejectedUntil) || now.Before(known.limitedUntil) || slices.Contains(criteria.Exclude, up.Incarnation()) {
 			continue
 		}
 		if criteria.MaxInFlight > 0 && known.inFlight >= criteria.MaxInFlight {
@@ -178,6 +180,30 @@
 	return best, found
 }
 
+// PickLimited returns the listed upstream whose rate limit first allows another request, and how long that takes, or false if no
+// upstream is left out for its rate limit alone.
+func (pl *Pool) PickLimited(now time.Time, list []*roster.Upstream, criteria Criteria) (Choice, time.Duration, bool) {
+	best, found := Choice{}, false
+	shortest := time.Duration(math.MaxInt64)
+	for position, at := range pl.order(list, criteria.Session) {
+		up := list[at]
+		known := pl.state(up.Incarnation())
+		wait := known.limitedUntil.Sub(now)
+		if wait <= 0 || now.Before(known.ejectedUntil) || slices.Contains(criteria.Exclude, up.Incarnation()) {
+			continue
+		}
+		if wait < shortest {
+			best, shortest, found = Choice{Upstream: up, Order: position, ExpectedLatency: pl.expectedLatency(now, known, up, criteria, position)}, wait, true
+		}
+	}
+	return best, shortest, found
+}
+
+// RecordLimited records that an upstream's rate limit allows no request until a time.
+func (pl *Pool) RecordLimited(incarnation roster.Incarnation, until time.Time) {
+	pl.state(incarnation).limitedUntil = until
+}
+
 // cost weights expected latency lightly within the slack and heavily beyond it.
 func cost(expected, slack time.Duration) float64 {
 	late := max(expected-max(slack, 0), 0)
--- a/propertytest/link_test.go
+++ b/propertytest/link_test.go
@@ -124,3 +124,19 @@
 	}
 	return to.core.Peer().FetchRows(ctx, in)
 }
+
+func (pl peerLink) AcquirePermit(ctx context.Context, in *wire.PermitRequest, _ ...grpc.CallOption) (*wire.PermitReply, error) {
+	to := pl.deliver(ctx)
+	if to == nil || !pl.canReply(to) {
+		return nil, context.DeadlineExceeded
+	}
+	return to.core.Peer().AcquirePermit(ctx, in)
+}
+
+func (pl peerLink) ReportLimit(ctx context.Context, in *wire.LimitReport, _ ...grpc.CallOption) (*wire.LimitReply, error) {
+	to := pl.deliver(ctx)
+	if to == nil || !pl.canReply(to) {
+		return nil, context.DeadlineExceeded
+	}
+	return to.core.Peer().ReportLimit(ctx, in)
+}
--- a/retryquota/retryquota.go
+++ b/retryquota/retryquota.go
@@ -49,6 +49,13 @@
 	return true
 }
 
+// Refund takes back the last retry that was counted, which was not sent.
+func (qu *Quota) Refund() {
+	if last := len(qu.retries) - 1; last >= 0 {
+		qu.retries = qu.retries[:last]
+	}
+}
+
 // dropExpired removes the times that have left the window.
 func (qu *Quota) dropExpired(now time.Time, times []time.Time) []time.Time {
 	keep := 0
--- /dev/null
+++ b/throttle/observe.go
@@ -0,0 +1,118 @@
+package throttle
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/ratelimit"
+	"github.com/turmericdoor/turmericdoor/ratetable"
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+)
+
+// observe applies what the answer to a request announced, and tells the owner of the upstream's permits if it is news.
+func (th *Throttle) observe(upstream *roster.Upstream, issued sent, announced ratelimit.Announcement) {
+	incarnation := upstream.Incarnation()
+	current, isActive := th.Limits()[incarnation]
+	report := &wire.LimitReport{FailureDomain: upstream.FailureDomain, Number: issued.number, Epoch: issued.epoch}
+	switch announced := announced.(type) {
+	case ratelimit.None:
+		if !isActive || issued.number == 0 {
+			return
+		}
+		report.Announced = toWire(ratetable.Entry{Incarnation: incarnation, Ended: true})
+	case ratelimit.Limit:
+		if isActive && announced.PerSecond == current {
+			return
+		}
+		if !isActive || announced.PerSecond < current {
+			th.set(incarnation, announced.PerSecond)
+		}
+		report.Announced = toWire(ratetable.Entry{Incarnation: incarnation, PerSecond: announced.PerSecond})
+	case ratelimit.Invalid:
+		th.Events.Record(&wire.Event{Kind: wire.EventKind_EventRateLimitUnreadable, Upstream: upstream.ID, Stage: upstream.Pool, Detail: announced.Text})
+		return
+	}
+	th.report(report)
+}
+
+// set puts a limit in force at once, and tells the other instances.
+func (th *Throttle) set(incarnation roster.Incarnation, perSecond float64) {
+	entry := ratetable.Entry{Incarnation: incarnation, PerSecond: perSecond, At: th.Fleet.Time()}
+	th.mu.Lock()
+	th.table.Merge(entry)
+	th.ledger.Changed(th.Timers.Now(), incarnation, perSecond)
+	th.publish()
+	th.mu.Unlock()
+	th.recordChange(entry)
+	th.Fleet.TriggerHeartbeat()
+}
+
+// report tells the owner of an upstream's permits what an answer announced.
+func (th *Throttle) report(report *wire.LimitReport) {
+	owner := th.owner(report.GetAnnounced().GetUpstream(), report.GetFailureDomain())
+	if owner.ID == th.Self {
+		th.ApplyReport(report)
+		return
+	}
+	th.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		// An owner that does not answer learns of the limit from heartbeats, and of its end from a later answer.
+		if reply, err := th.Fleet.SendReport(ctx, owner, report); err == nil {
+			th.merge([]*wire.RateLimit{reply.GetLimit()})
+		}
+	})
+}
+
+// recordChange records a limit that was announced, changed or ended in the time line.
+func (th *Throttle) recordChange(entry ratetable.Entry) {
+	event := &wire.Event{Kind: wire.EventKind_EventUpstreamLimited, Upstream: entry.Incarnation.ID}
+	if entry.Ended {
+		event.Kind = wire.EventKind_EventUpstreamUnlimited
+	} else {
+		event.Detail = fmt.Sprintf("ratelimit=%s", ratelimit.Limit{PerSecond: entry.PerSecond})
+	}
+	th.Events.Record(event)
+}
+
+// prune forgets the limits of upstreams that are no longer registered.
+func (th *Throttle) prune() {
+	now := th.Fleet.Time()
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	th.table.Prune(now, func(incarnation roster.Incarnation) bool {
+		registered := th.Find(incarnation.ID)
+		return registered != nil && registered.Incarnation() == incarnation
+	})
+	th.publish()
+	th.ledger.Prune(func(incarnation roster.Incarnation) bool {
+		_, found := th.table.Find(incarnation)
+		return found
+	})
+}
+
+func toWire(entry ratetable.Entry) *wire.RateLimit {
+	converted := &wire.RateLimit{
+		Upstream: entry.Incarnation.ID, StartUnixMs: entry.Incarnation.StartUnixMs, PerSecond: entry.PerSecond, Ended: entry.Ended,
+	}
+	if !entry.At.IsZero() {
+		converted.UnixNanos = entry.At.UnixNano()
+	}
+	return converted
+}
+
+func fromWire(limit *wire.RateLimit) ratetable.Entry {
+	entry := ratetable.Entry{
+		Incarnation: incarnationOf(limit), PerSecond: limit.GetPerSecond(), Ended: limit.GetEnded(),
+	}
+	if limit.GetUnixNanos() != 0 {
+		entry.At = time.Unix(0, limit.GetUnixNanos())
+	}
+	return entry
+}
+
+func incarnationOf(limit *wire.RateLimit) roster.Incarnation {
+	return roster.Incarnation{ID: limit.GetUpstream(), StartUnixMs: limit.GetStartUnixMs()}
+}
--- /dev/null
+++ b/throttle/throttle.go
@@ -0,0 +1,212 @@
+package throttle
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/inflight"
+	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/ownership"
+	"github.com/turmericdoor/turmericdoor/permit"
+	"github.com/turmericdoor/turmericdoor/ratelimit"
+	"github.com/turmericdoor/turmericdoor/ratetable"
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+)
+
+// Fleet is the connection to the other instances.
+type Fleet interface {
+	// Live returns the live instances, this one included.
+	Live() []member.Member
+	// Share returns the live instances as a part of those that were live within a time.
+	Share(within time.Duration) float64
+	// Time returns a reading of the hybrid logical clock.
+	Time() time.Time
+	AskPermit(ctx context.Context, owner member.Member, request *wire.PermitRequest) (*wire.PermitReply, error)
+	SendReport(ctx context.Context, owner member.Member, report *wire.LimitReport) (*wire.LimitReply, error)
+	// TriggerHeartbeat sends the news to the other instances without delay.
+	TriggerHeartbeat()
+}
+
+// Parts holds the dependencies of a Throttle.
+type Parts struct {
+	Self  string
+	Fleet Fleet
+	// Find returns the registered upstream with an id, or nil.
+	Find   func(id string) *roster.Upstream
+	Timers *timer.Service
+	Events *timeline.Ring
+}
+
+// Throttle holds the rate limits that an instance knows, and issues the permits of the upstreams that it owns. It is safe for
+// concurrent use.
+type Throttle struct {
+	Parts
+
+	// epoch identifies the permits of this process; startedAt is when it began.
+	epoch     int64
+	startedAt time.Time
+	// limited holds the limits in force, in requests per second.
+	limited    atomic.Pointer[map[roster.Incarnation]float64]
+	background inflight.Group
+
+	mu       sync.Mutex
+	table    *ratetable.Table
+	ledger   *permit.Ledger
+	messages uint64
+	// unresponsive holds the instances that did not answer, until when they are not asked again.
+	unresponsive map[string]time.Time
+}
+
+const (
+	// askTimeout bounds a call to the owner of an upstream's permits.
+	askTimeout = 150 * time.Millisecond
+	// unresponsiveBackoff is how long an owner that did not answer is not asked again.
+	unresponsiveBackoff = 500 * time.Millisecond
+	// notOwnerBackoff is how long an upstream gets no request while the instances disagree on its owner.
+	notOwnerBackoff = 100 * time.Millisecond
+	// settleTime is how long after its start an instance issues no permits: it may not know the others yet.
+	settleTime = 2 * time.Second
+	// lostWithin is how long instances that were declared dead keep their share of each limit.
+	lostWithin = 10 * time.Minute
+	// pruneInterval is how often the limits of upstreams that are gone are forgotten.
+	pruneInterval = 10 * time.Second
+	// minDenial is the least time for which an upstream gets no request after a denial.
+	minDenial = 5 * time.Millisecond
+)
+
+// New returns a throttle that knows no limits.
+func New(parts Parts) *Throttle {
+	now := parts.Timers.Now()
+	th := &Throttle{
+		Parts: parts, epoch: now.UnixNano(), startedAt: now, table: ratetable.New(), ledger: permit.New(), unresponsive: map[string]time.Time{},
+	}
+	th.limited.Store(&map[roster.Incarnation]float64{})
+	return th
+}
+
+// Run forgets the limits of upstreams that are gone until ctx ends, and waits for all background calls; done is closed at the
+// end.
+func (th *Throttle) Run(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	defer th.background.Wait()
+	for th.Timers.Sleep(ctx, pruneInterval) == nil {
+		th.prune()
+	}
+}
+
+// Limits returns the limits in force, in requests per second; it takes no lock. The map must not be changed.
+func (th *Throttle) Limits() map[roster.Incarnation]float64 {
+	return *th.limited.Load()
+}
+
+// sent identifies the permit of a request: its number and the epoch of its owner, or zeros if it needed none.
+type sent struct {
+	number uint64
+	epoch  int64
+}
+
+// Acquire waits until a request may be sent to an upstream, at most maxWait, and returns the function that must be told what
+// the upstream's answer announces. The error is ratelimit.Exceeded or that of ctx; then the request must not be sent.
+func (th *Throttle) Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(ratelimit.Announcement), error) {
+	issued := sent{}
+	if _, limited := th.Limits()[upstream.Incarnation()]; limited {
+		reply, err := th.ask(ctx, upstream, maxWait)
+		if err != nil {
+			return nil, err
+		}
+		if err := th.await(ctx, reply); err != nil {
+			return nil, err
+		}
+		issued = sent{number: reply.GetNumber(), epoch: reply.GetEpoch()}
+	}
+	return func(announced ratelimit.Announcement) { th.observe(upstream, issued, announced) }, nil
+}
+
+// await waits until the request of a reply may be sent, or returns why it may not.
+func (th *Throttle) await(ctx context.Context, reply *wire.PermitReply) error {
+	wait := time.Duration(reply.GetWaitMicros()) * time.Microsecond
+	switch reply.GetOutcome() {
+	case wire.PermitOutcome_PermitGranted:
+		if wait > 0 {
+			return th.Timers.Sleep(ctx, wait)
+		}
+		return nil
+	case wire.PermitOutcome_PermitNotNeeded:
+		return nil
+	case wire.PermitOutcome_PermitNotOwner:
+		wait = notOwnerBackoff
+	case wire.PermitOutcome_PermitDenied:
+	}
+	return ratelimit.Exceeded{RetryAfter: max(wait, minDenial)}
+}
+
+// ask asks the owner of an upstream's permits for one.
+func (th *Throttle) ask(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (*wire.PermitReply, error) {
+	owner := th.owner(upstream.ID, upstream.FailureDomain)
+	request := &wire.PermitRequest{
+		Limit: th.known(upstream.Incarnation()), FailureDomain: upstream.FailureDomain, MaxWaitMicros: max(maxWait, 0).Microseconds(),
+	}
+	if owner.ID == th.Self {
+		return th.IssuePermit(request), nil
+	}
+	if left := th.backoffLeft(owner.ID); left > 0 {
+		return nil, ratelimit.Exceeded{RetryAfter: left}
+	}
+	limited, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, err := th.Fleet.AskPermit(limited, owner, request)
+	switch {
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
+	case err != nil:
+		th.markUnresponsive(owner.ID)
+		return nil, ratelimit.Exceeded{RetryAfter: unresponsiveBackoff}
+	}
+	th.merge([]*wire.RateLimit{reply.GetLimit()})
+	return reply, nil
+}
+
+// owner returns the instance that issues the permits of an upstream.
+func (th *Throttle) owner(id, failureDomain string) member.Member {
+	return ownership.Rank(th.Fleet.Live(), failureDomain, id)[0]
+}
+
+func (th *Throttle) backoffLeft(owner string) time.Duration {
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	return th.unresponsive[owner].Sub(th.Timers.Now())
+}
+
+func (th *Throttle) markUnresponsive(owner string) {
+	now := th.Timers.Now()
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	for id, until := range th.unresponsive {
+		if until.Before(now) {
+			delete(th.unresponsive, id)
+		}
+	}
+	th.unresponsive[owner] = now.Add(unresponsiveBackoff)
+}
+
+// known returns what this instance knows of the limit of an upstream.
+func (th *Throttle) known(incarnation roster.Incarnation) *wire.RateLimit {
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	entry, found := th.table.Find(incarnation)
+	if !found {
+		entry = ratetable.Entry{Incarnation: incarnation, Ended: true}
+	}
+	return toWire(entry)
+}
+
+// publish makes the limits in force visible; the caller holds the lock.
+func (th *Throttle) publish() {
+	active := th.table.Active()
+	th.limited.Store(&active)
+}
