Log: the software version of the chosen upstream, and the stream that a request continues

UpstreamChosen now ends with version=, Admitted with after= and resumes= if the caller has events already. The registration's version was decoded and dropped; roster.Upstream keeps it. No decision changes.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -184,8 +184,8 @@
 	rn.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventUpstreamChosen, RequestId: rn.request.ID, Upstream: choice.Upstream.ID, Stage: rn.pool.Name,
 		Attempt: int64(at.number),
-		Detail: fmt.Sprintf("order=%d expected=%dms domain=%s wanted=%s", choice.Order, choice.ExpectedLatency.Milliseconds(),
-			choice.Upstream.FailureDomain, criteria.FailureDomain),
+		Detail: fmt.Sprintf("order=%d expected=%dms domain=%s wanted=%s version=%s", choice.Order, choice.ExpectedLatency.Milliseconds(),
+			choice.Upstream.FailureDomain, criteria.FailureDomain, choice.Upstream.SoftwareVersion),
 	})
 	at.ctx, at.cancel = context.WithCancelCause(ctx)
 	defer at.cancel(nil)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -239,6 +239,9 @@
 	estimate := overload.Estimate{ExpectedLatency: expected, UntilTarget: rn.targetAt.Sub(now), UntilDeadline: rn.abandonAt.Sub(now)}
 	rn.detail = fmt.Sprintf("expected=%dms due=%dms left=%dms domain=%s", expected.Milliseconds(),
 		estimate.UntilTarget.Milliseconds(), estimate.UntilDeadline.Milliseconds(), rn.stageDomain)
+	if rn.request.continuesStream() {
+		rn.detail += fmt.Sprintf(" after=%s resumes=%s", clip(rn.request.LastEventID), clip(rn.request.Resumes))
+	}
 	if decision, refused := overload.Decide(estimate).(overload.Reject); refused && len(active) > 0 {
 		return rn.refuse(decision.RetryAfter, Overload, rn.detail+" expected latency too long")
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -31,6 +31,21 @@
 	ItemCounts  []int
 	ItemKey     string
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that this one continues, or "".
+	Resumes string
+}
+
+// continuesStream reports whether the caller already has events of the stream.
+func (rq *Request) continuesStream() bool {
+	return rq.LastEventID != "" || rq.Resumes != ""
+}
+
+// maxLoggedText bounds a caller's text in the log, in bytes.
+const maxLoggedText = 64
+
+// clip shortens a caller's text for the log.
+func clip(text string) string {
+	return text[:min(len(text), maxLoggedText)]
 }
 
 // Prompt describes a prompt for a model engine. Parts are in order; all but the last may be shared with other requests.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -16,6 +16,8 @@
 	// Slots is the number of requests that it can execute concurrently.
 	Slots   int
 	Leaving bool
+	// SoftwareVersion is the version of its software, not that of the weights of its models.
+	SoftwareVersion string
 	// StartUnixMs is its start time, or 0 if unknown.
 	StartUnixMs int64
 	// WarmAt is when it is expected to have warmed up; until then it is slower.
