Failing test: streams that go on at another software version (ORDER)

Over fakes, 8 and 77 instances, nine to forty upstreams of up to three versions, streams of 20 events that break with their upstream or their instance; callers take them up again at any instance, naming the try that brought the first event. Fourteen circumstances: crashes, waves, instances killed, frozen, cut off, split, restarted at once, the store away, upstreams started anew under their id at another version, with a registration that comes late.

--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -63,6 +63,14 @@
 	// resumesFail is set while streams break and resumed attempts fail; failedResumes counts them.
 	resumesFail   bool
 	failedResumes int
+	// versions holds the software version with which an upstream registers, by its id; streamEvents is the number of events
+	// of a stream.
+	versions     map[string]string
+	streamEvents int
+	// knowsOnlyIDs makes upstreams take requests for an earlier incarnation of their id.
+	knowsOnlyIDs bool
+	// registerDelay is how long after its start an upstream's registration is written.
+	registerDelay time.Duration
 }
 
 // arrival is a request or an item that an upstream received; repeated is set if it was received before.
@@ -86,6 +94,7 @@
 		fleet: fl, variant: variant, random: fl.random.Fork("world"), byID: map[string]*upstream{}, executions: map[string]int{},
 		arrivals: map[string][]arrival{}, arrivalCounts: map[string]int{}, results: map[string]bool{}, revokedAt: map[string]time.Time{},
 		crashParts: map[string]*partCrashes{}, sentAt: map[string][]time.Time{}, restartDelay: 3 * time.Second,
+		versions: map[string]string{}, streamEvents: eventCount,
 	}
 	for pool, count := range map[string]int{"model": 4, "plain": 4, "encode": 4, "rank": 2} {
 		for at := range count {
@@ -105,15 +114,25 @@
 	us.mu.Lock()
 	us.lastStart++
 	fresh := &upstream{
-		Upstream:  roster.Upstream{ID: id, Pool: pool, Address: id, FailureDomain: domain, Slots: 8, StartUnixMs: us.lastStart},
+		Upstream: roster.Upstream{
+			ID: id, Pool: pool, Address: id, FailureDomain: domain, Slots: 8, StartUnixMs: us.lastStart, SoftwareVersion: us.versions[id],
+		},
 		crashedOn: map[string]int{},
 	}
 	if before := us.byID[id]; before != nil {
 		fresh.crashedOn = before.crashedOn
 	}
 	us.byID[id] = fresh
+	delay := us.registerDelay
 	us.mu.Unlock()
-	us.fleet.store.put(registrations, registrationRow(fresh))
+	if delay == 0 {
+		us.fleet.store.put(registrations, registrationRow(fresh))
+		return
+	}
+	us.fleet.calls.Go(func() {
+		time.Sleep(delay)
+		us.fleet.store.put(registrations, registrationRow(fresh))
+	})
 }
 
 // registrationRow returns the row of a registration.
@@ -241,7 +260,7 @@
 func (us *upstreamSet) reject(nd *node, up *upstream, exchange gateway.UpstreamRequest) *gateway.UpstreamResponse {
 	us.mu.Lock()
 	defer us.mu.Unlock()
-	if up.StartUnixMs != exchange.Upstream.StartUnixMs {
+	if up.StartUnixMs != exchange.Upstream.StartUnixMs && !us.knowsOnlyIDs {
 		reply := newRejection()
 		reply.Misdirected = true
 		return reply
@@ -342,7 +361,7 @@
 
 // Read returns the next event after eventGap.
 func (es *eventStream) Read(into []byte) (int, error) {
-	if es.next > eventCount {
+	if es.next > es.upstreams.streamEvents {
 		return 0, io.EOF
 	}
 	if !sleep(es.ctx, eventGap) {
@@ -360,12 +379,20 @@
 	}
 	es.next++
 	es.written++
-	return copy(into, eventText(es.id, es.next-1)), nil
+	return copy(into, versionedEvent(es.id, es.next-1, es.up.SoftwareVersion)), nil
 }
 
 // Close does nothing.
 func (es *eventStream) Close() error { return nil }
 
+// versionedEvent returns an event that names the software version of its upstream, if it has one.
+func versionedEvent(id string, number int, version string) string {
+	if version == "" {
+		return eventText(id, number)
+	}
+	return fmt.Sprintf("id: %d\nevent: %s\ndata: %s\n\n", number, version, id)
+}
+
 func eventText(id string, number int) string {
 	return fmt.Sprintf("id: %d\ndata: %s\n\n", number, id)
 }
