Streams go on only at the software version that began them (ORDER)

Cause: the version in an upstream's registration was decoded and dropped. A broken stream was resumed at the cheapest upstream, and an instance at which a caller took up a stream knew nothing of its beginning.

Change: a request is bound to the pool and version of the upstream that brings its first event (package origin); only upstreams of that version continue it, and where none is left it ends at once, or is refused at once without a time to come back. Over a caller's tries the instances find the origin by the attempt that Resumes names (package streamdirectory): each keeps those of the streams that it sends, and replicates them to two others, by rendezvous hash, before their first event comes. Records are needed only while a pipeline had more than one origin in the last 30 s; while it had one, that an instance and those it asks have seen all of that time, no call is made. One version now proves nothing: without a record the request is refused as VersionUnknown, with a time only if an instance that may know the version did not answer. An upstream may be started anew under its id at another version while its registration lags: an incarnation whose host refused a connection, or whose report names another start, has ended (package tombstone, gossiped). What begins there is of an unknown version, and what is to continue there is compared with the report after its answer has begun.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/turmericdoor/turmericdoor/revision"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/storereader"
+	"github.com/turmericdoor/turmericdoor/streamdirectory"
 	"github.com/turmericdoor/turmericdoor/throttle"
 	"github.com/turmericdoor/turmericdoor/timeline"
 	"github.com/turmericdoor/turmericdoor/timer"
@@ -56,6 +57,7 @@
 	watches  []*watch.Watcher
 	peer     *peer.Peer
 	throttle *throttle.Throttle
+	streams  *streamdirectory.Directory
 	pools    *gateway.Pools
 	gateway  *gateway.Gateway
 	gatherer *gather.Gatherer
@@ -107,6 +109,9 @@
 	en.throttle = throttle.New(throttle.Parts{
 		Self: en.settings.Instance, Fleet: en.peer, Find: en.catalog.Find, Timers: parts.Timers, Events: en.events,
 	})
+	en.streams = streamdirectory.New(streamdirectory.Parts{
+		Self: en.settings.Instance, Fleet: en.peer, Present: en.presentOrigins, Staleness: en.staleness, Timers: parts.Timers, Events: en.events,
+	})
 	en.pools = gateway.NewPools(parts.Timers, parts.Settings.RetryBudget, func() int { return len(en.peer.Live()) })
 	en.gatherer = gather.New(en.lifetime, gather.Parts{
 		View: en.catalog, Caller: parts.Caller, RetryBudget: en.pools, Limits: en.throttle, Timers: parts.Timers, Events: en.events,
@@ -119,7 +124,7 @@
 	en.batches = gather.NewServer(en.gatherer, en.items, parts.Timers)
 	en.gateway = gateway.New(gateway.Parts{
 		FailureDomain: en.settings.FailureDomain, Catalog: en.catalog, Pools: en.pools, Stages: en.items, Sender: parts.Sender,
-		Crashes: en.peer, Limits: en.throttle, Timers: parts.Timers, Events: en.events, Metrics: en.metrics,
+		Crashes: en.peer, Limits: en.throttle, Streams: en.streams, Timers: parts.Timers, Events: en.events, Metrics: en.metrics,
 	})
 	en.registerGauges()
 	return en
@@ -135,7 +140,7 @@
 	return peer.New(peer.Parts{
 		Timers: parts.Timers, Clock: clock, Events: en.events, Holder: revision.New(nil), Listener: peerListener{en},
 		Members: member.New(self, config, parts.Random.Generator("member"), now), Dialer: parts.PeerDialer,
-		Random: parts.Random.Fork("peer"), Replicas: peerReplicas{en}, Limits: peerLimits{en},
+		Random: parts.Random.Fork("peer"), Replicas: peerReplicas{en}, Limits: peerLimits{en}, Origins: peerOrigins{en},
 	}, peer.Config{Seeds: en.settings.Seeds, Heartbeat: heartbeat})
 }
 
@@ -158,6 +163,7 @@
 	en.metrics.RegisterGauge("members_live", func() float64 { return float64(len(en.peer.Live())) })
 	en.metrics.RegisterGauge("parts_blocked", func() float64 { return float64(en.peer.BlockedParts()) })
 	en.metrics.RegisterGauge("upstreams_limited", func() float64 { return float64(len(en.throttle.Limits())) })
+	en.metrics.RegisterGauge("streams_kept", func() float64 { return float64(en.streams.Len()) })
 	en.metrics.RegisterGauge("configuration_revision", func() float64 {
 		if table := en.catalog.RoutingTable(); table != nil {
 			return float64(table.Revision)
@@ -178,6 +184,7 @@
 	en.startLoop(en.gatherer.Run)
 	en.startLoop(en.items.ExchangeLoads)
 	en.startLoop(en.throttle.Run)
+	en.startLoop(en.streams.Run)
 	for _, each := range en.watches {
 		en.startLoop(each.Run)
 	}
--- a/entry/links_test.go
+++ b/entry/links_test.go
@@ -105,6 +105,24 @@
 	return to.entry.Peer().ReportLimit(ctx, in)
 }
 
+// RecordOrigins has the other instance keep the origins of streams.
+func (lk peerLink) RecordOrigins(ctx context.Context, in *wire.RecordOriginsRequest, _ ...grpc.CallOption) (*wire.RecordOriginsReply, error) {
+	to := lk.connect(ctx)
+	if to == nil {
+		return nil, errUnreachable
+	}
+	return to.entry.Peer().RecordOrigins(ctx, in)
+}
+
+// FindOrigin asks for the origin of a stream.
+func (lk peerLink) FindOrigin(ctx context.Context, in *wire.FindOriginRequest, _ ...grpc.CallOption) (*wire.FindOriginReply, error) {
+	to := lk.connect(ctx)
+	if to == nil {
+		return nil, errUnreachable
+	}
+	return to.entry.Peer().FindOrigin(ctx, in)
+}
+
 // Release frees results that no request needs any more.
 func (lk batchLink) Release(ctx context.Context, in *wire.ReleaseRequest, _ ...grpc.CallOption) (*wire.ReleaseReply, error) {
 	to := lk.connect(ctx)
--- /dev/null
+++ b/entry/origins.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/origin"
+	"github.com/turmericdoor/turmericdoor/route"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+)
+
+// peerOrigins exposes the origins of streams to other instances.
+type peerOrigins struct {
+	entry *Instance
+}
+
+// Keep keeps the records of another instance.
+func (og peerOrigins) Keep(request *wire.RecordOriginsRequest) {
+	og.entry.streams.Keep(request)
+}
+
+// Reply answers another instance's search for the origin of a stream.
+func (og peerOrigins) Reply(request *wire.FindOriginRequest) *wire.FindOriginReply {
+	return og.entry.streams.Reply(request)
+}
+
+// EndedNews returns the ended incarnations of upstreams for a heartbeat, all of them for a full exchange.
+func (og peerOrigins) EndedNews(full bool) []*wire.EndedUpstream {
+	return og.entry.streams.EndedNews(full)
+}
+
+// AddEndedNews adds the ended incarnations in a heartbeat.
+func (og peerOrigins) AddEndedNews(news []*wire.EndedUpstream) {
+	og.entry.streams.AddEndedNews(news)
+}
+
+// presentOrigins returns where the streams of each pipeline may begin now, or nothing before the first configuration.
+func (en *Instance) presentOrigins() map[string][]origin.Origin {
+	table := en.catalog.RoutingTable()
+	if table == nil || !en.catalog.IsLoaded() {
+		return nil
+	}
+	present := map[string][]origin.Origin{}
+	for _, pipeline := range table.Pipelines {
+		if pipeline.RetryPolicy != route.Resumable {
+			continue
+		}
+		seen := map[origin.Origin]bool{}
+		for _, part := range pipeline.Pools {
+			for _, up := range en.catalog.Upstreams(part.Pool, "") {
+				seen[origin.Origin{Pool: part.Pool, Version: up.SoftwareVersion}] = true
+			}
+		}
+		for one := range seen {
+			present[pipeline.Name] = append(present[pipeline.Name], one)
+		}
+	}
+	return present
+}
+
+// staleness returns how old the older one of the configuration and the registrations is.
+func (en *Instance) staleness() time.Duration {
+	oldest := time.Duration(0)
+	for _, each := range en.watches {
+		oldest = max(oldest, each.Staleness())
+	}
+	return oldest
+}
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -19,6 +19,7 @@
 func (ch changeListener) RowsChanged(table string, rows []replica.Row, version int64, fromPeer bool) {
 	ch.entry.catalog.RowsChanged(table, rows, version, fromPeer)
 	ch.entry.peer.TriggerHeartbeat()
+	ch.entry.streams.Refresh()
 }
 
 // StoreUnavailable reports the start of an outage to the catalog.
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -131,7 +131,12 @@
 	}
 	us.fleet.calls.Go(func() {
 		time.Sleep(delay)
-		us.fleet.store.put(registrations, registrationRow(fresh))
+		us.mu.Lock()
+		ended := fresh.crashed || us.byID[id] != fresh
+		us.mu.Unlock()
+		if !ended {
+			us.fleet.store.put(registrations, registrationRow(fresh))
+		}
 	})
 }
 
@@ -210,7 +215,7 @@
 	defer us.mu.Unlock()
 	up := us.byID[target.ID]
 	if up == nil || up.crashed || uc.node.dead.Load() {
-		return nil, gateway.NotSentError{Cause: errRefused}
+		return nil, gateway.NotSentError{Cause: errRefused, IsRefused: true}
 	}
 	return up, nil
 }
@@ -241,7 +246,7 @@
 		us.recordRun(uc.node, up, exchange)
 		us.mu.Unlock()
 	}
-	response, err := us.execute(ctx, up, exchange)
+	response, err := us.execute(ctx, uc.node, up, exchange)
 	if err != nil {
 		return nil, err
 	}
@@ -301,7 +306,7 @@
 }
 
 // execute runs a request and returns its response.
-func (us *upstreamSet) execute(ctx context.Context, up *upstream, exchange gateway.UpstreamRequest) (*gateway.UpstreamResponse, error) {
+func (us *upstreamSet) execute(ctx context.Context, nd *node, up *upstream, exchange gateway.UpstreamRequest) (*gateway.UpstreamResponse, error) {
 	defer func() {
 		us.mu.Lock()
 		defer us.mu.Unlock()
@@ -339,7 +344,7 @@
 		reply.Header.Set("Content-Type", eventStreamType)
 		first := 0
 		_, _ = fmt.Sscan(exchange.LastEventID, &first)
-		reply.Body = &eventStream{ctx: ctx, upstreams: us, up: up, exchange: exchange, id: exchange.Request.ID, next: first + 1}
+		reply.Body = &eventStream{node: nd, ctx: ctx, upstreams: us, up: up, exchange: exchange, id: exchange.Request.ID, next: first + 1}
 		return reply, nil
 	}
 	body := "whole answer to " + exchange.Request.ID
@@ -350,6 +355,7 @@
 
 // eventStream is the body of a streamed response; it fails when its upstream crashes.
 type eventStream struct {
+	node      *node
 	ctx       context.Context
 	upstreams *upstreamSet
 	up        *upstream
@@ -364,7 +370,7 @@
 	if es.next > es.upstreams.streamEvents {
 		return 0, io.EOF
 	}
-	if !sleep(es.ctx, eventGap) {
+	if !sleep(es.ctx, eventGap) || !es.node.awaitThaw(es.ctx) {
 		return 0, es.ctx.Err()
 	}
 	if es.written > 0 {
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/origin"
 	"github.com/turmericdoor/turmericdoor/placement"
 	"github.com/turmericdoor/turmericdoor/quarantine"
 	"github.com/turmericdoor/turmericdoor/ratelimit"
@@ -99,9 +100,9 @@
 			return failure, false
 		}
 		criteria.Slack = rn.targetAt.Sub(rn.Timers.Now())
-		choice, maxWait, found := rn.pick(rn.pinSuspect(criteria), mayWait)
+		choice, maxWait, found := rn.pick(rn.restrict(rn.pinSuspect(criteria)), mayWait)
 		if !found {
-			return rn.unavailableOutcome(criteria), false
+			return rn.unavailableOutcome(rn.restrict(criteria)), false
 		}
 		mayWait = mayWait && maxWait == 0
 		answered := rn.acquire(ctx, choice, criteria, maxWait)
@@ -191,6 +192,7 @@
 	defer at.cancel(nil)
 	at.stopTimeout = rn.Timers.AfterFunc(rn.firstByteTimeout(choice), func() { at.cancel(errFirstByteTimeout) })
 	defer at.stopTimeout()
+	at.recordOrigin()
 	rn.audit.Start()
 	reply, err := rn.Sender.Send(ratelimit.WithObserver(at.ctx, at.observeLimit), UpstreamRequest{
 		Request: rn.request, Upstream: choice.Upstream, Organisation: rn.organisation.Name,
@@ -246,12 +248,17 @@
 	// answered must be told the rate limit that the answer announces; limit is that limit for the log.
 	answered func(ratelimit.Announcement)
 	limit    string
+	// origin is where the stream begins if the attempt brings its first event.
+	origin origin.Origin
 	// output is what the attempt writes to the caller, or nil before its first part.
 	output  *response.Body
 	outcome string
 	detail  string
 }
 
+// errRestarted reports that another incarnation of the upstream has answered than the one that is registered.
+var errRestarted = errors.New("the upstream was restarted, perhaps with another version")
+
 // errFirstByteTimeout is the cancellation cause of an attempt whose first byte is overdue.
 var errFirstByteTimeout = errors.New("timed out waiting for the upstream's first byte")
 
@@ -261,6 +268,9 @@
 	switch {
 	case err != nil && notSent(err):
 		rn.audit.MarkNotSent()
+		if isRefused(err) {
+			rn.Streams.ReportEnded(at.choice.Upstream.Incarnation())
+		}
 		at.finish(placement.Unreachable, "NotSent", err.Error())
 		return attemptResult{outcome: rn.connectFailureOutcome(ctx), tryNext: ctx.Err() == nil}
 	case err != nil:
@@ -282,6 +292,9 @@
 		return at.handleLost(ctx, "response is unsigned or encoded")
 	}
 	defer reply.Body.Close()
+	if at.isAnotherIncarnation() {
+		return at.handleNotContinued(ctx, errRestarted)
+	}
 	if rn.response.IsBegun() {
 		return at.resumeStream(ctx, reply)
 	}
@@ -323,7 +336,7 @@
 	if rn.response.IsBegun() && !rn.response.CanResume() || rn.pipeline.RetryPolicy == route.AtMostOnce || rn.audit.Executions() >= rn.pipeline.MaxUpstreams || ctx.Err() != nil {
 		return false
 	}
-	if rn.hasSuspectPart() {
+	if rn.hasSuspectPart() || !rn.mayContinue() {
 		return false
 	}
 	return rn.takeBudget()
@@ -361,7 +374,7 @@
 // reportCrash reports the request's content, and the parts of its prompt, to all instances if the upstream has died while
 // executing the attempt. An upstream that was leaving before is not expected to live.
 func (rn *run) reportCrash(at *attempt) {
-	up, fingerprint, id, isCause := at.choice.Upstream, rn.fingerprint, rn.request.ID, at.isCrashCause()
+	up, fingerprint, id, isCause, isResumable := at.choice.Upstream, rn.fingerprint, rn.request.ID, at.isCrashCause(), rn.isResumable()
 	if !rn.Catalog.IsUsable(up.Incarnation()) {
 		return
 	}
@@ -370,7 +383,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
 		state := rn.Sender.Probe(ctx, up)
-		if state == ProcessAlive && isCause && rn.hasRestarted(ctx, up) {
+		restarted := state == ProcessAlive && (isCause || isResumable) && rn.hasRestarted(ctx, up)
+		if restarted || state == ProcessGone {
+			rn.Streams.ReportEnded(up.Incarnation())
+		}
+		if restarted && isCause {
 			state = ProcessGone
 		}
 		if state == ProcessAlive {
--- /dev/null
+++ b/gateway/fakepeers_test.go
@@ -0,0 +1,80 @@
+package gateway_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/origin"
+	"github.com/turmericdoor/turmericdoor/ratelimit"
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/streamdirectory"
+)
+
+// Acquire issues a permit for each upstream, after the time in permitAfter at those that it names.
+func (fk *fakes) Acquire(ctx context.Context, up *roster.Upstream, maxWait time.Duration) (func(ratelimit.Announcement), error) {
+	fk.mu.Lock()
+	fk.asked = append(fk.asked, up.ID)
+	wait := fk.permitAfter[up.ID]
+	fk.mu.Unlock()
+	if wait > maxWait {
+		return nil, ratelimit.Exceeded{RetryAfter: wait}
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return func(ratelimit.Announcement) {}, nil
+}
+
+// Limits returns a limit of two requests a second for each upstream in permitAfter.
+func (fk *fakes) Limits() map[roster.Incarnation]float64 {
+	limits := map[roster.Incarnation]float64{}
+	for id := range fk.permitAfter {
+		limits[roster.Incarnation{ID: id}] = 2
+	}
+	return limits
+}
+
+// begunElsewhere is an attempt that began a stream at a model engine without a version.
+const begunElsewhere = "begun-elsewhere"
+
+// Begin records where a stream begins.
+func (fk *fakes) Begin(attemptID, _ string, _ int, up *roster.Upstream) origin.Origin {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	began := origin.Origin{Pool: up.Pool, Version: up.SoftwareVersion, IsUnknown: fk.ended[up.Incarnation()]}
+	fk.origins[attemptID] = began
+	return began
+}
+
+func (fk *fakes) Continue(attemptID, _ string, known origin.Origin) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.continued = append(fk.continued, attemptID+" "+known.Version)
+}
+
+// Find returns the recorded origin of a stream, or notFound.
+func (fk *fakes) Find(_ context.Context, attemptID, _ string) streamdirectory.Result {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	if known, found := fk.origins[attemptID]; found {
+		return streamdirectory.Found{Origin: known, Source: streamdirectory.OwnRecord}
+	}
+	return fk.notFound
+}
+
+func (fk *fakes) IsEnded(incarnation roster.Incarnation) bool {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	return fk.ended[incarnation]
+}
+
+func (fk *fakes) ReportEnded(incarnation roster.Incarnation) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	if fk.ended == nil {
+		fk.ended = map[roster.Incarnation]bool{}
+	}
+	fk.ended[incarnation] = true
+}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -22,14 +22,15 @@
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/hlc"
 	"github.com/turmericdoor/turmericdoor/metric"
+	"github.com/turmericdoor/turmericdoor/origin"
 	"github.com/turmericdoor/turmericdoor/poison"
 	"github.com/turmericdoor/turmericdoor/quarantine"
-	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/replica"
 	"github.com/turmericdoor/turmericdoor/retryquota"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/streamdirectory"
 	"github.com/turmericdoor/turmericdoor/timeline"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
@@ -117,6 +118,13 @@
 	// permitAfter is the time until an upstream's rate limit allows a request, asked the upstreams for which permits were asked.
 	permitAfter map[string]time.Duration
 	asked       []string
+	// versions are the software versions of upstreams, origins those of streams by the attempt that began them, ended the upstreams
+	// that have ended, and continued the streams that were taken up with their versions.
+	versions  map[string]string
+	origins   map[string]origin.Origin
+	ended     map[roster.Incarnation]bool
+	continued []string
+	notFound  streamdirectory.NotFound
 	// earlier is the number of requests that the gateway serves before the one whose response is checked.
 	earlier int
 }
@@ -136,7 +144,9 @@
 	if !elsewhere {
 		domain = "a"
 	}
-	return roster.Upstream{ID: name, Pool: strings.TrimSuffix(pool, "!"), FailureDomain: domain, Slots: 8, Leaving: leaving}, nil
+	return roster.Upstream{
+		ID: name, Pool: strings.TrimSuffix(pool, "!"), FailureDomain: domain, Slots: 8, Leaving: leaving, SoftwareVersion: fk.versions[name],
+	}, nil
 }
 
 func (fk *fakes) Send(ctx context.Context, request gateway.UpstreamRequest) (*gateway.UpstreamResponse, error) {
@@ -192,32 +202,6 @@
 
 func (fk *fakes) HasRestarted(context.Context, *roster.Upstream) bool { return fk.restarted }
 
-// Acquire issues a permit for each upstream, after the time in permitAfter at those that it names.
-func (fk *fakes) Acquire(ctx context.Context, up *roster.Upstream, maxWait time.Duration) (func(ratelimit.Announcement), error) {
-	fk.mu.Lock()
-	fk.asked = append(fk.asked, up.ID)
-	wait := fk.permitAfter[up.ID]
-	fk.mu.Unlock()
-	if wait > maxWait {
-		return nil, ratelimit.Exceeded{RetryAfter: wait}
-	}
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	return func(ratelimit.Announcement) {}, nil
-}
-
-// Limits returns a limit of two requests a second for each upstream in permitAfter.
-func (fk *fakes) Limits() map[roster.Incarnation]float64 {
-	limits := map[roster.Incarnation]float64{}
-	for id := range fk.permitAfter {
-		limits[roster.Incarnation{ID: id}] = 2
-	}
-	return limits
-}
-
 // setStatus sets the status of the part "second".
 func (fk *fakes) setStatus(status poison.Status) {
 	fk.mu.Lock()
@@ -338,6 +322,9 @@
 	t.Helper()
 	outcome := gateway.Outcome(nil)
 	synctest.Test(t, func(*testing.T) {
+		if fk.origins == nil {
+			fk.origins = map[string]origin.Origin{begunElsewhere: {Pool: "model"}}
+		}
 		timers := timer.New()
 		events := timeline.New("i", hlc.New(timers), 100, fk.record)
 		ct := catalog.New(fk, catalog.TableNames{Configuration: "c", Registrations: "r"}, timers, events)
@@ -352,7 +339,7 @@
 		set := metric.New()
 		gw := gateway.New(gateway.Parts{
 			FailureDomain: "a", Catalog: ct, Pools: gateway.NewPools(timers, budget, func() int { return 1 }), Stages: fk, Sender: fk,
-			Crashes: fk, Limits: fk, Timers: timers, Events: events, Metrics: set,
+			Crashes: fk, Limits: fk, Streams: fk, Timers: timers, Events: events, Metrics: set,
 		})
 		if fk.blockAfter > 0 {
 			time.AfterFunc(fk.blockAfter, func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/metric"
+	"github.com/turmericdoor/turmericdoor/origin"
 	"github.com/turmericdoor/turmericdoor/overload"
 	"github.com/turmericdoor/turmericdoor/poison"
 	"github.com/turmericdoor/turmericdoor/quarantine"
@@ -58,6 +59,7 @@
 	Sender        Sender
 	Crashes       CrashTracker
 	Limits        RateLimiter
+	Streams       StreamDirectory
 	Timers        *timer.Service
 	Events        *timeline.Ring
 	Metrics       *metric.Set
@@ -107,6 +109,10 @@
 	abandonAt time.Time
 	targetAt  time.Time
 	audit     *sendaudit.Tracker
+	// origin is where the stream began, once that is known: at its first event, or when its caller takes it up.
+	origin *origin.Origin
+	// sends counts the sends before the first event.
+	sends int
 	// leaveUnsent is called once the request has a permit.
 	leaveUnsent func()
 	// detail explains the outcome in the event log.
@@ -158,6 +164,9 @@
 	stop := rn.Timers.AfterFunc(left, func() { cancel(ErrTimeout) })
 	defer stop()
 	defer rn.inFlight.add(rn, cancel)()
+	if refusal := rn.findOrigin(ctx); refusal != nil {
+		return refusal
+	}
 	if refusal := rn.checkAdmission(); refusal != nil {
 		return refusal
 	}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -82,6 +82,9 @@
 
 // unavailableOutcome returns the outcome of a request for which there is no upstream left to try now.
 func (rn *run) unavailableOutcome(criteria placement.Criteria) Outcome {
+	if rn.origin != nil && rn.audit.Executions() == 0 && !rn.hasOriginLeft() {
+		return rn.refuse(0, VersionGone, rn.originDetail())
+	}
 	list := rn.Catalog.Upstreams(rn.pool.Name, "")
 	_, wait, limited := rn.Pools.pickLimited(rn.pool.Name, list, criteria)
 	if !limited || rn.audit.Executions() > 0 {
@@ -115,13 +118,6 @@
 	return rn.Pools.permitWait(rn.pool.Name, rn.totalLimit(list))
 }
 
-// hasRestarted reports whether another incarnation answers at the upstream's address, or false if its rate limit does not
-// allow to ask.
-func (rn *run) hasRestarted(ctx context.Context, up *roster.Upstream) bool {
-	answered, err := rn.Limits.Acquire(ctx, up, 0)
-	return err == nil && rn.Sender.HasRestarted(ratelimit.WithObserver(ctx, answered), up)
-}
-
 // pickLimited returns the upstream whose rate limit first allows another request, and how long that takes.
 func (pl *Pools) pickLimited(pool string, list []*roster.Upstream, criteria placement.Criteria) (placement.Choice, time.Duration, bool) {
 	choice, wait, found := placement.Choice{}, time.Duration(0), false
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -160,6 +160,9 @@
 	UpstreamsFull Cause = "UpstreamsFull"
 	// RateLimited: the rate limits of the upstreams are used up.
 	RateLimited Cause = "RateLimited"
+	// VersionUnknown: the software version that began the stream can't be told; VersionGone: no upstream of it is left.
+	VersionUnknown Cause = "VersionUnknown"
+	VersionGone    Cause = "VersionGone"
 	// NoTime: the deadline passed before the request was sent.
 	NoTime Cause = "NoTime"
 	// Closed: the instance no longer accepts requests.
--- a/gateway/restarted_test.go
+++ b/gateway/restarted_test.go
@@ -12,7 +12,7 @@
 func after(id string) func(*gateway.Request) {
 	return func(request *gateway.Request) {
 		withoutStages(request)
-		request.LastEventID = id
+		request.LastEventID, request.Resumes = id, begunElsewhere
 	}
 }
 
--- a/gateway/sender.go
+++ b/gateway/sender.go
@@ -76,9 +76,11 @@
 	ProcessUnknown
 )
 
-// NotSentError reports a failed attempt of which the upstream can't have read anything.
+// NotSentError reports a failed attempt of which the upstream can't have read anything. IsRefused is set if its host refused the
+// connection, so that its process has ended.
 type NotSentError struct {
-	Cause error
+	Cause     error
+	IsRefused bool
 }
 
 // Error returns the message with its cause.
@@ -91,6 +93,11 @@
 	return ne.Cause
 }
 
+func isRefused(err error) bool {
+	target := NotSentError{}
+	return errors.As(err, &target) && target.IsRefused
+}
+
 func notSent(err error) bool {
 	target := NotSentError{}
 	return errors.As(err, &target)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -113,6 +113,7 @@
 		return
 	}
 	at.output = at.begin(at.head(reply))
+	at.bindToOrigin()
 	if at.run.pipeline.RetryPolicy != route.Resumable {
 		at.stages.releaseAll()
 	}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -27,6 +27,28 @@
 	return ranked
 }
 
+// Spread returns count of the members that keep a key, by rendezvous hash: first one of each failure domain, then others.
+func Spread(members []member.Member, key string, count int) []member.Member {
+	ranked := slices.Clone(members)
+	hashes := map[string]uint64{}
+	for _, each := range ranked {
+		hashes[each.ID] = rendezvousHash(key, each.ID)
+	}
+	slices.SortFunc(ranked, func(left, right member.Member) int { return cmp.Compare(hashes[right.ID], hashes[left.ID]) })
+	domains := map[string]bool{}
+	first, others := []member.Member{}, []member.Member{}
+	for _, each := range ranked {
+		if domains[each.FailureDomain] {
+			others = append(others, each)
+			continue
+		}
+		domains[each.FailureDomain] = true
+		first = append(first, each)
+	}
+	spread := append(first, others...)
+	return spread[:min(len(spread), count)]
+}
+
 // hasEnoughCPU reports whether an instance has at least half the CPU of the largest one: the owner works for all
 // instances.
 func hasEnoughCPU(mb member.Member, maxMilliCores int64) bool {
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -49,3 +49,23 @@
 		must.Eq(t, 4, len(owners))
 	})
 }
+
+func TestSpread(t *testing.T) {
+	list := newMembers(12)
+	t.Run("each failure domain keeps the key before one has it twice", func(t *testing.T) {
+		for at := range 50 {
+			spread := ownership.Spread(list, fmt.Sprint("key", at), 2)
+			must.SliceLen(t, 2, spread)
+			must.NotEq(t, spread[0].FailureDomain, spread[1].FailureDomain)
+		}
+	})
+	t.Run("those that are left keep it when others are gone", func(t *testing.T) {
+		spread := ownership.Spread(list, "key", 3)
+		left := slices.DeleteFunc(slices.Clone(list), func(mb member.Member) bool { return mb.ID == spread[0].ID })
+		must.SliceContains(t, ownership.Spread(left, "key", 3), spread[1])
+	})
+	t.Run("there may be fewer members", func(t *testing.T) {
+		must.SliceLen(t, 1, ownership.Spread(list[:1], "key", 3))
+		must.SliceEmpty(t, ownership.Spread(nil, "key", 3))
+	})
+}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -155,6 +155,9 @@
 	if pr.limits != nil {
 		heartbeat.RateLimits = pr.limits.News(full)
 	}
+	if pr.origins != nil {
+		heartbeat.EndedUpstreams = pr.origins.EndedNews(full)
+	}
 	return heartbeat
 }
 
@@ -195,6 +198,9 @@
 	if pr.limits != nil {
 		pr.limits.AddNews(heartbeat.GetRateLimits())
 	}
+	if pr.origins != nil {
+		pr.origins.AddEndedNews(heartbeat.GetEndedUpstreams())
+	}
 	if pr.replicas != nil {
 		pr.fetchMissingRows(ctx, sender.Address, heartbeat.GetVersions())
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -54,6 +54,7 @@
 	listener         Listener
 	replicas         Replicas
 	limits           Limits
+	origins          Origins
 	config           Config
 	selfID           string
 	selfAddress      string
@@ -82,10 +83,11 @@
 // Dialer connects to another instance.
 type Dialer func(address string) (Link, error)
 
-// Parts holds the dependencies of a peer; Replicas and Limits may be nil.
+// Parts holds the dependencies of a peer; Replicas, Limits and Origins may be nil.
 type Parts struct {
 	Replicas Replicas
 	Limits   Limits
+	Origins  Origins
 	Timers   *timer.Service
 	Clock    *hlc.Clock
 	Events   *timeline.Ring
@@ -100,7 +102,7 @@
 func New(parts Parts, config Config) *Peer {
 	pr := &Peer{
 		timers: parts.Timers, clock: parts.Clock, events: parts.Events, revisions: parts.Holder,
-		listener: parts.Listener, replicas: parts.Replicas, limits: parts.Limits, config: config, dialer: parts.Dialer, random: parts.Random, members: parts.Members,
+		listener: parts.Listener, replicas: parts.Replicas, limits: parts.Limits, origins: parts.Origins, config: config, dialer: parts.Dialer, random: parts.Random, members: parts.Members,
 		gossip: gossip.New(), crashes: quarantine.New(), parts: poison.New(), links: map[string]*keptLink{},
 		heartbeatDue: make(chan struct{}, 1), selfID: parts.Members.Self().ID, selfAddress: parts.Members.Self().Address,
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -19,6 +19,9 @@
 	SharedTokens int
 	PromptTokens int
 	Exclude      []roster.Incarnation
+	// SoftwareVersion is the only version that upstreams may have if OnlyVersion is set.
+	OnlyVersion     bool
+	SoftwareVersion string
 	// InputBytes is the size of the inputs that the upstream reads from FailureDomain.
 	InputBytes int64
 	// Slack is the time left until the first byte misses the target latency.
@@ -29,6 +32,11 @@
 	MaxInFlight int
 }
 
+// allows reports whether the request may run on an upstream.
+func (cr Criteria) allows(up *roster.Upstream) bool {
+	return !slices.Contains(cr.Exclude, up.Incarnation()) && (!cr.OnlyVersion || up.SoftwareVersion == cr.SoftwareVersion)
+}
+
 // Choice is the selected upstream with the reasons for the selection.
 type Choice struct {
 	Upstream *roster.Upstream
@@ -156,7 +164,7 @@
 	for position, at := range pl.order(list, criteria.Session) {
 		up := list[at]
 		known := pl.state(up.Incarnation())
-		if now.Before(known.ejectedUntil) || now.Before(known.limitedUntil) || slices.Contains(criteria.Exclude, up.Incarnation()) {
+		if now.Before(known.ejectedUntil) || now.Before(known.limitedUntil) || !criteria.allows(up) {
 			continue
 		}
 		if criteria.MaxInFlight > 0 && known.inFlight >= criteria.MaxInFlight {
@@ -189,7 +197,7 @@
 		up := list[at]
 		known := pl.state(up.Incarnation())
 		wait := known.limitedUntil.Sub(now)
-		if wait <= 0 || now.Before(known.ejectedUntil) || slices.Contains(criteria.Exclude, up.Incarnation()) {
+		if wait <= 0 || now.Before(known.ejectedUntil) || !criteria.allows(up) {
 			continue
 		}
 		if wait < shortest {
--- a/propertytest/link_test.go
+++ b/propertytest/link_test.go
@@ -140,3 +140,19 @@
 	}
 	return to.core.Peer().ReportLimit(ctx, in)
 }
+
+func (pl peerLink) RecordOrigins(ctx context.Context, in *wire.RecordOriginsRequest, _ ...grpc.CallOption) (*wire.RecordOriginsReply, error) {
+	to := pl.deliver(ctx)
+	if to == nil || !pl.canReply(to) {
+		return nil, context.DeadlineExceeded
+	}
+	return to.core.Peer().RecordOrigins(ctx, in)
+}
+
+func (pl peerLink) FindOrigin(ctx context.Context, in *wire.FindOriginRequest, _ ...grpc.CallOption) (*wire.FindOriginReply, error) {
+	to := pl.deliver(ctx)
+	if to == nil || !pl.canReply(to) {
+		return nil, context.DeadlineExceeded
+	}
+	return to.core.Peer().FindOrigin(ctx, in)
+}
--- /dev/null
+++ b/streamdirectory/streamdirectory.go
@@ -0,0 +1,243 @@
+package streamdirectory
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/inflight"
+	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/origin"
+	"github.com/turmericdoor/turmericdoor/originhistory"
+	"github.com/turmericdoor/turmericdoor/ownership"
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+	"github.com/turmericdoor/turmericdoor/tombstone"
+)
+
+// Fleet is the connection to the other instances.
+type Fleet interface {
+	// Live returns the live instances, this one included.
+	Live() []member.Member
+	RecordOriginsAt(ctx context.Context, keeper member.Member, request *wire.RecordOriginsRequest) error
+	FindOriginAt(ctx context.Context, keeper member.Member, request *wire.FindOriginRequest) (*wire.FindOriginReply, error)
+	// TriggerHeartbeat sends the news to the other instances without delay.
+	TriggerHeartbeat()
+}
+
+// Parts holds the dependencies of a Directory.
+type Parts struct {
+	Self  string
+	Fleet Fleet
+	// Present returns where the streams of each pipeline may begin now.
+	Present func() map[string][]origin.Origin
+	// Staleness returns how old the configuration and the registrations are that Present is taken from.
+	Staleness func() time.Duration
+	Timers    *timer.Service
+	Events    *timeline.Ring
+}
+
+// Directory holds the origins of recent streams and the upstreams that have ended. It is safe for concurrent use.
+type Directory struct {
+	Parts
+
+	// ended holds the incarnations that have ended.
+	ended      atomic.Pointer[map[roster.Incarnation]bool]
+	background inflight.Group
+	refresh    chan struct{}
+	endedMu    sync.Mutex
+	stones     *tombstone.Set
+
+	mu      sync.Mutex
+	table   *origin.Table
+	history *originhistory.History
+	// replicated holds the pipelines whose streams are replicated.
+	replicated map[string]bool
+	// outgoing holds the records to be sent to other instances, by their ids, and keepers those instances.
+	outgoing map[string][]origin.Record
+	keepers  map[string]member.Member
+}
+
+const (
+	// keeperCount is how many other instances keep a record, askedCount how many are asked for it: after instances came and
+	// went, those that keep it are no longer the first.
+	keeperCount = 2
+	askedCount  = 5
+	// flushDelay is how long records are collected for one call; the first event of a stream comes later.
+	flushDelay = 20 * time.Millisecond
+	// callTimeout bounds a call to another instance.
+	callTimeout = 150 * time.Millisecond
+	// maxStaleness is how old the registrations may be for this instance to know all versions.
+	maxStaleness = 2 * time.Second
+	// maxOutgoing bounds the records that wait to be sent to one instance, and maxRepeated those of a pipeline that are sent
+	// when its streams begin to be replicated.
+	maxOutgoing = 4096
+	maxRepeated = 4096
+	// refreshInterval is how often it is checked, also without a change, which records have to be replicated.
+	refreshInterval = 500 * time.Millisecond
+)
+
+// New returns a directory that knows no streams.
+func New(parts Parts) *Directory {
+	dr := &Directory{
+		Parts: parts, table: origin.New(parts.Timers.Now()), history: originhistory.New(), stones: tombstone.New(),
+		refresh: make(chan struct{}, 1), replicated: map[string]bool{}, outgoing: map[string][]origin.Record{}, keepers: map[string]member.Member{},
+	}
+	dr.ended.Store(&map[roster.Incarnation]bool{})
+	return dr
+}
+
+// Run follows the origins that streams can have until ctx ends, and waits for all background calls; done is closed at the end.
+func (dr *Directory) Run(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	defer dr.background.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-dr.refresh:
+		case <-dr.Timers.After(refreshInterval):
+		}
+		dr.update()
+		dr.expireEnded()
+	}
+}
+
+// Refresh has Run read the origins that streams can have; it returns at once.
+func (dr *Directory) Refresh() {
+	select {
+	case dr.refresh <- struct{}{}:
+	default:
+	}
+}
+
+func (dr *Directory) update() {
+	present := dr.Present()
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if len(present) > 0 {
+		dr.history.Update(dr.Timers.Now(), present)
+	}
+	for pipeline := range present {
+		dr.needsReplication(pipeline)
+	}
+}
+
+// Begin records that a request of a pipeline is sent to an upstream, where its stream begins if no later send does it, and
+// returns the origin.
+func (dr *Directory) Begin(attemptID, pipeline string, send int, upstream *roster.Upstream) origin.Origin {
+	began := origin.Origin{Pool: upstream.Pool, Version: upstream.SoftwareVersion, IsUnknown: dr.IsEnded(upstream.Incarnation())}
+	dr.record(origin.Record{Stream: origin.StreamOf(attemptID), Pipeline: pipeline, Origin: began, Send: send})
+	return began
+}
+
+// Continue records the origin of a stream that a caller has taken up at this instance.
+func (dr *Directory) Continue(attemptID, pipeline string, known origin.Origin) {
+	dr.record(origin.Record{Stream: origin.StreamOf(attemptID), Pipeline: pipeline, Origin: known})
+}
+
+func (dr *Directory) record(record origin.Record) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	dr.table.Put(dr.Timers.Now(), record)
+	if dr.needsReplication(record.Pipeline) || record.Origin.IsUnknown {
+		dr.replicate(record)
+	}
+}
+
+// needsReplication reports whether the origin of a pipeline's streams can only be told from their records. When that begins,
+// the records of its earlier streams are replicated, too. The caller holds the lock.
+func (dr *Directory) needsReplication(pipeline string) bool {
+	now := dr.Timers.Now()
+	needed := !dr.isComplete(now) || len(dr.history.Recent(now, pipeline)) != 1
+	before := dr.replicated[pipeline]
+	dr.replicated[pipeline] = needed
+	if needed && !before {
+		for _, record := range dr.table.OfPipeline(pipeline, maxRepeated) {
+			dr.replicate(record)
+		}
+	}
+	return needed
+}
+
+// isComplete reports whether this instance knows all origins that streams can have. The caller holds the lock.
+func (dr *Directory) isComplete(now time.Time) bool {
+	return dr.history.IsComplete(now) && dr.Staleness() < maxStaleness
+}
+
+// replicate has the instances that keep a stream's record receive it. The caller holds the lock.
+func (dr *Directory) replicate(record origin.Record) {
+	count := 0
+	for _, keeper := range ownership.Spread(dr.Fleet.Live(), keyOf(record.Stream), keeperCount+1) {
+		if keeper.ID == dr.Self || count == keeperCount {
+			continue
+		}
+		count++
+		if len(dr.outgoing[keeper.ID]) >= maxOutgoing {
+			continue
+		}
+		if len(dr.outgoing) == 0 {
+			dr.background.Go(dr.flush)
+		}
+		dr.outgoing[keeper.ID] = append(dr.outgoing[keeper.ID], record)
+		dr.keepers[keeper.ID] = keeper
+	}
+}
+
+func keyOf(stream origin.Stream) string {
+	return strconv.FormatUint(uint64(stream), 16)
+}
+
+// flush sends the collected records.
+func (dr *Directory) flush() {
+	_ = dr.Timers.Sleep(context.Background(), flushDelay)
+	dr.mu.Lock()
+	outgoing, keepers := dr.outgoing, dr.keepers
+	dr.outgoing, dr.keepers = map[string][]origin.Record{}, map[string]member.Member{}
+	dr.mu.Unlock()
+	for id, records := range outgoing {
+		dr.background.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			defer cancel()
+			request := &wire.RecordOriginsRequest{}
+			for _, record := range records {
+				request.Origins = append(request.Origins, toWire(record))
+			}
+			// A keeper that does not answer has no record; the others do.
+			_ = dr.Fleet.RecordOriginsAt(ctx, keepers[id], request)
+		})
+	}
+}
+
+// Len returns the number of streams whose origin this instance keeps.
+func (dr *Directory) Len() int {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	return dr.table.Len()
+}
+
+// Keep keeps the records of another instance.
+func (dr *Directory) Keep(request *wire.RecordOriginsRequest) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	for _, record := range request.GetOrigins() {
+		dr.table.Put(dr.Timers.Now(), fromWire(record))
+	}
+}
+
+func toWire(record origin.Record) *wire.StreamOrigin {
+	return &wire.StreamOrigin{
+		Stream: uint64(record.Stream), Pool: record.Origin.Pool, Version: record.Origin.Version, Unknown: record.Origin.IsUnknown, Send: int32(record.Send),
+	}
+}
+
+func fromWire(record *wire.StreamOrigin) origin.Record {
+	return origin.Record{
+		Stream: origin.Stream(record.GetStream()), Send: int(record.GetSend()),
+		Origin: origin.Origin{Pool: record.GetPool(), Version: record.GetVersion(), IsUnknown: record.GetUnknown()},
+	}
+}
