--- a/document/document.go
+++ b/document/document.go
@@ -91,6 +91,8 @@
 	ChecksOrders bool
 	Model        string
 	Adapters     []string
+	// SoftwareVersion is the version of its software, or "".
+	SoftwareVersion string
 }
 
 // Brownout is how a stage reduces its work when the remaining time is short.
--- a/document/parse.go
+++ b/document/parse.go
@@ -205,7 +205,7 @@
 	ps.document.Upstreams[name] = &Upstream{
 		Name: name, Pool: pool, Address: message.GetAddress(), FailureDomain: message.GetFailureDomain(),
 		Slots: message.GetSlots(), Incarnation: message.GetIncarnation(), ChecksFence: message.GetChecksFence(),
-		ChecksOrders: message.GetChecksOrders(), Model: message.GetModel(), Adapters: message.GetAdapters(),
+		ChecksOrders: message.GetChecksOrders(), Model: message.GetModel(), Adapters: message.GetAdapters(), SoftwareVersion: message.GetSoftwareVersion(),
 	}
 }
 
--- a/runner/stage.go
+++ b/runner/stage.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -42,9 +43,11 @@
 	at          int
 	pool        *pool.Pool
 	avoid       []string
-	failures    int
-	report      answer.StageReport
-	mu          sync.Mutex
+	// origin is the engine that brought the first token, or nil: only those of its model and software version may go on.
+	origin   *document.Upstream
+	failures int
+	report   answer.StageReport
+	mu       sync.Mutex
 }
 
 // runStage runs one stage with retries. It returns nil if the stage has a result, and otherwise the answer to the
@@ -135,11 +138,22 @@
 	return dispatch.Request{
 		ID: sr.runner.lastID.Add(1), Organisation: sr.request.Organisation.Name, Weight: sr.request.Organisation.Weight,
 		Rank: sr.request.Rank.Index, Deadline: sr.request.Deadline, RemainingWork: sr.remainingWork(sr.at),
-		FailureDomain: sr.runner.FailureDomain, Avoid: sr.avoid, Adapter: sr.stageConfig.Adapter,
+		FailureDomain: sr.runner.FailureDomain, Avoid: append(sr.otherVersions(), sr.avoid...), Adapter: sr.stageConfig.Adapter,
 		PrefixHash: sr.prefixHash(), Exclusive: exclusive,
 	}
 }
 
+// otherVersions returns the names of the upstreams that can't continue the tokens which have arrived.
+func (sr *stageRun) otherVersions() []string {
+	names := []string{}
+	for _, up := range sr.stageConfig.Pool.Upstreams {
+		if sr.origin != nil && (up.Model != sr.origin.Model || up.SoftwareVersion != sr.origin.SoftwareVersion) {
+			names = append(names, up.Name)
+		}
+	}
+	return names
+}
+
 // prefixBytes is the length of the prompt prefix that is hashed to find upstreams with this prefix in their cache.
 const prefixBytes = 512
 
@@ -275,14 +289,23 @@
 	}
 	sr.failures++
 	sr.avoid = append(sr.avoid, up.Name)
-	if len(sr.avoid) >= len(sr.stageConfig.Pool.Upstreams) {
-		sr.avoid = nil
-	}
 	if len(ev.tokens) > len(sr.payload.Tokens) {
 		sr.payload.Tokens = ev.tokens
+		if sr.origin == nil {
+			sr.origin = up
+		}
+	}
+	if sr.hasTriedAll() {
+		sr.avoid = nil
 	}
 }
 
+// hasTriedAll reports whether attempts have failed on each upstream that may be used.
+func (sr *stageRun) hasTriedAll() bool {
+	excluded := append(sr.otherVersions(), sr.avoid...)
+	return !slices.ContainsFunc(sr.stageConfig.Pool.Upstreams, func(up *document.Upstream) bool { return !slices.Contains(excluded, up.Name) })
+}
+
 func (sr *stageRun) newCall(identity attempt.Identity, up *document.Upstream, payload payloadState) *upstream.Call {
 	config := sr.stageConfig
 	call := &upstream.Call{
--- a/runner/stage_test.go
+++ b/runner/stage_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -128,6 +131,51 @@
 	})
 }
 
+// newEngineStage returns a stage with a pool of engines of the given versions, which does not hedge.
+func newEngineStage(versions []string, reply func(hs *hedgedStage, call *upstream.Call) upstream.Outcome) *hedgedStage {
+	hs := newHedgedStage(reply)
+	engines := &document.Pool{Name: "engines", Kind: document.Engine, RetryPercent: 100, StageTime: hedgeAfter}
+	for at, version := range versions {
+		engines.Upstreams = append(engines.Upstreams, &document.Upstream{
+			Name: fmt.Sprint("e", at), FailureDomain: "a", Slots: 8, Incarnation: 1, Model: "base", SoftwareVersion: version,
+		})
+	}
+	hs.stageConfig.Pool = engines
+	hs.payload.Tokens = nil
+	hs.pool.Update(engines, []*document.Rank{hs.request.Rank})
+	return hs
+}
+
+// TestResumedTokensAreOfTwoVersions guards against a stream of serve that holds tokens from engines of two software versions.
+func TestResumedTokensAreOfTwoVersions(t *testing.T) {
+	versions := []string{"v1", "v2", "v1", "v2", "v1", "v2"}
+	breakOff := func(_ *hedgedStage, call *upstream.Call) upstream.Outcome {
+		return upstream.Broken{Cause: "reset", Tokens: append(slices.Clone(call.Payload.Tokens), "token")}
+	}
+	for range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			hs := newEngineStage(versions, breakOff)
+			for range 3 {
+				hs.acquireAndCall(t.Context(), false)
+			}
+			must.SliceLen(t, 3, hs.calls)
+			first, _ := strconv.Atoi(hs.calls[0].Upstream[1:])
+			for _, call := range hs.calls {
+				at, _ := strconv.Atoi(call.Upstream[1:])
+				must.Eq(t, versions[first], versions[at])
+			}
+		})
+	}
+	t.Run("before the first token the request may move to another version", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			hs := newEngineStage([]string{"v1", "v2"}, func(*hedgedStage, *upstream.Call) upstream.Outcome { return upstream.Broken{Cause: "reset"} })
+			hs.acquireAndCall(t.Context(), false)
+			hs.acquireAndCall(t.Context(), false)
+			must.NotEq(t, hs.calls[0].Upstream, hs.calls[1].Upstream)
+		})
+	})
+}
+
 // TestRefusalWithoutMarkIsNotRun guards against the outcome NotRun after an upstream that refused a call without stating
 // that it had no effect.
 func TestRefusalWithoutMarkIsNotRun(t *testing.T) {
