Fault soak: upstreams that limit the rate of requests (LIMIT)

Four upstreams name 0.5 to 12.5 requests a second, one answer of ten a value that is no number; requests are counted that reach them from instances without a recent fault.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -36,10 +36,8 @@
 // newCall returns a caller's call by its number. The periods have no common factor, so that all combinations occur.
 func newCall(number, at int) call {
 	kinds := []string{"draft", "post", "look", "resume", "resume3"}
-	cl := call{
-		id: fmt.Sprintf("c%d-%d", number, at), kind: kinds[at%len(kinds)], instance: (number + at/20) % instances,
-		http10: at%7 == 3, single: at%11 == 5,
-	}
+	cl := call{kind: kinds[at%len(kinds)], instance: (number + at/20) % instances, http10: at%7 == 3, single: at%11 == 5}
+	cl.id = fmt.Sprintf("c%d-%d@%d", number, at, cl.instance)
 	if routeKinds[cl.kind].resumable && at%9 == 4 {
 		cl.from = 2
 	}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -84,7 +84,7 @@
 	server := httptest.NewServer(&faultyStore{fleet: fl, seed: seed})
 	t.Cleanup(server.Close)
 	for _, pool := range []string{"model", "plain", "stage"} {
-		for at := range 3 {
+		for at := range upstreamCounts[pool] {
 			up := newUpstream(t, fmt.Sprintf("%s-%d", pool, at), seed, fl.ledger)
 			px := newProxy(t, strings.TrimPrefix(up.URL, "http://"))
 			fl.proxies = append(fl.proxies, px)
@@ -109,6 +109,9 @@
 	return fl
 }
 
+// upstreamCounts is the number of upstreams of each pool.
+var upstreamCounts = map[string]int{"model": 4, "plain": 3, "stage": 3}
+
 // registration returns the row that an upstream writes for itself.
 func registration(pool, address string, domain int, born int64) string {
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z%d","version":"v","slot_count":8,"state":"ready","cold_left_ms":0,"sequence":1,"born":%d}`,
--- a/soak/response_test.go
+++ b/soak/response_test.go
@@ -97,6 +97,8 @@
 	events   []string
 	random   *rand.Rand
 	deadline time.Duration
+	// limit is the upstream's limit, or "".
+	limit string
 }
 
 // respond writes an answer with a fault.
@@ -146,8 +148,12 @@
 
 // head returns the status line and the headers without those of the framing.
 func (an response) head() string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTurmericdoor-Attempt-Id: %s\r\nTurmericdoor-Response-Seal: %s\r\n",
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTurmericdoor-Attempt-Id: %s\r\nTurmericdoor-Response-Seal: %s\r\n",
 		an.id, an.seal)
+	if an.limit != "" {
+		head += fmt.Sprintf("%s: %s\r\n", limitHeader, an.limit)
+	}
+	return head
 }
 
 // cutPosition returns where the body breaks off: anywhere, but inside an event if the end alone would look regular.
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -25,6 +25,8 @@
 	errorHeader = "Soak-Error"
 	// fromHeader holds the Last-Event-Id that the caller sent.
 	fromHeader = "Soak-From"
+	// One of unreadableShare answers of an upstream with a limit names a limit that is no number.
+	unreadableShare = 10
 )
 
 // upstream is an upstream that runs requests and stages; its answer to a request repeats the request's id. Some of its
@@ -37,6 +39,8 @@
 	ledger *ledger
 	// calls counts the calls of the upstream's own interface.
 	calls atomic.Int64
+	// limited counts the requests that an upstream with a limit got.
+	limited atomic.Int64
 	// born is the start time of the current incarnation; register writes its registration, crash ends and restarts it.
 	born     atomic.Int64
 	register func()
@@ -68,6 +72,8 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	random := seededRandom(us.seed, fmt.Sprintf("%s/limit/%d", us.id, us.limited.Add(1)))
+	us.nameLimit(writer, random.IntN(unreadableShare) == 0)
 	if strings.HasPrefix(request.URL.Path, "/v1/") {
 		us.serveOwn(writer, request, body)
 		return
@@ -127,6 +133,7 @@
 func (us *upstream) serveRequest(writer http.ResponseWriter, request *http.Request, body string) {
 	id := request.Header.Get("Turmericdoor-Attempt-Id")
 	us.checkRequest(request, id, body)
+	us.recordLimited(id)
 	if us.crashesOn(request, id) {
 		return
 	}
@@ -145,7 +152,7 @@
 	}
 	stamp := fmt.Sprintf("%s.%d", us.id, number)
 	answer := response{
-		id: id, seal: stamp, events: eventTexts(id, stamp, first), random: random, deadline: requestDeadline(request),
+		id: id, seal: stamp, events: eventTexts(id, stamp, first), random: random, deadline: requestDeadline(request), limit: writer.Header().Get(limitHeader),
 	}
 	us.respond(writer, fault, answer)
 }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -26,8 +26,10 @@
 	// memoryMB is the largest resident set of an instance.
 	memoryMB int
 	// crashes is when upstreams crashed because of a part of a prompt, crashers when such requests reached them, by instance.
-	crashes    []time.Time
-	crashers   []arrival
+	crashes  []time.Time
+	crashers []arrival
+	// limits is what upstreams with a limit received.
+	limits     *limitLedger
 	violations []string
 	// examples holds the first violation of each kind.
 	examples map[string]string
@@ -39,6 +41,7 @@
 	return &ledger{
 		arrivals: map[string]int{}, runs: map[string]int{}, notRun: map[string]int{}, junk: map[string]bool{}, played: map[string]int{},
 		answers: map[string][]string{}, longest: map[string]time.Duration{}, most: map[string]int{}, examples: map[string]string{},
+		limits: newLimitLedger(),
 	}
 }
 
