--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -29,6 +29,11 @@
 	// http10 calls use HTTP/1.0, single calls close their connection.
 	http10 bool
 	single bool
+	// leaves is set if the caller leaves after some events. resumes is the id of the call whose stream this one takes up after its
+	// first events, which are of a version.
+	leaves  bool
+	resumes string
+	version string
 	// bad calls have a part in their prompts that crashes upstreams.
 	bad bool
 }
@@ -38,9 +43,7 @@
 	kinds := []string{"draft", "post", "look", "resume", "resume3"}
 	cl := call{kind: kinds[at%len(kinds)], instance: (number + at/20) % instances, http10: at%7 == 3, single: at%11 == 5}
 	cl.id = fmt.Sprintf("c%d-%d@%d", number, at, cl.instance)
-	if routeKinds[cl.kind].resumable && at%9 == 4 {
-		cl.from = 2
-	}
+	cl.leaves = routeKinds[cl.kind].resumable && at%9 == 4
 	return cl
 }
 
@@ -78,6 +81,7 @@
 	if cl.from > 0 {
 		request.Header.Set("Last-Event-Id", strconv.Itoa(cl.from-1))
 		request.Header.Set(fromHeader, strconv.Itoa(cl.from-1))
+		request.Header.Set(resumesHeader, cl.resumes)
 	}
 	return request, nil
 }
@@ -98,11 +102,12 @@
 		return 0
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
-	if err == nil && len(body) == maxAnswer {
-		err = fmt.Errorf("answer of %d bytes or more", maxAnswer)
+	body, err := readAnswer(cl, response)
+	fl.checkAnswer(cl, response, body, err != nil)
+	if err != nil && response.StatusCode == http.StatusOK {
+		_ = response.Body.Close()
+		fl.takeUp(client, cl, body)
 	}
-	fl.checkAnswer(cl, response, string(body), err != nil)
 	return response.StatusCode
 }
 
@@ -157,6 +162,9 @@
 			return fmt.Sprintf("an event of another run at %d", cl.from+at)
 		}
 	}
+	if fault := checkVersions(cl, texts[:last]); fault != "" && routeKinds[cl.kind].streaming {
+		return fault
+	}
 	if last > eventCount-cl.from {
 		return fmt.Sprintf("%d events", last)
 	}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -88,7 +88,7 @@
 			up := newUpstream(t, fmt.Sprintf("%s-%d", pool, at), seed, fl.ledger)
 			px := newProxy(t, strings.TrimPrefix(up.URL, "http://"))
 			fl.proxies = append(fl.proxies, px)
-			up.register = func() { fl.store.Put("servers", up.id, registration(pool, px.address(), at%2, up.born.Load())) }
+			up.register = func() { fl.store.Put("servers", up.id, registration(up.id, px.address(), at%2, up.born.Load())) }
 			up.crash = func() { px.crash(crashLength, up.register) }
 			up.register()
 		}
@@ -113,9 +113,10 @@
 var upstreamCounts = map[string]int{"model": 4, "plain": 3, "stage": 3}
 
 // registration returns the row that an upstream writes for itself.
-func registration(pool, address string, domain int, born int64) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z%d","version":"v","slot_count":8,"state":"ready","cold_left_ms":0,"sequence":1,"born":%d}`,
-		pool, address, domain, born)
+func registration(id, address string, domain int, born int64) string {
+	pool, _, _ := strings.Cut(id, "-")
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z%d","version":%q,"slot_count":8,"state":"ready","cold_left_ms":0,"sequence":1,"born":%d}`,
+		pool, address, domain, softwareVersion(id), born)
 }
 
 // disturb records a fault of an instance's process.
--- a/soak/limits_test.go
+++ b/soak/limits_test.go
@@ -66,7 +66,7 @@
 
 // instanceOf returns the instance that a caller sent a request to, whose id ends with it.
 func instanceOf(id string) (int, bool) {
-	_, number, found := strings.Cut(id, "@")
+	_, number, found := strings.Cut(strings.TrimSuffix(id, "t"), "@")
 	instance, err := strconv.Atoi(number)
 	return instance, found && err == nil
 }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -28,8 +28,9 @@
 	// crashes is when upstreams crashed because of a part of a prompt, crashers when such requests reached them, by instance.
 	crashes  []time.Time
 	crashers []arrival
-	// limits is what upstreams with a limit received.
+	// limits is what upstreams with a limit received, takenUp counts the statuses of answers to callers who took up a stream.
 	limits     *limitLedger
+	takenUp    map[string]int
 	violations []string
 	// examples holds the first violation of each kind.
 	examples map[string]string
@@ -41,7 +42,7 @@
 	return &ledger{
 		arrivals: map[string]int{}, runs: map[string]int{}, notRun: map[string]int{}, junk: map[string]bool{}, played: map[string]int{},
 		answers: map[string][]string{}, longest: map[string]time.Duration{}, most: map[string]int{}, examples: map[string]string{},
-		limits: newLimitLedger(),
+		limits: newLimitLedger(), takenUp: map[string]int{},
 	}
 }
 
