Streams: one version is proven by an instance that has seen all of the time in which they can have begun (ORDER)

The time that counts is now that of the longest stream of the configuration and 5 s, 20 s at least (was 30 s). The processes of a fleet that starts for the first time know that there were no streams before them (the settings' bootstrap). An instance whose registrations are fresh, and that has seen all of that time, does not need the answer of a silent one.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -33,17 +33,19 @@
 	og.entry.streams.AddEndedNews(news)
 }
 
-// presentOrigins returns where the streams of each pipeline may begin now, or nothing before the first configuration.
-func (en *Instance) presentOrigins() map[string][]origin.Origin {
+// presentOrigins returns where the streams of each pipeline may begin now and the longest time that one may last, or nothing
+// before the first configuration.
+func (en *Instance) presentOrigins() (map[string][]origin.Origin, time.Duration) {
 	table := en.catalog.RoutingTable()
 	if table == nil || !en.catalog.IsLoaded() {
-		return nil
+		return nil, 0
 	}
-	present := map[string][]origin.Origin{}
+	present, longest := map[string][]origin.Origin{}, time.Duration(0)
 	for _, pipeline := range table.Pipelines {
 		if pipeline.RetryPolicy != route.Resumable {
 			continue
 		}
+		longest = max(longest, pipeline.Timeout)
 		seen := map[origin.Origin]bool{}
 		for _, part := range pipeline.Pools {
 			for _, up := range en.catalog.Upstreams(part.Pool, "") {
@@ -54,7 +56,7 @@
 			present[pipeline.Name] = append(present[pipeline.Name], one)
 		}
 	}
-	return present
+	return present, longest
 }
 
 // staleness returns how old the older one of the configuration and the registrations is.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -18,7 +18,9 @@
 	StoreAddress   string
 	// GracePeriod is the time between the stop signal and the end of the process.
 	GracePeriod time.Duration
-	MemoryBytes int64
+	// IsFirstStart is set while the whole fleet starts for the first time.
+	IsFirstStart bool
+	MemoryBytes  int64
 	// MilliCores is the processor time available to the process, in thousandths of a core.
 	MilliCores  int64
 	RetryBudget retryquota.Config
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -31,15 +31,11 @@
 	Send int
 }
 
-const (
-	// Retention is how long a record is kept at least; callers take up no streams that are older.
-	Retention = 30 * time.Second
-	// maxRecords bounds the records of one generation.
-	maxRecords = 32768
-)
+// maxRecords bounds the records of one generation.
+const maxRecords = 32768
 
 // Table holds the records of recent streams; it is not safe for concurrent use. It consists of two generations: the older
-// one is dropped when the younger one is full or as old as Retention.
+// one is dropped when the younger one is full or has been filled for the retention.
 type Table struct {
 	young, old map[Stream]Record
 	since      time.Time
@@ -50,9 +46,9 @@
 	return &Table{young: map[Stream]Record{}, old: map[Stream]Record{}, since: now}
 }
 
-// Put adds a record, unless one of a later send is known.
-func (tb *Table) Put(now time.Time, record Record) {
-	if now.Sub(tb.since) >= Retention || len(tb.young) >= maxRecords {
+// Put adds a record, which is kept for the retention at least, unless one of a later send is known.
+func (tb *Table) Put(now time.Time, retention time.Duration, record Record) {
+	if now.Sub(tb.since) >= retention || len(tb.young) >= maxRecords {
 		tb.young, tb.old, tb.since = map[Stream]Record{}, tb.young, now
 	}
 	if known, found := tb.Find(record.Stream); found && known.Send > record.Send {
--- a/streamdirectory/find.go
+++ b/streamdirectory/find.go
@@ -53,7 +53,8 @@
 			return found(reply, PeerRecord)
 		}
 	}
-	if only, is := onlyOrigin(append(replies, own)); is && silent == 0 {
+	// An instance that does not answer may know of a version only if this one may have missed it.
+	if only, is := onlyOrigin(append(replies, own)); is && (silent == 0 || own.GetComplete()) {
 		return Found{Origin: only, Source: OnlyVersion}
 	}
 	return NotFound{MayBeFound: silent > 0}
--- a/streamdirectory/streamdirectory.go
+++ b/streamdirectory/streamdirectory.go
@@ -32,10 +32,12 @@
 
 // Parts holds the dependencies of a Directory.
 type Parts struct {
-	Self  string
-	Fleet Fleet
-	// Present returns where the streams of each pipeline may begin now.
-	Present func() map[string][]origin.Origin
+	Self string
+	// IsFirst says that there were no streams before this process, as when the whole fleet starts for the first time.
+	IsFirst bool
+	Fleet   Fleet
+	// Present returns where the streams of each pipeline may begin now, and the longest time that a stream may last.
+	Present func() (map[string][]origin.Origin, time.Duration)
 	// Staleness returns how old the configuration and the registrations are that Present is taken from.
 	Staleness func() time.Duration
 	Timers    *timer.Service
@@ -56,6 +58,8 @@
 	mu      sync.Mutex
 	table   *origin.Table
 	history *originhistory.History
+	// retention is how long the origin of a stream is kept at least: callers take up no streams that are older.
+	retention time.Duration
 	// replicated holds the pipelines whose streams are replicated.
 	replicated map[string]bool
 	// outgoing holds the records to be sent to other instances, by their ids, and keepers those instances.
@@ -64,6 +68,9 @@
 }
 
 const (
+	// minRetention is the least retention, and retentionMargin how much longer it is than the longest stream.
+	minRetention    = 20 * time.Second
+	retentionMargin = 5 * time.Second
 	// keeperCount is how many other instances keep a record, askedCount how many are asked for it: after instances came and
 	// went, those that keep it are no longer the first.
 	keeperCount = 2
@@ -85,7 +92,7 @@
 // New returns a directory that knows no streams.
 func New(parts Parts) *Directory {
 	dr := &Directory{
-		Parts: parts, table: origin.New(parts.Timers.Now()), history: originhistory.New(), stones: tombstone.New(),
+		Parts: parts, table: origin.New(parts.Timers.Now()), history: originhistory.New(parts.IsFirst), retention: minRetention, stones: tombstone.New(),
 		refresh: make(chan struct{}, 1), replicated: map[string]bool{}, outgoing: map[string][]origin.Record{}, keepers: map[string]member.Member{},
 	}
 	dr.ended.Store(&map[roster.Incarnation]bool{})
@@ -117,11 +124,12 @@
 }
 
 func (dr *Directory) update() {
-	present := dr.Present()
+	present, longest := dr.Present()
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	if len(present) > 0 {
-		dr.history.Update(dr.Timers.Now(), present)
+		dr.retention = max(minRetention, longest+retentionMargin)
+		dr.history.Update(dr.Timers.Now(), dr.retention, present)
 	}
 	for pipeline := range present {
 		dr.needsReplication(pipeline)
@@ -144,7 +152,7 @@
 func (dr *Directory) record(record origin.Record) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	dr.table.Put(dr.Timers.Now(), record)
+	dr.table.Put(dr.Timers.Now(), dr.retention, record)
 	if dr.needsReplication(record.Pipeline) || record.Origin.IsUnknown {
 		dr.replicate(record)
 	}
@@ -233,7 +241,7 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	for _, record := range request.GetOrigins() {
-		dr.table.Put(dr.Timers.Now(), fromWire(record))
+		dr.table.Put(dr.Timers.Now(), dr.retention, fromWire(record))
 	}
 }
 
