--- a/emulator/work.go
+++ b/emulator/work.go
@@ -290,9 +290,12 @@
 	return sd.effects.snapshot()
 }
 
-// Token returns the token that an engine generates at an index for a prompt. It is the same for all
-// engines, so that another engine can resume a stream.
-func Token(prompt string, index int) string {
+// Token returns the token that an engine of a software version generates at an index for a prompt. It is the same for
+// all engines of the version, so that another one of them can resume a stream. An empty version is not named.
+func Token(version, prompt string, index int) string {
+	if version != "" {
+		return fmt.Sprintf("t%d-%04x@%s ", index, hashOf(prompt, strconv.Itoa(index))&0xffff, version)
+	}
 	return fmt.Sprintf("t%d-%04x ", index, hashOf(prompt, strconv.Itoa(index))&0xffff)
 }
 
@@ -317,7 +320,8 @@
 				return nil
 			}
 		}
-		chunk, _ := json.Marshal(upstream.CompletionChunk{Index: index, Text: Token(completion.Prompt, index)})
+		token := Token(sd.config.GetSoftwareVersion(), completion.Prompt, index)
+		chunk, _ := json.Marshal(upstream.CompletionChunk{Index: index, Text: token})
 		_, _ = io.WriteString(cl.writer, "data: "+string(chunk)+"\n\n")
 		_ = flusher.Flush()
 		if !sd.simulateWork(cl, sd.config.GetTokenMicros()) {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -109,11 +109,34 @@
 		reply := outcomeIs[upstream.Replied](t, do(t, cl, request))
 		must.Eq(t, []int{0, 1, 2, 3, 4, 5, 6, 7}, seen)
 		for index, token := range reply.Payload.Tokens {
-			must.Eq(t, emulator.Token("q", index), token)
+			must.Eq(t, emulator.Token("", "q", index), token)
 		}
 	})
 }
 
+// TestVersionOfTokens checks that the tokens of emulated engines name the software version of the engine, so that a
+// stream with tokens of two versions is seen in its answer.
+func TestVersionOfTokens(t *testing.T) {
+	generate := func(version string, tokens []string) []string {
+		sd := emulator.New("u", &plan.Standin{
+			Kind: "Engine", Address: "127.0.0.1:0", Slots: 4, ServiceMicros: 100, TokenMicros: 100, SoftwareVersion: version,
+		})
+		must.NoError(t, sd.Start())
+		defer sd.Stop()
+		request := call(sd, document.Engine)
+		request.Payload.Tokens = tokens
+		return outcomeIs[upstream.Replied](t, do(t, upstream.New(), request)).Payload.Tokens
+	}
+	begun := generate("v1", nil)
+	must.Len(t, 8, begun)
+	for _, token := range begun {
+		must.StrContains(t, token, "@v1")
+	}
+	for index, token := range generate("v2", begun[:3]) {
+		must.StrContains(t, token, []string{"@v1", "@v2"}[min(index/3, 1)])
+	}
+}
+
 // withStaleServer runs a test with a server that answers the first request on each connection, and reads the second
 // one and closes the connection without an answer. executed counts the requests named "order" that it has read.
 func withStaleServer(t *testing.T, test func(address string, executed *atomic.Int64)) {
