Results that are freed while their upstream is limited: no race between two frees (LIMIT)

What would be seen: two results of one upstream are released at the same moment and its rate limit is used up. Each of the two calls saw no waiting free and set its own; the second one replaced the first, whose results were not freed, and the goroutine that came second found none and stopped the process with a nil dereference. Found by reading the diff; no run or user has shown it.

Evidence: a test releases 512 results at the same moment. Why the fix holds: whether there are waiting results is looked up and set under one lock, and the goroutine that frees them has them as its argument. The fakes' upstreams have addresses now, by which results of other instances find their upstream.

--- a/gather/free.go
+++ b/gather/free.go
@@ -32,33 +32,36 @@
 	maxWaitingFrees = 4096
 )
 
-// free frees results in the background and calls freed once the upstream has confirmed.
-func (gt *Gatherer) free(id string, handles []string, freed func()) {
-	if gt.joinWaitingFree(id, handles, freed) {
-		return
-	}
-	gt.background.Go(func() { gt.freeNow(id, handles, freed) })
-}
-
 // waitingFree holds results that are freed in one call as soon as the upstream's rate limit allows it.
 type waitingFree struct {
 	handles []string
 	freed   []func()
 }
 
-// joinWaitingFree adds results to those that wait to be freed at an upstream, and reports whether there are any.
-func (gt *Gatherer) joinWaitingFree(id string, handles []string, freed func()) bool {
+// add adds results, as long as there are not too many.
+func (wf *waitingFree) add(handles []string, freed func()) {
+	if len(wf.handles)+len(handles) <= maxWaitingFrees {
+		wf.handles = append(wf.handles, handles...)
+		wf.freed = append(wf.freed, freed)
+	}
+}
+
+// allFreed reports that the upstream has confirmed.
+func (wf *waitingFree) allFreed() {
+	for _, freed := range wf.freed {
+		freed()
+	}
+}
+
+// free frees results in the background and calls freed once the upstream has confirmed.
+func (gt *Gatherer) free(id string, handles []string, freed func()) {
 	gt.mu.Lock()
 	defer gt.mu.Unlock()
-	waiting := gt.waitingFrees[id]
-	if waiting == nil {
-		return false
-	}
-	if len(waiting.handles)+len(handles) <= maxWaitingFrees {
-		waiting.handles = append(waiting.handles, handles...)
-		waiting.freed = append(waiting.freed, freed)
+	if waiting := gt.waitingFrees[id]; waiting != nil {
+		waiting.add(handles, freed)
+		return
 	}
-	return true
+	gt.background.Go(func() { gt.freeNow(id, handles, freed) })
 }
 
 // freeNow makes the call that frees results, or has them wait until the upstream's rate limit allows it.
@@ -87,24 +90,24 @@
 
 // freeLater frees results after a time, together with those that are to be freed at the upstream until then.
 func (gt *Gatherer) freeLater(id string, handles []string, freed func(), after time.Duration) {
-	if gt.joinWaitingFree(id, handles, freed) {
-		return
+	gt.mu.Lock()
+	defer gt.mu.Unlock()
+	waiting := gt.waitingFrees[id]
+	if waiting == nil {
+		waiting = &waitingFree{}
+		gt.waitingFrees[id] = waiting
+		gt.background.Go(func() { gt.freeWaiting(id, waiting, after) })
 	}
+	waiting.add(handles, freed)
+}
+
+// freeWaiting frees the waiting results of an upstream after a time.
+func (gt *Gatherer) freeWaiting(id string, waiting *waitingFree, after time.Duration) {
+	_ = gt.timers.Sleep(gt.ctx, after)
 	gt.mu.Lock()
-	gt.waitingFrees[id] = &waitingFree{handles: handles, freed: []func(){freed}}
+	delete(gt.waitingFrees, id)
 	gt.mu.Unlock()
-	gt.background.Go(func() {
-		_ = gt.timers.Sleep(gt.ctx, after)
-		gt.mu.Lock()
-		waiting := gt.waitingFrees[id]
-		delete(gt.waitingFrees, id)
-		gt.mu.Unlock()
-		gt.freeNow(id, waiting.handles, func() {
-			for _, each := range waiting.freed {
-				each()
-			}
-		})
-	})
+	gt.freeNow(id, waiting.handles, waiting.allFreed)
 }
 
 // availableResultBytes asks an upstream for the memory that it has left for results.
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -65,7 +65,7 @@
 func newFakes() *fakes {
 	return &fakes{
 		upstreams: []*roster.Upstream{
-			{ID: "a1", Pool: "p", FailureDomain: "a"}, {ID: "a2", Pool: "p", FailureDomain: "a"}, {ID: "b1", Pool: "p", FailureDomain: "b"},
+			{ID: "a1", Address: "a1", Pool: "p", FailureDomain: "a"}, {ID: "a2", Address: "a2", Pool: "p", FailureDomain: "a"}, {ID: "b1", Address: "b1", Pool: "p", FailureDomain: "b"},
 		},
 		leaving: map[string]bool{}, dead: map[string]bool{}, outcome: map[string]gather.Outcome{}, budget: 100, availableBytes: 36e6, limitedUntil: map[string]time.Time{},
 	}
--- a/gather/limits_test.go
+++ b/gather/limits_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -71,4 +73,19 @@
 			must.SliceContainsAll(t, fk.freedHandles(), handles)
 		})
 	})
+	t.Run("results that are released at the same moment are all freed", func(t *testing.T) {
+		runFleet(t, []string{"a1"}, func(_ context.Context, fl *fleet, fk *fakes) {
+			fk.limit(time.Second, "a1", "a2")
+			handles := []string{}
+			released := sync.WaitGroup{}
+			for number := range 512 {
+				handle := fmt.Sprintf("%s/%d", fk.upstreams[0].Address, number)
+				handles = append(handles, handle)
+				released.Go(func() { fl.gatherers["a1"].Release("p", []string{handle}) })
+			}
+			released.Wait()
+			time.Sleep(1100 * time.Millisecond)
+			must.SliceContainsAll(t, fk.freedHandles(), handles)
+		})
+	})
 }
