--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/shoenig/test/must"
 
@@ -143,6 +144,14 @@
 		outcome, _ := serve(t, fk, "/query/1", takenUp(""))
 		assertRefusedWith(t, fk, outcome, gateway.Refused{Cause: gateway.VersionUnknown})
 	})
+	t.Run("an id of bytes that are no text is refused and logged as text", func(t *testing.T) {
+		fk := versioned("v1", "v1", "v1")
+		outcome, _ := serve(t, fk, "/query/1", takenUp("\xff1"))
+		assertRefusedWith(t, fk, outcome, gateway.Refused{Cause: gateway.VersionUnknown})
+		for _, event := range fk.log {
+			must.True(t, utf8.ValidString(event.GetDetail()), must.Sprintf("%q", event.GetDetail()))
+		}
+	})
 	t.Run("a refused connection shows that an upstream has ended", func(t *testing.T) {
 		fk := versioned("v1", "v1", "v1", response{err: gateway.NotSentError{Cause: errReset, IsRefused: true}}, afterOne)
 		serve(t, fk, "/query/1", withoutStages)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -43,9 +43,9 @@
 // maxLoggedText bounds a caller's text in the log, in bytes.
 const maxLoggedText = 64
 
-// clip shortens a caller's text for the log.
+// clip shortens a caller's text for the log, and replaces bytes that are not valid UTF-8.
 func clip(text string) string {
-	return text[:min(len(text), maxLoggedText)]
+	return strings.ToValidUTF8(text[:min(len(text), maxLoggedText)], "?")
 }
 
 // Prompt describes a prompt for a model engine. Parts are in order; all but the last may be shared with other requests.
