--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -160,9 +160,9 @@
 func assertLimitIsKept(t *testing.T, limit *rateLimit) {
 	t.Helper()
 	excess, most := limit.worst(false)
-	toldExcess, toldMost := limit.worst(true)
-	t.Logf("%s: %d calls in the worst %v, %.1f more than allowed; %d of instances that it had told", limit.upstream, most, limitWindow, excess, toldMost)
-	must.LessEq(t, 0, toldExcess, must.Sprint("calls of instances that the upstream had told of its limit"))
+	informedExcess, informedMost := limit.worst(true)
+	t.Logf("%s: %d calls in the worst %v, %.1f more than allowed; %d of instances that it had informed", limit.upstream, most, limitWindow, excess, informedMost)
+	must.LessEq(t, 0, informedExcess, must.Sprint("calls of instances that the upstream had informed of its limit"))
 	must.LessEq(t, 0, excess, must.Sprint("calls of all instances"))
 }
 
--- a/entry/ratelimits_test.go
+++ b/entry/ratelimits_test.go
@@ -14,9 +14,9 @@
 	upstream string
 	// steps are the limits in their order; the first one is when the upstream began to announce any.
 	steps []limitStep
-	// firstAnnounced is when the first answer with a limit was returned, toldAt when each instance received one.
+	// firstAnnounced is when the first answer with a limit was returned, informedAt when each instance received one.
 	firstAnnounced time.Time
-	toldAt         map[*node]time.Time
+	informedAt     map[*node]time.Time
 	calls          []limitedCall
 	// unreadable makes every second answer announce what is no number.
 	unreadable bool
@@ -34,8 +34,8 @@
 type limitedCall struct {
 	at   time.Time
 	from *node
-	// converged reports that no fault of the instance was recent, told that it knew of the limit from an answer of its own.
-	converged, told bool
+	// converged reports that no fault of the instance was recent, informed that it had an answer of its own with the limit.
+	converged, informed bool
 }
 
 const (
@@ -44,8 +44,8 @@
 	limitWindow    = 4 * time.Second
 	limitTolerance = 1.5
 	limitExtra     = 5
-	// toldDelay is how long after its first answer with a limit the calls of an instance count.
-	toldDelay = 500 * time.Millisecond
+	// informDelay is how long after its first answer with a limit the calls of an instance count.
+	informDelay = 500 * time.Millisecond
 	// inFlightTime is how long calls that were sent before a lower limit was announced may still arrive.
 	inFlightTime = 500 * time.Millisecond
 	// rounding allows for the error of sums.
@@ -58,7 +58,7 @@
 	defer us.mu.Unlock()
 	up := us.byID[id]
 	if up.limit == nil {
-		up.limit = &rateLimit{upstream: id, toldAt: map[*node]time.Time{}}
+		up.limit = &rateLimit{upstream: id, informedAt: map[*node]time.Time{}}
 		us.limits = append(us.limits, up.limit)
 	}
 	up.limit.steps = append(up.limit.steps, limitStep{from: time.Now(), perSecond: perSecond})
@@ -71,9 +71,9 @@
 	if up.limit == nil {
 		return
 	}
-	told := up.limit.toldAt[nd]
+	informed := up.limit.informedAt[nd]
 	up.limit.calls = append(up.limit.calls, limitedCall{
-		at: time.Now(), from: nd, converged: nd.hasConverged(), told: !told.IsZero() && time.Since(told) >= toldDelay,
+		at: time.Now(), from: nd, converged: nd.hasConverged(), informed: !informed.IsZero() && time.Since(informed) >= informDelay,
 	})
 }
 
@@ -86,8 +86,8 @@
 		if up.limit.firstAnnounced.IsZero() {
 			up.limit.firstAnnounced = time.Now()
 		}
-		if up.limit.toldAt[nd].IsZero() {
-			up.limit.toldAt[nd] = time.Now()
+		if up.limit.informedAt[nd].IsZero() {
+			up.limit.informedAt[nd] = time.Now()
 		}
 	}
 	if up.limit != nil && up.limit.unreadable && len(up.limit.calls)%2 == 0 {
@@ -133,8 +133,8 @@
 }
 
 // worst returns the largest number of calls in a window beyond those that are allowed, and how many they were. Calls of
-// instances with a recent fault don't count; with onlyTold neither do those of instances that no answer told of the limit.
-func (rl *rateLimit) worst(onlyTold bool) (excess float64, most int) {
+// instances with a recent fault don't count; with onlyInformed neither do those of instances that got no answer with the limit.
+func (rl *rateLimit) worst(onlyInformed bool) (excess float64, most int) {
 	excess = math.Inf(-1)
 	for last, end := range rl.calls {
 		allowed, bounded := rl.allowed(end.at)
@@ -143,7 +143,7 @@
 		}
 		count := 0
 		for first := last; first >= 0 && end.at.Sub(rl.calls[first].at) < limitWindow; first-- {
-			if rl.calls[first].converged && (rl.calls[first].told || !onlyTold) {
+			if rl.calls[first].converged && (rl.calls[first].informed || !onlyInformed) {
 				count++
 			}
 		}
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -245,7 +245,7 @@
 	firstByteAt  time.Time
 	// reportedSuccess is set once the success of the prompt's parts was reported.
 	reportedSuccess bool
-	// answered must be told the rate limit that the answer announces; limit is that limit for the log.
+	// answered is called with the rate limit that the answer announces; limit is that limit for the log.
 	answered func(ratelimit.Announcement)
 	limit    string
 	// origin is where the stream begins if the attempt brings its first event.
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -15,7 +15,7 @@
 
 // RateLimiter keeps the requests of all instances to an upstream within the rate limit that it announces.
 type RateLimiter interface {
-	// Acquire waits until a request may be sent, at most maxWait, and returns the function that must be told what its answer
+	// Acquire waits until a request may be sent, at most maxWait, and returns the function to call with what its answer
 	// announces. The error is ratelimit.Exceeded or that of ctx; then the request must not be sent.
 	Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(ratelimit.Announcement), error)
 	// Limits returns the limits in force, in requests per second.
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -110,7 +110,7 @@
 	epoch  int64
 }
 
-// Acquire waits until a request may be sent to an upstream, at most maxWait, and returns the function that must be told what
+// Acquire waits until a request may be sent to an upstream, at most maxWait, and returns the function to call with what
 // the upstream's answer announces. The error is ratelimit.Exceeded or that of ctx; then the request must not be sent.
 func (th *Throttle) Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(ratelimit.Announcement), error) {
 	issued := sent{}
