--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -81,7 +81,7 @@
 }
 
 // originRetryAfter returns the delay after which the caller is asked to take its stream up again where no upstream can continue
-// it: only if this instance may not have heard of those upstreams yet.
+// it: only if this instance may not know of those upstreams yet.
 func (rn *run) originRetryAfter() time.Duration {
 	if rn.Streams.IsRecent(rn.pipeline.Name, *rn.origin) {
 		return 0
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -85,7 +85,7 @@
 		assertOutcome(t, "CutOff", outcome)
 		must.SliceLen(t, 1, fk.sends)
 	})
-	t.Run("an upstream that was restarted does not continue it, and all are told", func(t *testing.T) {
+	t.Run("an upstream that was restarted does not continue it, and all instances learn of it", func(t *testing.T) {
 		fk := versioned("v1", "v1", "v1", brokenAfterOne, afterOne)
 		fk.restarted = true
 		outcome, out := serve(t, fk, "/query/1", withoutStages)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -160,7 +160,7 @@
 	UpstreamsFull Cause = "UpstreamsFull"
 	// RateLimited: the rate limits of the upstreams are used up.
 	RateLimited Cause = "RateLimited"
-	// VersionUnknown: the software version that began the stream can't be told; VersionGone: no upstream of it is left.
+	// VersionUnknown: the software version that began the stream is not known; VersionGone: no upstream of it is left.
 	VersionUnknown Cause = "VersionUnknown"
 	VersionGone    Cause = "VersionGone"
 	// NoTime: the deadline passed before the request was sent.
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -10,7 +10,7 @@
 type Origin struct {
 	Pool    string
 	Version string
-	// IsUnknown is set if the version can't be told, as the upstream may have been restarted with another one.
+	// IsUnknown is set if the version is not known, as the upstream may have been restarted with another one.
 	IsUnknown bool
 }
 
--- a/runner/stage_test.go
+++ b/runner/stage_test.go
@@ -92,7 +92,7 @@
 }
 
 // TestHedgeStartsAfterResult guards against a hedge that fires after the result of the first attempt was accepted and
-// before the dispatcher has been told of its end, and that is still sent.
+// before the dispatcher knows of its end, and that is still sent.
 func TestHedgeStartsAfterResult(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		accepted, held := attempt.AttemptUnknown, int64(0)
--- a/streamdirectory/find.go
+++ b/streamdirectory/find.go
@@ -23,7 +23,7 @@
 
 func (Found) result() {}
 
-// NotFound says that the origin of a stream can't be told; MayBeFound is set if an instance that may know it did not answer.
+// NotFound says that the origin of a stream is not known; MayBeFound is set if an instance that may know it did not answer.
 type NotFound struct {
 	MayBeFound bool
 }
--- a/streamdirectory/streamdirectory.go
+++ b/streamdirectory/streamdirectory.go
@@ -68,7 +68,7 @@
 }
 
 const (
-	// minRetention is the least retention, and retentionMargin how much longer it is than the longest stream.
+	// minRetention is the least retention, and retentionMargin how much longer than the longest stream it is.
 	minRetention    = 20 * time.Second
 	retentionMargin = 5 * time.Second
 	// keeperCount is how many other instances keep a record, askedCount how many are asked for it: after instances came and
@@ -158,7 +158,7 @@
 	}
 }
 
-// needsReplication reports whether the origin of a pipeline's streams can only be told from their records. When that begins,
+// needsReplication reports whether the origins of a pipeline's streams are known only from their records. When that begins,
 // the records of its earlier streams are replicated, too. The caller holds the lock.
 func (dr *Directory) needsReplication(pipeline string) bool {
 	now := dr.Timers.Now()
