--- a/gather/limits_test.go
+++ b/gather/limits_test.go
@@ -56,6 +56,9 @@
 			must.Zero(t, fk.budget)
 		})
 	})
+}
+
+func TestResultsOfALimitedUpstream(t *testing.T) {
 	t.Run("results are freed in one call once the limit allows it", func(t *testing.T) {
 		runFleet(t, []string{"a1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
 			handles := []string{}
