--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -152,9 +152,10 @@
 			must.True(t, utf8.ValidString(event.GetDetail()), must.Sprintf("%q", event.GetDetail()))
 		}
 	})
-	t.Run("a refused connection shows that an upstream has ended", func(t *testing.T) {
-		fk := versioned("v1", "v1", "v1", response{err: gateway.NotSentError{Cause: errReset, IsRefused: true}}, afterOne)
-		serve(t, fk, "/query/1", withoutStages)
-		must.True(t, fk.ended[fk.sends[0].Upstream.Incarnation()])
-	})
+}
+
+func TestRefusedConnectionShowsThatAnUpstreamHasEnded(t *testing.T) {
+	fk := versioned("v1", "v1", "v1", response{err: gateway.NotSentError{Cause: errReset, IsRefused: true}}, afterOne)
+	serve(t, fk, "/query/1", withoutStages)
+	must.True(t, fk.ended[fk.sends[0].Upstream.Incarnation()])
 }
