--- a/streamdirectory/streamdirectory_test.go
+++ b/streamdirectory/streamdirectory_test.go
@@ -33,11 +33,41 @@
 	silent, left map[string]bool
 	versions     []string
 	staleness    time.Duration
-	// records and searches count the calls, recorded the records in them.
-	records, searches, recorded int
+	// records counts the calls with records.
+	records int
+}
+
+// change changes the fleet while its instances run.
+func (fl *fleet) change(change func()) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	change()
+}
+
+// isSilent reports whether an instance does not answer.
+func (fl *fleet) isSilent(id string) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.silent[id]
+}
+
+// age returns the age of the registrations.
+func (fl *fleet) age() time.Duration {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.staleness
+}
+
+// recordCalls returns the number of calls with records.
+func (fl *fleet) recordCalls() int {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.records
 }
 
 func (fl *fleet) Live() []member.Member {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
 	list := []member.Member{}
 	for at, name := range fl.names {
 		if !fl.left[name] {
@@ -50,9 +80,8 @@
 func (fl *fleet) RecordOriginsAt(_ context.Context, keeper member.Member, request *wire.RecordOriginsRequest) error {
 	fl.mu.Lock()
 	fl.records++
-	fl.recorded += len(request.GetOrigins())
 	fl.mu.Unlock()
-	if fl.silent[keeper.ID] {
+	if fl.isSilent(keeper.ID) {
 		return errSilent
 	}
 	fl.directories[keeper.ID].Keep(request)
@@ -60,10 +89,7 @@
 }
 
 func (fl *fleet) FindOriginAt(ctx context.Context, keeper member.Member, request *wire.FindOriginRequest) (*wire.FindOriginReply, error) {
-	fl.mu.Lock()
-	fl.searches++
-	fl.mu.Unlock()
-	if fl.silent[keeper.ID] {
+	if fl.isSilent(keeper.ID) {
 		<-ctx.Done()
 		return nil, errSilent
 	}
@@ -105,7 +131,7 @@
 			name := fmt.Sprint("i", at)
 			fl.names = append(fl.names, name)
 			fl.directories[name] = streamdirectory.New(streamdirectory.Parts{
-				Self: name, Fleet: fl, Present: fl.present, Staleness: func() time.Duration { return fl.staleness },
+				Self: name, Fleet: fl, Present: fl.present, Staleness: fl.age,
 				Timers: timers, Events: timeline.New(name, hlc.New(timers), 100, nil),
 			})
 			stopped := make(chan struct{})
@@ -165,21 +191,21 @@
 		runFleet(t, 8, old, func(ctx context.Context, fl *fleet) {
 			fl.setVersions("v1", "v2")
 			fl.begin("i0", "a", "v2")
-			fl.silent["i0"] = true
+			fl.change(func() { fl.silent["i0"] = true })
 			for _, name := range fl.names[1:] {
 				result, is := fl.directories[name].Find(ctx, "a", "query").(streamdirectory.Found)
 				must.True(t, is)
 				must.Eq(t, "v2", result.Origin.Version)
 			}
-			fl.left["i0"] = true
+			fl.change(func() { fl.left["i0"] = true })
 			assertFound(ctx, t, fl, "i1", "a", "v2", streamdirectory.PeerRecord)
 		})
 	})
 	t.Run("one version needs no record, and no call for it", func(t *testing.T) {
 		runFleet(t, 8, old, func(ctx context.Context, fl *fleet) {
 			fl.begin("i0", "a", "v1")
-			must.Zero(t, fl.records)
-			fl.left["i0"] = true
+			must.Zero(t, fl.recordCalls())
+			fl.change(func() { fl.left["i0"] = true })
 			assertFound(ctx, t, fl, "i1", "a", "v1", streamdirectory.OnlyVersion)
 		})
 	})
@@ -188,7 +214,7 @@
 			fl.begin("i0", "a", "v1")
 			fl.setVersions("v1", "v2")
 			time.Sleep(100 * time.Millisecond)
-			fl.left["i0"] = true
+			fl.change(func() { fl.left["i0"] = true })
 			assertFound(ctx, t, fl, "i1", "a", "v1", streamdirectory.PeerRecord)
 		})
 	})
@@ -206,22 +232,22 @@
 		runFleet(t, 8, time.Second, func(ctx context.Context, fl *fleet) {
 			assertNotFound(ctx, t, fl, "i1", "unknown", false)
 			fl.begin("i0", "a", "v1")
-			fl.left["i0"] = true
+			fl.change(func() { fl.left["i0"] = true })
 			assertFound(ctx, t, fl, "i1", "a", "v1", streamdirectory.PeerRecord)
 		})
 	})
 	t.Run("nor while the registrations are old", func(t *testing.T) {
 		runFleet(t, 8, old, func(ctx context.Context, fl *fleet) {
-			fl.staleness = 3 * time.Second
+			fl.change(func() { fl.staleness = 3 * time.Second })
 			assertNotFound(ctx, t, fl, "i1", "unknown", false)
 			fl.begin("i0", "a", "v1")
-			fl.left["i0"] = true
+			fl.change(func() { fl.left["i0"] = true })
 			assertFound(ctx, t, fl, "i1", "a", "v1", streamdirectory.PeerRecord)
 		})
 	})
 	t.Run("nor if an instance does not answer that may know better than one with old registrations", func(t *testing.T) {
 		runFleet(t, 3, old, func(ctx context.Context, fl *fleet) {
-			fl.silent["i0"], fl.staleness = true, 3*time.Second
+			fl.change(func() { fl.silent["i0"], fl.staleness = true, 3*time.Second })
 			began := time.Now()
 			assertNotFound(ctx, t, fl, "i1", "unknown", true)
 			must.LessEq(t, 200*time.Millisecond, time.Since(began))
@@ -229,7 +255,7 @@
 	})
 	t.Run("an instance that knows all versions needs no answer of others", func(t *testing.T) {
 		runFleet(t, 3, old, func(ctx context.Context, fl *fleet) {
-			fl.silent["i0"], fl.silent["i2"] = true, true
+			fl.change(func() { fl.silent["i0"], fl.silent["i2"] = true, true })
 			assertFound(ctx, t, fl, "i1", "unknown", "v1", streamdirectory.OnlyVersion)
 		})
 	})
@@ -259,7 +285,7 @@
 			must.True(t, is)
 			fl.directories["i5"].Continue("a", "query", result.Origin)
 			for _, name := range []string{"i0", "i1", "i2", "i3", "i4"} {
-				fl.left[name] = true
+				fl.change(func() { fl.left[name] = true })
 			}
 			assertFound(ctx, t, fl, "i5", "a", "v2", streamdirectory.OwnRecord)
 		})
@@ -297,7 +323,7 @@
 				for _, each := range fl.directories {
 					kept = max(kept, each.Len())
 				}
-				calls := float64(fl.records) / seconds / count
+				calls := float64(fl.recordCalls()) / seconds / count
 				t.Logf("%d streams a second at %d instances: at most %d records, %.1f calls a second at each instance", perSecond, count, kept, calls)
 				must.LessEq(t, 2*2*(len(versions)+1)*perSecond*int(2*retention/time.Second)/count, kept)
 				must.LessEq(t, float64(2*(len(versions)-1)*perSecond)/count, calls)
