Streams: which records have to be replicated is checked every 2 s, not every 0.5 s (ORDER)

The check itself takes about a microsecond; the wake-up of an otherwise idle process is what is paid for.

--- a/streamdirectory/streamdirectory.go
+++ b/streamdirectory/streamdirectory.go
@@ -86,7 +86,7 @@
 	maxOutgoing = 4096
 	maxRepeated = 4096
 	// refreshInterval is how often it is checked, also without a change, which records have to be replicated.
-	refreshInterval = 500 * time.Millisecond
+	refreshInterval = 2 * time.Second
 )
 
 // New returns a directory that knows no streams.
