Tests: the fake fleet of streamdirectory announces its first registrations (ORDER)

The fake fleet began without a changed registration, so the directories first read the origins at their first check, now after 2 s, and were 1.5 s too young for the test. An instance announces its first rows, and so does the fake fleet now; no assertion is changed.

--- a/streamdirectory/streamdirectory_test.go
+++ b/streamdirectory/streamdirectory_test.go
@@ -137,6 +137,7 @@
 			stopped := make(chan struct{})
 			ends = append(ends, stopped)
 			go fl.directories[name].Run(ctx, stopped)
+			fl.directories[name].Refresh()
 		}
 		time.Sleep(age)
 		run(ctx, fl)
