--- a/batch/batch.go
+++ b/batch/batch.go
@@ -243,8 +243,8 @@
 	// and the retry budget counts that.
 	notReached := report.Outcome == OutcomeUnreachable || report.Outcome == OutcomeLimited
 	for _, item := range report.Unsent {
-		if gr := sc.groups[item.GroupID]; gr != nil && gr.sendCounts[item.Index] > 0 && notReached {
-			gr.sendCounts[item.Index]--
+		if gr := sc.groups[item.GroupID]; gr != nil && notReached {
+			gr.takeBackSend(item.Index)
 		}
 	}
 }
@@ -259,6 +259,14 @@
 	}
 }
 
+// takeBackSend takes back one send of an item that did not reach an upstream.
+func (gr *group) takeBackSend(index int) {
+	gr.sendCounts[index]--
+	if gr.sendCounts[index] <= 0 {
+		delete(gr.sendCounts, index)
+	}
+}
+
 // Step returns the actions that are due; retriesLeft bounds the items that may be sent again.
 func (sc *Scheduler) Step(now time.Time, retriesLeft int) []Action {
 	actions := sc.dropExpired(now)
@@ -289,7 +297,7 @@
 		actions = append(actions, *sent)
 	}
 	if sc.waitingItems() > 0 {
-		wake = earliest(wake, sc.nextExpiry())
+		wake = earliest(earliest(wake, sc.nextExpiry()), sc.nextLate(now))
 	}
 	if !wake.IsZero() {
 		actions = append(actions, Wake{At: wake})
@@ -324,14 +332,17 @@
 	return actions
 }
 
-// dropInfeasible removes late groups whose expected wait exceeds their expiry, and returns the others in the order in
-// which they are sent. Groups with sent items or with inputs stay, since work was already done for them.
+// dropInfeasible removes late groups that are not expected to be served, and returns the others in the order in which they
+// are sent. Groups with sent items or with inputs stay, since work was already done for them.
 func (sc *Scheduler) dropInfeasible(now time.Time) ([]*group, []Action) {
 	order := sc.orderForCall(now)
 	kept, actions := make([]*group, 0, len(order)), []Action{}
+	areAllLimited, canSend := sc.areAllLimited(), sc.capacity(now).firstIdleIn == 0
 	for index, wait := range sc.expectedWaits(now, order) {
 		gr := order[index]
-		if len(gr.sendCounts) == 0 && !gr.HasInputs && sc.isLate(now, gr) && now.Add(wait).After(gr.Expires) {
+		// Behind rate limits the groups that are on time take all calls.
+		isDenied := areAllLimited && !(canSend && len(kept) == 0)
+		if len(gr.sendCounts) == 0 && !gr.HasInputs && sc.isLate(now, gr) && (isDenied || now.Add(wait).After(gr.Expires)) {
 			actions = append(actions, Drop{GroupID: gr.ID})
 			sc.Remove(gr.ID)
 			continue
@@ -341,6 +352,16 @@
 	return kept, actions
 }
 
+// areAllLimited reports whether all upstreams have a rate limit.
+func (sc *Scheduler) areAllLimited() bool {
+	for _, up := range sc.upstreams {
+		if !up.isLimited {
+			return false
+		}
+	}
+	return len(sc.upstreams) > 0
+}
+
 // nextExpiry returns when dropExpired will remove the next group.
 func (sc *Scheduler) nextExpiry() time.Time {
 	next := time.Time{}
@@ -352,6 +373,20 @@
 	return next
 }
 
+// nextLate returns when the next group becomes late that dropInfeasible may then remove behind a rate limit, or zero.
+func (sc *Scheduler) nextLate(now time.Time) time.Time {
+	next := time.Time{}
+	if !sc.areAllLimited() {
+		return next
+	}
+	for _, gr := range sc.queue {
+		if len(gr.sendCounts) == 0 && !sc.isLate(now, gr) {
+			next = earliest(next, sc.lateAt(gr).Add(time.Millisecond))
+		}
+	}
+	return next
+}
+
 // waitingItems returns the number of items to be sent.
 func (sc *Scheduler) waitingItems() int {
 	count := 0
--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -173,3 +173,39 @@
 	}
 	must.Eq(t, []uint64{100}, dropped)
 }
+
+// TestGroupsBehindARateLimit guards against groups that a rate limit denies and that are held until they expire.
+func TestGroupsBehindARateLimit(t *testing.T) {
+	late := start.Add(1500 * time.Millisecond)
+	// deny submits group 1, whose call a rate limit denies.
+	deny := func(limited bool) *batch.Scheduler {
+		scheduler := batch.New(config)
+		scheduler.SetUpstreams([]batch.Upstream{{Name: "a", IsLimited: limited, CallsPerSecond: 1}})
+		submit(scheduler, 1, 2, 1)
+		denied := sends(scheduler.Step(start, 0))[0]
+		scheduler.CallEnded(start, batch.CallResult{CallID: denied.CallID, Outcome: batch.OutcomeLimited, RetryAfter: 10 * time.Second, Unsent: denied.Items})
+		return scheduler
+	}
+	t.Run("a late group whose call was denied is dropped once it can't be served in time", func(t *testing.T) {
+		must.SliceContains(t, deny(false).Step(late, 0), batch.Action(batch.Drop{GroupID: 1}))
+	})
+	t.Run("it waits while it is on time", func(t *testing.T) {
+		must.SliceNotContains(t, deny(false).Step(start, 0), batch.Action(batch.Drop{GroupID: 1}))
+	})
+	t.Run("a late group is dropped where others that are on time take all calls that the limit allows", func(t *testing.T) {
+		scheduler := batch.New(config)
+		scheduler.SetUpstreams([]batch.Upstream{{Name: "a", IsLimited: true, CallsPerSecond: 1}})
+		submit(scheduler, 1, 2, 1)
+		scheduler.Submit(batch.Group{ID: 2, Count: 2, Due: late.Add(time.Second), Expires: late.Add(4 * time.Second), ResultBytes: 1})
+		must.SliceContains(t, scheduler.Step(late, 0), batch.Action(batch.Drop{GroupID: 1}))
+	})
+	t.Run("a late group whose call was denied is dropped at once where all upstreams have a limit", func(t *testing.T) {
+		must.SliceContains(t, deny(true).Step(late, 0), batch.Action(batch.Drop{GroupID: 1}))
+	})
+	t.Run("it is served if there are no others", func(t *testing.T) {
+		scheduler := batch.New(config)
+		scheduler.SetUpstreams([]batch.Upstream{{Name: "a", IsLimited: true, CallsPerSecond: 1}})
+		submit(scheduler, 1, 2, 1)
+		must.SliceLen(t, 1, sends(scheduler.Step(late, 0)))
+	})
+}
--- a/batch/forecast.go
+++ b/batch/forecast.go
@@ -34,7 +34,12 @@
 
 // isLate reports whether half a batch sent now would end after the group's due time.
 func (sc *Scheduler) isLate(now time.Time, gr *group) bool {
-	return now.Add(sc.expectedDuration(sc.config.MaxBatch / 2)).After(gr.Due)
+	return now.After(sc.lateAt(gr))
+}
+
+// lateAt returns the time after which a group is late.
+func (sc *Scheduler) lateAt(gr *group) time.Time {
+	return gr.Due.Add(-sc.expectedDuration(sc.config.MaxBatch / 2))
 }
 
 // capacity is the combined capacity of a pool's usable upstreams.
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -336,6 +336,25 @@
 	}
 }
 
+// TestAllUpstreamsOfAStageLimited guards against requests that are admitted to a stage whose limits turn out to be used up, and
+// are held until their timeout: they are refused once they would be late.
+func TestAllUpstreamsOfAStageLimited(t *testing.T) {
+	for _, perSecond := range []float64{1, 2, 5} {
+		t.Run(fmt.Sprint(perSecond, " a second"), func(t *testing.T) {
+			t.Parallel()
+			lr := newLimitRun()
+			lr.path, lr.pool, lr.limited, lr.perSecond = "/draft/", "encode", 4, perSecond
+			assertLimitsAreKept(t, lr)
+			must.Positive(t, lr.refused)
+			must.Zero(t, lr.withoutTime, must.Sprint("refusals without a time"))
+			must.LessEq(t, stageTarget, lr.slowest)
+		})
+	}
+}
+
+// stageTarget is the target latency of the requests with stages.
+const stageTarget = time.Second
+
 // slowestRefusal bounds the time until a request is refused for which all limits are used up.
 const slowestRefusal = 300 * time.Millisecond
 
