Streams that moved to another version before their first event are taken up at that version (ORDER)

What callers saw: a stream with events of two versions. Change: a record that differs from that of an earlier send is sent to the keepers at once, while the upstream works, and the first event is passed on once they have answered, 150 ms at most. It delays only requests that were lost at one version and sent to another. And who finds no record asks once more after 40 ms, as that of a stream which broke at once may be on its way.

Left: a keeper that does not answer within 150 ms keeps the wrong record.

--- a/entry/ordercases_test.go
+++ b/entry/ordercases_test.go
@@ -30,6 +30,10 @@
 		}
 		or.noShare = true
 	},
+	"answers break before and after their first event at fast upstreams": func(or *orderRun) {
+		or.prepare = func(us *upstreamSet) { us.isFast, us.breaksAnswers = true, true }
+		or.every, or.atOnce, or.crashEvery = 10*time.Millisecond, 4, 0
+	},
 	"instances are frozen": func(or *orderRun) {
 		or.during = func(or *orderRun, elapsed time.Duration) {
 			if elapsed%(2*time.Second) == 0 {
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -67,6 +67,10 @@
 	// of a stream.
 	versions     map[string]string
 	streamEvents int
+	// isFast is set if the upstreams take a millisecond for a request that is not lost and for each event.
+	isFast bool
+	// breaksAnswers is set if a third of the answers break before their first event, and many later.
+	breaksAnswers bool
 	// knowsOnlyIDs makes upstreams take requests for an earlier incarnation of their id.
 	knowsOnlyIDs bool
 	// registerDelay is how long after its start an upstream's registration is written.
@@ -320,13 +324,13 @@
 		return nil, errReset
 	}
 	us.mu.Lock()
-	hangs, lost := up.hangs, up.flaky && us.random.IntN(3) == 0
+	hangs, lost := up.hangs, (up.flaky || us.breaksAnswers) && us.random.IntN(3) == 0
 	us.mu.Unlock()
 	if hangs {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if !sleep(ctx, workTime) {
+	if !sleep(ctx, us.time(workTime, lost)) {
 		return nil, ctx.Err()
 	}
 	us.crashOnPart(up, exchange, false)
@@ -353,6 +357,14 @@
 	return reply, nil
 }
 
+// time returns the time that something takes which usually takes usual; what is lost takes that also at fast upstreams.
+func (us *upstreamSet) time(usual time.Duration, lost bool) time.Duration {
+	if us.isFast && !lost {
+		return time.Millisecond
+	}
+	return usual
+}
+
 // eventStream is the body of a streamed response; it fails when its upstream crashes.
 type eventStream struct {
 	node      *node
@@ -370,14 +382,14 @@
 	if es.next > es.upstreams.streamEvents {
 		return 0, io.EOF
 	}
-	if !sleep(es.ctx, eventGap) || !es.node.awaitThaw(es.ctx) {
+	if !sleep(es.ctx, es.upstreams.time(eventGap, false)) || !es.node.awaitThaw(es.ctx) {
 		return 0, es.ctx.Err()
 	}
 	if es.written > 0 {
 		es.upstreams.crashOnPart(es.up, es.exchange, true)
 	}
 	es.upstreams.mu.Lock()
-	broken := es.up.crashed || es.up.flaky && es.upstreams.random.IntN(12) == 0 ||
+	broken := es.up.crashed || (es.up.flaky || es.upstreams.breaksAnswers) && es.upstreams.random.IntN(12) == 0 ||
 		es.upstreams.resumesFail && es.upstreams.random.IntN(streamBreakage) == 0
 	es.upstreams.mu.Unlock()
 	if broken {
--- a/gateway/fakepeers_test.go
+++ b/gateway/fakepeers_test.go
@@ -48,6 +48,13 @@
 	return began
 }
 
+// AwaitCorrection records the call, with how many streams had begun.
+func (fk *fakes) AwaitCorrection(_ context.Context, attemptID string) {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	fk.corrected = append(fk.corrected, attemptID+" "+fk.origins[attemptID].Version)
+}
+
 func (fk *fakes) Continue(attemptID, _ string, known origin.Origin) {
 	fk.mu.Lock()
 	defer fk.mu.Unlock()
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -124,6 +124,8 @@
 	origins   map[string]origin.Origin
 	ended     map[roster.Incarnation]bool
 	continued []string
+	// corrected lists the attempts for whose corrected records was waited, with the versions.
+	corrected []string
 	notFound  streamdirectory.NotFound
 	// earlier is the number of requests that the gateway serves before the one whose response is checked.
 	earlier int
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -19,6 +19,8 @@
 type StreamDirectory interface {
 	// Begin records that a request is sent to an upstream, where its stream begins if no later send does it.
 	Begin(attemptID, pipeline string, send int, upstream *roster.Upstream) origin.Origin
+	// AwaitCorrection waits until the other instances know the origin of the last send if it is another one than those before.
+	AwaitCorrection(ctx context.Context, attemptID string)
 	// Continue records the origin of a stream that its caller has taken up at this instance.
 	Continue(attemptID, pipeline string, known origin.Origin)
 	// Find returns the origin of the stream whose first event an attempt of the caller brought.
@@ -129,9 +131,14 @@
 
 // bindToOrigin binds the rest of the request to the upstreams of the kind that has brought the first event.
 func (at *attempt) bindToOrigin() {
-	if at.run.isResumable() && at.run.origin == nil {
-		at.run.origin = &at.origin
+	rn := at.run
+	if !rn.isResumable() || rn.origin != nil {
+		return
+	}
+	if rn.sends > 1 {
+		rn.Streams.AwaitCorrection(at.ctx, rn.request.ID)
 	}
+	rn.origin = &at.origin
 }
 
 // mayContinue reports whether the stream of the request may go on at another upstream.
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -77,6 +77,7 @@
 		assertOutcome(t, "CutOff", outcome)
 		must.SliceLen(t, 2, fk.sends)
 		must.Eq(t, fk.sends[1].Upstream.SoftwareVersion, fk.origins["r1"].Version)
+		must.Eq(t, []string{"r1 " + fk.sends[1].Upstream.SoftwareVersion}, fk.corrected, must.Sprint("waits before the first event"))
 	})
 	t.Run("it ends at once if the upstream that began it may have had another version", func(t *testing.T) {
 		fk := versioned("v1", "v1", "v1", brokenAfterOne, afterOne)
--- a/streamdirectory/find.go
+++ b/streamdirectory/find.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 
-	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/origin"
-	"github.com/turmericdoor/turmericdoor/ownership"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
 
@@ -42,6 +40,22 @@
 
 // Find returns the origin of the stream of a pipeline whose first event an attempt brought; an empty id is that of no attempt.
 func (dr *Directory) Find(ctx context.Context, attemptID, pipeline string) Result {
+	result := dr.search(ctx, attemptID, pipeline)
+	if result != (NotFound{}) || attemptID == "" {
+		return result
+	}
+	// The record of a stream that broke soon after it began may be on its way.
+	if dr.Timers.Sleep(ctx, recordDelay) != nil {
+		return result
+	}
+	return dr.search(ctx, attemptID, pipeline)
+}
+
+// recordDelay is how long the record of a stream usually takes to the instances that keep it.
+const recordDelay = 2 * flushDelay
+
+// search searches the own records and those of the instances that may keep the stream's.
+func (dr *Directory) search(ctx context.Context, attemptID, pipeline string) Result {
 	stream := origin.StreamOf(attemptID)
 	own := dr.reply(stream, pipeline, attemptID != "")
 	if own.GetOrigin() != nil {
@@ -87,12 +101,7 @@
 func (dr *Directory) askPeers(ctx context.Context, request *wire.FindOriginRequest, hasID bool) ([]*wire.FindOriginReply, int) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	asked := []member.Member{}
-	for _, keeper := range ownership.Spread(dr.Fleet.Live(), keyOf(origin.Stream(request.GetStream())), askedCount+1) {
-		if keeper.ID != dr.Self && len(asked) < askedCount {
-			asked = append(asked, keeper)
-		}
-	}
+	asked := dr.others(origin.Stream(request.GetStream()), askedCount)
 	answers := make(chan *wire.FindOriginReply, len(asked))
 	for _, keeper := range asked {
 		go func() {
--- a/streamdirectory/streamdirectory.go
+++ b/streamdirectory/streamdirectory.go
@@ -62,6 +62,8 @@
 	retention time.Duration
 	// replicated holds the pipelines whose streams are replicated.
 	replicated map[string]bool
+	// corrected holds, by stream, a channel that is closed when the instances that keep its record know of another origin.
+	corrected map[origin.Stream]chan struct{}
 	// outgoing holds the records to be sent to other instances, by their ids, and keepers those instances.
 	outgoing map[string][]origin.Record
 	keepers  map[string]member.Member
@@ -93,7 +95,7 @@
 func New(parts Parts) *Directory {
 	dr := &Directory{
 		Parts: parts, table: origin.New(parts.Timers.Now()), history: originhistory.New(parts.IsFirst), retention: minRetention, stones: tombstone.New(),
-		refresh: make(chan struct{}, 1), replicated: map[string]bool{}, outgoing: map[string][]origin.Record{}, keepers: map[string]member.Member{},
+		refresh: make(chan struct{}, 1), replicated: map[string]bool{}, corrected: map[origin.Stream]chan struct{}{}, outgoing: map[string][]origin.Record{}, keepers: map[string]member.Member{},
 	}
 	dr.ended.Store(&map[roster.Incarnation]bool{})
 	return dr
@@ -152,8 +154,13 @@
 func (dr *Directory) record(record origin.Record) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
+	earlier, found := dr.table.Find(record.Stream)
 	dr.table.Put(dr.Timers.Now(), dr.retention, record)
-	if dr.needsReplication(record.Pipeline) || record.Origin.IsUnknown {
+	switch {
+	case !dr.needsReplication(record.Pipeline) && !record.Origin.IsUnknown:
+	case found && earlier.Send < record.Send && earlier.Origin != record.Origin:
+		dr.correct(record)
+	default:
 		dr.replicate(record)
 	}
 }
@@ -180,12 +187,7 @@
 
 // replicate has the instances that keep a stream's record receive it. The caller holds the lock.
 func (dr *Directory) replicate(record origin.Record) {
-	count := 0
-	for _, keeper := range ownership.Spread(dr.Fleet.Live(), keyOf(record.Stream), keeperCount+1) {
-		if keeper.ID == dr.Self || count == keeperCount {
-			continue
-		}
-		count++
+	for _, keeper := range dr.others(record.Stream, keeperCount) {
 		if len(dr.outgoing[keeper.ID]) >= maxOutgoing {
 			continue
 		}
@@ -197,6 +199,17 @@
 	}
 }
 
+// others returns the first count of the other instances that keep or may keep a stream's record.
+func (dr *Directory) others(stream origin.Stream, count int) []member.Member {
+	list := []member.Member{}
+	for _, other := range ownership.Spread(dr.Fleet.Live(), keyOf(stream), count+1) {
+		if other.ID != dr.Self && len(list) < count {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
 func keyOf(stream origin.Stream) string {
 	return strconv.FormatUint(uint64(stream), 16)
 }
@@ -209,17 +222,19 @@
 	dr.outgoing, dr.keepers = map[string][]origin.Record{}, map[string]member.Member{}
 	dr.mu.Unlock()
 	for id, records := range outgoing {
-		dr.background.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-			defer cancel()
-			request := &wire.RecordOriginsRequest{}
-			for _, record := range records {
-				request.Origins = append(request.Origins, toWire(record))
-			}
-			// A keeper that does not answer has no record; the others do.
-			_ = dr.Fleet.RecordOriginsAt(ctx, keepers[id], request)
-		})
+		dr.background.Go(func() { dr.send(keepers[id], records) })
+	}
+}
+
+// send sends records to an instance that keeps them. One that does not answer has no record; the others do.
+func (dr *Directory) send(keeper member.Member, records []origin.Record) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	request := &wire.RecordOriginsRequest{}
+	for _, record := range records {
+		request.Origins = append(request.Origins, toWire(record))
 	}
+	_ = dr.Fleet.RecordOriginsAt(ctx, keeper, request)
 }
 
 // IsRecent reports whether streams of a pipeline can have an origin, as far as this instance knows.
--- a/streamdirectory/streamdirectory_test.go
+++ b/streamdirectory/streamdirectory_test.go
@@ -293,6 +293,58 @@
 	})
 }
 
+// TestStreamTakenUpAtTheVersionOfItsFirstSend guards against the record of a send that brought no event, where another send at
+// another version has brought the first one.
+func TestStreamTakenUpAtTheVersionOfItsFirstSend(t *testing.T) {
+	runFleet(t, 8, old, func(ctx context.Context, fl *fleet) {
+		fl.setVersions("v1", "v2")
+		directory := fl.directories["i0"]
+		directory.Begin("a", "query", 1, upstreamOf("v1"))
+		time.Sleep(100 * time.Millisecond)
+		directory.Begin("a", "query", 2, upstreamOf("v2"))
+		directory.AwaitCorrection(ctx, "a")
+		for _, name := range fl.names[1:] {
+			assertFound(ctx, t, fl, name, "a", "v2", sourceAt(fl, name))
+		}
+		t.Run("nothing is waited for where the version stays", func(t *testing.T) {
+			directory.Begin("b", "query", 1, upstreamOf("v1"))
+			directory.Begin("b", "query", 2, upstreamOf("v1"))
+			began := time.Now()
+			directory.AwaitCorrection(ctx, "b")
+			must.Zero(t, time.Since(began))
+		})
+		t.Run("an instance that does not answer delays the first event by little", func(t *testing.T) {
+			fl.change(func() { fl.silent["i1"], fl.silent["i2"], fl.silent["i3"] = true, true, true })
+			directory.Begin("c", "query", 1, upstreamOf("v1"))
+			directory.Begin("c", "query", 2, upstreamOf("v2"))
+			began := time.Now()
+			directory.AwaitCorrection(ctx, "c")
+			must.LessEq(t, 200*time.Millisecond, time.Since(began))
+		})
+	})
+}
+
+// sourceAt returns the source of an origin at an instance: its own record if it keeps any.
+func sourceAt(fl *fleet, name string) streamdirectory.Source {
+	if fl.directories[name].Len() > 0 {
+		return streamdirectory.OwnRecord
+	}
+	return streamdirectory.PeerRecord
+}
+
+// TestStreamTakenUpBeforeItsRecordHasArrived guards against refusals of streams that break soon after they begin.
+func TestStreamTakenUpBeforeItsRecordHasArrived(t *testing.T) {
+	runFleet(t, 8, old, func(ctx context.Context, fl *fleet) {
+		fl.setVersions("v1", "v2")
+		fl.directories["i0"].Begin("a", "query", 1, upstreamOf("v2"))
+		for _, name := range fl.names[1:] {
+			result, is := fl.directories[name].Find(ctx, "a", "query").(streamdirectory.Found)
+			must.True(t, is)
+			must.Eq(t, "v2", result.Origin.Version)
+		}
+	})
+}
+
 func TestEndedUpstreams(t *testing.T) {
 	runFleet(t, 2, old, func(ctx context.Context, fl *fleet) {
 		ended := upstreamOf("v1")
