Fault soak: the port of a crashed upstream is reserved until it is back

Cause, from the logs of the run (18:18:55 to 18:18:59): upstream model-3 crashed at 55.751; its port 42977 refused connections until 56.353, gave one answer 503 at 56.359 and one 404 without a body at 56.373, and refused again from 59.080 on. An entry instance under test that has just started answers like that, 503 before its configuration and 404 for an unknown path. The crashed upstream, which could not listen again, was never back in that run, and nothing said so.

The port is bound without listening while the upstream is away, so that it refuses connections and no one else gets it; an upstream that can't listen again fails the test. A second crash of an upstream that is away changes nothing, as before. No check is changed, and no product code.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -13,7 +14,9 @@
 
 // proxy forwards TCP connections to a target and can delay their data, drop it, refuse connections or reset them.
 type proxy struct {
+	t        *testing.T
 	listener net.Listener
+	addr     string
 	target   string
 	delay    atomic.Int64
 	// dropResponses drops data from the target, dropRequests data to it; refuse closes new connections.
@@ -23,14 +26,15 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
-	ended bool
+	// crashed is set while the listener is closed by a crash, ended once it is closed for good.
+	crashed, ended bool
 }
 
 func newProxy(t *testing.T, target string) *proxy {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	px := &proxy{listener: listener, target: target, conns: map[net.Conn]bool{}}
+	px := &proxy{t: t, listener: listener, addr: listener.Addr().String(), target: target, conns: map[net.Conn]bool{}}
 	t.Cleanup(px.end)
 	go px.accept(listener)
 	return px
@@ -48,14 +52,26 @@
 // crash closes the listener and all connections, as the end of the target's process does, and listens again after a time.
 func (px *proxy) crash(length time.Duration, back func()) {
 	px.mu.Lock()
+	if px.crashed || px.ended {
+		px.mu.Unlock()
+		return
+	}
+	px.crashed = true
 	_ = px.listener.Close()
+	release := px.reservePort()
 	px.mu.Unlock()
 	px.reset()
 	time.AfterFunc(length, func() {
 		px.mu.Lock()
 		defer px.mu.Unlock()
+		release()
+		px.crashed = false
+		if px.ended {
+			return
+		}
 		listener, err := net.Listen("tcp", px.address())
-		if err != nil || px.ended {
+		if err != nil {
+			px.t.Errorf("listen again after a crash: %v", err)
 			return
 		}
 		px.listener = listener
@@ -64,8 +80,26 @@
 	})
 }
 
+// reservePort keeps other processes from listening on the port, which refuses connections meanwhile, until the returned function
+// is called.
+func (px *proxy) reservePort() func() {
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		px.t.Errorf("reserve the port of a crashed upstream: %v", err)
+		return func() {}
+	}
+	address := &syscall.SockaddrInet4{Port: px.listener.Addr().(*net.TCPAddr).Port, Addr: [4]byte{127, 0, 0, 1}}
+	// With the option the port can be bound beside its open connections, without it no one else can bind it.
+	_ = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err := syscall.Bind(socket, address); err != nil {
+		px.t.Errorf("reserve the port of a crashed upstream: %v", err)
+	}
+	_ = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 0)
+	return func() { _ = syscall.Close(socket) }
+}
+
 // address returns the address, which stays the same after a crash.
-func (px *proxy) address() string { return px.listener.Addr().String() }
+func (px *proxy) address() string { return px.addr }
 
 func (px *proxy) accept(listener net.Listener) {
 	for {
