Fault soak: a reserved port is free again while another process is being started

Cause: a process that the soak starts holds copies of all its sockets between fork and exec, so that closing the reserving socket did not free the port, and closing the listener before did not either.

The reserving socket may be shared again (SO_REUSEADDR) before the upstream listens, and is closed after that; the reservation is repeated until the listener is gone. No check is changed.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -58,17 +58,19 @@
 	}
 	px.crashed = true
 	_ = px.listener.Close()
-	release := px.reservePort()
+	reserved := px.reservePort()
 	px.mu.Unlock()
 	px.reset()
 	time.AfterFunc(length, func() {
 		px.mu.Lock()
 		defer px.mu.Unlock()
-		release()
+		defer syscall.Close(reserved)
 		px.crashed = false
 		if px.ended {
 			return
 		}
+		// A process that is being started may still hold a copy of the socket, so that closing it would not free the port.
+		_ = syscall.SetsockoptInt(reserved, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
 		listener, err := net.Listen("tcp", px.address())
 		if err != nil {
 			px.t.Errorf("listen again after a crash: %v", err)
@@ -80,22 +82,26 @@
 	})
 }
 
-// reservePort keeps other processes from listening on the port, which refuses connections meanwhile, until the returned function
-// is called.
-func (px *proxy) reservePort() func() {
+// reservePort returns a socket that keeps other processes from listening on the port, which refuses connections meanwhile.
+func (px *proxy) reservePort() int {
 	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		px.t.Errorf("reserve the port of a crashed upstream: %v", err)
-		return func() {}
+		return -1
 	}
 	address := &syscall.SockaddrInet4{Port: px.listener.Addr().(*net.TCPAddr).Port, Addr: [4]byte{127, 0, 0, 1}}
-	// With the option the port can be bound beside its open connections, without it no one else can bind it.
+	// With the option the port can be bound beside its open connections, without it no one else can listen there.
 	_ = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
-	if err := syscall.Bind(socket, address); err != nil {
+	err = syscall.Bind(socket, address)
+	// A process that is being started may hold a copy of the listener for a moment.
+	for began := time.Now(); err != nil && time.Since(began) < time.Second; err = syscall.Bind(socket, address) {
+		time.Sleep(time.Millisecond)
+	}
+	if err != nil {
 		px.t.Errorf("reserve the port of a crashed upstream: %v", err)
 	}
 	_ = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 0)
-	return func() { _ = syscall.Close(socket) }
+	return socket
 }
 
 // address returns the address, which stays the same after a crash.
