A stopping instance doesn't try forever to free results of a limited upstream (LIMIT)

Cause, from its stacks: results of a limited upstream that wait to be freed are tried again after the permit's time. At the stop the wait ends at once; the try gets no permit and waits again, without end. An instance that stops beside such results would use its processors and memory until it is killed.

The wait that the stop ends is the last one: the upstream frees results by itself some seconds later, and no call can be made after the stop. TestStoppedInstanceFreesResultsForever did not end before (5 s), ends now at once. Nothing changes before the stop, and nothing where no upstream names a limit.

--- a/gather/free.go
+++ b/gather/free.go
@@ -101,12 +101,15 @@
 	waiting.add(handles, freed)
 }
 
-// freeWaiting frees the waiting results of an upstream after a time.
+// freeWaiting frees the waiting results of an upstream after a time, unless the instance stops before.
 func (gt *Gatherer) freeWaiting(id string, waiting *waitingFree, after time.Duration) {
-	_ = gt.timers.Sleep(gt.ctx, after)
+	stopped := gt.timers.Sleep(gt.ctx, after)
 	gt.mu.Lock()
 	delete(gt.waitingFrees, id)
 	gt.mu.Unlock()
+	if stopped != nil {
+		return
+	}
 	gt.freeNow(id, waiting.handles, waiting.allFreed)
 }
 
--- a/gather/limits_test.go
+++ b/gather/limits_test.go
@@ -92,3 +92,14 @@
 		})
 	})
 }
+
+// TestStoppedInstanceFreesResultsForever guards against an instance that goes on trying to free the results of a limited upstream
+// while it stops.
+func TestStoppedInstanceFreesResultsForever(t *testing.T) {
+	runFleet(t, []string{"a1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
+		finished := fl.clients["a1"].Run(ctx, "a", newJob("r", 1)).(gather.Finished)
+		fk.limit(time.Hour, "a1", "a2")
+		fl.clients["a1"].Release(ctx, "p", "a", []string{finished.Results[0].Handle})
+		time.Sleep(50 * time.Millisecond)
+	})
+}
