--- a/streamdirectory/streamdirectory.go
+++ b/streamdirectory/streamdirectory.go
@@ -24,7 +24,9 @@
 type Fleet interface {
 	// Live returns the live instances, this one included.
 	Live() []member.Member
+	// RecordOriginsAt has another instance keep the origins of streams.
 	RecordOriginsAt(ctx context.Context, keeper member.Member, request *wire.RecordOriginsRequest) error
+	// FindOriginAt asks another instance for the origin of a stream.
 	FindOriginAt(ctx context.Context, keeper member.Member, request *wire.FindOriginRequest) (*wire.FindOriginReply, error)
 	// TriggerHeartbeat sends the news to the other instances without delay.
 	TriggerHeartbeat()
