--- a/gather/free.go
+++ b/gather/free.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/ratelimit"
@@ -15,7 +16,7 @@
 	byUpstream := map[string][]string{}
 	for _, handle := range handles {
 		for _, up := range gt.view.Upstreams(pool, "") {
-			if len(handle) > len(up.Address) && handle[:len(up.Address)+1] == up.Address+"/" {
+			if strings.HasPrefix(handle, up.Address+"/") {
 				byUpstream[up.ID] = append(byUpstream[up.ID], handle)
 			}
 		}
@@ -103,11 +104,11 @@
 
 // freeWaiting frees the waiting results of an upstream after a time, unless the instance stops before.
 func (gt *Gatherer) freeWaiting(id string, waiting *waitingFree, after time.Duration) {
-	stopped := gt.timers.Sleep(gt.ctx, after)
+	err := gt.timers.Sleep(gt.ctx, after)
 	gt.mu.Lock()
 	delete(gt.waitingFrees, id)
 	gt.mu.Unlock()
-	if stopped != nil {
+	if err != nil {
 		return
 	}
 	gt.freeNow(id, waiting.handles, waiting.allFreed)
--- a/gather/limits_test.go
+++ b/gather/limits_test.go
@@ -94,7 +94,7 @@
 }
 
 // TestStoppedInstanceFreesResultsForever guards against an instance that goes on trying to free the results of a limited upstream
-// while it stops.
+// while it stops: then runFleet, which stops it, does not return.
 func TestStoppedInstanceFreesResultsForever(t *testing.T) {
 	runFleet(t, []string{"a1"}, func(ctx context.Context, fl *fleet, fk *fakes) {
 		finished := fl.clients["a1"].Run(ctx, "a", newJob("r", 1)).(gather.Finished)
--- a/soak/limits_test.go
+++ b/soak/limits_test.go
@@ -11,30 +11,30 @@
 const (
 	limitHeader = "Server-Limit"
 	// limitWindow is the time in which requests are counted; an upstream may get limitTolerance times what its limit allows in it,
-	// and limitExtra requests more, from newsBound after the first answer that names its limit.
+	// and limitExtra requests more, from newsBound after the first answer that announces its limit.
 	limitWindow    = 4 * time.Second
 	limitTolerance = 1.5
 	limitExtra     = 5
 )
 
-// upstreamLimits are the limits that some upstreams name in their answers, in requests a second.
+// upstreamLimits are the limits that some upstreams announce in their answers, in requests a second.
 var upstreamLimits = map[string]string{"model-3": "2", "plain-2": "0.5", "plain-1": "12.5", "stage-2": "3"}
 
 // limitLedger records what the upstreams with a limit received.
 type limitLedger struct {
-	// named is when an upstream first named its limit, arrivals are the requests that reached it.
-	named    map[string]time.Time
-	arrivals map[string][]arrival
+	// announced is when an upstream first announced its limit, arrivals are the requests that reached it.
+	announced map[string]time.Time
+	arrivals  map[string][]arrival
 	// most is the largest number of requests in a window that counted, by upstream.
 	most map[string]int
 }
 
 func newLimitLedger() *limitLedger {
-	return &limitLedger{named: map[string]time.Time{}, arrivals: map[string][]arrival{}, most: map[string]int{}}
+	return &limitLedger{announced: map[string]time.Time{}, arrivals: map[string][]arrival{}, most: map[string]int{}}
 }
 
-// nameLimit sets the header with the upstream's limit, or now and then one that is no number.
-func (us *upstream) nameLimit(writer http.ResponseWriter, odd bool) {
+// announceLimit sets the header with the upstream's limit, or now and then one that is no number.
+func (us *upstream) announceLimit(writer http.ResponseWriter, odd bool) {
 	limit, limited := upstreamLimits[us.id]
 	switch {
 	case !limited:
@@ -46,8 +46,8 @@
 	lg := us.ledger
 	lg.mu.Lock()
 	defer lg.mu.Unlock()
-	if lg.limits.named[us.id].IsZero() {
-		lg.limits.named[us.id] = time.Now()
+	if lg.limits.announced[us.id].IsZero() {
+		lg.limits.announced[us.id] = time.Now()
 	}
 }
 
@@ -79,7 +79,7 @@
 		allowed := limitTolerance*perSecond*limitWindow.Seconds() + limitExtra
 		most := 0
 		for last, end := range arrivals {
-			if end.at.Add(-limitWindow).Before(lg.limits.named[id].Add(newsBound)) {
+			if end.at.Add(-limitWindow).Before(lg.limits.announced[id].Add(newsBound)) {
 				continue
 			}
 			count := 0
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -25,7 +25,7 @@
 	errorHeader = "Soak-Error"
 	// fromHeader holds the Last-Event-Id that the caller sent.
 	fromHeader = "Soak-From"
-	// One of unreadableShare answers of an upstream with a limit names a limit that is no number.
+	// One of unreadableShare answers of an upstream with a limit announces a limit that is no number.
 	unreadableShare = 10
 )
 
@@ -73,7 +73,7 @@
 		return
 	}
 	random := seededRandom(us.seed, fmt.Sprintf("%s/limit/%d", us.id, us.limited.Add(1)))
-	us.nameLimit(writer, random.IntN(unreadableShare) == 0)
+	us.announceLimit(writer, random.IntN(unreadableShare) == 0)
 	if strings.HasPrefix(request.URL.Path, "/v1/") {
 		us.serveOwn(writer, request, body)
 		return
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -26,7 +26,9 @@
 	Share(within time.Duration) float64
 	// Time returns a reading of the hybrid logical clock.
 	Time() time.Time
+	// AskPermit asks another instance for a permit.
 	AskPermit(ctx context.Context, owner member.Member, request *wire.PermitRequest) (*wire.PermitReply, error)
+	// SendReport tells another instance what an answer announced.
 	SendReport(ctx context.Context, owner member.Member, report *wire.LimitReport) (*wire.LimitReply, error)
 	// TriggerHeartbeat sends the news to the other instances without delay.
 	TriggerHeartbeat()
