--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -90,7 +90,8 @@
 		return -1
 	}
 	address := &syscall.SockaddrInet4{Port: px.listener.Addr().(*net.TCPAddr).Port, Addr: [4]byte{127, 0, 0, 1}}
-	// With the option the port can be bound beside its open connections, without it no one else can listen there.
+	// SO_REUSEADDR lets the socket bind the port although connections on it are still open. Without it, from then on, no other
+	// process can listen on the port.
 	_ = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
 	err = syscall.Bind(socket, address)
 	// A process that is being started may hold a copy of the listener for a moment.
