An instance that missed a correction doesn't take a stream for one of its first send's version (ORDER)

Cause: a correction was sent once, behind it the record of the first send could still be under way, and who keeps a record answered from it without asking.

Change: a record names the instance that sends the attempt, which alone always knows the last send. Who only keeps a record asks that instance and the other keepers; of their answers the last send counts. What a caller has taken up is final.

--- a/origin/origin.go
+++ b/origin/origin.go
@@ -29,6 +29,18 @@
 	Origin   Origin
 	// Send numbers the sends of the attempt, from 1.
 	Send int
+	// Beginner is the instance that sends the attempt, and so the only one that always knows the last send.
+	Beginner string
+	// IsFinal is set if the stream has begun, so that no later send counts.
+	IsFinal bool
+}
+
+// IsOverriddenBy reports whether another record of the same stream counts more.
+func (rc Record) IsOverriddenBy(other Record) bool {
+	if rc.IsFinal != other.IsFinal {
+		return other.IsFinal
+	}
+	return other.Send >= rc.Send
 }
 
 // maxRecords bounds the records of one generation.
@@ -51,7 +63,7 @@
 	if now.Sub(tb.since) >= retention || len(tb.young) >= maxRecords {
 		tb.young, tb.old, tb.since = map[Stream]Record{}, tb.young, now
 	}
-	if known, found := tb.Find(record.Stream); found && known.Send > record.Send {
+	if known, found := tb.Find(record.Stream); found && !known.IsOverriddenBy(record) {
 		return
 	}
 	tb.young[record.Stream] = record
--- a/streamdirectory/find.go
+++ b/streamdirectory/find.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/origin"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
@@ -56,24 +57,47 @@
 
 // search searches the own records and those of the instances that may keep the stream's.
 func (dr *Directory) search(ctx context.Context, attemptID, pipeline string) Result {
-	stream := origin.StreamOf(attemptID)
-	own := dr.reply(stream, pipeline, attemptID != "")
-	if own.GetOrigin() != nil {
+	stream, hasID := origin.StreamOf(attemptID), attemptID != ""
+	own := dr.reply(stream, pipeline, hasID)
+	if isAuthoritative(own, dr.Self) {
 		return found(own, OwnRecord)
 	}
-	replies, silent := dr.askPeers(ctx, &wire.FindOriginRequest{Stream: uint64(stream), Pipeline: pipeline}, attemptID != "")
-	for _, reply := range replies {
-		if reply.GetOrigin() != nil {
-			return found(reply, PeerRecord)
-		}
+	replies, silent := dr.askPeers(ctx, &wire.FindOriginRequest{Stream: uint64(stream), Pipeline: pipeline}, own, hasID)
+	if best := lastSend(append(replies, own)); best.GetOrigin() != nil {
+		return found(best, sourceOf(best, own))
 	}
-	// An instance that does not answer may know of a version only if this one may have missed it.
+	// An instance that does not answer may know of a version that this one has missed.
 	if only, is := onlyOrigin(append(replies, own)); is && (silent == 0 || own.GetComplete()) {
 		return Found{Origin: only, Source: OnlyVersion}
 	}
 	return NotFound{MayBeFound: silent > 0}
 }
 
+// isAuthoritative reports whether the record in an instance's reply can't have been overridden by a later send: the instance
+// sends the attempt itself, or the stream has gone on there.
+func isAuthoritative(reply *wire.FindOriginReply, from string) bool {
+	known := reply.GetOrigin()
+	return known != nil && (known.GetFinal() || known.GetBeginner() == from)
+}
+
+// lastSend returns the reply whose record counts, or one without a record if there is none.
+func lastSend(replies []*wire.FindOriginReply) *wire.FindOriginReply {
+	best := (*wire.FindOriginReply)(nil)
+	for _, reply := range replies {
+		if reply.GetOrigin() != nil && (best == nil || fromWire(best.GetOrigin()).IsOverriddenBy(fromWire(reply.GetOrigin()))) {
+			best = reply
+		}
+	}
+	return best
+}
+
+func sourceOf(reply, own *wire.FindOriginReply) Source {
+	if reply == own {
+		return OwnRecord
+	}
+	return PeerRecord
+}
+
 func found(reply *wire.FindOriginReply, source Source) Result {
 	return Found{Origin: fromWire(reply.GetOrigin()).Origin, Source: source}
 }
@@ -97,35 +121,73 @@
 	return reply
 }
 
-// askPeers asks the instances that may keep a record, until one has it. It returns the replies and how many did not answer.
-func (dr *Directory) askPeers(ctx context.Context, request *wire.FindOriginRequest, hasID bool) ([]*wire.FindOriginReply, int) {
+// answer is another instance's answer to a search, or its silence.
+type answer struct {
+	from  string
+	reply *wire.FindOriginReply
+}
+
+// askPeers asks the instances that may keep a record, and the one that sends the attempt once it is known, until that one has
+// answered or all have. It returns the replies and how many did not answer.
+func (dr *Directory) askPeers(
+	ctx context.Context, request *wire.FindOriginRequest, own *wire.FindOriginReply, hasID bool,
+) ([]*wire.FindOriginReply, int) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	asked := dr.others(origin.Stream(request.GetStream()), askedCount)
-	answers := make(chan *wire.FindOriginReply, len(asked))
-	for _, keeper := range asked {
+	answers, asked := make(chan answer), map[string]bool{}
+	ask := func(other member.Member) {
+		if other.ID == dr.Self || asked[other.ID] {
+			return
+		}
+		asked[other.ID] = true
 		go func() {
-			reply, err := dr.Fleet.FindOriginAt(ctx, keeper, request)
+			reply, err := dr.Fleet.FindOriginAt(ctx, other, request)
 			if err != nil {
 				reply = nil
 			}
-			answers <- reply
+			select {
+			case answers <- answer{from: other.ID, reply: reply}:
+			case <-ctx.Done():
+			}
 		}()
 	}
-	replies, silent := []*wire.FindOriginReply{}, 0
-	for range asked {
-		reply := <-answers
-		switch {
-		case reply == nil:
-			silent++
-		case reply.GetOrigin() != nil && hasID:
-			return []*wire.FindOriginReply{reply}, silent
-		default:
-			reply.Origin = nil
-			replies = append(replies, reply)
+	for _, keeper := range dr.others(origin.Stream(request.GetStream()), askedCount) {
+		ask(keeper)
+	}
+	dr.askBeginner(own, ask)
+	replies, answered := []*wire.FindOriginReply{}, 0
+	for answered < len(asked) && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case got := <-answers:
+			answered++
+			if got.reply == nil {
+				continue
+			}
+			if !hasID {
+				got.reply.Origin = nil
+			}
+			replies = append(replies, got.reply)
+			if isAuthoritative(got.reply, got.from) {
+				return replies, 0
+			}
+			dr.askBeginner(got.reply, ask)
+		}
+	}
+	return replies, len(asked) - len(replies)
+}
+
+// askBeginner asks the instance that sends the attempt of a record.
+func (dr *Directory) askBeginner(reply *wire.FindOriginReply, ask func(member.Member)) {
+	beginner := reply.GetOrigin().GetBeginner()
+	if beginner == "" {
+		return
+	}
+	for _, other := range dr.Fleet.Live() {
+		if other.ID == beginner {
+			ask(other)
 		}
 	}
-	return replies, silent
 }
 
 // onlyOrigin returns the one origin that streams can have by all replies, or false if there are several or no reply is complete.
--- a/streamdirectory/streamdirectory.go
+++ b/streamdirectory/streamdirectory.go
@@ -53,9 +53,12 @@
 	// ended holds the incarnations that have ended.
 	ended      atomic.Pointer[map[roster.Incarnation]bool]
 	background inflight.Group
-	refresh    chan struct{}
-	endedMu    sync.Mutex
-	stones     *tombstone.Set
+	// lifetime ends when Run ends.
+	lifetime       context.Context
+	cancelLifetime context.CancelFunc
+	refresh        chan struct{}
+	endedMu        sync.Mutex
+	stones         *tombstone.Set
 
 	mu      sync.Mutex
 	table   *origin.Table
@@ -66,6 +69,8 @@
 	replicated map[string]bool
 	// corrected holds, by stream, a channel that is closed when the instances that keep its record know of another origin.
 	corrected map[origin.Stream]chan struct{}
+	// corrections is the number of corrections that are being repeated.
+	corrections int
 	// outgoing holds the records to be sent to other instances, by their ids, and keepers those instances.
 	outgoing map[string][]origin.Record
 	keepers  map[string]member.Member
@@ -99,6 +104,7 @@
 		Parts: parts, table: origin.New(parts.Timers.Now()), history: originhistory.New(parts.IsFirst), retention: minRetention, stones: tombstone.New(),
 		refresh: make(chan struct{}, 1), replicated: map[string]bool{}, corrected: map[origin.Stream]chan struct{}{}, outgoing: map[string][]origin.Record{}, keepers: map[string]member.Member{},
 	}
+	dr.lifetime, dr.cancelLifetime = context.WithCancel(context.Background())
 	dr.ended.Store(&map[roster.Incarnation]bool{})
 	return dr
 }
@@ -107,6 +113,7 @@
 func (dr *Directory) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	defer dr.background.Wait()
+	defer dr.cancelLifetime()
 	for {
 		select {
 		case <-ctx.Done():
@@ -144,13 +151,13 @@
 // returns the origin.
 func (dr *Directory) Begin(attemptID, pipeline string, send int, upstream *roster.Upstream) origin.Origin {
 	began := origin.Origin{Pool: upstream.Pool, Version: upstream.SoftwareVersion, IsUnknown: dr.IsEnded(upstream.Incarnation())}
-	dr.record(origin.Record{Stream: origin.StreamOf(attemptID), Pipeline: pipeline, Origin: began, Send: send})
+	dr.record(origin.Record{Stream: origin.StreamOf(attemptID), Pipeline: pipeline, Origin: began, Send: send, Beginner: dr.Self})
 	return began
 }
 
 // Continue records the origin of a stream that a caller has taken up at this instance.
 func (dr *Directory) Continue(attemptID, pipeline string, known origin.Origin) {
-	dr.record(origin.Record{Stream: origin.StreamOf(attemptID), Pipeline: pipeline, Origin: known})
+	dr.record(origin.Record{Stream: origin.StreamOf(attemptID), Pipeline: pipeline, Origin: known, Beginner: dr.Self, IsFinal: true})
 }
 
 func (dr *Directory) record(record origin.Record) {
@@ -224,19 +231,22 @@
 	dr.outgoing, dr.keepers = map[string][]origin.Record{}, map[string]member.Member{}
 	dr.mu.Unlock()
 	for id, records := range outgoing {
-		dr.background.Go(func() { dr.send(keepers[id], records) })
+		if len(records) == 0 {
+			continue
+		}
+		dr.background.Go(func() { _ = dr.send(keepers[id], records) })
 	}
 }
 
 // send sends records to an instance that keeps them. One that does not answer has no record; the others do.
-func (dr *Directory) send(keeper member.Member, records []origin.Record) {
+func (dr *Directory) send(keeper member.Member, records []origin.Record) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	request := &wire.RecordOriginsRequest{}
 	for _, record := range records {
 		request.Origins = append(request.Origins, toWire(record))
 	}
-	_ = dr.Fleet.RecordOriginsAt(ctx, keeper, request)
+	return dr.Fleet.RecordOriginsAt(ctx, keeper, request)
 }
 
 // IsRecent reports whether streams of a pipeline can have an origin, as far as this instance knows.
@@ -265,12 +275,14 @@
 func toWire(record origin.Record) *wire.StreamOrigin {
 	return &wire.StreamOrigin{
 		Stream: uint64(record.Stream), Pool: record.Origin.Pool, Version: record.Origin.Version, Unknown: record.Origin.IsUnknown, Send: int32(record.Send),
+		Beginner: record.Beginner, Final: record.IsFinal,
 	}
 }
 
 func fromWire(record *wire.StreamOrigin) origin.Record {
 	return origin.Record{
 		Stream: origin.Stream(record.GetStream()), Send: int(record.GetSend()),
-		Origin: origin.Origin{Pool: record.GetPool(), Version: record.GetVersion(), IsUnknown: record.GetUnknown()},
+		Origin:   origin.Origin{Pool: record.GetPool(), Version: record.GetVersion(), IsUnknown: record.GetUnknown()},
+		Beginner: record.GetBeginner(), IsFinal: record.GetFinal(),
 	}
 }
