An instance that is out of step doesn't take its only known version for the only one (ORDER)

What users saw elsewhere: during a release one instance was cut off or stood still while a version joined; streams that began there were taken up at it and went on at another version.

Cause: an instance held its own history for complete while its registrations were up to 2 s old, and answered with the only version it knew although the instances that keep the record did not answer.

Change: without an answer of all that it asks, an instance reads the configuration and the registrations once more, after the caller has come; a version that began the stream joined before that. Requests that arrive together share a read (confirmation). A gap in what was read is a gap in the history now: a whole read after more than 2 s, and the deletion of a row that was never seen.

TestMissedChanges and TestUnseen for the gaps.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -110,7 +110,7 @@
 		Self: en.settings.Instance, Fleet: en.peer, Find: en.catalog.Find, Timers: parts.Timers, Events: en.events,
 	})
 	en.streams = streamdirectory.New(streamdirectory.Parts{
-		Self: en.settings.Instance, IsFirst: en.settings.IsFirstStart, Fleet: en.peer, Present: en.presentOrigins, Staleness: en.staleness, Timers: parts.Timers, Events: en.events,
+		Self: en.settings.Instance, IsFirst: en.settings.IsFirstStart, Fleet: en.peer, Present: en.presentOrigins, Confirm: en.confirm, Staleness: en.staleness, Timers: parts.Timers, Events: en.events,
 	})
 	en.pools = gateway.NewPools(parts.Timers, parts.Settings.RetryBudget, func() int { return len(en.peer.Live()) })
 	en.gatherer = gather.New(en.lifetime, gather.Parts{
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/origin"
@@ -59,6 +62,17 @@
 	return present, longest
 }
 
+// confirm brings the configuration and the registrations up to date with the store.
+func (en *Instance) confirm(ctx context.Context) error {
+	failures := make([]error, len(en.watches))
+	reads := sync.WaitGroup{}
+	for at, each := range en.watches {
+		reads.Go(func() { failures[at] = each.Confirm(ctx) })
+	}
+	reads.Wait()
+	return errors.Join(failures...)
+}
+
 // staleness returns how old the older one of the configuration and the registrations is.
 func (en *Instance) staleness() time.Duration {
 	oldest := time.Duration(0)
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -22,6 +22,11 @@
 	ch.entry.streams.Refresh()
 }
 
+// ChangesMissed reports to the directory of streams that versions may have come and gone.
+func (ch changeListener) ChangesMissed(string) {
+	ch.entry.streams.Missed()
+}
+
 // StoreUnavailable reports the start of an outage to the catalog.
 func (ch changeListener) StoreUnavailable(table string, cause error) {
 	ch.entry.catalog.StoreUnavailable(table, cause)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -31,6 +31,8 @@
 	// prunedVersion is the version up to which deletions may be unknown, since their tombstones have been pruned or the full
 	// table was read after them.
 	prunedVersion int64
+	// unseen is the number of rows that were deleted before the replica had them.
+	unseen int
 }
 
 // tombstoneTTL is how long deleted rows are kept for replicas that have not seen the deletion.
@@ -51,6 +53,11 @@
 	return rp.newestChange
 }
 
+// Unseen returns the number of rows whose deletion is all that the replica has seen of them.
+func (rp *Replica) Unseen() int {
+	return rp.unseen
+}
+
 // HasSnapshot reports whether a full table has been applied.
 func (rp *Replica) HasSnapshot() bool {
 	return rp.hasSnapshot
@@ -81,9 +88,13 @@
 }
 
 func (rp *Replica) put(now time.Time, row Row) bool {
-	if known, found := rp.rows[row.Key]; found && known.Version >= row.Version {
+	known, found := rp.rows[row.Key]
+	if found && known.Version >= row.Version {
 		return false
 	}
+	if row.Deleted && (!found || known.Deleted) {
+		rp.unseen++
+	}
 	rp.rows[row.Key] = row
 	rp.newestChange = max(rp.newestChange, row.Version)
 	delete(rp.tombstones, row.Key)
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -132,3 +132,18 @@
 		}
 	})
 }
+
+// TestUnseen guards against a row that came and went between two updates, and is taken for one that never was.
+func TestUnseen(t *testing.T) {
+	deleted := func(key string, version int64) replica.Row { return replica.Row{Key: key, Version: version, Deleted: true} }
+	rp := replica.New()
+	rp.Apply(start, replica.Update{Full: true, Version: 9, Rows: []replica.Row{row("a", 7)}})
+	rp.Apply(start, replica.Update{Version: 10, Rows: []replica.Row{deleted("a", 10)}})
+	must.Zero(t, rp.Unseen())
+	rp.Apply(start, replica.Update{Version: 12, Rows: []replica.Row{row("b", 11), deleted("b", 12)}})
+	must.Zero(t, rp.Unseen())
+	rp.Apply(start, replica.Update{Version: 13, Rows: []replica.Row{deleted("c", 13)}})
+	must.Eq(t, 1, rp.Unseen())
+	rp.Apply(start, replica.Update{Version: 15, Rows: []replica.Row{deleted("a", 15)}})
+	must.Eq(t, 2, rp.Unseen(), must.Sprint("a was registered again before"))
+}
--- a/streamdirectory/find.go
+++ b/streamdirectory/find.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/origin"
@@ -66,13 +67,37 @@
 	if best := lastSend(append(replies, own)); best.GetOrigin() != nil {
 		return found(best, sourceOf(best, own))
 	}
-	// An instance that does not answer may know of a version that this one has missed.
-	if only, is := onlyOrigin(append(replies, own)); is && (silent == 0 || own.GetComplete()) {
+	// An instance that does not answer may know of a version that this one does not know yet. It joined before the stream
+	// began, so that a read of the registrations from now on shows it.
+	if silent > 0 || len(replies) == 0 {
+		if dr.confirmations.Confirm(ctx) != nil {
+			return NotFound{MayBeFound: true}
+		}
+		own = dr.reply(stream, pipeline, hasID)
+		if !own.GetComplete() {
+			return NotFound{MayBeFound: silent > 0}
+		}
+	}
+	if only, is := onlyOrigin(append(replies, own)); is {
 		return Found{Origin: only, Source: OnlyVersion}
 	}
 	return NotFound{MayBeFound: silent > 0}
 }
 
+// confirm reads the configuration and the registrations from the store, and the origins that streams can have by them.
+func (dr *Directory) confirm() error {
+	ctx, cancel := context.WithTimeout(dr.lifetime, confirmTimeout)
+	defer cancel()
+	if err := dr.Confirm(ctx); err != nil {
+		return err
+	}
+	dr.update()
+	return nil
+}
+
+// confirmTimeout bounds a read of the configuration and the registrations.
+const confirmTimeout = 400 * time.Millisecond
+
 // isAuthoritative reports whether the record in an instance's reply can't have been overridden by a later send: the instance
 // sends the attempt itself, or the stream has gone on there.
 func isAuthoritative(reply *wire.FindOriginReply, from string) bool {
--- a/streamdirectory/streamdirectory.go
+++ b/streamdirectory/streamdirectory.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/confirmation"
 	"github.com/turmericdoor/turmericdoor/inflight"
 	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/origin"
@@ -40,6 +41,8 @@
 	Fleet   Fleet
 	// Present returns where the streams of each pipeline may begin now, and the longest time that a stream may last.
 	Present func() (map[string][]origin.Origin, time.Duration)
+	// Confirm brings the configuration and the registrations up to date with the store.
+	Confirm func(ctx context.Context) error
 	// Staleness returns how old the configuration and the registrations are that Present is taken from.
 	Staleness func() time.Duration
 	Timers    *timer.Service
@@ -57,6 +60,7 @@
 	lifetime       context.Context
 	cancelLifetime context.CancelFunc
 	refresh        chan struct{}
+	confirmations  confirmation.Group
 	endedMu        sync.Mutex
 	stones         *tombstone.Set
 
@@ -104,6 +108,7 @@
 		Parts: parts, table: origin.New(parts.Timers.Now()), history: originhistory.New(parts.IsFirst), retention: minRetention, stones: tombstone.New(),
 		refresh: make(chan struct{}, 1), replicated: map[string]bool{}, corrected: map[origin.Stream]chan struct{}{}, outgoing: map[string][]origin.Record{}, keepers: map[string]member.Member{},
 	}
+	dr.confirmations.Read, dr.confirmations.Go = dr.confirm, dr.background.Go
 	dr.lifetime, dr.cancelLifetime = context.WithCancel(context.Background())
 	dr.ended.Store(&map[roster.Incarnation]bool{})
 	return dr
@@ -134,6 +139,13 @@
 	}
 }
 
+// Missed records that versions may have come and gone which this instance has not seen.
+func (dr *Directory) Missed() {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	dr.history.Restart(dr.Timers.Now())
+}
+
 func (dr *Directory) update() {
 	present, longest := dr.Present()
 	dr.mu.Lock()
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -28,6 +28,8 @@
 type Listener interface {
 	// RowsChanged delivers the changed rows; fromPeer is true if another instance sent them.
 	RowsChanged(table string, rows []replica.Row, version int64, fromPeer bool)
+	// ChangesMissed reports that rows may have come and gone unseen.
+	ChangesMissed(table string)
 	// StoreUnavailable reports the first failed call to the store.
 	StoreUnavailable(table string, cause error)
 	// StoreRecovered reports that the store is available again.
@@ -69,6 +71,9 @@
 	coalescePause = 60 * time.Millisecond
 	// maxStaleness is the staleness at which an instance that relies on others reads the store itself.
 	maxStaleness = 4 * time.Second
+	// missedAfter is the staleness at which a read of the full table may hide rows that came and went meanwhile: their
+	// writers keep them for longer.
+	missedAfter = 2 * time.Second
 	// recoveredStaleness is how fresh another instance must be for the store to count as recovered.
 	recoveredStaleness = time.Second
 	// roleCheckInterval is how often an instance that does not read the store checks whether it should.
@@ -173,7 +178,12 @@
 func (wt *Watcher) apply(update replica.Update, fromPeer bool) {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	changed := wt.replica.Apply(wt.timers.Now(), update)
+	now, unseen := wt.timers.Now(), wt.replica.Unseen()
+	skipped := update.Full && wt.replica.HasSnapshot() && now.Sub(wt.freshAt) > missedAfter
+	changed := wt.replica.Apply(now, update)
+	if skipped || wt.replica.Unseen() > unseen {
+		wt.listener.ChangesMissed(wt.table)
+	}
 	if len(changed) > 0 {
 		wt.listener.RowsChanged(wt.table, changed, wt.replica.Version(), fromPeer)
 	}
@@ -244,6 +254,23 @@
 	return nil
 }
 
+// errNoSnapshot reports that the table has never been read.
+var errNoSnapshot = errors.New("the table has not been read yet")
+
+// Confirm brings the replica up to date with the store; the error is that of the read.
+func (wt *Watcher) Confirm(ctx context.Context) error {
+	if !wt.hasSnapshot() {
+		return errNoSnapshot
+	}
+	update, err := wt.source.ReadChanges(ctx, wt.table, wt.Version(), 0)
+	if err != nil {
+		return err
+	}
+	wt.apply(update, false)
+	wt.recordSuccess()
+	return nil
+}
+
 func (wt *Watcher) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -111,10 +111,11 @@
 
 // log records the calls of a listener.
 type log struct {
-	mu   sync.Mutex
-	keys []string
-	lost int
-	back int
+	mu     sync.Mutex
+	keys   []string
+	lost   int
+	back   int
+	missed int
 }
 
 func (lg *log) RowsChanged(_ string, rows []replica.Row, _ int64, _ bool) {
@@ -125,6 +126,7 @@
 	}
 }
 func (lg *log) StoreUnavailable(string, error) { lg.mu.Lock(); defer lg.mu.Unlock(); lg.lost++ }
+func (lg *log) ChangesMissed(string)           { lg.mu.Lock(); defer lg.mu.Unlock(); lg.missed++ }
 func (lg *log) StoreRecovered(string)          { lg.mu.Lock(); defer lg.mu.Unlock(); lg.back++ }
 
 // outages returns how often the store became unavailable and recovered.
@@ -323,3 +325,27 @@
 		})
 	})
 }
+
+// TestMissedChanges guards against a gap in what was read that is taken for a time without changes.
+func TestMissedChanges(t *testing.T) {
+	for name, each := range map[string]struct {
+		away   time.Duration
+		missed int
+	}{
+		"the history is gone after a long outage":          {5 * time.Second, 1},
+		"the history is gone, but nothing could be missed": {500 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWatcher(t, true, func(st *store, _ *watch.Watcher, lg *log) {
+				st.put("a")
+				time.Sleep(time.Second)
+				st.set(func() { st.down = true })
+				st.put("b")
+				time.Sleep(each.away)
+				st.set(func() { st.down, st.oldest = false, st.page.Version+1 })
+				time.Sleep(3 * time.Second)
+				must.Eq(t, each.missed, lg.missed)
+			})
+		})
+	}
+}
