--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -43,7 +43,9 @@
 	mu                  sync.Mutex
 	roster              *roster.Roster
 	registrationsLoaded bool
-	wake                chan struct{}
+	// leaving holds the incarnations whose answers have said that they are leaving, and since when.
+	leaving map[roster.Incarnation]time.Time
+	wake    chan struct{}
 }
 
 // New returns a catalog without a configuration; Run must be called.
@@ -180,7 +182,9 @@
 		current, previous := after.Find(id), before.Find(id)
 		switch {
 		case current.Leaving && (previous == nil || !previous.Leaving):
-			ct.events.Record(&wire.Event{Kind: wire.EventKind_EventUpstreamLeaving, Upstream: id, Stage: current.Pool})
+			ct.events.Record(&wire.Event{
+				Kind: wire.EventKind_EventUpstreamLeaving, Upstream: id, Stage: current.Pool, Detail: ct.leavingDetail(current),
+			})
 		case !current.Leaving && (previous == nil || previous.StartUnixMs != current.StartUnixMs):
 			ct.events.Record(&wire.Event{Kind: wire.EventKind_EventUpstreamJoined, Upstream: id, Stage: current.Pool, Detail: current.Address})
 		}
@@ -192,6 +196,24 @@
 	}
 }
 
+// SetLeaving sets the incarnations whose answers have said that they are leaving, and since when.
+func (ct *Catalog) SetLeaving(since map[roster.Incarnation]time.Time) {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	ct.leaving = since
+	ct.roster.SetLeaving(since)
+	ct.publish()
+}
+
+// leavingDetail returns how it is known that an upstream is leaving, for the log.
+func (ct *Catalog) leavingDetail(up *roster.Upstream) string {
+	since, said := ct.leaving[up.Incarnation()]
+	if !said {
+		return "source=registration"
+	}
+	return fmt.Sprintf("source=answer age=%dms", ct.timers.Now().Sub(since).Milliseconds())
+}
+
 // StoreUnavailable records the start of an outage of the store for a table.
 func (ct *Catalog) StoreUnavailable(table string, cause error) {
 	ct.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -107,7 +107,7 @@
 	}
 	en.peer = en.newPeer(parts, clock)
 	en.throttle = throttle.New(throttle.Parts{
-		Self: en.settings.Instance, Fleet: en.peer, Find: en.catalog.Find, Timers: parts.Timers, Events: en.events,
+		Self: en.settings.Instance, Fleet: en.peer, Find: en.catalog.Find, LeavingChanged: en.upstreamsLeaving, Timers: parts.Timers, Events: en.events,
 	})
 	en.streams = streamdirectory.New(streamdirectory.Parts{
 		Self: en.settings.Instance, IsFirst: en.settings.IsFirstStart, Fleet: en.peer, Present: en.presentOrigins, Confirm: en.confirm, Staleness: en.staleness, Timers: parts.Timers, Events: en.events,
@@ -163,6 +163,8 @@
 	en.metrics.RegisterGauge("members_live", func() float64 { return float64(len(en.peer.Live())) })
 	en.metrics.RegisterGauge("parts_blocked", func() float64 { return float64(en.peer.BlockedParts()) })
 	en.metrics.RegisterGauge("upstreams_limited", func() float64 { return float64(len(en.throttle.Limits())) })
+	en.metrics.RegisterGauge("upstreams_leaving", func() float64 { return float64(len(en.throttle.Leaving())) })
+	en.metrics.RegisterGauge("upstreams_paused", func() float64 { return float64(len(en.throttle.Pauses())) })
 	en.metrics.RegisterGauge("streams_kept", func() float64 { return float64(en.streams.Len()) })
 	en.metrics.RegisterGauge("configuration_revision", func() float64 {
 		if table := en.catalog.RoutingTable(); table != nil {
--- a/entry/items_test.go
+++ b/entry/items_test.go
@@ -23,6 +23,11 @@
 		us.mu.Unlock()
 		return gather.NotRun{Misdirected: true}
 	}
+	if up.standing.rejects() {
+		us.mu.Unlock()
+		us.announceLimit(ctx, uc.node, up)
+		return gather.NotRun{}
+	}
 	for _, item := range items {
 		us.recordArrival(uc.node, up, fmt.Sprintf("%s/%d/%d", item.RequestID, item.Stage, item.Index))
 		us.checkInputs(up, item)
@@ -72,7 +77,14 @@
 }
 
 // AvailableResultBytes returns the space for results, which is unlimited in effect.
-func (uc upstreamClient) AvailableResultBytes(context.Context, *roster.Upstream) (int64, error) {
+func (uc upstreamClient) AvailableResultBytes(_ context.Context, target *roster.Upstream) (int64, error) {
+	us := uc.fleet.upstreams
+	us.mu.Lock()
+	up := us.byID[target.ID]
+	us.mu.Unlock()
+	if up != nil {
+		us.recordLimitedCall(uc.node, up)
+	}
 	return 1e9, nil
 }
 
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -24,6 +24,9 @@
 	path   string
 	// pool is the pool of the limited upstreams.
 	pool string
+	// begin replaces the beginning of the limits; countsFrom is when the outcomes are counted from.
+	begin      func(lr *limitRun)
+	countsFrom time.Duration
 	// during is called each 100 ms with the time since the limits began.
 	during func(lr *limitRun, elapsed time.Duration)
 	// leastUse is the least part of the last limit that must be used.
@@ -49,7 +52,7 @@
 )
 
 func newLimitRun() *limitRun {
-	return &limitRun{instances: 8, upstreams: 9, limited: 2, perSecond: 1, every: 20 * time.Millisecond, atOnce: 1, path: "/stream/", pool: "model", leastUse: 0.5}
+	return &limitRun{instances: 8, upstreams: 9, limited: 2, perSecond: 1, every: 20 * time.Millisecond, atOnce: 1, path: "/stream/", pool: "model", leastUse: 0.5, countsFrom: settleBound}
 }
 
 // limitedID returns the id of a limited upstream by its number.
@@ -74,7 +77,11 @@
 		lr.soak.configure()
 		time.Sleep(convergenceTime + time.Second)
 		lr.sendFor(2*time.Second, false)
-		lr.setAll(lr.perSecond)
+		if lr.begin == nil {
+			lr.setAll(lr.perSecond)
+		} else {
+			lr.begin(lr)
+		}
 		lr.sendFor(limitTime, true)
 		lr.soak.group.Wait()
 		fl.stop()
@@ -87,7 +94,7 @@
 	for elapsed := time.Duration(0); elapsed < length; elapsed = time.Since(began) {
 		if elapsed%lr.every == 0 {
 			for range lr.atOnce {
-				lr.send(limited && elapsed >= settleBound)
+				lr.send(limited && elapsed >= lr.countsFrom)
 			}
 		}
 		if limited && lr.during != nil && elapsed > 0 && elapsed%(100*time.Millisecond) == 0 {
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -1,6 +1,16 @@
 package entry
 
-import "github.com/turmericdoor/turmericdoor/schema/wire"
+import (
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+)
+
+// upstreamsLeaving takes upstreams out of use whose answers say that they are leaving, and those that their queues had chosen.
+func (en *Instance) upstreamsLeaving(since map[roster.Incarnation]time.Time) {
+	en.catalog.SetLeaving(since)
+}
 
 // peerLimits exposes the rate limits of upstreams to other instances.
 type peerLimits struct {
@@ -18,11 +28,11 @@
 }
 
 // News returns the limits for a heartbeat, all of them for a full exchange.
-func (lm peerLimits) News(full bool) []*wire.RateLimit {
+func (lm peerLimits) News(full bool) []*wire.UpstreamNotice {
 	return lm.entry.throttle.News(full)
 }
 
 // AddNews adds the limits in a heartbeat.
-func (lm peerLimits) AddNews(news []*wire.RateLimit) {
+func (lm peerLimits) AddNews(news []*wire.UpstreamNotice) {
 	lm.entry.throttle.AddNews(news)
 }
--- a/entry/ratelimits_test.go
+++ b/entry/ratelimits_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/notice"
 	"github.com/turmericdoor/turmericdoor/ratelimit"
 )
 
@@ -64,10 +65,13 @@
 	up.limit.steps = append(up.limit.steps, limitStep{from: time.Now(), perSecond: perSecond})
 }
 
-// recordLimitedCall records a call that reached an upstream with a rate limit.
+// recordLimitedCall records a call that reached an upstream which has a rate limit, pauses or is leaving.
 func (us *upstreamSet) recordLimitedCall(nd *node, up *upstream) {
 	us.mu.Lock()
 	defer us.mu.Unlock()
+	if up.standing != nil {
+		up.standing.record(nd)
+	}
 	if up.limit == nil {
 		return
 	}
@@ -77,7 +81,7 @@
 	})
 }
 
-// announceLimit announces the upstream's limit in the answer to a call of an instance.
+// announceLimit announces in the answer to a call of an instance what the upstream says of itself.
 func (us *upstreamSet) announceLimit(ctx context.Context, nd *node, up *upstream) {
 	us.mu.Lock()
 	announced := ratelimit.Announcement(ratelimit.None{})
@@ -93,11 +97,15 @@
 	if up.limit != nil && up.limit.unreadable && len(up.limit.calls)%2 == 0 {
 		announced = ratelimit.Invalid{Text: "many"}
 	}
+	seen := notice.Notice{Limit: announced}
+	if up.standing != nil {
+		up.standing.say(nd, &seen)
+	}
 	us.mu.Unlock()
 	if us.variant.hidesLimits {
-		announced = ratelimit.None{}
+		seen.Limit = ratelimit.None{}
 	}
-	ratelimit.Observe(ctx, announced)
+	notice.Observe(ctx, seen)
 }
 
 // current returns the limit at a time, or unlimited.
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -28,6 +28,8 @@
 	running int
 	// limit is the rate limit that its answers announce, or nil.
 	limit *rateLimit
+	// standing is what it says of a departure or a pause, or nil.
+	standing *standing
 	// crashedOn counts the crashes by request body.
 	crashedOn map[string]int
 }
@@ -275,6 +277,9 @@
 		return reply
 	}
 	us.recordArrival(nd, up, exchange.Request.ID)
+	if up.standing.rejects() {
+		return newRejection()
+	}
 	if up.running >= up.Slots || up.flaky && us.random.IntN(3) == 0 {
 		return newRejection()
 	}
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/notice"
 	"github.com/turmericdoor/turmericdoor/origin"
 	"github.com/turmericdoor/turmericdoor/placement"
 	"github.com/turmericdoor/turmericdoor/quarantine"
@@ -99,7 +100,7 @@
 		if failure := rn.checkParts(); failure != nil {
 			return failure, false
 		}
-		criteria.Slack = rn.targetAt.Sub(rn.Timers.Now())
+		criteria.Slack, criteria.Avoided = rn.targetAt.Sub(rn.Timers.Now()), rn.Limits.Avoided()
 		choice, maxWait, found := rn.pick(rn.restrict(rn.pinSuspect(criteria)), mayWait)
 		if !found {
 			return rn.unavailableOutcome(rn.restrict(criteria)), false
@@ -176,7 +177,7 @@
 
 // sendTo makes one attempt at an upstream.
 func (rn *run) sendTo(
-	ctx context.Context, choice placement.Choice, criteria placement.Criteria, inputs []string, done *stages, answered func(ratelimit.Announcement),
+	ctx context.Context, choice placement.Choice, criteria placement.Criteria, inputs []string, done *stages, answered func(notice.Notice),
 ) attemptResult {
 	startedAt := rn.Timers.Now()
 	at := &attempt{
@@ -194,7 +195,7 @@
 	defer at.stopTimeout()
 	at.recordOrigin()
 	rn.audit.Start()
-	reply, err := rn.Sender.Send(ratelimit.WithObserver(at.ctx, at.observeLimit), UpstreamRequest{
+	reply, err := rn.Sender.Send(notice.WithObserver(at.ctx, at.observeNotice), UpstreamRequest{
 		Request: rn.request, Upstream: choice.Upstream, Organisation: rn.organisation.Name,
 		Remaining: rn.deadline.Sub(startedAt), Inputs: inputs, Rank: rn.rank, Engine: rn.pool.Engine != nil, LastEventID: rn.response.LastEventID(),
 	})
@@ -245,8 +246,8 @@
 	firstByteAt  time.Time
 	// reportedSuccess is set once the success of the prompt's parts was reported.
 	reportedSuccess bool
-	// answered is called with the rate limit that the answer announces; limit is that limit for the log.
-	answered func(ratelimit.Announcement)
+	// answered is called with what the answer says about the upstream; limit is its rate limit for the log.
+	answered func(notice.Notice)
 	limit    string
 	// origin is where the stream begins if the attempt brings its first event.
 	origin origin.Origin
@@ -324,7 +325,8 @@
 	if rn.audit.Executions() > 0 {
 		return attemptResult{outcome: Failed{Cause: "rejected by the upstream after an earlier attempt"}, tryNext: rn.takeRetry(ctx)}
 	}
-	outcome := rn.refuse(noUpstreamRetryAfter, UpstreamsFull, "rejected by the upstream")
+	left, _ := rn.pauseLeft()
+	outcome := rn.refuse(max(left, noUpstreamRetryAfter), UpstreamsFull, "rejected by the upstream")
 	if reply.InputMissing {
 		return attemptResult{outcome: outcome, rerunStages: rn.takeBudget()}
 	}
@@ -413,12 +415,12 @@
 	return fmt.Sprintf("%dms", at.run.Timers.Now().Sub(at.firstByteAt).Milliseconds())
 }
 
-// observeLimit passes on the rate limit that the upstream's answer announces.
-func (at *attempt) observeLimit(announced ratelimit.Announcement) {
-	if limit, is := announced.(ratelimit.Limit); is {
+// observeNotice passes on what the upstream's answer says about the upstream.
+func (at *attempt) observeNotice(seen notice.Notice) {
+	if limit, is := seen.Limit.(ratelimit.Limit); is {
 		at.limit = "ratelimit=" + limit.String()
 	}
-	at.answered(announced)
+	at.answered(seen)
 }
 
 // recordFirstByte records the latency of the upstream's first byte and stops the timer that waits for it.
--- a/gateway/fakepeers_test.go
+++ b/gateway/fakepeers_test.go
@@ -4,14 +4,21 @@
 	"context"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/notice"
 	"github.com/turmericdoor/turmericdoor/origin"
 	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/streamdirectory"
 )
 
+// Pauses returns the pauses of the upstreams.
+func (fk *fakes) Pauses() map[roster.Incarnation]time.Time { return fk.pauses }
+
+// Avoided returns the pauses of the upstreams.
+func (fk *fakes) Avoided() map[roster.Incarnation]time.Time { return fk.pauses }
+
 // Acquire issues a permit for each upstream, after the time in permitAfter at those that it names.
-func (fk *fakes) Acquire(ctx context.Context, up *roster.Upstream, maxWait time.Duration) (func(ratelimit.Announcement), error) {
+func (fk *fakes) Acquire(ctx context.Context, up *roster.Upstream, maxWait time.Duration) (func(notice.Notice), error) {
 	fk.mu.Lock()
 	fk.asked = append(fk.asked, up.ID)
 	wait := fk.permitAfter[up.ID]
@@ -24,7 +31,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	return func(ratelimit.Announcement) {}, nil
+	return func(notice.Notice) {}, nil
 }
 
 // Limits returns a limit of two requests a second for each upstream in permitAfter.
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -85,6 +85,8 @@
 // fakes implements the upstreams, the stages and the crash tracker.
 type fakes struct {
 	mu sync.Mutex
+	// pauses are until when upstreams want no requests.
+	pauses map[roster.Incarnation]time.Time
 	// log holds the events, metrics the page of the metrics after the request.
 	log     []*wire.Event
 	metrics string
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -4,22 +4,28 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/notice"
 	"github.com/turmericdoor/turmericdoor/placement"
 	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
 
-// RateLimiter keeps the requests of all instances to an upstream within the rate limit that it announces.
+// RateLimiter keeps the requests to an upstream within what it has said: the rate that it accepts from all instances, and a pause.
 type RateLimiter interface {
 	// Acquire waits until a request may be sent, at most maxWait, and returns the function to call with what its answer
 	// announces. The error is ratelimit.Exceeded or that of ctx; then the request must not be sent.
-	Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(ratelimit.Announcement), error)
+	Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(notice.Notice), error)
 	// Limits returns the limits in force, in requests per second.
 	Limits() map[roster.Incarnation]float64
+	// Pauses returns until when upstreams want no requests of this instance.
+	Pauses() map[roster.Incarnation]time.Time
+	// Avoided returns until when upstreams want no requests of some instance.
+	Avoided() map[roster.Incarnation]time.Time
 }
 
 const (
@@ -27,6 +33,8 @@
 	resumePermitWait = time.Second
 	// maxLimitedRetryAfter bounds the delay after which a caller is asked to retry if the rate limits of all upstreams are used up.
 	maxLimitedRetryAfter = 10 * time.Second
+	// returnInterval is the least time between two callers who are asked to retry, so that not all come at one moment.
+	returnInterval = 10 * time.Millisecond
 )
 
 // pick selects an upstream and returns how long its permit may be waited for: not at all while another upstream may be tried.
@@ -60,7 +68,7 @@
 
 // acquire waits until the request may be sent to an upstream. It returns nil if the rate limit does not allow it, or if the
 // request may no longer be sent there.
-func (rn *run) acquire(ctx context.Context, choice placement.Choice, criteria placement.Criteria, maxWait time.Duration) func(ratelimit.Announcement) {
+func (rn *run) acquire(ctx context.Context, choice placement.Choice, criteria placement.Criteria, maxWait time.Duration) func(notice.Notice) {
 	incarnation := choice.Upstream.Incarnation()
 	answered, err := rn.Limits.Acquire(ctx, choice.Upstream, maxWait)
 	exceeded := ratelimit.Exceeded{}
@@ -70,7 +78,7 @@
 		})
 		rn.Events.Record(&wire.Event{
 			Kind: wire.EventKind_EventPermitDenied, RequestId: rn.request.ID, Upstream: choice.Upstream.ID, Stage: rn.pool.Name,
-			DurationMicros: exceeded.RetryAfter.Microseconds(),
+			DurationMicros: exceeded.RetryAfter.Microseconds(), Detail: fmt.Sprintf("pause=%t", exceeded.IsPause),
 		})
 	}
 	if err != nil || !rn.Catalog.IsUsable(incarnation) || rn.checkDeadline(ctx) != nil || rn.checkParts() != nil {
@@ -90,32 +98,74 @@
 	if !limited || rn.audit.Executions() > 0 {
 		return rn.noUpstreamOutcome()
 	}
-	after := rn.Pools.retryAfterLimited(rn.pool.Name, wait, rn.totalLimit(list))
+	after := rn.Pools.retryAfterLimited(rn.pool.Name, wait, rn.acceptedRate(list))
+	if rn.isPoolPaused() {
+		return rn.refuse(after, UpstreamsPaused, fmt.Sprintf("the upstreams want no requests for %dms", wait.Milliseconds()))
+	}
 	return rn.refuse(after, RateLimited, fmt.Sprintf("the rate limits of the upstreams are used up for %dms", wait.Milliseconds()))
 }
 
-// totalLimit returns the sum of the upstreams' rate limits in requests per second.
-func (rn *run) totalLimit(list []*roster.Upstream) float64 {
+// acceptedRate returns how many requests per second upstreams accept; those without a rate limit accept all.
+func (rn *run) acceptedRate(list []*roster.Upstream) float64 {
 	total, limits := 0.0, rn.Limits.Limits()
 	for _, up := range list {
-		total += limits[up.Incarnation()]
+		limit, limited := limits[up.Incarnation()]
+		if !limited {
+			return math.Inf(1)
+		}
+		total += limit
 	}
 	return total
 }
 
-// permitWait returns the expected wait for a permit if all upstreams of the pool have a rate limit, or 0.
+// isPoolPaused reports whether all upstreams of the pool want no requests of this instance.
+func (rn *run) isPoolPaused() bool {
+	left, paused := rn.pauseLeft()
+	return paused && left > 0
+}
+
+// pauseLeft returns the time until the first upstream of the pool accepts requests again, or false if one of them does not pause.
+func (rn *run) pauseLeft() (time.Duration, bool) {
+	pauses, now := rn.Limits.Pauses(), rn.Timers.Now()
+	list := rn.Catalog.Upstreams(rn.pool.Name, "")
+	if len(pauses) == 0 || len(list) == 0 {
+		return 0, false
+	}
+	first := time.Duration(math.MaxInt64)
+	for _, up := range list {
+		until, paused := pauses[up.Incarnation()]
+		if !paused || !now.Before(until) {
+			return 0, false
+		}
+		first = min(first, until.Sub(now))
+	}
+	return first, true
+}
+
+// permitWait returns the expected wait for an upstream that accepts the request if all of the pool pause or have a rate limit,
+// or 0.
 func (rn *run) permitWait() time.Duration {
-	limits := rn.Limits.Limits()
+	if left, paused := rn.pauseLeft(); paused {
+		return left
+	}
+	limits, pauses, now := rn.Limits.Limits(), rn.Limits.Pauses(), rn.Timers.Now()
 	if len(limits) == 0 {
 		return 0
 	}
-	list := rn.Catalog.Upstreams(rn.pool.Name, "")
-	for _, up := range list {
+	accepting := []*roster.Upstream{}
+	for _, up := range rn.Catalog.Upstreams(rn.pool.Name, "") {
+		if now.Before(pauses[up.Incarnation()]) {
+			continue
+		}
 		if _, limited := limits[up.Incarnation()]; !limited {
 			return 0
 		}
+		accepting = append(accepting, up)
+	}
+	if len(accepting) == 0 {
+		return 0
 	}
-	return rn.Pools.permitWait(rn.pool.Name, rn.totalLimit(list))
+	return rn.Pools.permitWait(rn.pool.Name, rn.acceptedRate(accepting))
 }
 
 // pickLimited returns the upstream whose rate limit first allows another request, and how long that takes.
@@ -164,7 +214,7 @@
 // retryAfterLimited returns after what time a caller is asked to retry if the rate limits of a pool's upstreams are used up for
 // wait. Callers are asked to return one after the other, at this instance's share of the limits.
 func (pl *Pools) retryAfterLimited(pool string, wait time.Duration, perSecond float64) time.Duration {
-	each := pl.share(1, perSecond)
+	each := max(pl.share(1, perSecond), returnInterval)
 	now := pl.timers.Now()
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/notice"
 	"github.com/turmericdoor/turmericdoor/origin"
 	"github.com/turmericdoor/turmericdoor/placement"
-	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -161,5 +161,5 @@
 // allow to ask.
 func (rn *run) hasRestarted(ctx context.Context, up *roster.Upstream) bool {
 	answered, err := rn.Limits.Acquire(ctx, up, 0)
-	return err == nil && rn.Sender.HasRestarted(ratelimit.WithObserver(ctx, answered), up)
+	return err == nil && rn.Sender.HasRestarted(notice.WithObserver(ctx, answered), up)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -160,6 +160,8 @@
 	UpstreamsFull Cause = "UpstreamsFull"
 	// RateLimited: the rate limits of the upstreams are used up.
 	RateLimited Cause = "RateLimited"
+	// UpstreamsPaused: all upstreams want no requests for some time.
+	UpstreamsPaused Cause = "UpstreamsPaused"
 	// VersionUnknown: the software version that began the stream is not known; VersionGone: no upstream of it is left.
 	VersionUnknown Cause = "VersionUnknown"
 	VersionGone    Cause = "VersionGone"
--- a/gather/free.go
+++ b/gather/free.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/notice"
 	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -79,8 +80,12 @@
 		gt.freeLater(id, handles, freed, exceeded.RetryAfter)
 		return
 	}
+	if err == nil && !gt.view.IsUsable(up.Incarnation()) {
+		// It frees its results when it ends.
+		return
+	}
 	if err == nil {
-		err = gt.caller.FreeResults(ratelimit.WithObserver(ctx, answered), up, handles)
+		err = gt.caller.FreeResults(notice.WithObserver(ctx, answered), up, handles)
 	}
 	if err != nil {
 		gt.events.Record(&wire.Event{Kind: wire.EventKind_EventCallFailed, Upstream: id, Detail: "free results: " + err.Error()})
@@ -114,13 +119,19 @@
 	gt.freeNow(id, waiting.handles, waiting.allFreed)
 }
 
+// errLeaving reports that an upstream is leaving, and gets no calls any more.
+var errLeaving = errors.New("the upstream is leaving")
+
 // availableResultBytes asks an upstream for the memory that it has left for results.
 func (gt *Gatherer) availableResultBytes(ctx context.Context, up *roster.Upstream) (int64, error) {
 	answered, err := gt.limits.Acquire(ctx, up, 0)
 	if err != nil {
 		return 0, err
 	}
-	return gt.caller.AvailableResultBytes(ratelimit.WithObserver(ctx, answered), up)
+	if !gt.view.IsUsable(up.Incarnation()) {
+		return 0, errLeaving
+	}
+	return gt.caller.AvailableResultBytes(notice.WithObserver(ctx, answered), up)
 }
 
 // runItems makes a call with items, unless the upstream's rate limit does not allow it or the upstream is no longer usable.
@@ -133,7 +144,7 @@
 	case err != nil:
 		return NotSent{Cause: err.Error()}
 	case !gt.view.IsUsable(up.Incarnation()):
-		return NotSent{Cause: "the upstream is leaving"}
+		return NotSent{Cause: errLeaving.Error()}
 	}
-	return gt.caller.RunItems(ratelimit.WithObserver(ctx, answered), up, items)
+	return gt.caller.RunItems(notice.WithObserver(ctx, answered), up, items)
 }
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -15,6 +15,7 @@
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/hlc"
 	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/notice"
 	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/route"
@@ -118,14 +119,14 @@
 }
 
 // Acquire permits every call, unless the rate limit of the upstream is used up.
-func (fk *fakes) Acquire(_ context.Context, up *roster.Upstream, _ time.Duration) (func(ratelimit.Announcement), error) {
+func (fk *fakes) Acquire(_ context.Context, up *roster.Upstream, _ time.Duration) (func(notice.Notice), error) {
 	time.Sleep(time.Millisecond)
 	fk.mu.Lock()
 	defer fk.mu.Unlock()
 	if left := time.Until(fk.limitedUntil[up.ID]); left > 0 {
 		return nil, ratelimit.Exceeded{RetryAfter: left}
 	}
-	return func(ratelimit.Announcement) {}, nil
+	return func(notice.Notice) {}, nil
 }
 
 // Limits returns a limit of one call in two seconds for each upstream whose limit was ever used up.
--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -12,7 +12,7 @@
 	"github.com/turmericdoor/turmericdoor/batch"
 	"github.com/turmericdoor/turmericdoor/calibration"
 	"github.com/turmericdoor/turmericdoor/inflight"
-	"github.com/turmericdoor/turmericdoor/ratelimit"
+	"github.com/turmericdoor/turmericdoor/notice"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/timeline"
@@ -32,7 +32,7 @@
 type RateLimiter interface {
 	// Acquire waits until a call may be made, at most maxWait, and returns the function to call with what its answer
 	// announces. The error is ratelimit.Exceeded or that of ctx; then the call must not be made.
-	Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(ratelimit.Announcement), error)
+	Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(notice.Notice), error)
 	// Limits returns the limits in force, in requests per second.
 	Limits() map[roster.Incarnation]float64
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -153,7 +153,7 @@
 		heartbeat.Versions = pr.replicas.Versions()
 	}
 	if pr.limits != nil {
-		heartbeat.RateLimits = pr.limits.News(full)
+		heartbeat.Notices = pr.limits.News(full)
 	}
 	if pr.origins != nil {
 		heartbeat.EndedUpstreams = pr.origins.EndedNews(full)
@@ -196,7 +196,7 @@
 		pr.fetchDocument(ctx, sender.Address)
 	}
 	if pr.limits != nil {
-		pr.limits.AddNews(heartbeat.GetRateLimits())
+		pr.limits.AddNews(heartbeat.GetNotices())
 	}
 	if pr.origins != nil {
 		pr.origins.AddEndedNews(heartbeat.GetEndedUpstreams())
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -15,9 +15,9 @@
 	// ApplyReport applies what an answer to another instance announced.
 	ApplyReport(report *wire.LimitReport) *wire.LimitReply
 	// News returns the limits for a heartbeat, all of them for a full exchange.
-	News(full bool) []*wire.RateLimit
+	News(full bool) []*wire.UpstreamNotice
 	// AddNews adds the limits in a heartbeat.
-	AddNews(news []*wire.RateLimit)
+	AddNews(news []*wire.UpstreamNotice)
 }
 
 // AcquirePermit decides on another instance's request for a permit.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -30,6 +30,8 @@
 	Pinned bool
 	// MaxInFlight bounds the requests, one connection each, that this instance has in flight at an upstream; 0 is no limit.
 	MaxInFlight int
+	// Avoided holds upstreams that are chosen only if there is no other, until a time.
+	Avoided map[roster.Incarnation]time.Time
 }
 
 // allows reports whether the request may run on an upstream.
@@ -106,6 +108,8 @@
 	sampleWeight = 0.3
 	// failureCost is the expected time lost at an upstream that fails every request.
 	failureCost = 4 * time.Second
+	// avoidedCost is what a request gains at another upstream than one that has asked other instances for a pause.
+	avoidedCost = 4 * time.Second
 	// baseEjection is how long an unreachable upstream is ejected; it doubles with each further failure, at most
 	// maxDoublings times.
 	baseEjection = 300 * time.Millisecond
@@ -178,6 +182,9 @@
 		if up.FailureDomain != criteria.FailureDomain {
 			score += float64(remoteCost) + float64(criteria.InputBytes)*float64(remoteCostPerMB)/megabyte
 		}
+		if now.Before(criteria.Avoided[up.Incarnation()]) {
+			score += float64(avoidedCost)
+		}
 		if criteria.Session != 0 && position > 0 {
 			score += float64(criteria.SharedTokens) * float64(recomputeCost)
 		}
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -1,7 +1,6 @@
 package ratelimit
 
 import (
-	"context"
 	"fmt"
 	"strconv"
 	"time"
@@ -37,28 +36,18 @@
 
 func (Invalid) announcement() {}
 
-// Exceeded is the error of a request that an upstream's rate limit does not allow; it was not sent.
+// Exceeded is the error of a request that an upstream does not accept now, for its rate limit or a pause; it was not sent.
 type Exceeded struct {
-	// RetryAfter is when the limit allows another request.
+	// RetryAfter is when the upstream accepts another request.
 	RetryAfter time.Duration
+	// IsPause is set if the upstream has asked for a pause.
+	IsPause bool
 }
 
 // Error returns the message with the time.
 func (ex Exceeded) Error() string {
-	return fmt.Sprintf("the upstream's rate limit allows no request for %d ms", ex.RetryAfter.Milliseconds())
-}
-
-// observerKey is the context key of the observer.
-type observerKey struct{}
-
-// WithObserver returns a context for a call to an upstream whose answer is reported to observe.
-func WithObserver(ctx context.Context, observe func(Announcement)) context.Context {
-	return context.WithValue(ctx, observerKey{}, observe)
-}
-
-// Observe reports the announcement of an answer to the observer of the call's context, if it has one.
-func Observe(ctx context.Context, announced Announcement) {
-	if observe, found := ctx.Value(observerKey{}).(func(Announcement)); found {
-		observe(announced)
+	if ex.IsPause {
+		return fmt.Sprintf("the upstream has asked for a pause of %d ms more", ex.RetryAfter.Milliseconds())
 	}
+	return fmt.Sprintf("the upstream's rate limit allows no request for %d ms", ex.RetryAfter.Milliseconds())
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -46,6 +46,8 @@
 	entries     map[string]*entry
 	outageSince time.Time
 	graceUntil  time.Time
+	// leaving holds the incarnations that have said themselves that they are leaving, whatever is registered.
+	leaving map[Incarnation]time.Time
 }
 
 // entry is an upstream's registration; removedAt is the time of its removal, or zero.
@@ -83,13 +85,24 @@
 	if !found || !known.removedAt.IsZero() {
 		return
 	}
-	if known.upstream.Leaving || !now.Before(rs.graceUntil) && rs.outageSince.IsZero() {
+	if rs.isLeaving(&known.upstream) || !now.Before(rs.graceUntil) && rs.outageSince.IsZero() {
 		delete(rs.entries, id)
 		return
 	}
 	known.removedAt = now
 }
 
+// SetLeaving sets the incarnations that have said themselves that they are leaving, whatever is registered.
+func (rs *Roster) SetLeaving(since map[Incarnation]time.Time) {
+	rs.leaving = since
+}
+
+// isLeaving reports whether an upstream is registered as leaving, or has said so itself.
+func (rs *Roster) isLeaving(up *Upstream) bool {
+	_, said := rs.leaving[up.Incarnation()]
+	return up.Leaving || said
+}
+
 // StoreUnavailable records the start of an outage of the store.
 func (rs *Roster) StoreUnavailable(now time.Time) {
 	if rs.outageSince.IsZero() {
@@ -163,6 +176,7 @@
 	snapshot := &Snapshot{byID: map[string]*Upstream{}, byPool: map[string][]*Upstream{}}
 	for id, known := range rs.entries {
 		upstream := known.upstream
+		upstream.Leaving = rs.isLeaving(&upstream)
 		snapshot.byID[id] = &upstream
 		if !upstream.Leaving {
 			snapshot.byPool[upstream.Pool] = append(snapshot.byPool[upstream.Pool], &upstream)
--- a/throttle/doc.go
+++ b/throttle/doc.go
@@ -1,3 +1,4 @@
-// Package throttle keeps the requests from all instances to an upstream within the rate limit that it announces. One instance,
-// the owner, issues the permits for an upstream with a limit; the others ask it before each request.
+// Package throttle keeps the requests to an upstream within what its answers say: the rate that it accepts from all instances
+// together, a pause that it asks an instance for, and that it is leaving. One instance, the owner, issues the permits for an
+// upstream with a rate limit; the others ask it before each request.
 package throttle
--- a/throttle/observe.go
+++ b/throttle/observe.go
@@ -5,14 +5,29 @@
 	"fmt"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/notice"
+	"github.com/turmericdoor/turmericdoor/noticetable"
 	"github.com/turmericdoor/turmericdoor/ratelimit"
-	"github.com/turmericdoor/turmericdoor/ratetable"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timer"
 )
 
-// observe applies what the answer to a request announced, and tells the owner of the upstream's permits if it is news.
-func (th *Throttle) observe(upstream *roster.Upstream, issued sent, announced ratelimit.Announcement) {
+// observe applies what the answer to a request says about the upstream.
+func (th *Throttle) observe(upstream *roster.Upstream, issued sent, seen notice.Notice) {
+	if seen.Unreadable != "" {
+		th.Events.Record(&wire.Event{Kind: wire.EventKind_EventNoticeUnreadable, Upstream: upstream.ID, Stage: upstream.Pool, Detail: seen.Unreadable})
+	}
+	if seen.IsLeaving {
+		th.markLeaving(upstream.Incarnation())
+	}
+	th.observePause(upstream, seen.Pause)
+	th.observeLimit(upstream, issued, seen.Limit)
+}
+
+// observeLimit applies the rate limit that the answer to a request announces, and tells the owner of the upstream's permits if it
+// is news.
+func (th *Throttle) observeLimit(upstream *roster.Upstream, issued sent, announced ratelimit.Announcement) {
 	incarnation := upstream.Incarnation()
 	current, isActive := th.Limits()[incarnation]
 	report := &wire.LimitReport{FailureDomain: upstream.FailureDomain, Number: issued.number, Epoch: issued.epoch}
@@ -21,7 +36,7 @@
 		if !isActive || issued.number == 0 {
 			return
 		}
-		report.Announced = toWire(ratetable.Entry{Incarnation: incarnation, Ended: true})
+		report.Announced = toWire(noticetable.Entry{Incarnation: incarnation, Ended: true})
 	case ratelimit.Limit:
 		if isActive && announced.PerSecond == current {
 			return
@@ -29,7 +44,7 @@
 		if !isActive || announced.PerSecond < current {
 			th.set(incarnation, announced.PerSecond)
 		}
-		report.Announced = toWire(ratetable.Entry{Incarnation: incarnation, PerSecond: announced.PerSecond})
+		report.Announced = toWire(noticetable.Entry{Incarnation: incarnation, PerSecond: announced.PerSecond})
 	case ratelimit.Invalid:
 		th.Events.Record(&wire.Event{Kind: wire.EventKind_EventRateLimitUnreadable, Upstream: upstream.ID, Stage: upstream.Pool, Detail: announced.Text})
 		return
@@ -39,7 +54,7 @@
 
 // set puts a limit in force at once, and tells the other instances.
 func (th *Throttle) set(incarnation roster.Incarnation, perSecond float64) {
-	entry := ratetable.Entry{Incarnation: incarnation, PerSecond: perSecond, At: th.Fleet.Time()}
+	entry := noticetable.Entry{Incarnation: incarnation, PerSecond: perSecond, At: th.Fleet.Time()}
 	th.mu.Lock()
 	th.table.Merge(entry)
 	th.ledger.Changed(th.Timers.Now(), incarnation, perSecond)
@@ -61,13 +76,13 @@
 		defer cancel()
 		// An owner that does not answer learns of the limit from heartbeats, and of its end from a later answer.
 		if reply, err := th.Fleet.SendReport(ctx, owner, report); err == nil {
-			th.merge([]*wire.RateLimit{reply.GetLimit()})
+			th.merge([]*wire.UpstreamNotice{reply.GetLimit()})
 		}
 	})
 }
 
 // recordChange records a limit that was announced, changed or ended in the time line.
-func (th *Throttle) recordChange(entry ratetable.Entry) {
+func (th *Throttle) recordChange(entry noticetable.Entry) {
 	event := &wire.Event{Kind: wire.EventKind_EventUpstreamLimited, Upstream: entry.Incarnation.ID}
 	if entry.Ended {
 		event.Kind = wire.EventKind_EventUpstreamUnlimited
@@ -77,25 +92,28 @@
 	th.Events.Record(event)
 }
 
-// prune forgets the limits of upstreams that are no longer registered.
+// prune forgets what upstreams have said that are no longer registered.
 func (th *Throttle) prune() {
 	now := th.Fleet.Time()
 	th.mu.Lock()
 	defer th.mu.Unlock()
-	th.table.Prune(now, func(incarnation roster.Incarnation) bool {
+	isRegistered := func(incarnation roster.Incarnation) bool {
 		registered := th.Find(incarnation.ID)
 		return registered != nil && registered.Incarnation() == incarnation
-	})
+	}
+	th.table.Prune(now, isRegistered)
+	th.pauses.Prune(th.Timers.Now(), isRegistered)
 	th.publish()
 	th.ledger.Prune(func(incarnation roster.Incarnation) bool {
-		_, found := th.table.Find(incarnation)
+		_, found := th.table.Find(noticetable.RateLimit, incarnation)
 		return found
 	})
 }
 
-func toWire(entry ratetable.Entry) *wire.RateLimit {
-	converted := &wire.RateLimit{
+func toWire(entry noticetable.Entry) *wire.UpstreamNotice {
+	converted := &wire.UpstreamNotice{
 		Upstream: entry.Incarnation.ID, StartUnixMs: entry.Incarnation.StartUnixMs, PerSecond: entry.PerSecond, Ended: entry.Ended,
+		Kind: wire.NoticeKind(entry.Kind), LengthMs: entry.Length.Milliseconds(),
 	}
 	if !entry.At.IsZero() {
 		converted.UnixNanos = entry.At.UnixNano()
@@ -103,9 +121,10 @@
 	return converted
 }
 
-func fromWire(limit *wire.RateLimit) ratetable.Entry {
-	entry := ratetable.Entry{
-		Incarnation: incarnationOf(limit), PerSecond: limit.GetPerSecond(), Ended: limit.GetEnded(),
+func fromWire(limit *wire.UpstreamNotice) noticetable.Entry {
+	entry := noticetable.Entry{
+		Kind: noticetable.Kind(limit.GetKind()), Incarnation: incarnationOf(limit), PerSecond: limit.GetPerSecond(), Ended: limit.GetEnded(),
+		Length: timer.Milliseconds(limit.GetLengthMs()),
 	}
 	if limit.GetUnixNanos() != 0 {
 		entry.At = time.Unix(0, limit.GetUnixNanos())
@@ -113,6 +132,6 @@
 	return entry
 }
 
-func incarnationOf(limit *wire.RateLimit) roster.Incarnation {
+func incarnationOf(limit *wire.UpstreamNotice) roster.Incarnation {
 	return roster.Incarnation{ID: limit.GetUpstream(), StartUnixMs: limit.GetStartUnixMs()}
 }
--- a/throttle/owner.go
+++ b/throttle/owner.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/noticetable"
 	"github.com/turmericdoor/turmericdoor/permit"
-	"github.com/turmericdoor/turmericdoor/ratetable"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
 
 // IssuePermit decides on a request for a permit, of this or another instance.
 func (th *Throttle) IssuePermit(request *wire.PermitRequest) *wire.PermitReply {
-	th.merge([]*wire.RateLimit{request.GetLimit()})
+	th.merge([]*wire.UpstreamNotice{request.GetLimit()})
 	incarnation := incarnationOf(request.GetLimit())
 	now := th.Timers.Now()
 	if th.owner(incarnation.ID, request.GetFailureDomain()).ID != th.Self {
@@ -19,7 +19,7 @@
 	share := th.Fleet.Share(lostWithin)
 	th.mu.Lock()
 	defer th.mu.Unlock()
-	entry, found := th.table.Find(incarnation)
+	entry, found := th.table.Find(noticetable.RateLimit, incarnation)
 	if !found || entry.Ended {
 		return &wire.PermitReply{Outcome: wire.PermitOutcome_PermitNotNeeded, Limit: toWire(entry)}
 	}
@@ -49,7 +49,7 @@
 	announced.At = th.Fleet.Time()
 	share := th.Fleet.Share(lostWithin)
 	th.mu.Lock()
-	known, found := th.table.Find(incarnation)
+	known, found := th.table.Find(noticetable.RateLimit, incarnation)
 	isActive := found && !known.Ended
 	isNewer := report.GetEpoch() == th.epoch && th.ledger.IsNewer(incarnation, report.GetNumber())
 	changes := false
@@ -78,8 +78,8 @@
 	return &wire.LimitReply{Limit: toWire(known)}
 }
 
-// News returns the limits for a heartbeat, all of them for a full exchange.
-func (th *Throttle) News(full bool) []*wire.RateLimit {
+// News returns what upstreams have said for a heartbeat, all of it for a full exchange.
+func (th *Throttle) News(full bool) []*wire.UpstreamNotice {
 	th.mu.Lock()
 	defer th.mu.Unlock()
 	th.messages++
@@ -87,30 +87,34 @@
 	if full {
 		entries = th.table.All()
 	}
-	list := []*wire.RateLimit{}
+	list := []*wire.UpstreamNotice{}
 	for _, entry := range entries {
 		list = append(list, toWire(entry))
 	}
 	return list
 }
 
-// AddNews adds the limits in a heartbeat.
-func (th *Throttle) AddNews(news []*wire.RateLimit) {
+// AddNews adds what another instance knows of upstreams.
+func (th *Throttle) AddNews(news []*wire.UpstreamNotice) {
 	if th.merge(news) {
 		th.Fleet.TriggerHeartbeat()
 	}
 }
 
-// merge adds limits that another instance knows and reports whether any was new.
-func (th *Throttle) merge(news []*wire.RateLimit) bool {
-	changed := []ratetable.Entry{}
+// merge adds what another instance knows and reports whether any of it was new.
+func (th *Throttle) merge(news []*wire.UpstreamNotice) bool {
+	changed, others := []noticetable.Entry{}, false
 	th.mu.Lock()
 	for _, item := range news {
 		entry := fromWire(item)
 		if entry.Incarnation.ID == "" || entry.At.IsZero() {
 			continue
 		}
-		known, found := th.table.Find(entry.Incarnation)
+		if entry.Kind != noticetable.RateLimit {
+			others = th.table.Merge(entry) || others
+			continue
+		}
+		known, found := th.table.Find(entry.Kind, entry.Incarnation)
 		if !th.table.Merge(entry) || !found && entry.Ended {
 			continue
 		}
@@ -119,12 +123,12 @@
 			changed = append(changed, entry)
 		}
 	}
-	if len(changed) > 0 {
+	if len(changed) > 0 || others {
 		th.publish()
 	}
 	th.mu.Unlock()
 	for _, entry := range changed {
 		th.recordChange(entry)
 	}
-	return len(changed) > 0
+	return len(changed) > 0 || others
 }
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/inflight"
 	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/notice"
+	"github.com/turmericdoor/turmericdoor/noticetable"
 	"github.com/turmericdoor/turmericdoor/ownership"
+	"github.com/turmericdoor/turmericdoor/pause"
 	"github.com/turmericdoor/turmericdoor/permit"
 	"github.com/turmericdoor/turmericdoor/ratelimit"
-	"github.com/turmericdoor/turmericdoor/ratetable"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timeline"
@@ -39,13 +42,16 @@
 	Self  string
 	Fleet Fleet
 	// Find returns the registered upstream with an id, or nil.
-	Find   func(id string) *roster.Upstream
-	Timers *timer.Service
-	Events *timeline.Ring
+	Find func(id string) *roster.Upstream
+	// LeavingChanged is called with the incarnations whose answers have said that they are leaving, and since when. It must not
+	// call the throttle.
+	LeavingChanged func(map[roster.Incarnation]time.Time)
+	Timers         *timer.Service
+	Events         *timeline.Ring
 }
 
-// Throttle holds the rate limits that an instance knows, and issues the permits of the upstreams that it owns. It is safe for
-// concurrent use.
+// Throttle holds what upstreams have said of themselves in their answers, keeps requests to them within it, and issues the permits
+// of the upstreams that it owns. It is safe for concurrent use.
 type Throttle struct {
 	Parts
 
@@ -53,12 +59,18 @@
 	epoch     int64
 	startedAt time.Time
 	// limited holds the limits in force, in requests per second.
-	limited    atomic.Pointer[map[roster.Incarnation]float64]
+	limited atomic.Pointer[map[roster.Incarnation]float64]
+	// leaving holds the upstreams that are leaving, with the time since when, and paused until when others pause.
+	leaving atomic.Pointer[map[roster.Incarnation]time.Time]
+	paused  atomic.Pointer[map[roster.Incarnation]time.Time]
+	// avoided holds the upstreams that have asked any instance for a pause, until its end.
+	avoided    atomic.Pointer[map[roster.Incarnation]time.Time]
 	background inflight.Group
 
 	mu       sync.Mutex
-	table    *ratetable.Table
+	table    *noticetable.Table
 	ledger   *permit.Ledger
+	pauses   *pause.Register
 	messages uint64
 	// unresponsive holds the instances that did not answer, until when they are not asked again.
 	unresponsive map[string]time.Time
@@ -85,9 +97,12 @@
 func New(parts Parts) *Throttle {
 	now := parts.Timers.Now()
 	th := &Throttle{
-		Parts: parts, epoch: now.UnixNano(), startedAt: now, table: ratetable.New(), ledger: permit.New(), unresponsive: map[string]time.Time{},
+		Parts: parts, epoch: now.UnixNano(), startedAt: now, table: noticetable.New(), ledger: permit.New(), pauses: pause.New(), unresponsive: map[string]time.Time{},
 	}
 	th.limited.Store(&map[roster.Incarnation]float64{})
+	th.leaving.Store(&map[roster.Incarnation]time.Time{})
+	th.paused.Store(&map[roster.Incarnation]time.Time{})
+	th.avoided.Store(&map[roster.Incarnation]time.Time{})
 	return th
 }
 
@@ -114,9 +129,12 @@
 
 // Acquire waits until a request may be sent to an upstream, at most maxWait, and returns the function to call with what
 // the upstream's answer announces. The error is ratelimit.Exceeded or that of ctx; then the request must not be sent.
-func (th *Throttle) Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(ratelimit.Announcement), error) {
-	issued := sent{}
-	if _, limited := th.Limits()[upstream.Incarnation()]; limited {
+func (th *Throttle) Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(notice.Notice), error) {
+	issued, incarnation := sent{}, upstream.Incarnation()
+	if err := th.awaitPause(incarnation); err != nil {
+		return nil, err
+	}
+	if _, limited := th.Limits()[incarnation]; limited {
 		reply, err := th.ask(ctx, upstream, maxWait)
 		if err != nil {
 			return nil, err
@@ -126,7 +144,10 @@
 		}
 		issued = sent{number: reply.GetNumber(), epoch: reply.GetEpoch()}
 	}
-	return func(announced ratelimit.Announcement) { th.observe(upstream, issued, announced) }, nil
+	if err := th.takeAfterPause(incarnation); err != nil {
+		return nil, err
+	}
+	return func(seen notice.Notice) { th.observe(upstream, issued, seen) }, nil
 }
 
 // await waits until the request of a reply may be sent, or returns why it may not.
@@ -169,7 +190,7 @@
 		th.markUnresponsive(owner.ID)
 		return nil, ratelimit.Exceeded{RetryAfter: unresponsiveBackoff}
 	}
-	th.merge([]*wire.RateLimit{reply.GetLimit()})
+	th.merge([]*wire.UpstreamNotice{reply.GetLimit()})
 	return reply, nil
 }
 
@@ -197,18 +218,28 @@
 }
 
 // known returns what this instance knows of the limit of an upstream.
-func (th *Throttle) known(incarnation roster.Incarnation) *wire.RateLimit {
+func (th *Throttle) known(incarnation roster.Incarnation) *wire.UpstreamNotice {
 	th.mu.Lock()
 	defer th.mu.Unlock()
-	entry, found := th.table.Find(incarnation)
+	entry, found := th.table.Find(noticetable.RateLimit, incarnation)
 	if !found {
-		entry = ratetable.Entry{Incarnation: incarnation, Ended: true}
+		entry = noticetable.Entry{Incarnation: incarnation, Ended: true}
 	}
 	return toWire(entry)
 }
 
-// publish makes the limits in force visible; the caller holds the lock.
+// publish makes visible what the upstreams have said; the caller holds the lock.
 func (th *Throttle) publish() {
-	active := th.table.Active()
-	th.limited.Store(&active)
+	limits, leaving, pauses := th.table.Limits(), th.table.LeavingSince(), th.pauses.Until()
+	th.limited.Store(&limits)
+	th.paused.Store(&pauses)
+	avoided, ahead := th.table.PausesUntil(th.Fleet.Time()), th.Fleet.Time().Sub(th.Timers.Now())
+	for incarnation, until := range avoided {
+		avoided[incarnation] = until.Add(-ahead)
+	}
+	th.avoided.Store(&avoided)
+	if !maps.Equal(leaving, th.Leaving()) {
+		th.leaving.Store(&leaving)
+		th.LeavingChanged(leaving)
+	}
 }
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/turmericdoor/turmericdoor/hlc"
 	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/notice"
 	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -38,6 +39,8 @@
 	silent map[string]bool
 	calls  int
 	share  float64
+	// leaving is the number of leaving upstreams that each instance knows.
+	leaving map[string]int
 }
 
 // end is the view that one instance has of the fleet.
@@ -80,13 +83,14 @@
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		timers := timer.New()
-		fl := &fleet{timers: timers, clock: hlc.New(timers), throttles: map[string]*throttle.Throttle{}, silent: map[string]bool{}, share: 1}
+		fl := &fleet{timers: timers, clock: hlc.New(timers), throttles: map[string]*throttle.Throttle{}, silent: map[string]bool{}, leaving: map[string]int{}, share: 1}
 		ctx, cancel := context.WithCancel(context.Background())
 		ends := []chan struct{}{}
 		for _, name := range []string{"owner", "other"} {
 			events := timeline.New(name, fl.clock, 100, func(event *wire.Event) { fl.events = append(fl.events, event) })
 			th := throttle.New(throttle.Parts{
-				Self: name, Fleet: end{fl}, Find: func(string) *roster.Upstream { return up }, Timers: timers, Events: events,
+				Self: name, Fleet: end{fl}, Find: func(string) *roster.Upstream { return up }, Timers: timers,
+				LeavingChanged: func(since map[roster.Incarnation]time.Time) { fl.leaving[name] = len(since) }, Events: events,
 			})
 			fl.throttles[name] = th
 			stopped := make(chan struct{})
@@ -106,7 +110,7 @@
 func (fl *fleet) send(ctx context.Context, name string, to *roster.Upstream, announced ratelimit.Announcement) error {
 	answered, err := fl.throttles[name].Acquire(ctx, to, 0)
 	if err == nil {
-		answered(announced)
+		answered(notice.Notice{Limit: announced})
 		synctest.Wait()
 	}
 	return err
@@ -161,7 +165,7 @@
 			late, err := fl.throttles["other"].Acquire(ctx, up, 0)
 			must.NoError(t, err)
 			must.NoError(t, fl.send(ctx, "owner", up, ratelimit.Limit{PerSecond: 1}))
-			late(ratelimit.None{})
+			late(notice.Notice{Limit: ratelimit.None{}})
 			synctest.Wait()
 			must.MapNotEmpty(t, fl.throttles["owner"].Limits())
 		})
@@ -174,7 +178,7 @@
 			must.NoError(t, err)
 			time.Sleep(time.Second)
 			must.NoError(t, fl.send(ctx, "owner", up, ratelimit.Limit{PerSecond: 1}))
-			old(ratelimit.Limit{PerSecond: 2})
+			old(notice.Notice{Limit: ratelimit.Limit{PerSecond: 2}})
 			synctest.Wait()
 			must.Eq(t, 1, fl.throttles["owner"].Limits()[up.Incarnation()])
 		})
