--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -71,6 +71,8 @@
 	completesCutOff bool
 	// hidesLimits keeps the rate limits in the answers of upstreams from the instances.
 	hidesLimits bool
+	// startsFirst makes the settings say that the fleet starts for the first time.
+	startsFirst bool
 	// hidesCrashes makes probes find every upstream alive.
 	hidesCrashes bool
 }
@@ -112,7 +114,7 @@
 	}
 	upstreams := upstreamClient{fleet: fl, node: nd}
 	nd.entry = entry.New(entry.Parts{
-		Settings: entry.Settings{Instance: id, FailureDomain: domain, PeerAddress: id, Seeds: seeds, RetryBudget: terms},
+		Settings: entry.Settings{Instance: id, FailureDomain: domain, PeerAddress: id, Seeds: seeds, RetryBudget: terms, IsFirstStart: variant.startsFirst},
 		Logger:   log.New(io.Discard), Timers: timer.New(), Random: fl.random.Fork(fmt.Sprint(id, time.Now().UnixNano())),
 		Source: storeClient{store: fl.store, node: nd}, Decoder: reader,
 		Tables: catalog.TableNames{Configuration: configurations, Registrations: registrations},
--- a/entry/order_test.go
+++ b/entry/order_test.go
@@ -35,6 +35,10 @@
 	warmUp time.Duration
 	// takesUpAt returns an instance at which every second stream that broke is taken up, or nil.
 	takesUpAt func(or *orderRun) *node
+	// returnAfter is how long a caller whose instance died waits before its next try.
+	returnAfter time.Duration
+	// startsFirst has the settings say that the fleet starts for the first time, until instances are started anew.
+	startsFirst bool
 	// noShare omits the check of the share of streams that go on.
 	noShare bool
 
@@ -76,7 +80,7 @@
 func (or *orderRun) play(t *testing.T) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
-		fl := newFleetOf(or.instances, max(*soakSeed, orderSeed), defects{})
+		fl := newFleetOf(or.instances, max(*soakSeed, orderSeed), defects{startsFirst: or.startsFirst})
 		or.soak = &soak{fleet: fl, random: fl.random.Fork("order"), outcomes: map[string]int{}, faults: map[string]int{}, lastOutcome: map[string]string{}, keyHolders: []string{organisationName(0)}}
 		us := fl.upstreams
 		us.streamEvents, us.restartDelay = orderEvents, 1200*time.Millisecond
@@ -209,6 +213,9 @@
 		if _, whole := outcome.(gateway.Answered); whole || sc.first == "" {
 			break
 		}
+		if nd.dead.Load() {
+			time.Sleep(sc.run.returnAfter)
+		}
 	}
 	if len(sc.versions) > 1 {
 		sc.run.mu.Lock()
--- a/entry/ordercases_test.go
+++ b/entry/ordercases_test.go
@@ -30,6 +30,11 @@
 		}
 		or.noShare = true
 	},
+	"all instances are killed at once during a wave of versions": func(or *orderRun) { or.killAllInAWave() },
+	"all of seventy-seven instances are killed at once during a wave of versions": func(or *orderRun) {
+		or.instances, or.upstreams, or.atOnce, or.length = 77, 20, 2, 12*time.Second
+		or.killAllInAWave()
+	},
 	"answers break before and after their first event at fast upstreams": func(or *orderRun) {
 		or.prepare = func(us *upstreamSet) { us.isFast, us.breaksAnswers = true, true }
 		or.every, or.atOnce, or.crashEvery = 10*time.Millisecond, 4, 0
@@ -105,6 +110,34 @@
 	}
 }
 
+// killAllInAWave changes a run so that all instances are killed at once, again and again, while each version replaces the one before:
+// once while both serve, once just after the last of the old one has left. Answers break often, so that many streams are taken up.
+func (or *orderRun) killAllInAWave() {
+	or.version = func(int) string { return "v1" }
+	or.prepare = func(us *upstreamSet) { us.breaksAnswers = true }
+	or.every, or.crashEvery, or.noShare, or.startsFirst, or.returnAfter = 10*time.Millisecond, 0, true, true, time.Second
+	or.during = func(or *orderRun, elapsed time.Duration) {
+		const wave = 4 * time.Second
+		number, phase := int(elapsed/wave), elapsed%wave
+		us := or.soak.fleet.upstreams
+		switch phase {
+		case 500 * time.Millisecond:
+			for at := range or.upstreams {
+				us.start(100*(number+1)+at, fmt.Sprint("v", number+2))
+			}
+		case time.Second, 2200 * time.Millisecond:
+			or.soak.restartAll()
+		case 2 * time.Second:
+			for at := range or.upstreams {
+				us.mu.Lock()
+				up := us.byID[modelID(100*number+at)]
+				us.mu.Unlock()
+				us.leave(up, true)
+			}
+		}
+	}
+}
+
 // replaceEvery starts an upstream of the next version at an interval, and has one of the first version leave.
 func (or *orderRun) replaceEvery(elapsed, interval time.Duration) {
 	number := int(elapsed/interval) - 1
