Missed changes are recorded without a lock: instances could deadlock

The entry tests hung once (600 s, then ended by their timeout), of some ten runs. Cause, by reading and then shown: the watcher calls Missed with its lock held, which took that of the directory; the directory reads the staleness, which takes the watcher's lock, with its own held.

Missed stores the time in an atomic pointer, which the check for a complete history reads. The test that calls it while the staleness is read hung before. Also by reading: the members are no longer read with the throttle's lock held; a request may wait for the end of a short pause as it may for a permit.

--- a/originhistory/originhistory.go
+++ b/originhistory/originhistory.go
@@ -51,11 +51,6 @@
 	hs.prune(now)
 }
 
-// Restart has the history begin anew, after a time in which origins may have been registered that it does not hold.
-func (hs *History) Restart(now time.Time) {
-	hs.isFirst, hs.since = false, now
-}
-
 // prune drops the origins that no stream to be taken up can have.
 func (hs *History) prune(now time.Time) {
 	for pipeline, origins := range hs.pipelines {
--- a/streamdirectory/streamdirectory.go
+++ b/streamdirectory/streamdirectory.go
@@ -63,6 +63,8 @@
 	confirmations  confirmation.Group
 	endedMu        sync.Mutex
 	stones         *tombstone.Set
+	// missedAt is when changes of the registrations were missed the last time, or nil.
+	missedAt atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	table   *origin.Table
@@ -139,11 +141,11 @@
 	}
 }
 
-// Missed records that versions may have come and gone which this instance has not seen.
+// Missed records that versions may have come and gone which this instance has not seen. It takes no lock: it is called while the
+// registrations are locked, whose staleness is read with the directory locked.
 func (dr *Directory) Missed() {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	dr.history.Restart(dr.Timers.Now())
+	now := dr.Timers.Now()
+	dr.missedAt.Store(&now)
 }
 
 func (dr *Directory) update() {
@@ -203,7 +205,9 @@
 
 // isComplete reports whether this instance knows all origins that streams can have. The caller holds the lock.
 func (dr *Directory) isComplete(now time.Time) bool {
-	return dr.history.IsComplete(now) && dr.Staleness() < maxStaleness
+	missedAt := dr.missedAt.Load()
+	missed := missedAt != nil && now.Sub(*missedAt) < dr.retention
+	return !missed && dr.history.IsComplete(now) && dr.Staleness() < maxStaleness
 }
 
 // replicate has the instances that keep a stream's record receive it. The caller holds the lock.
--- a/streamdirectory/streamdirectory_test.go
+++ b/streamdirectory/streamdirectory_test.go
@@ -33,6 +33,8 @@
 	silent, left map[string]bool
 	versions     []string
 	staleness    time.Duration
+	// onStaleness is called when the age is read.
+	onStaleness func()
 	// storeVersions are the versions that the store has, or nil if it is away; confirmations counts the reads of it.
 	storeVersions []string
 	confirmations int
@@ -56,6 +58,12 @@
 
 // age returns the age of the registrations.
 func (fl *fleet) age() time.Duration {
+	fl.mu.Lock()
+	onStaleness := fl.onStaleness
+	fl.mu.Unlock()
+	if onStaleness != nil {
+		onStaleness()
+	}
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	return fl.staleness
@@ -296,6 +304,19 @@
 			assertFound(ctx, t, fl, "i1", "unknown", "v1", streamdirectory.OnlyVersion)
 		})
 	})
+	t.Run("changes may be missed while the staleness is read", func(t *testing.T) {
+		runFleet(t, 3, old, func(ctx context.Context, fl *fleet) {
+			directory := fl.directories["i1"]
+			fl.change(func() {
+				fl.onStaleness = func() {
+					missed := make(chan struct{})
+					go func() { directory.Missed(); close(missed) }()
+					<-missed
+				}
+			})
+			assertFound(ctx, t, fl, "i1", "unknown", "v1", streamdirectory.OnlyVersion)
+		})
+	})
 	t.Run("after changes were missed, one version does not prove that there was no other", func(t *testing.T) {
 		runFleet(t, 3, old, func(ctx context.Context, fl *fleet) {
 			for _, each := range fl.directories {
--- a/throttle/standing.go
+++ b/throttle/standing.go
@@ -1,6 +1,7 @@
 package throttle
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -78,6 +79,7 @@
 // instances don't know of the pause.
 func (th *Throttle) changePause(upstream *roster.Upstream, length time.Duration) (event *wire.Event, isNews bool) {
 	now, incarnation := th.Timers.Now(), upstream.Incarnation()
+	spread, at := th.spread(incarnation), th.Fleet.Time()
 	th.mu.Lock()
 	defer th.mu.Unlock()
 	defer th.publish()
@@ -87,8 +89,8 @@
 		}
 		return nil, false
 	}
-	isNews = th.table.Merge(noticetable.Entry{Kind: noticetable.Pause, Incarnation: incarnation, At: th.Fleet.Time(), Length: length})
-	if th.pauses.Begin(incarnation, now.Add(length+th.spread(incarnation))) {
+	isNews = th.table.Merge(noticetable.Entry{Kind: noticetable.Pause, Incarnation: incarnation, At: at, Length: length})
+	if th.pauses.Begin(incarnation, now.Add(length+spread)) {
 		event = &wire.Event{Kind: wire.EventKind_EventUpstreamPaused, DurationMicros: length.Microseconds(), Detail: "source=answer"}
 	}
 	return event, isNews
@@ -104,27 +106,40 @@
 	return time.Duration(xxhash.Sum64String(fmt.Sprint(th.Self, "/", incarnation.ID)) % uint64(span))
 }
 
-// awaitPause returns the error of a request that must not be sent because of its upstream's pause, or nil.
-func (th *Throttle) awaitPause(incarnation roster.Incarnation) error {
+// awaitPause waits until an upstream's pause is over, at most until a time. The error is ratelimit.Exceeded or that of ctx.
+func (th *Throttle) awaitPause(ctx context.Context, incarnation roster.Incarnation, latest time.Time) error {
 	until, paused := th.Pauses()[incarnation]
 	if !paused {
 		return nil
 	}
-	if left := until.Sub(th.Timers.Now()); left > 0 {
-		return ratelimit.Exceeded{RetryAfter: left, IsPause: true}
-	}
-	return nil
+	return th.sleepUntilAccepted(ctx, until.Sub(th.Timers.Now()), latest)
 }
 
 // takeAfterPause is awaitPause for a request that is sent at once, and may be the first one after a pause.
-func (th *Throttle) takeAfterPause(incarnation roster.Incarnation) error {
-	if _, paused := th.Pauses()[incarnation]; !paused {
-		return nil
+func (th *Throttle) takeAfterPause(ctx context.Context, incarnation roster.Incarnation, latest time.Time) error {
+	for {
+		if _, paused := th.Pauses()[incarnation]; !paused {
+			return nil
+		}
+		th.mu.Lock()
+		wait := th.pauses.Take(th.Timers.Now(), incarnation)
+		th.mu.Unlock()
+		if wait <= 0 {
+			return nil
+		}
+		if err := th.sleepUntilAccepted(ctx, wait, latest); err != nil {
+			return err
+		}
 	}
-	th.mu.Lock()
-	defer th.mu.Unlock()
-	if wait := th.pauses.Take(th.Timers.Now(), incarnation); wait > 0 {
-		return ratelimit.Exceeded{RetryAfter: wait, IsPause: true}
+}
+
+// sleepUntilAccepted sleeps for the rest of a pause, unless it is longer than the request may wait.
+func (th *Throttle) sleepUntilAccepted(ctx context.Context, left time.Duration, latest time.Time) error {
+	switch {
+	case left <= 0:
+		return nil
+	case th.Timers.Now().Add(left).After(latest):
+		return ratelimit.Exceeded{RetryAfter: left, IsPause: true}
 	}
-	return nil
+	return th.Timers.Sleep(ctx, left)
 }
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -131,11 +131,12 @@
 // the upstream's answer announces. The error is ratelimit.Exceeded or that of ctx; then the request must not be sent.
 func (th *Throttle) Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(notice.Notice), error) {
 	issued, incarnation := sent{}, upstream.Incarnation()
-	if err := th.awaitPause(incarnation); err != nil {
+	latest := th.Timers.Now().Add(max(maxWait, 0))
+	if err := th.awaitPause(ctx, incarnation, latest); err != nil {
 		return nil, err
 	}
 	if _, limited := th.Limits()[incarnation]; limited {
-		reply, err := th.ask(ctx, upstream, maxWait)
+		reply, err := th.ask(ctx, upstream, latest.Sub(th.Timers.Now()))
 		if err != nil {
 			return nil, err
 		}
@@ -144,7 +145,7 @@
 		}
 		issued = sent{number: reply.GetNumber(), epoch: reply.GetEpoch()}
 	}
-	if err := th.takeAfterPause(incarnation); err != nil {
+	if err := th.takeAfterPause(ctx, incarnation, latest); err != nil {
 		return nil, err
 	}
 	return func(seen notice.Notice) { th.observe(upstream, issued, seen) }, nil
