Requests don't wait for the end of a pause: they are refused at once with its end

They are refused at once again, as the pause's end is known; callers are asked to come back one after the other.

--- a/throttle/standing.go
+++ b/throttle/standing.go
@@ -1,7 +1,6 @@
 package throttle
 
 import (
-	"context"
 	"fmt"
 	"time"
 
@@ -106,40 +105,23 @@
 	return time.Duration(xxhash.Sum64String(fmt.Sprint(th.Self, "/", incarnation.ID)) % uint64(span))
 }
 
-// awaitPause waits until an upstream's pause is over, at most until a time. The error is ratelimit.Exceeded or that of ctx.
-func (th *Throttle) awaitPause(ctx context.Context, incarnation roster.Incarnation, latest time.Time) error {
-	until, paused := th.Pauses()[incarnation]
-	if !paused {
-		return nil
-	}
-	return th.sleepUntilAccepted(ctx, until.Sub(th.Timers.Now()), latest)
-}
-
-// takeAfterPause is awaitPause for a request that is sent at once, and may be the first one after a pause.
-func (th *Throttle) takeAfterPause(ctx context.Context, incarnation roster.Incarnation, latest time.Time) error {
-	for {
-		if _, paused := th.Pauses()[incarnation]; !paused {
-			return nil
-		}
-		th.mu.Lock()
-		wait := th.pauses.Take(th.Timers.Now(), incarnation)
-		th.mu.Unlock()
-		if wait <= 0 {
-			return nil
-		}
-		if err := th.sleepUntilAccepted(ctx, wait, latest); err != nil {
-			return err
-		}
+// checkPause returns the error of a request that must not be sent because of its upstream's pause, or nil.
+func (th *Throttle) checkPause(incarnation roster.Incarnation) error {
+	if left := th.Pauses()[incarnation].Sub(th.Timers.Now()); left > 0 {
+		return ratelimit.Exceeded{RetryAfter: left, IsPause: true}
 	}
+	return nil
 }
 
-// sleepUntilAccepted sleeps for the rest of a pause, unless it is longer than the request may wait.
-func (th *Throttle) sleepUntilAccepted(ctx context.Context, left time.Duration, latest time.Time) error {
-	switch {
-	case left <= 0:
+// takeAfterPause is checkPause for a request that is sent at once, and may be the first one after a pause.
+func (th *Throttle) takeAfterPause(incarnation roster.Incarnation) error {
+	if _, paused := th.Pauses()[incarnation]; !paused {
 		return nil
-	case th.Timers.Now().Add(left).After(latest):
-		return ratelimit.Exceeded{RetryAfter: left, IsPause: true}
 	}
-	return th.Timers.Sleep(ctx, left)
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	if wait := th.pauses.Take(th.Timers.Now(), incarnation); wait > 0 {
+		return ratelimit.Exceeded{RetryAfter: wait, IsPause: true}
+	}
+	return nil
 }
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -131,12 +131,11 @@
 // the upstream's answer announces. The error is ratelimit.Exceeded or that of ctx; then the request must not be sent.
 func (th *Throttle) Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(notice.Notice), error) {
 	issued, incarnation := sent{}, upstream.Incarnation()
-	latest := th.Timers.Now().Add(max(maxWait, 0))
-	if err := th.awaitPause(ctx, incarnation, latest); err != nil {
+	if err := th.checkPause(incarnation); err != nil {
 		return nil, err
 	}
 	if _, limited := th.Limits()[incarnation]; limited {
-		reply, err := th.ask(ctx, upstream, latest.Sub(th.Timers.Now()))
+		reply, err := th.ask(ctx, upstream, maxWait)
 		if err != nil {
 			return nil, err
 		}
@@ -145,7 +144,7 @@
 		}
 		issued = sent{number: reply.GetNumber(), epoch: reply.GetEpoch()}
 	}
-	if err := th.takeAfterPause(ctx, incarnation, latest); err != nil {
+	if err := th.takeAfterPause(incarnation); err != nil {
 		return nil, err
 	}
 	return func(seen notice.Notice) { th.observe(upstream, issued, seen) }, nil
