Members are listed and ranked once per change, not once per request

Change: the view keeps its lists until a state changes; ownership.Ranking remembers the owners of a key while the members stay the same; a hash is computed once a member and allocates nothing. The owners are the same as before, so that instances of both versions agree. Records that no message carries are no longer searched for at each heartbeat.

--- a/gather/client.go
+++ b/gather/client.go
@@ -37,6 +37,7 @@
 	dialer   Dialer
 	timers   *timer.Service
 	events   *timeline.Ring
+	ranking  ownership.Ranking
 
 	mu           sync.Mutex
 	links        map[string]Link
@@ -95,7 +96,7 @@
 
 // rankedOwners returns the live instances, ranked as owners of a queue.
 func (cl *Client) rankedOwners(key QueueKey) []member.Member {
-	return ownership.Rank(cl.members.Live(), key.FailureDomain, key.Pool+"/"+key.FailureDomain)
+	return cl.ranking.Rank(cl.members.Live(), key.FailureDomain, key.Pool+"/"+key.FailureDomain)
 }
 
 // Run submits a job in the given failure domain and waits for its result. It tries another failure domain if that one
--- a/member/member.go
+++ b/member/member.go
@@ -1,8 +1,10 @@
 package member
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,7 +48,11 @@
 	self   Member
 	random *rand.Rand
 	// records holds the other members by ID, lastHeard the time of the last message from each monitored one.
-	records   map[string]*record
+	records map[string]*record
+	// due holds the records that messages still carry.
+	due map[string]*record
+	// all and live are the sorted lists of members, or nil after a change.
+	all, live []Member
 	lastHeard map[string]time.Time
 	// partners are the IDs of the members to which this instance sends heartbeats. partnersStale is set when a member was
 	// added or changed, so that they are computed again before the next use.
@@ -79,7 +85,7 @@
 	self.Liveness = Alive
 	return &View{
 		config: config, self: self, random: random, lastTick: now,
-		records: map[string]*record{}, lastHeard: map[string]time.Time{}, partnersStale: true,
+		records: map[string]*record{}, due: map[string]*record{}, lastHeard: map[string]time.Time{}, partnersStale: true,
 	}
 }
 
@@ -91,6 +97,7 @@
 // Leave marks this instance as left.
 func (vw *View) Leave() {
 	vw.self.Liveness = Left
+	vw.invalidate()
 }
 
 // overrides reports whether one state of a member overrides another.
@@ -130,6 +137,7 @@
 	}
 	if claimed.Liveness != Alive || claimed.Incarnation > vw.self.Incarnation {
 		vw.self.Incarnation = claimed.Incarnation + 1
+		vw.invalidate()
 	}
 }
 
@@ -141,6 +149,8 @@
 	}
 	vw.digest ^= memberHash(fresh)
 	vw.records[fresh.ID] = &record{member: fresh, since: now, transmitsLeft: vw.transmitLimit()}
+	vw.due[fresh.ID] = vw.records[fresh.ID]
+	vw.invalidate()
 	vw.partnersStale = true
 }
 
@@ -174,45 +184,60 @@
 
 // TakeUpdates returns at most limit states for the next message, those with the most transmissions left first.
 func (vw *View) TakeUpdates(limit int) []Member {
-	due := []*record{}
-	for _, rc := range vw.records {
-		if rc.transmitsLeft > 0 {
-			due = append(due, rc)
-		}
+	if len(vw.due) == 0 {
+		return nil
 	}
-	sort.Slice(due, func(left, right int) bool {
-		if due[left].transmitsLeft == due[right].transmitsLeft {
-			return due[left].member.ID < due[right].member.ID
-		}
-		return due[left].transmitsLeft > due[right].transmitsLeft
+	due := slices.Collect(maps.Values(vw.due))
+	slices.SortFunc(due, func(left, right *record) int {
+		return cmp.Or(cmp.Compare(right.transmitsLeft, left.transmitsLeft), cmp.Compare(left.member.ID, right.member.ID))
 	})
 	list := []Member{}
 	for _, rc := range due[:min(len(due), limit)] {
 		rc.transmitsLeft--
+		if rc.transmitsLeft == 0 {
+			delete(vw.due, rc.member.ID)
+		}
 		list = append(list, rc.member)
 	}
 	return list
 }
 
-// All returns the states of all members, including this instance, for a full exchange.
+// All returns the states of all members, including this instance, for a full exchange. The list must not be changed; it is the
+// same one until a state changes.
 func (vw *View) All() []Member {
-	list := []Member{vw.self}
-	for _, rc := range vw.records {
-		list = append(list, rc.member)
-	}
-	sort.Slice(list, func(left, right int) bool { return list[left].ID < list[right].ID })
-	return list
+	vw.sort()
+	return vw.all
 }
 
-// Live returns the members that are neither dead nor left, including this instance.
+// Live returns the members that are neither dead nor left, including this instance. The list must not be changed; it is the same one
+// until a state changes.
 func (vw *View) Live() []Member {
-	list := []Member{}
-	for _, mb := range vw.All() {
+	vw.sort()
+	return vw.live
+}
+
+// sort makes the lists of members anew after a change.
+func (vw *View) sort() {
+	if vw.all != nil {
+		return
+	}
+	vw.all = make([]Member, 0, len(vw.records)+1)
+	vw.all = append(vw.all, vw.self)
+	for _, rc := range vw.records {
+		vw.all = append(vw.all, rc.member)
+	}
+	slices.SortFunc(vw.all, func(left, right Member) int { return cmp.Compare(left.ID, right.ID) })
+	vw.live = make([]Member, 0, len(vw.all))
+	for _, mb := range vw.all {
 		if mb.Liveness <= Suspect {
-			list = append(list, mb)
+			vw.live = append(vw.live, mb)
 		}
 	}
-	return list
+}
+
+// invalidate drops the lists of members after a change.
+func (vw *View) invalidate() {
+	vw.all, vw.live = nil, nil
 }
 
 // StateToRefute returns the state of a member that is not Alive; sent to the member itself, it lets the member refute it.
--- a/member/watch.go
+++ b/member/watch.go
@@ -33,6 +33,8 @@
 			changes = append(changes, vw.setLiveness(now, rc.member, Dead))
 		case rc.member.Liveness >= Dead && age >= tombstoneTTL:
 			delete(vw.records, id)
+			delete(vw.due, id)
+			vw.invalidate()
 		}
 	}
 	return changes
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -9,6 +9,14 @@
 	"github.com/turmericdoor/turmericdoor/member"
 )
 
+// ranked is a member and what it is ranked by.
+type ranked struct {
+	member.Member
+	isNear    bool
+	hasCPU    bool
+	hashOfKey uint64
+}
+
 // Rank returns the members, ranked as owners of a key in a failure domain: those in the failure domain first, then those
 // with enough processor time, then by rendezvous hash.
 func Rank(members []member.Member, failureDomain, key string) []member.Member {
@@ -16,34 +24,41 @@
 	for _, each := range members {
 		maxMilliCores = max(maxMilliCores, each.MilliCores)
 	}
-	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(left, right member.Member) int {
+	list := make([]ranked, len(members))
+	for at, each := range members {
+		list[at] = ranked{
+			Member: each, isNear: each.FailureDomain == failureDomain, hasCPU: hasEnoughCPU(each, maxMilliCores), hashOfKey: rendezvousHash(key, each.ID),
+		}
+	}
+	slices.SortFunc(list, func(left, right ranked) int {
 		return cmp.Or(
-			trueFirst(left.FailureDomain == failureDomain, right.FailureDomain == failureDomain),
-			trueFirst(hasEnoughCPU(left, maxMilliCores), hasEnoughCPU(right, maxMilliCores)),
-			cmp.Compare(rendezvousHash(key, right.ID), rendezvousHash(key, left.ID)),
+			trueFirst(left.isNear, right.isNear), trueFirst(left.hasCPU, right.hasCPU), cmp.Compare(right.hashOfKey, left.hashOfKey),
 		)
 	})
-	return ranked
+	owners := make([]member.Member, len(list))
+	for at, each := range list {
+		owners[at] = each.Member
+	}
+	return owners
 }
 
 // Spread returns count of the members that keep a key, by rendezvous hash: first one of each failure domain, then others.
 func Spread(members []member.Member, key string, count int) []member.Member {
-	ranked := slices.Clone(members)
-	hashes := map[string]uint64{}
-	for _, each := range ranked {
-		hashes[each.ID] = rendezvousHash(key, each.ID)
+	list := make([]ranked, len(members))
+	for at, each := range members {
+		list[at] = ranked{Member: each, hashOfKey: rendezvousHash(key, each.ID)}
 	}
-	slices.SortFunc(ranked, func(left, right member.Member) int { return cmp.Compare(hashes[right.ID], hashes[left.ID]) })
+	slices.SortFunc(list, func(left, right ranked) int { return cmp.Compare(right.hashOfKey, left.hashOfKey) })
 	domains := map[string]bool{}
 	first, others := []member.Member{}, []member.Member{}
-	for _, each := range ranked {
-		if domains[each.FailureDomain] {
-			others = append(others, each)
-			continue
+	for _, each := range list {
+		switch {
+		case !domains[each.FailureDomain]:
+			domains[each.FailureDomain] = true
+			first = append(first, each.Member)
+		case len(others) < count:
+			others = append(others, each.Member)
 		}
-		domains[each.FailureDomain] = true
-		first = append(first, each)
 	}
 	spread := append(first, others...)
 	return spread[:min(len(spread), count)]
@@ -66,6 +81,14 @@
 	return 1
 }
 
+// separator stands between a key and an id where they are hashed.
+const separator = "/"
+
 func rendezvousHash(key, id string) uint64 {
-	return xxhash.Sum64String(key + "/" + id)
+	sum := xxhash.Digest{}
+	sum.Reset()
+	_, _ = sum.WriteString(key)
+	_, _ = sum.WriteString(separator)
+	_, _ = sum.WriteString(id)
+	return sum.Sum64()
 }
--- /dev/null
+++ b/ownership/ranking.go
@@ -0,0 +1,50 @@
+package ownership
+
+import (
+	"maps"
+	"sync/atomic"
+
+	"github.com/turmericdoor/turmericdoor/member"
+)
+
+// Ranking remembers the ranked owners of keys while the members stay the same. It is safe for concurrent use; reading it takes no
+// lock.
+type Ranking struct {
+	known atomic.Pointer[rankings]
+}
+
+// rankings holds the ranked owners among the members in one list.
+type rankings struct {
+	members []member.Member
+	byKey   map[rankingKey][]member.Member
+}
+
+type rankingKey struct {
+	failureDomain, key string
+}
+
+// maxRankings bounds the remembered keys.
+const maxRankings = 1024
+
+// Rank returns the members, ranked as owners of a key in a failure domain. Neither list must be changed.
+func (rk *Ranking) Rank(members []member.Member, failureDomain, key string) []member.Member {
+	of, known := rankingKey{failureDomain, key}, rk.known.Load()
+	if known != nil && isSame(known.members, members) {
+		if owners, found := known.byKey[of]; found {
+			return owners
+		}
+	}
+	owners := Rank(members, failureDomain, key)
+	fresh := &rankings{members: members, byKey: map[rankingKey][]member.Member{}}
+	if known != nil && isSame(known.members, members) && len(known.byKey) < maxRankings {
+		maps.Copy(fresh.byKey, known.byKey)
+	}
+	fresh.byKey[of] = owners
+	rk.known.Store(fresh)
+	return owners
+}
+
+// isSame reports whether two lists are the same one.
+func isSame(left, right []member.Member) bool {
+	return len(left) == len(right) && (len(left) == 0 || &left[0] == &right[0])
+}
--- a/storereader/storereader.go
+++ b/storereader/storereader.go
@@ -27,12 +27,13 @@
 // Select returns the IDs of the instances that read the store, the first ones of each failure domain in the order of a
 // hash of their IDs.
 func Select(members []member.Member) []string {
+	hashes := map[string]uint64{}
+	for _, mb := range members {
+		hashes[mb.ID] = xxhash.Sum64String(mb.ID)
+	}
 	sorted := slices.Clone(members)
 	slices.SortFunc(sorted, func(left, right member.Member) int {
-		if order := cmp.Compare(xxhash.Sum64String(left.ID), xxhash.Sum64String(right.ID)); order != 0 {
-			return order
-		}
-		return cmp.Compare(left.ID, right.ID)
+		return cmp.Or(cmp.Compare(hashes[left.ID], hashes[right.ID]), cmp.Compare(left.ID, right.ID))
 	})
 	inDomain := map[string]int{}
 	readers, rest := []string{}, []string{}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -66,6 +66,7 @@
 	// avoided holds the upstreams that have asked any instance for a pause, until its end.
 	avoided    atomic.Pointer[map[roster.Incarnation]time.Time]
 	background inflight.Group
+	ranking    ownership.Ranking
 
 	mu       sync.Mutex
 	table    *noticetable.Table
@@ -196,7 +197,7 @@
 
 // owner returns the instance that issues the permits of an upstream.
 func (th *Throttle) owner(id, failureDomain string) member.Member {
-	return ownership.Rank(th.Fleet.Live(), failureDomain, id)[0]
+	return th.ranking.Rank(th.Fleet.Live(), failureDomain, id)[0]
 }
 
 func (th *Throttle) backoffLeft(owner string) time.Duration {
