Less is counted anew for each forecast: result memory of an upstream, and who reads the store

Profile of the large fleet after the members were ranked once: batch.Scheduler.capacity 4.8% of the instances' own time, most of it the sum over all results of an upstream, and the choice of the store's readers 2.2%. The sum is kept while results come and go and swept when one expires; the readers are chosen once per change of the members. Same decisions; tests of batch, gather, gateway, entry pass.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -231,7 +231,7 @@
 	sc.updateUpstream(now, ended, report)
 	for item, handle := range report.Results {
 		if gr := sc.groups[item.GroupID]; gr != nil {
-			ended.upstream.results[handle] = result{bytes: gr.ResultBytes, sentAt: ended.started, expiresAt: now.Add(sc.config.ResultTTL)}
+			ended.upstream.addResult(handle, result{bytes: gr.ResultBytes, sentAt: ended.started, expiresAt: now.Add(sc.config.ResultTTL)})
 		}
 	}
 	for _, item := range slices.Concat(report.Unsent, report.Failed) {
@@ -252,9 +252,8 @@
 // ResultReleased removes a result that was freed from the used memory of its upstream.
 func (sc *Scheduler) ResultReleased(now time.Time, handle string) {
 	for _, up := range sc.upstreams {
-		if freed, found := up.results[handle]; found {
+		if freed, found := up.removeResult(handle); found {
 			sc.resultLifetime += resultLifetimeWeight * (float64(now.Sub(freed.sentAt)) - sc.resultLifetime)
-			delete(up.results, handle)
 		}
 	}
 }
--- a/batch/upstream.go
+++ b/batch/upstream.go
@@ -13,8 +13,11 @@
 	calls int
 	// inFlightBytes is the size of the results of calls in flight.
 	inFlightBytes int64
-	// results holds the results that take memory at the upstream, by handle.
-	results map[string]result
+	// results holds the results that take memory at the upstream, by handle, resultBytes is their size, and nextExpiry is before
+	// the first of them expires.
+	results     map[string]result
+	resultBytes int64
+	nextExpiry  time.Time
 	// otherBytes is the size of the results of other instances' calls, which count until otherBytesUntil.
 	otherBytes      int64
 	otherBytesUntil time.Time
@@ -68,14 +71,44 @@
 	if now.Before(up.otherBytesUntil) {
 		total += up.otherBytes
 	}
+	if now.After(up.nextExpiry) {
+		up.dropExpired(now)
+	}
+	return total + up.resultBytes
+}
+
+// addResult adds a result that takes memory at the upstream.
+func (up *upstream) addResult(handle string, fresh result) {
+	up.removeResult(handle)
+	if len(up.results) == 0 || fresh.expiresAt.Before(up.nextExpiry) {
+		up.nextExpiry = fresh.expiresAt
+	}
+	up.results[handle] = fresh
+	up.resultBytes += fresh.bytes
+}
+
+// removeResult removes a result, and returns it if it was there.
+func (up *upstream) removeResult(handle string) (result, bool) {
+	known, found := up.results[handle]
+	if found {
+		delete(up.results, handle)
+		up.resultBytes -= known.bytes
+	}
+	return known, found
+}
+
+// dropExpired removes the results that the upstream has dropped.
+func (up *upstream) dropExpired(now time.Time) {
+	next := time.Time{}
 	for handle, one := range up.results {
-		if now.After(one.expiresAt) {
-			delete(up.results, handle)
-			continue
+		switch {
+		case now.After(one.expiresAt):
+			up.removeResult(handle)
+		case next.IsZero() || one.expiresAt.Before(next):
+			next = one.expiresAt
 		}
-		total += one.bytes
 	}
-	return total
+	up.nextExpiry = next
 }
 
 // otherBytesTTL is how long the results of other instances' calls count after the upstream reported its memory.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -18,6 +19,7 @@
 	"github.com/turmericdoor/turmericdoor/logbook"
 	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/metric"
+	"github.com/turmericdoor/turmericdoor/ownership"
 	"github.com/turmericdoor/turmericdoor/peer"
 	"github.com/turmericdoor/turmericdoor/revision"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -63,6 +65,7 @@
 	gatherer *gather.Gatherer
 	items    *gather.Client
 	batches  *gather.Server
+	readerOf atomic.Pointer[readerRole]
 
 	// requestsCtx is cancelled when the requests in flight must end; drainStarted is when StartDraining was called.
 	requestsCtx    context.Context
@@ -152,7 +155,18 @@
 
 // isStoreReader reports whether this instance reads the platform's store and passes the changes on to the others.
 func (en *Instance) isStoreReader() bool {
-	return storereader.IsSelected(en.settings.Instance, en.peer.Live())
+	live, known := en.peer.Live(), en.readerOf.Load()
+	if known == nil || !ownership.IsSame(known.live, live) {
+		known = &readerRole{live: live, isReader: storereader.IsSelected(en.settings.Instance, live)}
+		en.readerOf.Store(known)
+	}
+	return known.isReader
+}
+
+// readerRole is whether this instance reads the store while the live instances are those in a list.
+type readerRole struct {
+	live     []member.Member
+	isReader bool
 }
 
 func (en *Instance) registerGauges() {
--- a/ownership/ranking.go
+++ b/ownership/ranking.go
@@ -29,14 +29,14 @@
 // Rank returns the members, ranked as owners of a key in a failure domain. Neither list must be changed.
 func (rk *Ranking) Rank(members []member.Member, failureDomain, key string) []member.Member {
 	of, known := rankingKey{failureDomain, key}, rk.known.Load()
-	if known != nil && isSame(known.members, members) {
+	if known != nil && IsSame(known.members, members) {
 		if owners, found := known.byKey[of]; found {
 			return owners
 		}
 	}
 	owners := Rank(members, failureDomain, key)
 	fresh := &rankings{members: members, byKey: map[rankingKey][]member.Member{}}
-	if known != nil && isSame(known.members, members) && len(known.byKey) < maxRankings {
+	if known != nil && IsSame(known.members, members) && len(known.byKey) < maxRankings {
 		maps.Copy(fresh.byKey, known.byKey)
 	}
 	fresh.byKey[of] = owners
@@ -44,7 +44,7 @@
 	return owners
 }
 
-// isSame reports whether two lists are the same one.
-func isSame(left, right []member.Member) bool {
+// IsSame reports whether two lists are the same one, not only equal.
+func IsSame(left, right []member.Member) bool {
 	return len(left) == len(right) && (len(left) == 0 || &left[0] == &right[0])
 }
