Fault soak: upstreams leave and pause without a change of their registration

Three upstreams say in their answers that they are leaving from the second second on, and end six seconds later; at random ones leave or turn all calls away with Retry-After. Checked: no request reaches a leaving upstream more than 2 s after the instance that sent it has passed on such an answer, unless its process had a fault since. Whether pauses are kept is not checked here, since answers get lost on the way: the tests over fakes count them.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -102,6 +102,7 @@
 		return 0
 	}
 	defer response.Body.Close()
+	fl.ledger.recordTold(cl.instance, response.Header)
 	body, err := readAnswer(cl, response)
 	fl.checkAnswer(cl, response, body, err != nil)
 	if err != nil && response.StatusCode == http.StatusOK {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -35,6 +35,8 @@
 	store   *standin.Store
 	proxies []*proxy
 	ledger  *ledger
+	// upstreams are the upstreams by their ids.
+	upstreams map[string]*upstream
 	// endlessStore makes the store answer some calls with bytes without end.
 	endlessStore atomic.Bool
 	// addresses are the addresses for callers, settings the settings files, by instance.
@@ -78,9 +80,9 @@
 	fl := &fleet{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), binary: binary, folder: t.TempDir(),
 		store:  standin.New(),
-		ledger: newLedger(),
+		ledger: newLedger(), upstreams: map[string]*upstream{},
 	}
-	fl.ledger.isUndisturbed = fl.isUndisturbed
+	fl.ledger.isUndisturbed, fl.ledger.lastFault = fl.isUndisturbed, fl.lastFault
 	server := httptest.NewServer(&faultyStore{fleet: fl, seed: seed})
 	t.Cleanup(server.Close)
 	for _, pool := range []string{"model", "plain", "stage"} {
@@ -91,6 +93,7 @@
 			up.register = func() { fl.store.Put("servers", up.id, registration(up.id, px.address(), at%2, up.born.Load())) }
 			up.crash = func() { px.crash(crashLength, up.register) }
 			up.register()
+			fl.upstreams[up.id] = up
 		}
 	}
 	fl.putConfiguration()
@@ -126,6 +129,13 @@
 	fl.disturbed[at] = time.Now()
 }
 
+// lastFault returns when the process of an instance was last ended, started, paused or woken.
+func (fl *fleet) lastFault(at int) time.Time {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.disturbed[at]
+}
+
 // isUndisturbed reports whether the process of an instance ran for newsBound.
 func (fl *fleet) isUndisturbed(at int) bool {
 	fl.mu.Lock()
@@ -189,7 +199,7 @@
 	at := fl.random.IntN(instances)
 	px := fl.proxies[fl.random.IntN(len(fl.proxies))]
 	length := time.Duration(100+fl.random.IntN(1500)) * time.Millisecond
-	switch fl.random.IntN(10) {
+	switch fl.random.IntN(12) {
 	case 0:
 		fl.restart(at, syscall.SIGKILL)
 	case 1:
@@ -216,6 +226,8 @@
 		// A new version ends the instances' waits for changes, so that they call again.
 		fl.putConfiguration()
 		time.AfterFunc(length, func() { fl.endlessStore.Store(false) })
+	default:
+		fl.changeStanding()
 	}
 	time.AfterFunc(length, px.heal)
 	select {
--- a/soak/response_test.go
+++ b/soak/response_test.go
@@ -97,8 +97,8 @@
 	events   []string
 	random   *rand.Rand
 	deadline time.Duration
-	// limit is the upstream's limit, or "".
-	limit string
+	// notices are the headers with what the upstream says of itself.
+	notices http.Header
 }
 
 // respond writes an answer with a fault.
@@ -150,8 +150,10 @@
 func (an response) head() string {
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTurmericdoor-Attempt-Id: %s\r\nTurmericdoor-Response-Seal: %s\r\n",
 		an.id, an.seal)
-	if an.limit != "" {
-		head += fmt.Sprintf("%s: %s\r\n", limitHeader, an.limit)
+	for _, name := range []string{limitHeader, leavingHeader, bornHeader} {
+		if value := an.notices.Get(name); value != "" {
+			head += fmt.Sprintf("%s: %s\r\n", name, value)
+		}
 	}
 	return head
 }
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -41,6 +41,9 @@
 	calls atomic.Int64
 	// limited counts the requests that an upstream with a limit got.
 	limited atomic.Int64
+	// leaving is set while it says that it is leaving, pauseUntil is until when it wants no requests, in Unix nanoseconds.
+	leaving    atomic.Bool
+	pauseUntil atomic.Int64
 	// born is the start time of the current incarnation; register writes its registration, crash ends and restarts it.
 	born     atomic.Int64
 	register func()
@@ -74,6 +77,12 @@
 	}
 	random := seededRandom(us.seed, fmt.Sprintf("%s/limit/%d", us.id, us.limited.Add(1)))
 	us.announceLimit(writer, random.IntN(unreadableShare) == 0)
+	if !strings.HasPrefix(request.URL.Path, "/v1/") {
+		us.checkStanding(request.Header.Get("Turmericdoor-Attempt-Id"))
+	}
+	if us.say(writer) {
+		return
+	}
 	if strings.HasPrefix(request.URL.Path, "/v1/") {
 		us.serveOwn(writer, request, body)
 		return
@@ -152,7 +161,7 @@
 	}
 	stamp := fmt.Sprintf("%s.%d", us.id, number)
 	answer := response{
-		id: id, seal: stamp, events: eventTexts(id, stamp, first), random: random, deadline: requestDeadline(request), limit: writer.Header().Get(limitHeader),
+		id: id, seal: stamp, events: eventTexts(id, stamp, first), random: random, deadline: requestDeadline(request), notices: writer.Header(),
 	}
 	us.respond(writer, fault, answer)
 }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -36,13 +36,19 @@
 	examples map[string]string
 	// isUndisturbed reports whether an instance's process ran for newsBound.
 	isUndisturbed func(instance int) bool
+	// lastFault returns when an instance's process was last ended, started, paused or woken.
+	lastFault func(instance int) time.Time
+	// told is when instances first passed on that an upstream is leaving.
+	told map[toldKey]time.Time
+	// toldArrivals counts the requests of such instances that reached those upstreams, at any time.
+	toldArrivals int
 }
 
 func newLedger() *ledger {
 	return &ledger{
 		arrivals: map[string]int{}, runs: map[string]int{}, notRun: map[string]int{}, junk: map[string]bool{}, played: map[string]int{},
 		answers: map[string][]string{}, longest: map[string]time.Duration{}, most: map[string]int{}, examples: map[string]string{},
-		limits: newLimitLedger(), takenUp: map[string]int{},
+		limits: newLimitLedger(), told: map[toldKey]time.Time{}, takenUp: map[string]int{},
 	}
 }
 
