--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -25,6 +26,8 @@
 		{"ResumesFail", sk.resumesFail},
 		{"RateLimit", sk.rateLimit},
 		{"RateLimitOfAPool", sk.rateLimitOfAPool},
+		{"SaysItLeaves", sk.saysItLeaves},
+		{"WantsPause", sk.wantsPause},
 	}
 	chosen := all[sk.random.IntN(len(all))]
 	for _, fault := range sk.activeFaults {
@@ -203,6 +206,37 @@
 	return func() { sk.endLimits(ids...) }
 }
 
+// saysItLeaves makes an upstream say that it is leaving, whose registration stays; it is started anew at the end.
+func (sk *soak) saysItLeaves() func() {
+	us := sk.fleet.upstreams
+	up := us.randomUpstream()
+	if up == nil {
+		return func() {}
+	}
+	sk.standings = append(sk.standings, us.stand(up.ID, leave))
+	return func() { us.crash(up) }
+}
+
+// wantsPause makes an upstream turn all calls away for some seconds.
+func (sk *soak) wantsPause() func() {
+	up := sk.fleet.upstreams.randomUpstream()
+	if up == nil {
+		return func() {}
+	}
+	length := time.Second + sk.random.DurationUpTo(5*time.Second)
+	sk.standings = append(sk.standings, sk.fleet.upstreams.stand(up.ID, func(st *standing) { st.pauseUntil = time.Now().Add(length) }))
+	return func() {}
+}
+
+// checkStandings checks that upstreams which left or paused were left alone.
+func (sk *soak) checkStandings() {
+	for _, st := range sk.standings {
+		if st.late > 0 || st.mostInPause() > maxCallsInPause {
+			sk.violations = append(sk.violations, fmt.Sprintf("a leaving or pausing upstream got %d late calls, and %d of one instance in a pause", st.late, st.mostInPause()))
+		}
+	}
+}
+
 func (sk *soak) upstreamFlaky() func() {
 	first := sk.setUpstream(func(up *upstream, on bool) { up.flaky = on })
 	second := sk.setUpstream(func(up *upstream, on bool) { up.flaky = on })
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -38,7 +38,9 @@
 	variant      defects
 	random       *entropy.Source
 	activeFaults []*activeFault
-	group        sync.WaitGroup
+	// standings are what upstreams said that left or paused.
+	standings []*standing
+	group     sync.WaitGroup
 
 	mu         sync.Mutex
 	violations []string
@@ -313,6 +315,7 @@
 	sk.violations = append(sk.violations, us.violations...)
 	sk.violations = append(sk.violations, us.checkBudget()...)
 	sk.violations = append(sk.violations, us.checkLimits()...)
+	sk.checkStandings()
 	sk.checkPoisons(us)
 	sk.checkBadParts(us)
 }
