Streams of one version are not replicated while the store has no changes, and go on by a fresh read (ORDER, processor time)

Cause: the registrations count as fresh for 2 s, but a store without changes is waited for 2.5 s, and the others learn of that by heartbeats: on a calm fleet the history went from complete to incomplete and back all the time, and each time up to 4,096 records were sent anew. The other side of the same cause: a stream that was taken up in such a moment was refused as VersionUnknown, although nothing was wrong.

Change: streams are replicated once the registrations are 8 s old; where none of the asked instances has fresh registrations, the store is read once more before the refusal. A version that joins has the earlier streams replicated at that moment, as before.

The subtest with registrations of 3 s now has them 9 s old, and a new one asks for the fresh read at 3 s.

--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -26,8 +27,6 @@
 		{"ResumesFail", sk.resumesFail},
 		{"RateLimit", sk.rateLimit},
 		{"RateLimitOfAPool", sk.rateLimitOfAPool},
-		{"SaysItLeaves", sk.saysItLeaves},
-		{"WantsPause", sk.wantsPause},
 	}
 	chosen := all[sk.random.IntN(len(all))]
 	for _, fault := range sk.activeFaults {
@@ -206,10 +205,33 @@
 	return func() { sk.endLimits(ids...) }
 }
 
+// startStanding makes an upstream leave or pause; its random numbers are its own, so that those of the other faults stay as they are.
+func (sk *soak) startStanding() {
+	if sk.standingRandom == nil {
+		sk.standingRandom = sk.fleet.random.Fork("standing")
+	}
+	if sk.standingRandom.IntN(standingShare) > 0 {
+		return
+	}
+	if sk.standingRandom.IntN(2) == 0 {
+		sk.faults["WantsPause"]++
+		sk.wantsPause()
+		return
+	}
+	sk.faults["SaysItLeaves"]++
+	end := sk.saysItLeaves()
+	sk.group.Go(func() { time.Sleep(saysItLeavesTime); end() })
+}
+
+const (
+	// standingShare is in how many steps one upstream leaves or pauses, and saysItLeavesTime how long one says that it is leaving.
+	standingShare    = 80
+	saysItLeavesTime = 6 * time.Second
+)
+
 // saysItLeaves makes an upstream say that it is leaving, whose registration stays; it is started anew at the end.
 func (sk *soak) saysItLeaves() func() {
-	us := sk.fleet.upstreams
-	up := us.randomUpstream()
+	us, up := sk.fleet.upstreams, sk.standingUpstream()
 	if up == nil {
 		return func() {}
 	}
@@ -218,14 +240,26 @@
 }
 
 // wantsPause makes an upstream turn all calls away for some seconds.
-func (sk *soak) wantsPause() func() {
-	up := sk.fleet.upstreams.randomUpstream()
+func (sk *soak) wantsPause() {
+	up := sk.standingUpstream()
 	if up == nil {
-		return func() {}
+		return
 	}
-	length := time.Second + sk.random.DurationUpTo(5*time.Second)
+	length := time.Second + sk.standingRandom.DurationUpTo(5*time.Second)
 	sk.standings = append(sk.standings, sk.fleet.upstreams.stand(up.ID, func(st *standing) { st.pauseUntil = time.Now().Add(length) }))
-	return func() {}
+}
+
+// standingUpstream returns a random upstream that is running, or nil.
+func (sk *soak) standingUpstream() *upstream {
+	us := sk.fleet.upstreams
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	ids := slices.Sorted(maps.Keys(us.byID))
+	up := us.byID[ids[sk.standingRandom.IntN(len(ids))]]
+	if up.crashed || !up.leftAt.IsZero() {
+		return nil
+	}
+	return up
 }
 
 // checkStandings checks that upstreams which left or paused were left alone.
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -39,8 +39,9 @@
 	random       *entropy.Source
 	activeFaults []*activeFault
 	// standings are what upstreams said that left or paused.
-	standings []*standing
-	group     sync.WaitGroup
+	standings      []*standing
+	standingRandom *entropy.Source
+	group          sync.WaitGroup
 
 	mu         sync.Mutex
 	violations []string
@@ -145,6 +146,7 @@
 	}
 	sk.activeFaults = kept
 	sk.checkRevisions()
+	sk.startStanding()
 	switch draw := sk.random.IntN(100); {
 	case draw < 76:
 		sk.send()
--- a/streamdirectory/find.go
+++ b/streamdirectory/find.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/member"
@@ -68,8 +69,11 @@
 		return found(best, sourceOf(best, own))
 	}
 	// An instance that does not answer may know of a version that this one does not know yet. It joined before the stream
-	// began, so that a read of the registrations from now on shows it.
-	if silent > 0 || len(replies) == 0 {
+	// began, so that a read of the registrations from now on shows it. The same goes if no registrations are fresh enough.
+	if silent > 0 || len(replies) == 0 || !isAnyComplete(append(replies, own)) {
+		if !dr.knowsHistory() {
+			return NotFound{MayBeFound: silent > 0}
+		}
 		if dr.confirmations.Confirm(ctx) != nil {
 			return NotFound{MayBeFound: true}
 		}
@@ -84,6 +88,13 @@
 	return NotFound{MayBeFound: silent > 0}
 }
 
+// knowsHistory is hasHistory for callers that don't hold the lock.
+func (dr *Directory) knowsHistory() bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	return dr.hasHistory(dr.Timers.Now())
+}
+
 // confirm reads the configuration and the registrations from the store, and the origins that streams can have by them.
 func (dr *Directory) confirm() error {
 	ctx, cancel := context.WithTimeout(dr.lifetime, confirmTimeout)
@@ -215,17 +226,21 @@
 	}
 }
 
+// isAnyComplete reports whether an instance knows all origins that streams can have.
+func isAnyComplete(replies []*wire.FindOriginReply) bool {
+	return slices.ContainsFunc(replies, func(reply *wire.FindOriginReply) bool { return reply.GetComplete() })
+}
+
 // onlyOrigin returns the one origin that streams can have by all replies, or false if there are several or no reply is complete.
 func onlyOrigin(replies []*wire.FindOriginReply) (origin.Origin, bool) {
-	origins, isComplete := map[origin.Origin]bool{}, false
+	origins := map[origin.Origin]bool{}
 	for _, reply := range replies {
-		isComplete = isComplete || reply.GetComplete()
 		for _, one := range reply.GetRecent() {
 			origins[fromWire(one).Origin] = true
 		}
 	}
 	for only := range origins {
-		return only, isComplete && len(origins) == 1
+		return only, isAnyComplete(replies) && len(origins) == 1
 	}
 	return origin.Origin{}, false
 }
--- a/streamdirectory/streamdirectory.go
+++ b/streamdirectory/streamdirectory.go
@@ -96,6 +96,9 @@
 	callTimeout = 150 * time.Millisecond
 	// maxStaleness is how old the registrations may be for this instance to know all versions.
 	maxStaleness = 2 * time.Second
+	// replicationStaleness is how old they may be while streams are not replicated: a store that has no changes is waited for, and
+	// the others learn of its answer by heartbeats. A version that joins meanwhile has the earlier streams replicated.
+	replicationStaleness = 8 * time.Second
 	// maxOutgoing bounds the records that wait to be sent to one instance, and maxRepeated those of a pipeline that are sent
 	// when its streams begin to be replicated.
 	maxOutgoing = 4096
@@ -192,7 +195,7 @@
 // the records of its earlier streams are replicated, too. The caller holds the lock.
 func (dr *Directory) needsReplication(pipeline string) bool {
 	now := dr.Timers.Now()
-	needed := !dr.isComplete(now) || len(dr.history.Recent(now, pipeline)) != 1
+	needed := !dr.hasHistory(now) || dr.Staleness() >= replicationStaleness || len(dr.history.Recent(now, pipeline)) != 1
 	before := dr.replicated[pipeline]
 	dr.replicated[pipeline] = needed
 	if needed && !before {
@@ -205,9 +208,15 @@
 
 // isComplete reports whether this instance knows all origins that streams can have. The caller holds the lock.
 func (dr *Directory) isComplete(now time.Time) bool {
+	return dr.hasHistory(now) && dr.Staleness() < maxStaleness
+}
+
+// hasHistory reports whether this instance knew all origins that streams can have when its registrations were last up to date. The
+// caller holds the lock.
+func (dr *Directory) hasHistory(now time.Time) bool {
 	missedAt := dr.missedAt.Load()
 	missed := missedAt != nil && now.Sub(*missedAt) < dr.retention
-	return !missed && dr.history.IsComplete(now) && dr.Staleness() < maxStaleness
+	return !missed && dr.history.IsComplete(now)
 }
 
 // replicate has the instances that keep a stream's record receive it. The caller holds the lock.
--- a/streamdirectory/streamdirectory_test.go
+++ b/streamdirectory/streamdirectory_test.go
@@ -33,6 +33,8 @@
 	silent, left map[string]bool
 	versions     []string
 	staleness    time.Duration
+	// onConfirm is called when the store has answered.
+	onConfirm func()
 	// onStaleness is called when the age is read.
 	onStaleness func()
 	// storeVersions are the versions that the store has, or nil if it is away; confirmations counts the reads of it.
@@ -118,6 +120,9 @@
 		return errSilent
 	}
 	fl.versions = fl.storeVersions
+	if fl.onConfirm != nil {
+		fl.onConfirm()
+	}
 	return nil
 }
 
@@ -260,15 +265,26 @@
 			assertFound(ctx, t, fl, "i1", "a", "v1", streamdirectory.PeerRecord)
 		})
 	})
-	t.Run("nor while the registrations are old", func(t *testing.T) {
+	t.Run("nor while the registrations are old and the store is away", func(t *testing.T) {
 		runFleet(t, 8, old, func(ctx context.Context, fl *fleet) {
-			fl.change(func() { fl.staleness = 3 * time.Second })
-			assertNotFound(ctx, t, fl, "i1", "unknown", false)
+			fl.change(func() { fl.staleness = 9 * time.Second })
+			assertNotFound(ctx, t, fl, "i1", "unknown", true)
 			fl.begin("i0", "a", "v1")
 			fl.change(func() { fl.left["i0"] = true })
 			assertFound(ctx, t, fl, "i1", "a", "v1", streamdirectory.PeerRecord)
 		})
 	})
+	t.Run("while the store has no changes, streams are not replicated, and a read of it shows that there is one version", func(t *testing.T) {
+		runFleet(t, 8, old, func(ctx context.Context, fl *fleet) {
+			fl.change(func() { fl.staleness, fl.storeVersions = 3*time.Second, []string{"v1"} })
+			fl.onConfirm = func() { fl.staleness = 0 }
+			fl.begin("i0", "a", "v1")
+			must.Zero(t, fl.recordCalls())
+			fl.change(func() { fl.left["i0"] = true })
+			assertFound(ctx, t, fl, "i1", "a", "v1", streamdirectory.OnlyVersion)
+			must.Eq(t, 1, fl.confirmations)
+		})
+	})
 	t.Run("nor if an instance does not answer that may know better than one with old registrations", func(t *testing.T) {
 		runFleet(t, 3, old, func(ctx context.Context, fl *fleet) {
 			fl.change(func() { fl.silent["i0"], fl.staleness = true, 3*time.Second })
