--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,6 +36,7 @@
 	{3, "a stream without length that ended inside an event was passed on as complete"},
 	{4, "the incomplete event of an attempt without a complete one was put before the next attempt's events"},
 	{5, "a stream that broke off ended like a complete one for a caller with HTTP/1.0"},
+	{2341, "an instance that was frozen while a record was corrected took a stream for one of the version of its first send"},
 	{2317, "a stream that had moved to another version before its first event was taken up at the version of its first send"},
 }
 
