Callers at limited upstreams are asked to come back at the rate of the limits also beside ejected upstreams

Last reading: an upstream without a limit counted as accepting everything, also when it was ejected, so that callers of the limited ones were asked back 10 ms apart. Only one that pauses does.

--- a/entry/limits.go
+++ b/entry/limits.go
@@ -7,7 +7,7 @@
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
 
-// upstreamsLeaving takes upstreams out of use whose answers say that they are leaving, and those that their queues had chosen.
+// upstreamsLeaving takes upstreams out of use whose answers say that they are leaving.
 func (en *Instance) upstreamsLeaving(since map[roster.Incarnation]time.Time) {
 	en.catalog.SetLeaving(since)
 }
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -105,12 +105,13 @@
 	return rn.refuse(after, RateLimited, fmt.Sprintf("the rate limits of the upstreams are used up for %dms", wait.Milliseconds()))
 }
 
-// acceptedRate returns how many requests per second upstreams accept; those without a rate limit accept all.
+// acceptedRate returns how many requests per second upstreams accept by their rate limits; one that pauses and has none accepts
+// all after its pause.
 func (rn *run) acceptedRate(list []*roster.Upstream) float64 {
-	total, limits := 0.0, rn.Limits.Limits()
+	total, limits, pauses := 0.0, rn.Limits.Limits(), rn.Limits.Pauses()
 	for _, up := range list {
 		limit, limited := limits[up.Incarnation()]
-		if !limited {
+		if _, paused := pauses[up.Incarnation()]; paused && !limited {
 			return math.Inf(1)
 		}
 		total += limit
