--- a/pause/pause_test.go
+++ b/pause/pause_test.go
@@ -64,6 +64,10 @@
 		rg.Begin(up, start.Add(2*length))
 		must.Eq(t, length, rg.Take(start.Add(length), up))
 	})
+}
+
+func TestForgetting(t *testing.T) {
+	const length = 4 * time.Second
 	t.Run("another incarnation does not pause", func(t *testing.T) {
 		rg := pause.New()
 		rg.Begin(up, start.Add(length))
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -135,7 +135,9 @@
 
 // TestUnseen guards against a row that came and went between two updates, and is taken for one that never was.
 func TestUnseen(t *testing.T) {
-	deleted := func(key string, version int64) replica.Row { return replica.Row{Key: key, Version: version, Deleted: true} }
+	deleted := func(key string, version int64) replica.Row {
+		return replica.Row{Key: key, Version: version, Deleted: true}
+	}
 	rp := replica.New()
 	rp.Apply(start, replica.Update{Full: true, Version: 9, Rows: []replica.Row{row("a", 7)}})
 	rp.Apply(start, replica.Update{Version: 10, Rows: []replica.Row{deleted("a", 10)}})
