Remembered owners are a package of their own: the core takes no atomics

All its other tests without the race detector passed; those with it did not run. ranking.Cache stands outside the core; ownership decides as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,8 +19,8 @@
 	"github.com/turmericdoor/turmericdoor/logbook"
 	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/metric"
-	"github.com/turmericdoor/turmericdoor/ownership"
 	"github.com/turmericdoor/turmericdoor/peer"
+	"github.com/turmericdoor/turmericdoor/ranking"
 	"github.com/turmericdoor/turmericdoor/revision"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/storereader"
@@ -156,7 +156,7 @@
 // isStoreReader reports whether this instance reads the platform's store and passes the changes on to the others.
 func (en *Instance) isStoreReader() bool {
 	live, known := en.peer.Live(), en.readerOf.Load()
-	if known == nil || !ownership.IsSame(known.live, live) {
+	if known == nil || !ranking.IsSame(known.live, live) {
 		known = &readerRole{live: live, isReader: storereader.IsSelected(en.settings.Instance, live)}
 		en.readerOf.Store(known)
 	}
--- a/gather/client.go
+++ b/gather/client.go
@@ -8,7 +8,7 @@
 
 	"github.com/turmericdoor/turmericdoor/batch"
 	"github.com/turmericdoor/turmericdoor/member"
-	"github.com/turmericdoor/turmericdoor/ownership"
+	"github.com/turmericdoor/turmericdoor/ranking"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timeline"
 	"github.com/turmericdoor/turmericdoor/timer"
@@ -37,7 +37,7 @@
 	dialer   Dialer
 	timers   *timer.Service
 	events   *timeline.Ring
-	ranking  ownership.Ranking
+	owners   ranking.Cache
 
 	mu           sync.Mutex
 	links        map[string]Link
@@ -96,7 +96,7 @@
 
 // rankedOwners returns the live instances, ranked as owners of a queue.
 func (cl *Client) rankedOwners(key QueueKey) []member.Member {
-	return cl.ranking.Rank(cl.members.Live(), key.FailureDomain, key.Pool+"/"+key.FailureDomain)
+	return cl.owners.Rank(cl.members.Live(), key.FailureDomain, key.Pool+"/"+key.FailureDomain)
 }
 
 // Run submits a job in the given failure domain and waits for its result. It tries another failure domain if that one
--- a/ownership/ranking.go
+++ b/ranking/ranking.go
@@ -1,15 +1,16 @@
-package ownership
+package ranking
 
 import (
 	"maps"
 	"sync/atomic"
 
 	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/ownership"
 )
 
-// Ranking remembers the ranked owners of keys while the members stay the same. It is safe for concurrent use; reading it takes no
+// Cache remembers the ranked owners of keys while the members stay the same. It is safe for concurrent use; reading it takes no
 // lock.
-type Ranking struct {
+type Cache struct {
 	known atomic.Pointer[rankings]
 }
 
@@ -27,20 +28,20 @@
 const maxRankings = 1024
 
 // Rank returns the members, ranked as owners of a key in a failure domain. Neither list must be changed.
-func (rk *Ranking) Rank(members []member.Member, failureDomain, key string) []member.Member {
-	of, known := rankingKey{failureDomain, key}, rk.known.Load()
+func (ch *Cache) Rank(members []member.Member, failureDomain, key string) []member.Member {
+	of, known := rankingKey{failureDomain, key}, ch.known.Load()
 	if known != nil && IsSame(known.members, members) {
 		if owners, found := known.byKey[of]; found {
 			return owners
 		}
 	}
-	owners := Rank(members, failureDomain, key)
+	owners := ownership.Rank(members, failureDomain, key)
 	fresh := &rankings{members: members, byKey: map[rankingKey][]member.Member{}}
 	if known != nil && IsSame(known.members, members) && len(known.byKey) < maxRankings {
 		maps.Copy(fresh.byKey, known.byKey)
 	}
 	fresh.byKey[of] = owners
-	rk.known.Store(fresh)
+	ch.known.Store(fresh)
 	return owners
 }
 
--- a/ownership/ranking_test.go
+++ b/ranking/ranking_test.go
@@ -1,4 +1,4 @@
-package ownership_test
+package ranking_test
 
 import (
 	"fmt"
@@ -8,6 +8,7 @@
 
 	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/ownership"
+	"github.com/turmericdoor/turmericdoor/ranking"
 )
 
 func fleetOf(count int) []member.Member {
@@ -18,15 +19,15 @@
 	return list
 }
 
-// TestRanking guards against owners that are remembered from other members, and against a list that grows with the keys.
-func TestRanking(t *testing.T) {
-	rk, before := ownership.Ranking{}, fleetOf(40)
-	must.Eq(t, ownership.Rank(before, "d1", "k"), rk.Rank(before, "d1", "k"))
+// TestCache guards against owners that are remembered from other members, and against a list that grows with the keys.
+func TestCache(t *testing.T) {
+	ch, before := ranking.Cache{}, fleetOf(40)
+	must.Eq(t, ownership.Rank(before, "d1", "k"), ch.Rank(before, "d1", "k"))
 	after := fleetOf(39)
 	for _, members := range [][]member.Member{before, after, before} {
 		for _, domain := range []string{"d1", "d2"} {
 			for key := range 2000 {
-				owners := rk.Rank(members, domain, fmt.Sprint(key%1500))
+				owners := ch.Rank(members, domain, fmt.Sprint(key%1500))
 				if key%100 == 0 {
 					must.Eq(t, ownership.Rank(members, domain, fmt.Sprint(key%1500)), owners)
 				}
@@ -45,10 +46,10 @@
 		}
 	})
 	b.Run("remembered", func(b *testing.B) {
-		rk := ownership.Ranking{}
+		ch := ranking.Cache{}
 		b.ReportAllocs()
 		for b.Loop() {
-			rk.Rank(members, "d1", "encode/d1")
+			ch.Rank(members, "d1", "encode/d1")
 		}
 	})
 }
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -11,9 +11,9 @@
 	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/notice"
 	"github.com/turmericdoor/turmericdoor/noticetable"
-	"github.com/turmericdoor/turmericdoor/ownership"
 	"github.com/turmericdoor/turmericdoor/pause"
 	"github.com/turmericdoor/turmericdoor/permit"
+	"github.com/turmericdoor/turmericdoor/ranking"
 	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -66,7 +66,7 @@
 	// avoided holds the upstreams that have asked any instance for a pause, until its end.
 	avoided    atomic.Pointer[map[roster.Incarnation]time.Time]
 	background inflight.Group
-	ranking    ownership.Ranking
+	owners     ranking.Cache
 
 	mu       sync.Mutex
 	table    *noticetable.Table
@@ -197,7 +197,7 @@
 
 // owner returns the instance that issues the permits of an upstream.
 func (th *Throttle) owner(id, failureDomain string) member.Member {
-	return th.ranking.Rank(th.Fleet.Live(), failureDomain, id)[0]
+	return th.owners.Rank(th.Fleet.Live(), failureDomain, id)[0]
 }
 
 func (th *Throttle) backoffLeft(owner string) time.Duration {
