--- a/batch/upstream.go
+++ b/batch/upstream.go
@@ -13,8 +13,8 @@
 	calls int
 	// inFlightBytes is the size of the results of calls in flight.
 	inFlightBytes int64
-	// results holds the results that take memory at the upstream, by handle, resultBytes is their size, and nextExpiry is before
-	// the first of them expires.
+	// results holds the results that take memory at the upstream, by handle, resultBytes is their size, and none of them expires before
+	// nextExpiry.
 	results     map[string]result
 	resultBytes int64
 	nextExpiry  time.Time
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -224,7 +224,7 @@
 }
 
 const (
-	// standingShare is in how many steps one upstream leaves or pauses, and saysItLeavesTime how long one says that it is leaving.
+	// An upstream leaves or pauses in one of standingShare steps, on average; saysItLeavesTime is how long it says that it is leaving.
 	standingShare    = 80
 	saysItLeavesTime = 6 * time.Second
 )
--- a/streamdirectory/correct.go
+++ b/streamdirectory/correct.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// correctionInterval is how long an instance that did not answer to a correction is left alone.
+	// correctionInterval is the pause before a correction is sent again to an instance that did not answer.
 	correctionInterval = 50 * time.Millisecond
 	// maxCorrections bounds the corrections that are repeated at the same time.
 	maxCorrections = 256
--- a/streamdirectory/find.go
+++ b/streamdirectory/find.go
@@ -88,7 +88,7 @@
 	return NotFound{MayBeFound: silent > 0}
 }
 
-// knowsHistory is hasHistory for callers that don't hold the lock.
+// knowsHistory calls hasHistory with the lock held.
 func (dr *Directory) knowsHistory() bool {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
@@ -116,7 +116,7 @@
 	return known != nil && (known.GetFinal() || known.GetBeginner() == from)
 }
 
-// lastSend returns the reply whose record counts, or one without a record if there is none.
+// lastSend returns the reply with the record of the last send, or nil if no reply has a record.
 func lastSend(replies []*wire.FindOriginReply) *wire.FindOriginReply {
 	best := (*wire.FindOriginReply)(nil)
 	for _, reply := range replies {
--- a/throttle/standing.go
+++ b/throttle/notices.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// spreadPerInstance is by how much the instances of a fleet end their pauses apart, on average, and maxSpread is how long
-	// after the end of a pause the last one does.
+	// Instances resume at different times after the end of a pause: spreadPerInstance is the average distance between two of
+	// them, and maxSpread bounds the delay of the last one.
 	spreadPerInstance = 10 * time.Millisecond
 	maxSpread         = time.Second
 )
--- a/throttle/observe.go
+++ b/throttle/observe.go
@@ -92,7 +92,7 @@
 	th.Events.Record(event)
 }
 
-// prune forgets what upstreams have said that are no longer registered.
+// prune drops the notices and pauses of upstreams that are no longer registered.
 func (th *Throttle) prune() {
 	now := th.Fleet.Time()
 	th.mu.Lock()
