--- /dev/null
+++ b/entry/olderstore_test.go
@@ -0,0 +1,230 @@
+package entry_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/roster"
+)
+
+const (
+	// appliedWithin is how long after its acknowledgement a configuration must be in force at all instances.
+	appliedWithin = 2 * time.Second
+	// awayTime is how long the store is away before it comes back older.
+	awayTime = 600 * time.Millisecond
+	// registerAgainTime is how long upstreams take to write their registrations again.
+	registerAgainTime = 1500 * time.Millisecond
+	// lapseTime is the silence after which the platform removes a registration.
+	lapseTime = 3600 * time.Millisecond
+)
+
+// olderStore is a run in which the store comes back from a copy some seconds old.
+type olderStore struct {
+	*soak
+	taken storeCopy
+	// lost are the upstreams that registered after the copy was taken, left those that have left since.
+	lost []*upstream
+	left []*upstream
+	// lostChanges is the number of other changes after the copy.
+	lostChanges int
+	// newestWritten is the newest revision that was acknowledged.
+	newestWritten int64
+}
+
+// newOlderStore starts a fleet of instances.
+func newOlderStore(instances int) *olderStore {
+	fl := newFleetOf(instances, 1, defects{})
+	sk := &soak{fleet: fl, keyHolders: []string{organisationName(0), organisationName(1)}, outcomes: map[string]int{}, lastOutcome: map[string]string{}}
+	sk.configure()
+	time.Sleep(convergenceTime + time.Second)
+	return &olderStore{soak: sk}
+}
+
+// loseChanges takes a copy of the store and makes changes that the copy does not have.
+func (os *olderStore) loseChanges() {
+	us := os.fleet.upstreams
+	os.taken = os.fleet.store.copy()
+	for number := range 3 {
+		os.configure()
+		us.register(fmt.Sprint("lost-", number), "plain", "a")
+		us.mu.Lock()
+		os.lost = append(os.lost, us.byID[fmt.Sprint("lost-", number)])
+		announced, removed := us.byID[fmt.Sprint("plain-", number)], us.byID[fmt.Sprint("model-", number)]
+		us.mu.Unlock()
+		us.leave(announced, true)
+		us.leave(removed, false)
+		os.left = append(os.left, announced, removed)
+		time.Sleep(300 * time.Millisecond)
+	}
+	for range os.lostChanges {
+		os.fleet.store.put(registrations, registrationRow(os.lost[0]))
+	}
+	time.Sleep(time.Second)
+}
+
+// comeBackOlder makes the store come back from the copy. The upstreams write their registrations again, and those that are
+// gone lapse; the operator writes the last configuration again.
+func (os *olderStore) comeBackOlder() {
+	st, us := os.fleet.store, os.fleet.upstreams
+	st.setState(true, 0)
+	time.Sleep(awayTime)
+	st.restore(os.taken)
+	st.setState(false, 0)
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	for number, up := range os.lost {
+		os.group.Go(func() {
+			time.Sleep(registerAgainTime * time.Duration(number+1) / time.Duration(len(os.lost)))
+			st.put(registrations, registrationRow(up))
+		})
+	}
+	for number, up := range os.left {
+		os.group.Go(func() {
+			time.Sleep(lapseTime)
+			if number%2 == 0 {
+				st.put(registrations, registrationRow(up))
+				time.Sleep(time.Second)
+			}
+			st.put(registrations, removalRow(up))
+		})
+	}
+}
+
+// awaitRevision returns how long it takes until all instances have at least a revision, or limit.
+func (os *olderStore) awaitRevision(revision int64, limit time.Duration) time.Duration {
+	began := time.Now()
+	for time.Since(began) < limit {
+		isBehind := func(nd *node) bool {
+			table := nd.entry.Catalog().RoutingTable()
+			return table == nil || table.Revision < revision
+		}
+		if !slices.ContainsFunc(os.fleet.live(), isBehind) {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	os.checkRevisions()
+	return time.Since(began)
+}
+
+// assertApplied writes a configuration and checks that it is in force in time.
+func (os *olderStore) assertApplied(t *testing.T) {
+	t.Helper()
+	os.configure()
+	must.LessEq(t, appliedWithin, os.awaitRevision(os.revision, 4*appliedWithin))
+	must.SliceEmpty(t, os.violations)
+}
+
+// usable returns the ids of the given upstreams that an instance may use.
+func usable(nd *node, list []*upstream) []string {
+	ids := []string{}
+	for _, up := range list {
+		if nd.entry.Catalog().IsUsable(roster.Incarnation{ID: up.ID, StartUnixMs: up.StartUnixMs}) {
+			ids = append(ids, up.ID)
+		}
+	}
+	return ids
+}
+
+// assertRegistrations checks for a time that no instance uses an upstream that has left, and in the end that all use those that
+// have registered again.
+func (os *olderStore) assertRegistrations(t *testing.T, length time.Duration) {
+	t.Helper()
+	for began := time.Now(); time.Since(began) < length; time.Sleep(50 * time.Millisecond) {
+		for _, nd := range os.fleet.live() {
+			must.SliceEmpty(t, usable(nd, os.left), must.Sprintf("instance %s after %v", nd.id, time.Since(began)))
+			must.SliceLen(t, len(os.lost), usable(nd, os.lost), must.Sprintf("instance %s after %v", nd.id, time.Since(began)))
+		}
+	}
+}
+
+// playOlderStore runs a test on fleets of both sizes.
+func playOlderStore(t *testing.T, play func(t *testing.T, os *olderStore)) {
+	for _, size := range []int{8, 77} {
+		t.Run(fmt.Sprintf("%d instances", size), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				os := newOlderStore(size)
+				defer os.fleet.stop()
+				defer os.group.Wait()
+				play(t, os)
+			})
+		})
+	}
+}
+
+// TestStoreComesBackOlder guards against instances that hold on to the versions of a store which has come back from an older copy.
+func TestStoreComesBackOlder(t *testing.T) {
+	delays := map[string]time.Duration{"at once": 20 * time.Millisecond, "half a second later": 500 * time.Millisecond, "two seconds later": 2 * time.Second}
+	for name, delay := range delays {
+		t.Run("a configuration written "+name+" is in force in time", func(t *testing.T) {
+			playOlderStore(t, func(t *testing.T, os *olderStore) {
+				os.loseChanges()
+				os.comeBackOlder()
+				time.Sleep(delay)
+				os.assertApplied(t)
+				time.Sleep(5 * time.Second)
+				os.assertApplied(t)
+			})
+		})
+	}
+	t.Run("many changes were lost", func(t *testing.T) {
+		playOlderStore(t, func(t *testing.T, os *olderStore) {
+			os.lostChanges = 500
+			os.loseChanges()
+			os.comeBackOlder()
+			for range 3 {
+				time.Sleep(time.Second)
+				os.assertApplied(t)
+			}
+		})
+	})
+	t.Run("the versions are given out again before anyone reads", func(t *testing.T) {
+		playOlderStore(t, func(t *testing.T, os *olderStore) {
+			os.loseChanges()
+			os.fleet.store.setState(true, 0)
+			time.Sleep(awayTime)
+			os.fleet.store.restore(os.taken)
+			os.configure()
+			for range 100 {
+				os.fleet.store.put(registrations, registrationRow(os.lost[0]))
+			}
+			os.fleet.store.setState(false, 0)
+			must.LessEq(t, appliedWithin, os.awaitRevision(os.revision, 4*appliedWithin))
+			os.assertApplied(t)
+		})
+	})
+	t.Run("the store comes back older twice", func(t *testing.T) {
+		playOlderStore(t, func(t *testing.T, os *olderStore) {
+			for range 2 {
+				os.loseChanges()
+				os.comeBackOlder()
+				time.Sleep(time.Second)
+				os.assertApplied(t)
+			}
+		})
+	})
+	t.Run("upstreams that left stay out of use, new ones stay in use", func(t *testing.T) {
+		playOlderStore(t, func(t *testing.T, os *olderStore) {
+			os.loseChanges()
+			os.comeBackOlder()
+			os.assertRegistrations(t, 8*time.Second)
+		})
+	})
+	t.Run("an instance that starts before the configuration is written again has it from the others", func(t *testing.T) {
+		playOlderStore(t, func(t *testing.T, os *olderStore) {
+			os.loseChanges()
+			os.comeBackOlder()
+			old := os.fleet.live()[2]
+			os.fleet.kill(old)
+			os.fleet.restart(old, defects{})
+			must.LessEq(t, convergenceTime, os.awaitRevision(os.revision, 2*convergenceTime))
+			must.SliceEmpty(t, os.violations)
+		})
+	})
+}
--- a/entry/store_test.go
+++ b/entry/store_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 // store simulates the platform's store and its faults.
 type store struct {
 	mu      sync.Mutex
+	era     int64
 	version int64
 	rows    map[string][]replica.Row
 	// historyLost is the version up to which the changes of each table are no longer available.
@@ -77,7 +79,7 @@
 
 func newStore() *store {
 	return &store{
-		rows: map[string][]replica.Row{}, historyLost: map[string]int64{}, changed: make(chan struct{}), tables: map[int64]*route.Table{},
+		era: 1, rows: map[string][]replica.Row{}, historyLost: map[string]int64{}, changed: make(chan struct{}), tables: map[int64]*route.Table{},
 	}
 }
 
@@ -99,6 +101,33 @@
 	return time.Now()
 }
 
+// storeCopy is the content of the store at a moment.
+type storeCopy struct {
+	version int64
+	rows    map[string][]replica.Row
+}
+
+// copy returns the content of the store.
+func (st *store) copy() storeCopy {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	taken := storeCopy{version: st.version, rows: map[string][]replica.Row{}}
+	for table, rows := range st.rows {
+		taken.rows[table] = slices.Clone(rows)
+	}
+	return taken
+}
+
+// restore replaces the content of the store by an older copy; the era rises, and waits for changes break off.
+func (st *store) restore(taken storeCopy) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.era++
+	st.version, st.rows = taken.version, taken.rows
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
 // dropHistory drops the change history of all tables.
 func (st *store) dropHistory() {
 	st.mu.Lock()
@@ -112,7 +141,7 @@
 func (st *store) page(table string, after int64) (replica.Update, <-chan struct{}) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	page := replica.Update{Version: st.version, Full: after < 0}
+	page := replica.Update{Era: st.era, Version: st.version, Full: after < 0}
 	for _, row := range st.rows[table] {
 		if row.Version > after && !(page.Full && row.Deleted) {
 			page.Rows = append(page.Rows, row)
@@ -166,11 +195,17 @@
 	if err := sc.connect(ctx); err != nil {
 		return replica.Update{}, err
 	}
+	sc.store.mu.Lock()
+	era := sc.store.era
+	sc.store.mu.Unlock()
 	limit := time.After(wait)
 	for {
 		sc.store.mu.Lock()
-		lost := after < sc.store.historyLost[table]
+		lost, isRestored := after < sc.store.historyLost[table] || after > sc.store.version, sc.store.era != era
 		sc.store.mu.Unlock()
+		if isRestored {
+			return replica.Update{}, errStoreDown
+		}
 		if lost {
 			return replica.Update{}, watch.ErrHistoryGone
 		}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -14,9 +14,11 @@
 	Deleted bool
 }
 
-// Update holds the rows of the full table, or those changed since an earlier version, up to Version.
+// Update holds the rows of the full table, or those changed since an earlier version, up to Version. Era is the era of the
+// store in which they were read, or 0 if it is not known: the era rises each time the store comes back from an older copy.
 type Update struct {
 	Rows    []Row
+	Era     int64
 	Version int64
 	Full    bool
 }
