Versions of the store are compared within an era (CONFIG)

Callers were refused as an older version of the configuration says, at instances that were in touch, seconds after a newer one was acknowledged.

Cause: each instance compared versions of the store as numbers. After such a return the store gives out versions again; a lower one was held for stale until the counter had passed the old one, and rows that got a number below it were never seen.

Change: eras come before versions, in replicas, waits, announcements between instances and fetched rows. Changes of a later era lead to a full read; answers of an earlier one are stale. The first call after an outage does not wait. A configuration in force stays until a higher version comes, and instances that start get it from the others (rows carry the revision of their contents). Upstreams that were leaving or gone stay so while the copy names them as ready; those that the copy lacks have the usual grace period.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -43,6 +43,8 @@
 	mu                  sync.Mutex
 	roster              *roster.Roster
 	registrationsLoaded bool
+	// restoredVersion is the version up to which the registrations are those of an older copy from which the store came back.
+	restoredVersion int64
 	// leaving holds the incarnations whose answers have said that they are leaving, and since when.
 	leaving map[roster.Incarnation]time.Time
 	wake    chan struct{}
@@ -171,6 +173,11 @@
 		ct.events.Record(&wire.Event{Kind: wire.EventKind_EventRowUnreadable, Upstream: row.Key, Revision: row.Version, Detail: err.Error()})
 		return
 	}
+	if row.Version <= ct.restoredVersion {
+		ct.roster.PutRestored(now, upstream)
+		ct.signal()
+		return
+	}
 	ct.roster.Put(upstream)
 }
 
@@ -235,6 +242,20 @@
 	ct.events.Record(&wire.Event{Kind: wire.EventKind_EventPlatformBack, Stage: table})
 }
 
+// StoreRestored records that the store has come back from an older copy, whose rows are delivered next.
+func (ct *Catalog) StoreRestored(table string, before, after replica.Position) {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	if table == ct.tableNames.Registrations {
+		ct.restoredVersion = after.Version
+		ct.roster.StoreRestored(ct.timers.Now())
+	}
+	ct.events.Record(&wire.Event{
+		Kind: wire.EventKind_EventStoreRestored, Stage: table, Revision: after.Version,
+		Detail: fmt.Sprintf("era=%d before=%d of era %d", after.Era, before.Version, before.Era),
+	})
+}
+
 // GraceLeft returns the remaining grace period for registrations that lapsed in an outage.
 func (ct *Catalog) GraceLeft() time.Duration {
 	ct.mu.Lock()
@@ -281,7 +302,7 @@
 func (ct *Catalog) expire() {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
-	if dropped := ct.roster.Expire(ct.timers.Now()); len(dropped) > 0 {
+	if changed := ct.roster.Expire(ct.timers.Now()); len(changed) > 0 {
 		ct.publish()
 	}
 }
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -205,7 +205,7 @@
 	return func() { sk.endLimits(ids...) }
 }
 
-// startStanding makes an upstream leave or pause; its random numbers are its own, so that those of the other faults stay as they are.
+// startStanding makes an upstream leave or pause, or the store come back older; its random numbers are its own, so that those of the other faults stay as they are.
 func (sk *soak) startStanding() {
 	if sk.standingRandom == nil {
 		sk.standingRandom = sk.fleet.random.Fork("standing")
@@ -213,6 +213,10 @@
 	if sk.standingRandom.IntN(standingShare) > 0 {
 		return
 	}
+	if sk.standingRandom.IntN(5) == 0 {
+		sk.storeComesBackOlder()
+		return
+	}
 	if sk.standingRandom.IntN(2) == 0 {
 		sk.faults["WantsPause"]++
 		sk.wantsPause()
--- a/entry/olderstore_test.go
+++ b/entry/olderstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/turmericdoor/turmericdoor/replica"
 	"github.com/turmericdoor/turmericdoor/roster"
 )
 
@@ -32,8 +34,6 @@
 	left []*upstream
 	// lostChanges is the number of other changes after the copy.
 	lostChanges int
-	// newestWritten is the newest revision that was acknowledged.
-	newestWritten int64
 }
 
 // newOlderStore starts a fleet of instances.
@@ -228,3 +228,98 @@
 		})
 	})
 }
+
+const (
+	// maxCopyAge is the greatest age of the copy from which the store of a randomised run comes back.
+	maxCopyAge = 4 * time.Second
+	// unknownTime is how long a change may be unknown to all instances while the store is slow.
+	unknownTime = 500 * time.Millisecond
+	// writeAgainTime is how long the operator takes to write the configuration again.
+	writeAgainTime = time.Second
+)
+
+// storeComesBackOlder makes the store go away for a moment and come back from a copy some seconds old, unless it is down already.
+func (sk *soak) storeComesBackOlder() {
+	if down, _ := sk.fleet.store.state(); down || !sk.copied.CompareAndSwap(false, true) {
+		return
+	}
+	sk.faults["StoreComesBackOlder"]++
+	taken, age, away := sk.fleet.store.copy(), sk.standingRandom.DurationUpTo(maxCopyAge), sk.standingRandom.DurationUpTo(awayTime)
+	again := sk.standingRandom.DurationUpTo(writeAgainTime)
+	sk.group.Go(func() {
+		time.Sleep(age)
+		sk.awaitStore()
+		sk.fleet.store.setState(true, 0)
+		lost := sk.fleet.upstreams.leftSince(time.Now().Add(-unknownTime))
+		time.Sleep(away)
+		for _, up := range lost {
+			up.acknowledgeAgain(sk.fleet.upstreams, lost, time.Now().Add(lapseTime))
+		}
+		sk.fleet.store.restore(taken)
+		sk.fleet.store.setState(false, 0)
+		sk.writeAgain(again, lost)
+		sk.copied.Store(false)
+	})
+}
+
+// newestRevision returns the newest revision that was written.
+func (st *store) newestRevision() int64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return slices.Max(slices.Collect(maps.Keys(st.tables)))
+}
+
+// leftSince returns the upstreams that have left since a time.
+func (us *upstreamSet) leftSince(since time.Time) []*upstream {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	list := []*upstream{}
+	for _, up := range us.byID {
+		if up.leftAt.After(since) {
+			list = append(list, up)
+		}
+	}
+	return list
+}
+
+// writeAgain writes what the older copy of the store lacks: the configuration after a time, and the registrations, each by its
+// upstream or, where there is none any more, by the platform after lapseTime. The departures of lost are those that no instance
+// need have read before the store went away; they are acknowledged when they are written again.
+func (sk *soak) writeAgain(configured time.Duration, lost []*upstream) {
+	us, st := sk.fleet.upstreams, sk.fleet.store
+	us.mu.Lock()
+	running := maps.Clone(us.byID)
+	us.mu.Unlock()
+	time.Sleep(configured)
+	sk.awaitStore()
+	st.put(configurations, replica.Row{Key: "config", Value: []byte(fmt.Sprint(st.newestRevision()))})
+	time.Sleep(registerAgainTime - configured)
+	sk.awaitStore()
+	for id, up := range running {
+		us.mu.Lock()
+		isSame, isRunning, isLeaving := us.byID[id] == up, !up.crashed && up.leftAt.IsZero(), up.Leaving
+		us.mu.Unlock()
+		if isSame && (isRunning || isLeaving) {
+			up.acknowledgeAgain(us, lost, st.put(registrations, registrationRow(up)))
+		}
+	}
+	time.Sleep(lapseTime - registerAgainTime)
+	sk.awaitStore()
+	for id, up := range running {
+		us.mu.Lock()
+		isGone := us.byID[id] == up && (up.crashed || !up.leftAt.IsZero())
+		us.mu.Unlock()
+		if isGone {
+			up.acknowledgeAgain(us, lost, st.put(registrations, removalRow(up)))
+		}
+	}
+}
+
+// acknowledgeAgain sets when the departure of an upstream was acknowledged, if it is one of those lost.
+func (up *upstream) acknowledgeAgain(us *upstreamSet, lost []*upstream, at time.Time) {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	if slices.Contains(lost, up) && !up.leftAt.IsZero() {
+		up.leftAt = at
+	}
+}
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -27,6 +27,11 @@
 	ch.entry.streams.Missed()
 }
 
+// StoreRestored reports to the catalog that the store has come back from an older copy.
+func (ch changeListener) StoreRestored(table string, before, after replica.Position) {
+	ch.entry.catalog.StoreRestored(table, before, after)
+}
+
 // StoreUnavailable reports the start of an outage to the catalog.
 func (ch changeListener) StoreUnavailable(table string, cause error) {
 	ch.entry.catalog.StoreUnavailable(table, cause)
@@ -46,24 +51,29 @@
 func (rp peerReplicas) Versions() []*wire.TableVersion {
 	list := []*wire.TableVersion{}
 	for _, each := range rp.entry.watches {
+		position := each.Position()
 		list = append(list, &wire.TableVersion{
-			Table: each.Table(), Version: each.Version(), Newest: each.NewestChange(), AgeMs: each.Staleness().Milliseconds(),
+			Table: each.Table(), Era: position.Era, Version: position.Version, Revision: position.Revision, Newest: each.NewestChange().Version,
+			AgeMs: each.Staleness().Milliseconds(),
 		})
 	}
 	return list
 }
 
-// ChangesSince returns the rows of a table that changed after a version.
-func (rp peerReplicas) ChangesSince(table string, version int64) *wire.FetchRowsReply {
+// ChangesSince returns the rows of a table that a replica lacks.
+func (rp peerReplicas) ChangesSince(request *wire.FetchRowsRequest) *wire.FetchRowsReply {
+	after := replica.Position{Era: request.GetEra(), Version: request.GetAfter(), Revision: request.GetRevision()}
 	reply := &wire.FetchRowsReply{GraceMs: rp.entry.catalog.GraceLeft().Milliseconds()}
 	for _, each := range rp.entry.watches {
-		if each.Table() != table {
+		if each.Table() != request.GetTable() {
 			continue
 		}
-		page := each.ChangesSince(version)
-		reply.Version, reply.Whole = page.Version, page.Full
+		page := each.ChangesSince(after)
+		reply.Era, reply.Version, reply.Whole = page.Era, page.Version, page.Full
 		for _, row := range page.Rows {
-			reply.Rows = append(reply.Rows, &wire.TableRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
+			reply.Rows = append(reply.Rows, &wire.TableRow{
+				Key: row.Key, Value: row.Value, Version: row.Version, Revision: row.Revision, Deleted: row.Deleted,
+			})
 		}
 	}
 	return reply
@@ -73,13 +83,17 @@
 func (rp peerReplicas) ObserveVersion(version *wire.TableVersion) bool {
 	for _, each := range rp.entry.watches {
 		if each.Table() != version.GetTable() {
+			// All tables are of the same era.
+			each.ObservePeerNewest(replica.Position{Era: version.GetEra()})
 			continue
 		}
-		if version.GetNewest() > each.Version() {
-			each.ObservePeerVersion(version.GetNewest())
+		own, newest := each.Position(), replica.Position{Era: version.GetEra(), Version: version.GetNewest()}
+		if own.IsBefore(newest) {
+			each.ObservePeerNewest(newest)
 			return true
 		}
-		each.ObservePeerFreshness(version.GetNewest(), timer.Milliseconds(version.GetAgeMs()))
+		each.ObservePeerFreshness(newest, timer.Milliseconds(version.GetAgeMs()))
+		return newest.Era == own.Era && version.GetRevision() > own.Revision
 	}
 	return false
 }
@@ -87,10 +101,10 @@
 // ApplyRows applies rows that another instance sent.
 func (rp peerReplicas) ApplyRows(table string, reply *wire.FetchRowsReply) {
 	rp.entry.catalog.ExtendGrace(timer.Milliseconds(reply.GetGraceMs()))
-	page := replica.Update{Version: reply.GetVersion(), Full: reply.GetWhole()}
+	page := replica.Update{Era: reply.GetEra(), Version: reply.GetVersion(), Full: reply.GetWhole()}
 	for _, row := range reply.GetRows() {
 		page.Rows = append(page.Rows, replica.Row{
-			Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Deleted: row.GetDeleted(),
+			Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Revision: row.GetRevision(), Deleted: row.GetDeleted(),
 		})
 	}
 	for _, each := range rp.entry.watches {
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,6 +56,8 @@
 	poisonBodies []string
 	badParts     []string
 	partitioned  bool
+	// copied is set while the store is about to come back older.
+	copied atomic.Bool
 }
 
 // activeFault is an injected fault and the number of steps until it ends.
--- a/entry/store_test.go
+++ b/entry/store_test.go
@@ -89,6 +89,9 @@
 	defer st.mu.Unlock()
 	st.version++
 	row.Version = st.version
+	if table == configurations {
+		_, _ = fmt.Sscan(string(row.Value), &row.Revision)
+	}
 	kept := []replica.Row{}
 	for _, each := range st.rows[table] {
 		if each.Key != row.Key {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -34,8 +34,8 @@
 type Replicas interface {
 	// Versions returns the version and the staleness of each replica.
 	Versions() []*wire.TableVersion
-	// ChangesSince returns the rows of a table that changed after a version.
-	ChangesSince(table string, version int64) *wire.FetchRowsReply
+	// ChangesSince returns the rows of a table that a replica lacks.
+	ChangesSince(request *wire.FetchRowsRequest) *wire.FetchRowsReply
 	// ObserveVersion records another instance's version of a table and reports whether to fetch rows from that instance.
 	ObserveVersion(version *wire.TableVersion) bool
 	// ApplyRows applies rows that another instance sent.
--- a/peer/rows.go
+++ b/peer/rows.go
@@ -17,10 +17,10 @@
 
 // fetchRows fetches the rows of a table that changed after the version of this instance's replica.
 func (pr *Peer) fetchRows(ctx context.Context, address, table string) {
-	own := int64(0)
-	for _, version := range pr.replicas.Versions() {
-		if version.GetTable() == table {
-			own = version.GetVersion()
+	request := &wire.FetchRowsRequest{Table: table}
+	for _, own := range pr.replicas.Versions() {
+		if own.GetTable() == table {
+			request.After, request.Era, request.Revision = own.GetVersion(), own.GetEra(), own.GetRevision()
 		}
 	}
 	pr.inFlight.Go(func() {
@@ -30,7 +30,7 @@
 		if err != nil {
 			return
 		}
-		reply, err := client.FetchRows(callCtx, &wire.FetchRowsRequest{Table: table, After: own})
+		reply, err := client.FetchRows(callCtx, request)
 		if err != nil {
 			pr.dropLink(address)
 			return
@@ -44,5 +44,5 @@
 	if pr.replicas == nil {
 		return &wire.FetchRowsReply{}, nil
 	}
-	return pr.replicas.ChangesSince(request.GetTable(), request.GetAfter()), nil
+	return pr.replicas.ChangesSince(request), nil
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -50,7 +50,7 @@
 	rp.Apply(start, replica.Update{Full: true, Version: 1, Rows: []replica.Row{row("a", 1)}})
 	rp.Apply(start, replica.Update{Version: 2, Rows: []replica.Row{{Key: "a", Version: 2, Deleted: true}}})
 	rp.Apply(start.Add(time.Hour), replica.Update{Version: 3, Rows: []replica.Row{row("b", 3)}})
-	page := rp.ChangesSince(1)
+	page := rp.ChangesSince(replica.Position{Version: 1})
 	must.True(t, page.Full, must.Sprint("a partial update would not tell a replica at version 1 that a was deleted"))
 	assertKeys(t, page.Rows, "b")
 }
@@ -63,9 +63,9 @@
 	}
 	ahead.Apply(start, replica.Update{Version: 4, Rows: []replica.Row{{Key: "a", Version: 4, Deleted: true}}})
 	ahead.Apply(start.Add(time.Hour), replica.Update{Version: 5, Rows: []replica.Row{row("d", 5)}})
-	changed := behind.Apply(start, ahead.ChangesSince(behind.Version()))
+	changed := behind.Apply(start, ahead.ChangesSince(behind.Position()))
 	assertKeys(t, changed, "d", "a")
-	assertKeys(t, behind.ChangesSince(0).Rows, "b", "c", "d")
+	assertKeys(t, behind.ChangesSince(replica.Position{}).Rows, "b", "c", "d")
 }
 
 // TestDeletionsBeforeASnapshotReachOtherReplicas guards against deleted rows that come back: a replica knows nothing of the
@@ -80,21 +80,21 @@
 	t.Run("from a new replica", func(t *testing.T) {
 		ahead, rp := replica.New(), behind()
 		ahead.Apply(start, full)
-		rp.Apply(start, ahead.ChangesSince(rp.Version()))
+		rp.Apply(start, ahead.ChangesSince(rp.Position()))
 		must.Eq(t, int64(9), rp.Version())
-		assertKeys(t, rp.ChangesSince(0).Rows, "b", "c")
+		assertKeys(t, rp.ChangesSince(replica.Position{}).Rows, "b", "c")
 	})
 	t.Run("from a replica that was at an older version", func(t *testing.T) {
 		ahead, rp := replica.New(), behind()
 		ahead.Apply(start, replica.Update{Full: true, Version: 3})
 		ahead.Apply(start, full)
-		rp.Apply(start, ahead.ChangesSince(rp.Version()))
-		assertKeys(t, rp.ChangesSince(0).Rows, "b", "c")
+		rp.Apply(start, ahead.ChangesSince(rp.Position()))
+		assertKeys(t, rp.ChangesSince(replica.Position{}).Rows, "b", "c")
 	})
 	t.Run("a replica at the version of the full table gets changes only", func(t *testing.T) {
 		ahead := replica.New()
 		ahead.Apply(start, full)
-		must.False(t, ahead.ChangesSince(9).Full)
+		must.False(t, ahead.ChangesSince(replica.Position{Version: 9}).Full)
 	})
 }
 
@@ -113,13 +113,13 @@
 			store[key] = change
 			first.Apply(start, replica.Update{Version: version, Rows: []replica.Row{change}})
 			if rapid.Bool().Draw(rt, "told") {
-				kept = append(kept, first.ChangesSince(second.Version()))
+				kept = append(kept, first.ChangesSince(second.Position()))
 				second.Apply(start, rapid.SampledFrom(kept).Draw(rt, "page"))
 			}
 		}
-		second.Apply(start, first.ChangesSince(second.Version()))
+		second.Apply(start, first.ChangesSince(second.Position()))
 		for _, rp := range []*replica.Replica{first, second} {
-			for _, one := range rp.ChangesSince(0).Rows {
+			for _, one := range rp.ChangesSince(replica.Position{}).Rows {
 				must.Eq(rt, store[one.Key].Version, one.Version)
 			}
 			live := 0
@@ -128,7 +128,7 @@
 					live++
 				}
 			}
-			must.SliceLen(rt, live, rp.ChangesSince(0).Rows)
+			must.SliceLen(rt, live, rp.ChangesSince(replica.Position{}).Rows)
 		}
 	})
 }
@@ -149,3 +149,52 @@
 	rp.Apply(start, replica.Update{Version: 15, Rows: []replica.Row{deleted("a", 15)}})
 	must.Eq(t, 2, rp.Unseen(), must.Sprint("a was registered again before"))
 }
+
+// TestRestoredStore guards against rows of an older copy of the store that take back what is in force, and against a replica
+// that holds on to versions which are given out again.
+func TestRestoredStore(t *testing.T) {
+	numbered := func(version, revision int64) replica.Row {
+		return replica.Row{Key: "n", Version: version, Revision: revision}
+	}
+	before := func() *replica.Replica {
+		rp := replica.New()
+		rp.Apply(start, replica.Update{Era: 1, Full: true, Version: 9, Rows: []replica.Row{row("a", 4), numbered(9, 7)}})
+		return rp
+	}
+	restored := replica.Update{Era: 2, Full: true, Version: 5, Rows: []replica.Row{row("b", 5), numbered(3, 6)}}
+	t.Run("the copy replaces the rows, but not one with a higher revision", func(t *testing.T) {
+		rp := before()
+		assertKeys(t, rp.Apply(start, restored), "b", "a")
+		must.Eq(t, replica.Position{Era: 2, Version: 5, Revision: 7}, rp.Position())
+		rp.Apply(start, replica.Update{Era: 2, Version: 6, Rows: []replica.Row{numbered(6, 7)}})
+		must.Eq(t, int64(6), rp.NewestChange().Version)
+	})
+	t.Run("a numbered row that the copy lacks stays", func(t *testing.T) {
+		rp := before()
+		rp.Apply(start, replica.Update{Era: 2, Full: true, Version: 5})
+		must.Eq(t, int64(7), rp.Position().Revision)
+		assertKeys(t, rp.ChangesSince(replica.Position{}).Rows, "n")
+	})
+	t.Run("changes of a later era, and tables of an earlier one, are ignored", func(t *testing.T) {
+		rp := before()
+		must.SliceEmpty(t, rp.Apply(start, replica.Update{Era: 2, Version: 20, Rows: []replica.Row{row("c", 20)}}))
+		rp.Apply(start, restored)
+		must.SliceEmpty(t, rp.Apply(start, replica.Update{Era: 1, Full: true, Version: 30, Rows: []replica.Row{row("c", 30)}}))
+	})
+	t.Run("a replica of an earlier era gets the full table", func(t *testing.T) {
+		ahead, behind := before(), before()
+		ahead.Apply(start, restored)
+		must.True(t, ahead.ChangesSince(behind.Position()).Full)
+		behind.Apply(start, ahead.ChangesSince(behind.Position()))
+		must.Eq(t, ahead.Position(), behind.Position())
+	})
+	t.Run("a replica that has read the copy itself gets the higher revision", func(t *testing.T) {
+		ahead, fresh := before(), replica.New()
+		ahead.Apply(start, restored)
+		fresh.Apply(start, restored)
+		changes := ahead.ChangesSince(fresh.Position())
+		must.False(t, changes.Full)
+		assertKeys(t, fresh.Apply(start, changes), "n")
+		must.Eq(t, int64(7), fresh.Position().Revision)
+	})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -48,12 +48,16 @@
 	graceUntil  time.Time
 	// leaving holds the incarnations that have said themselves that they are leaving, whatever is registered.
 	leaving map[Incarnation]time.Time
+	// gone holds the incarnations whose registrations were removed, and when.
+	gone map[Incarnation]time.Time
 }
 
-// entry is an upstream's registration; removedAt is the time of its removal, or zero.
+// entry is an upstream's registration; removedAt is the time of its removal, or zero. Until heldUntil, an upstream whose
+// registration came back with an older copy of the store is not used, since it had been removed before.
 type entry struct {
 	upstream  Upstream
 	removedAt time.Time
+	heldUntil time.Time
 }
 
 const (
@@ -63,11 +67,15 @@
 	reregisterTime = 1700 * time.Millisecond
 	// reregisterSlack is the delay with which the last of those registrations may arrive here.
 	reregisterSlack = 300 * time.Millisecond
+	// lapseTime is the longest time until the platform removes the registration of an upstream that has ended.
+	lapseTime = 5 * time.Second
+	// goneRetention is how long removed incarnations are remembered.
+	goneRetention = time.Minute
 )
 
 // New returns a roster without registrations.
 func New() *Roster {
-	return &Roster{entries: map[string]*entry{}}
+	return &Roster{entries: map[string]*entry{}, gone: map[Incarnation]time.Time{}}
 }
 
 // Put adds or replaces an upstream's registration unless a newer incarnation of the upstream is registered.
@@ -75,9 +83,32 @@
 	if known, found := rs.entries[upstream.ID]; found && known.upstream.StartUnixMs > upstream.StartUnixMs && known.removedAt.IsZero() {
 		return
 	}
+	delete(rs.gone, upstream.Incarnation())
 	rs.entries[upstream.ID] = &entry{upstream: upstream}
 }
 
+// PutRestored adds an upstream's registration from an older copy of the store. An incarnation that is known to be leaving still
+// is, and one that was removed is not used until the platform would have removed it again.
+func (rs *Roster) PutRestored(now time.Time, upstream Upstream) {
+	known, found := rs.entries[upstream.ID]
+	if found && known.upstream.StartUnixMs > upstream.StartUnixMs && known.removedAt.IsZero() {
+		return
+	}
+	if found && known.upstream.Incarnation() == upstream.Incarnation() {
+		upstream.Leaving = upstream.Leaving || known.upstream.Leaving
+	}
+	fresh := &entry{upstream: upstream}
+	if _, isGone := rs.gone[upstream.Incarnation()]; isGone {
+		fresh.heldUntil = now.Add(lapseTime)
+	}
+	rs.entries[upstream.ID] = fresh
+}
+
+// StoreRestored starts the grace period for upstreams that registered after the copy was taken from which the store has come back.
+func (rs *Roster) StoreRestored(now time.Time) {
+	rs.ExtendGrace(now.Add(reregisterTime))
+}
+
 // Remove removes an upstream's registration. During an outage of the store and the grace period after it, the upstream
 // stays in use until Expire drops it, so that it can register again; a leaving upstream is removed at once.
 func (rs *Roster) Remove(now time.Time, id string) {
@@ -85,13 +116,25 @@
 	if !found || !known.removedAt.IsZero() {
 		return
 	}
-	if rs.isLeaving(&known.upstream) || !now.Before(rs.graceUntil) && rs.outageSince.IsZero() {
-		delete(rs.entries, id)
+	isHeld := !known.heldUntil.IsZero()
+	if isHeld || rs.isLeaving(&known.upstream) || !now.Before(rs.graceUntil) && rs.outageSince.IsZero() {
+		rs.drop(now, known)
 		return
 	}
 	known.removedAt = now
 }
 
+// drop removes a registration and remembers its incarnation.
+func (rs *Roster) drop(now time.Time, known *entry) {
+	delete(rs.entries, known.upstream.ID)
+	rs.gone[known.upstream.Incarnation()] = now
+	for incarnation, since := range rs.gone {
+		if now.Sub(since) > goneRetention {
+			delete(rs.gone, incarnation)
+		}
+	}
+}
+
 // SetLeaving sets the incarnations that have said themselves that they are leaving, whatever is registered.
 func (rs *Roster) SetLeaving(since map[Incarnation]time.Time) {
 	rs.leaving = since
@@ -137,10 +180,11 @@
 func (rs *Roster) NextExpiry() time.Time {
 	next := time.Time{}
 	for _, known := range rs.entries {
-		if known.removedAt.IsZero() {
-			continue
+		deadline := known.heldUntil
+		if !known.removedAt.IsZero() {
+			deadline = rs.reregisterDeadline(known)
 		}
-		if deadline := rs.reregisterDeadline(known); next.IsZero() || deadline.Before(next) {
+		if !deadline.IsZero() && (next.IsZero() || deadline.Before(next)) {
 			next = deadline
 		}
 	}
@@ -158,23 +202,32 @@
 	return deadline
 }
 
-// Expire drops the removed registrations whose grace period is over and returns their ids.
+// Expire drops the removed registrations whose grace period is over, and releases the held ones that the platform has not removed.
+// It returns the ids of both.
 func (rs *Roster) Expire(now time.Time) []string {
-	dropped := []string{}
+	changed := []string{}
 	for id, known := range rs.entries {
-		if !known.removedAt.IsZero() && !now.Before(rs.reregisterDeadline(known)) {
-			delete(rs.entries, id)
-			dropped = append(dropped, id)
+		switch {
+		case !known.removedAt.IsZero() && !now.Before(rs.reregisterDeadline(known)):
+			rs.drop(now, known)
+			changed = append(changed, id)
+		case !known.heldUntil.IsZero() && !now.Before(known.heldUntil):
+			known.heldUntil = time.Time{}
+			delete(rs.gone, known.upstream.Incarnation())
+			changed = append(changed, id)
 		}
 	}
-	slices.Sort(dropped)
-	return dropped
+	slices.Sort(changed)
+	return changed
 }
 
 // Snapshot returns the current state.
 func (rs *Roster) Snapshot() *Snapshot {
 	snapshot := &Snapshot{byID: map[string]*Upstream{}, byPool: map[string][]*Upstream{}}
 	for id, known := range rs.entries {
+		if !known.heldUntil.IsZero() {
+			continue
+		}
 		upstream := known.upstream
 		upstream.Leaving = rs.isLeaving(&upstream)
 		snapshot.byID[id] = &upstream
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -95,3 +95,50 @@
 		must.Eq(t, []string{"a"}, rs.Expire(start.Add(2*time.Second)))
 	})
 }
+
+// TestRestoredRegistrations guards against upstreams that are used again since an older copy of the store has their registrations.
+func TestRestoredRegistrations(t *testing.T) {
+	copied := roster.Upstream{ID: "a", Pool: "p", StartUnixMs: 5}
+	t.Run("a removed upstream is used again only if the platform does not remove it", func(t *testing.T) {
+		rs := registered("a", "b")
+		rs.Remove(start, "a")
+		rs.StoreRestored(start.Add(time.Second))
+		rs.PutRestored(start.Add(time.Second), copied)
+		assertUsable(t, rs, "b")
+		must.Eq(t, []string{"a"}, rs.Expire(rs.NextExpiry()))
+		assertUsable(t, rs, "a", "b")
+	})
+	t.Run("a removed upstream that registers again is used at once", func(t *testing.T) {
+		rs := registered("a")
+		rs.Remove(start, "a")
+		rs.PutRestored(start, copied)
+		rs.Put(copied)
+		assertUsable(t, rs, "a")
+	})
+	t.Run("a removed upstream that is removed again gets no grace period", func(t *testing.T) {
+		rs := registered("a")
+		rs.Remove(start, "a")
+		rs.StoreRestored(start)
+		rs.PutRestored(start, copied)
+		rs.Remove(start.Add(time.Second), "a")
+		must.True(t, rs.NextExpiry().IsZero())
+	})
+	t.Run("a leaving upstream is still leaving", func(t *testing.T) {
+		rs := registered("a")
+		rs.Put(roster.Upstream{ID: "a", Pool: "p", StartUnixMs: 5, Leaving: true})
+		rs.PutRestored(start, copied)
+		assertUsable(t, rs)
+	})
+	t.Run("a later incarnation than that of the copy stays in use", func(t *testing.T) {
+		rs := registered("a")
+		rs.Put(roster.Upstream{ID: "a", Pool: "p", StartUnixMs: 9})
+		rs.PutRestored(start, copied)
+		must.True(t, rs.Snapshot().IsUsable(roster.Incarnation{ID: "a", StartUnixMs: 9}))
+	})
+	t.Run("an upstream that the copy lacks has time to register again", func(t *testing.T) {
+		rs := registered("a")
+		rs.StoreRestored(start)
+		rs.Remove(start, "a")
+		assertUsable(t, rs, "a")
+	})
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -30,6 +30,8 @@
 	RowsChanged(table string, rows []replica.Row, version int64, fromPeer bool)
 	// ChangesMissed reports that rows may have come and gone unseen.
 	ChangesMissed(table string)
+	// StoreRestored reports that the store has come back from an older copy; the rows of the copy are delivered next.
+	StoreRestored(table string, before, after replica.Position)
 	// StoreUnavailable reports the first failed call to the store.
 	StoreUnavailable(table string, cause error)
 	// StoreRecovered reports that the store is available again.
@@ -48,7 +50,7 @@
 	mu          sync.Mutex
 	replica     *replica.Replica
 	unavailable bool
-	peerVersion int64
+	peerNewest  replica.Position
 	peerAhead   chan struct{}
 	// freshAt is when the replica was last known to be up to date with the store.
 	freshAt time.Time
@@ -96,25 +98,25 @@
 	return wt.table
 }
 
-// Version returns the version of the replica.
-func (wt *Watcher) Version() int64 {
+// Position returns the position of the replica.
+func (wt *Watcher) Position() replica.Position {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	return wt.replica.Version()
+	return wt.replica.Position()
 }
 
-// NewestChange returns the version of the newest row in the replica.
-func (wt *Watcher) NewestChange() int64 {
+// NewestChange returns the position of the newest row in the replica.
+func (wt *Watcher) NewestChange() replica.Position {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
 	return wt.replica.NewestChange()
 }
 
-// ChangesSince returns the changes after a version.
-func (wt *Watcher) ChangesSince(version int64) replica.Update {
+// ChangesSince returns the changes after a position.
+func (wt *Watcher) ChangesSince(after replica.Position) replica.Update {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	return wt.replica.ChangesSince(version)
+	return wt.replica.ChangesSince(after)
 }
 
 // Staleness returns the time since the replica was last known to be up to date with the store.
@@ -126,11 +128,12 @@
 
 // ObservePeerFreshness records the newest change of another instance's replica and its staleness. If this replica has
 // that change too, it is at least as fresh.
-func (wt *Watcher) ObservePeerFreshness(newest int64, age time.Duration) {
+func (wt *Watcher) ObservePeerFreshness(newest replica.Position, age time.Duration) {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
 	at := wt.timers.Now().Add(-age)
-	if newest > wt.replica.Version() || !at.After(wt.freshAt) {
+	own := wt.replica.Position()
+	if newest.Era != own.Era || own.IsBefore(newest) || !at.After(wt.freshAt) {
 		return
 	}
 	wt.freshAt = at
@@ -157,13 +160,13 @@
 	wt.apply(update, true)
 }
 
-// ObservePeerVersion records that another instance has reached a version. If the pending call to the store does not
-// deliver it soon, the call is cancelled: its connection may be dead.
-func (wt *Watcher) ObservePeerVersion(version int64) {
+// ObservePeerNewest records that another instance has a change. If the pending call to the store does not deliver it soon, the
+// call is cancelled: its connection may be dead.
+func (wt *Watcher) ObservePeerNewest(newest replica.Position) {
 	wt.mu.Lock()
-	fresh := version > wt.replica.Version() && version > wt.peerVersion
+	fresh := wt.replica.Position().IsBefore(newest) && wt.peerNewest.IsBefore(newest)
 	if fresh {
-		wt.peerVersion = version
+		wt.peerNewest = newest
 	}
 	wt.mu.Unlock()
 	if !fresh {
@@ -178,9 +181,14 @@
 func (wt *Watcher) apply(update replica.Update, fromPeer bool) {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	now, unseen := wt.timers.Now(), wt.replica.Unseen()
+	now, unseen, before := wt.timers.Now(), wt.replica.Unseen(), wt.replica.Position()
 	skipped := update.Full && wt.replica.HasSnapshot() && now.Sub(wt.freshAt) > missedAfter
+	isRestored := wt.replica.HasSnapshot() && update.Full && update.Era > before.Era
 	changed := wt.replica.Apply(now, update)
+	if isRestored {
+		wt.listener.StoreRestored(wt.table, before, wt.replica.Position())
+		skipped = true
+	}
 	if skipped || wt.replica.Unseen() > unseen {
 		wt.listener.ChangesMissed(wt.table)
 	}
@@ -246,14 +254,34 @@
 	stopped := make(chan struct{})
 	defer func() { cancel(); <-stopped }()
 	go wt.cancelWhenPeerAhead(ctx, cancel, stopped)
-	update, err := wt.source.ReadChanges(ctx, wt.table, wt.Version(), changesWait)
+	before, wait := wt.Position(), changesWait
+	if wt.isUnavailable() {
+		// The answer tells whether the store is back, and of which era it is.
+		wait = 0
+	}
+	update, err := wt.source.ReadChanges(ctx, wt.table, before.Version, wait)
 	if err != nil {
 		return err
 	}
+	if err := checkEra(update, before); err != nil {
+		return err
+	}
 	wt.apply(update, false)
 	return nil
 }
 
+// checkEra returns an error if changes after a position were read in another era: those of a later one may not follow the
+// position, whose version is given out again.
+func checkEra(update replica.Update, before replica.Position) error {
+	switch {
+	case update.Era == 0 || update.Era == before.Era:
+		return nil
+	case update.Era > before.Era:
+		return ErrHistoryGone
+	}
+	return fmt.Errorf("%w: era %d, replica has %d", errStale, update.Era, before.Era)
+}
+
 // errNoSnapshot reports that the table has never been read.
 var errNoSnapshot = errors.New("the table has not been read yet")
 
@@ -262,11 +290,20 @@
 	if !wt.hasSnapshot() {
 		return errNoSnapshot
 	}
-	update, err := wt.source.ReadChanges(ctx, wt.table, wt.Version(), 0)
+	before := wt.Position()
+	update, err := wt.source.ReadChanges(ctx, wt.table, before.Version, 0)
+	if err == nil {
+		err = checkEra(update, before)
+	}
+	switch {
+	case errors.Is(err, ErrHistoryGone):
+		err = wt.readAll(ctx)
+	case err == nil:
+		wt.apply(update, false)
+	}
 	if err != nil {
 		return err
 	}
-	wt.apply(update, false)
 	wt.recordSuccess()
 	return nil
 }
@@ -278,8 +315,12 @@
 	if err != nil {
 		return err
 	}
-	if update.Version < wt.Version() {
-		return fmt.Errorf("%w of table %q: version %d, replica has %d", errStale, wt.table, update.Version, wt.Version())
+	position, own := update.Position(), wt.Position()
+	if position.Era == 0 {
+		position.Era = own.Era
+	}
+	if position.IsBefore(own) {
+		return fmt.Errorf("%w of table %q: version %d of era %d, replica has %d of %d", errStale, wt.table, position.Version, position.Era, own.Version, own.Era)
 	}
 	wt.apply(update, false)
 	return nil
@@ -301,7 +342,7 @@
 			return
 		}
 		wt.mu.Lock()
-		lagging := wt.peerVersion > wt.replica.Version()
+		lagging := wt.replica.Position().IsBefore(wt.peerNewest)
 		wt.mu.Unlock()
 		if lagging {
 			cancel()
@@ -310,6 +351,12 @@
 	}
 }
 
+func (wt *Watcher) isUnavailable() bool {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	return wt.unavailable
+}
+
 func (wt *Watcher) recordSuccess() {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -100,7 +100,7 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	page := replica.Update{Version: st.page.Version}
+	page := replica.Update{Era: st.page.Era, Version: st.page.Version}
 	for _, row := range st.page.Rows {
 		if row.Version > after {
 			page.Rows = append(page.Rows, row)
@@ -125,9 +125,12 @@
 		lg.keys = append(lg.keys, row.Key)
 	}
 }
+
 func (lg *log) StoreUnavailable(string, error) { lg.mu.Lock(); defer lg.mu.Unlock(); lg.lost++ }
-func (lg *log) ChangesMissed(string)           { lg.mu.Lock(); defer lg.mu.Unlock(); lg.missed++ }
-func (lg *log) StoreRecovered(string)          { lg.mu.Lock(); defer lg.mu.Unlock(); lg.back++ }
+
+func (lg *log) ChangesMissed(string)                                     { lg.mu.Lock(); defer lg.mu.Unlock(); lg.missed++ }
+func (lg *log) StoreRestored(string, replica.Position, replica.Position) {}
+func (lg *log) StoreRecovered(string)                                    { lg.mu.Lock(); defer lg.mu.Unlock(); lg.back++ }
 
 // missedCount returns how often changes were missed.
 func (lg *log) missedCount() int {
@@ -199,10 +202,10 @@
 		runWatcher(t, true, func(st *store, wt *watch.Watcher, lg *log) {
 			st.put("a")
 			time.Sleep(10 * time.Millisecond)
-			version := wt.Version()
+			version := wt.Position()
 			st.set(func() { st.stale, st.oldest = true, 1<<40 })
 			time.Sleep(3 * time.Second)
-			must.Eq(t, version, wt.Version())
+			must.Eq(t, version, wt.Position())
 			must.Eq(t, []string{"a"}, lg.seen())
 		})
 	})
@@ -225,7 +228,7 @@
 			st.set(func() { st.hanging = true })
 			time.Sleep(2600 * time.Millisecond)
 			st.put("a")
-			wt.ObservePeerVersion(2)
+			wt.ObservePeerNewest(replica.Position{Version: 2})
 			st.set(func() { st.hanging = false })
 			time.Sleep(time.Second)
 			must.Eq(t, []string{"a"}, lg.seen())
@@ -239,7 +242,7 @@
 			before := st.callCount()
 			for range 20 {
 				time.Sleep(500 * time.Millisecond)
-				wt.ObservePeerFreshness(1, 200*time.Millisecond)
+				wt.ObservePeerFreshness(replica.Position{Version: 1}, 200*time.Millisecond)
 			}
 			must.Eq(t, before, st.callCount())
 		})
@@ -257,7 +260,7 @@
 			time.Sleep(8 * time.Second)
 			lost, _ := lg.outages()
 			must.Eq(t, 1, lost)
-			wt.ObservePeerFreshness(1, 100*time.Millisecond)
+			wt.ObservePeerFreshness(replica.Position{Version: 1}, 100*time.Millisecond)
 			_, back := lg.outages()
 			must.Eq(t, 1, back)
 		})
@@ -356,3 +359,50 @@
 		})
 	}
 }
+
+// restore makes the store come back from a copy with one row; the era rises.
+func (st *store) restore(key string, version int64) {
+	st.set(func() {
+		st.page = replica.Update{Full: true, Era: st.page.Era + 1, Version: version, Rows: []replica.Row{{Key: key, Version: version}}}
+		close(st.changed)
+		st.changed = make(chan struct{})
+	})
+}
+
+// TestStoreOfAnotherEra guards against a watcher that compares the versions of two eras of the store.
+func TestStoreOfAnotherEra(t *testing.T) {
+	t.Run("changes of a later era are read as a full table", func(t *testing.T) {
+		runWatcher(t, true, func(st *store, wt *watch.Watcher, lg *log) {
+			for _, key := range []string{"a", "b", "c"} {
+				st.put(key)
+				time.Sleep(100 * time.Millisecond)
+			}
+			st.restore("d", 2)
+			time.Sleep(500 * time.Millisecond)
+			must.Eq(t, replica.Position{Era: 1, Version: 2}, wt.Position())
+			must.Eq(t, []string{"a", "b", "c", "d", "a", "b", "c"}, lg.seen())
+			st.put("e")
+			time.Sleep(100 * time.Millisecond)
+			must.Eq(t, int64(3), wt.Position().Version)
+		})
+	})
+	t.Run("an answer of an earlier era takes nothing back", func(t *testing.T) {
+		runWatcher(t, true, func(st *store, wt *watch.Watcher, lg *log) {
+			st.restore("a", 9)
+			time.Sleep(500 * time.Millisecond)
+			st.set(func() { st.page.Era, st.page.Version = 0, 20 })
+			wt.ApplyFromPeer(replica.Update{Era: 0, Version: 3, Full: true})
+			must.Eq(t, []string{"a"}, lg.seen())
+			must.Eq(t, replica.Position{Era: 1, Version: 9}, wt.Position())
+		})
+	})
+	t.Run("the first call after an outage does not wait", func(t *testing.T) {
+		runWatcher(t, true, func(st *store, wt *watch.Watcher, _ *log) {
+			st.set(func() { st.down = true })
+			time.Sleep(4 * time.Second)
+			st.set(func() { st.down, st.page.Era = false, 1 })
+			time.Sleep(1500 * time.Millisecond)
+			must.Eq(t, int64(1), wt.Position().Era)
+		})
+	})
+}
