--- a/entry/olderstore_test.go
+++ b/entry/olderstore_test.go
@@ -209,6 +209,10 @@
 			}
 		})
 	})
+}
+
+// TestOlderStoreRevivesWhatIsGone guards against instances that take an older copy of the store for news.
+func TestOlderStoreRevivesWhatIsGone(t *testing.T) {
 	t.Run("upstreams that left stay out of use, new ones stay in use", func(t *testing.T) {
 		playOlderStore(t, func(t *testing.T, os *olderStore) {
 			os.loseChanges()
