--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -42,11 +43,17 @@
 	Tables   catalog.TableNames
 	Sender   gateway.Sender
 	Caller   gather.Caller
+	// Dial connects to an upstream, and UseDial sets how Sender and Caller connect; both may be nil.
+	Dial    DialUpstream
+	UseDial func(dial DialUpstream)
 	// PeerDialer and BatchDialer connect to other instances.
 	PeerDialer  peer.Dialer
 	BatchDialer gather.Dialer
 }
 
+// DialUpstream connects to the address of an upstream.
+type DialUpstream func(ctx context.Context, address string) (net.Conn, error)
+
 // Instance is an entry instance without its listeners.
 type Instance struct {
 	settings Settings
@@ -129,6 +136,9 @@
 		FailureDomain: en.settings.FailureDomain, Catalog: en.catalog, Pools: en.pools, Stages: en.items, Sender: parts.Sender,
 		Crashes: en.peer, Limits: en.throttle, Streams: en.streams, Timers: parts.Timers, Events: en.events, Metrics: en.metrics,
 	})
+	if parts.UseDial != nil {
+		parts.UseDial(parts.Dial)
+	}
 	en.registerGauges()
 	return en
 }
--- a/entrypoint/entrypoint.go
+++ b/entrypoint/entrypoint.go
@@ -17,7 +17,6 @@
 	"github.com/turmericdoor/turmericdoor/entry"
 	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/listener"
-	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
 
@@ -163,9 +162,7 @@
 	}
 	sv.ready = &http.Server{Handler: http.HandlerFunc(sv.answerReady), ReadHeaderTimeout: headerTimeout}
 	sv.metrics = &http.Server{Handler: http.HandlerFunc(sv.answerMetrics), ReadHeaderTimeout: headerTimeout}
-	sv.peers = newPeerServer()
-	wire.RegisterPeerServer(sv.peers, sv.entry.Peer())
-	wire.RegisterBatchesServer(sv.peers, sv.entry.Batches())
+	sv.peers = NewPeerServer(sv.entry)
 	opened, err := listener.OpenAll(
 		listener.Address{Setting: "CallerAddress", Address: sv.settings.CallerAddress},
 		listener.Address{Setting: "ReadyAddress", Address: sv.settings.ReadyAddress},
--- a/entrypoint/link.go
+++ b/entrypoint/link.go
@@ -7,6 +7,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/turmericdoor/turmericdoor/entry"
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/peer"
 	"github.com/turmericdoor/turmericdoor/peerlimit"
@@ -70,7 +71,11 @@
 	return batchLink{BatchesClient: wire.NewBatchesClient(connection), connection: connection}, nil
 }
 
-func newPeerServer() *grpc.Server {
+// NewPeerServer returns a server with the services of an instance for other instances.
+func NewPeerServer(en *entry.Instance) *grpc.Server {
 	keepalives := grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout})
-	return grpc.NewServer(append(peerlimit.ServerOptions(), keepalives)...)
+	server := grpc.NewServer(append(peerlimit.ServerOptions(), keepalives)...)
+	wire.RegisterPeerServer(server, en.Peer())
+	wire.RegisterBatchesServer(server, en.Batches())
+	return server
 }
