--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/peer"
 	"github.com/turmericdoor/turmericdoor/ranking"
+	"github.com/turmericdoor/turmericdoor/relay"
 	"github.com/turmericdoor/turmericdoor/revision"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/storereader"
@@ -49,6 +50,8 @@
 	// PeerDialer and BatchDialer connect to other instances.
 	PeerDialer  peer.Dialer
 	BatchDialer gather.Dialer
+	// RelayDialer connects to the relay service of other instances; it may be nil if Dial is.
+	RelayDialer func(address string) (relay.Link, error)
 }
 
 // DialUpstream connects to the address of an upstream.
@@ -72,6 +75,7 @@
 	gatherer *gather.Gatherer
 	items    *gather.Client
 	batches  *gather.Server
+	relay    *relay.Relay
 	readerOf atomic.Pointer[readerRole]
 
 	// requestsCtx is cancelled when the requests in flight must end; drainStarted is when StartDraining was called.
@@ -136,8 +140,13 @@
 		FailureDomain: en.settings.FailureDomain, Catalog: en.catalog, Pools: en.pools, Stages: en.items, Sender: parts.Sender,
 		Crashes: en.peer, Limits: en.throttle, Streams: en.streams, Timers: parts.Timers, Events: en.events, Metrics: en.metrics,
 	})
+	en.relay = relay.New(relay.Parts{
+		Self: en.settings.Instance, Dial: parts.Dial, Live: en.peer.Live, Open: parts.RelayDialer,
+		IsUpstream: func(address string) bool { return en.catalog.Snapshot().HasAddress(address) },
+		Timers:     parts.Timers, Random: parts.Random.Fork("relay"), Events: en.events,
+	})
 	if parts.UseDial != nil {
-		parts.UseDial(parts.Dial)
+		parts.UseDial(en.relay.DialUpstream)
 	}
 	en.registerGauges()
 	return en
@@ -189,6 +198,13 @@
 	en.metrics.RegisterGauge("upstreams_limited", func() float64 { return float64(len(en.throttle.Limits())) })
 	en.metrics.RegisterGauge("upstreams_leaving", func() float64 { return float64(len(en.throttle.Leaving())) })
 	en.metrics.RegisterGauge("upstreams_paused", func() float64 { return float64(len(en.throttle.Pauses())) })
+	en.metrics.RegisterGauge("upstreams_cut_off", func() float64 {
+		if en.relay.IsCutOff() {
+			return 1
+		}
+		return 0
+	})
+	en.metrics.RegisterGauge("connections_relayed", func() float64 { return float64(en.relay.Relayed()) })
 	en.metrics.RegisterGauge("streams_kept", func() float64 { return float64(en.streams.Len()) })
 	en.metrics.RegisterGauge("configuration_revision", func() float64 {
 		if table := en.catalog.RoutingTable(); table != nil {
@@ -211,6 +227,7 @@
 	en.startLoop(en.items.ExchangeLoads)
 	en.startLoop(en.throttle.Run)
 	en.startLoop(en.streams.Run)
+	en.startLoop(en.relay.Run)
 	for _, each := range en.watches {
 		en.startLoop(each.Run)
 	}
@@ -244,6 +261,9 @@
 	en.gatherer.Drain(ctx)
 	cancel()
 	en.cancelRequests()
+	ctx, cancel = context.WithTimeout(context.Background(), en.settings.GracePeriod-en.timers.Now().Sub(en.drainStarted)-graceReserve)
+	en.relay.Drain(ctx)
+	cancel()
 	en.events.Record(&wire.Event{Kind: wire.EventKind_EventStopped})
 	en.cancelLifetime()
 	en.mu.Lock()
@@ -320,6 +340,11 @@
 	return en.batches
 }
 
+// Relay returns the gRPC service through which other instances connect to upstreams.
+func (en *Instance) Relay() *relay.Relay {
+	return en.relay
+}
+
 // Metrics returns the metrics of the instance.
 func (en *Instance) Metrics() *metric.Set {
 	return en.metrics
--- a/entrypoint/entrypoint.go
+++ b/entrypoint/entrypoint.go
@@ -76,7 +76,7 @@
 	}
 	parts := adapter.Parts(settings)
 	parts.Settings, parts.Logger, parts.Timers = settings, logger, sv.timers
-	parts.PeerDialer, parts.BatchDialer = DialPeer, DialBatches
+	parts.PeerDialer, parts.BatchDialer, parts.RelayDialer = DialPeer, DialBatches, DialRelay
 	sv.entry = entry.New(parts)
 	return sv
 }
--- a/entrypoint/link.go
+++ b/entrypoint/link.go
@@ -11,6 +11,7 @@
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/peer"
 	"github.com/turmericdoor/turmericdoor/peerlimit"
+	"github.com/turmericdoor/turmericdoor/relay"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
 
@@ -71,11 +72,32 @@
 	return batchLink{BatchesClient: wire.NewBatchesClient(connection), connection: connection}, nil
 }
 
+// relayLink is a connection to the relay service of another instance.
+type relayLink struct {
+	wire.RelaysClient
+	connection *grpc.ClientConn
+}
+
+// Close closes the connection.
+func (lk relayLink) Close() error {
+	return lk.connection.Close()
+}
+
+// DialRelay returns a link to the relay service of another instance.
+func DialRelay(address string) (relay.Link, error) {
+	connection, err := dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return relayLink{RelaysClient: wire.NewRelaysClient(connection), connection: connection}, nil
+}
+
 // NewPeerServer returns a server with the services of an instance for other instances.
 func NewPeerServer(en *entry.Instance) *grpc.Server {
 	keepalives := grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout})
 	server := grpc.NewServer(append(peerlimit.ServerOptions(), keepalives)...)
 	wire.RegisterPeerServer(server, en.Peer())
 	wire.RegisterBatchesServer(server, en.Batches())
+	wire.RegisterRelaysServer(server, en.Relay())
 	return server
 }
--- a/layers_test.go
+++ b/layers_test.go
@@ -21,7 +21,7 @@
 	ground = []string{"timer", "priority", "hlc", "invariant", "digest", "entropy", "timeline", "inifile", "schema", "events", "readlimit", "readbudget", "calibration"}
 	core   = []string{
 		"answer", "document", "fairqueue", "limit", "choice", "retry", "dispatch", "admission", "attempt", "claim", "lease",
-		"order", "poison", "quarantine", "subset", "member", "gossip", "revision", "drain", "table",
+		"order", "poison", "quarantine", "reach", "subset", "member", "gossip", "revision", "drain", "table",
 		"retryquota", "ratelimit", "notice", "noticetable", "pause", "confirmation", "permit", "ownership", "origin", "originhistory", "tombstone", "batch", "storereader", "overload", "placement", "replica", "roster", "route",
 	}
 )
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -39,6 +39,13 @@
 type Snapshot struct {
 	byID   map[string]*Upstream
 	byPool map[string][]*Upstream
+	// addresses are those of all registrations.
+	addresses map[string]bool
+}
+
+// HasAddress reports whether an upstream is registered with an address.
+func (sn *Snapshot) HasAddress(address string) bool {
+	return sn.addresses[address]
 }
 
 // Roster tracks the registrations of upstreams in the store; it is not safe for concurrent use, its snapshots are.
@@ -223,7 +230,7 @@
 
 // Snapshot returns the current state.
 func (rs *Roster) Snapshot() *Snapshot {
-	snapshot := &Snapshot{byID: map[string]*Upstream{}, byPool: map[string][]*Upstream{}}
+	snapshot := &Snapshot{byID: map[string]*Upstream{}, byPool: map[string][]*Upstream{}, addresses: map[string]bool{}}
 	for id, known := range rs.entries {
 		if !known.heldUntil.IsZero() {
 			continue
@@ -231,6 +238,7 @@
 		upstream := known.upstream
 		upstream.Leaving = rs.isLeaving(&upstream)
 		snapshot.byID[id] = &upstream
+		snapshot.addresses[upstream.Address] = true
 		if !upstream.Leaving {
 			snapshot.byPool[upstream.Pool] = append(snapshot.byPool[upstream.Pool], &upstream)
 		}
