--- a/entry/items_test.go
+++ b/entry/items_test.go
@@ -25,7 +25,7 @@
 	}
 	if up.standing.rejects() {
 		us.mu.Unlock()
-		us.announceLimit(ctx, uc.node, up)
+		us.announceLimit(ctx, uc.node, up, false)
 		return gather.NotRun{}
 	}
 	for _, item := range items {
@@ -41,7 +41,7 @@
 	if !sleep(ctx, workTime+time.Duration(len(items))*2*time.Millisecond) || lost {
 		return gather.Lost{Cause: "reset"}
 	}
-	us.announceLimit(ctx, uc.node, up)
+	us.announceLimit(ctx, uc.node, up, false)
 	return us.runItems(up, items)
 }
 
@@ -96,7 +96,7 @@
 	}
 	us := uc.fleet.upstreams
 	us.recordLimitedCall(uc.node, up)
-	us.announceLimit(ctx, uc.node, up)
+	us.announceLimit(ctx, uc.node, up, false)
 	us.mu.Lock()
 	defer us.mu.Unlock()
 	for _, handle := range handles {
--- a/entry/ratelimits_test.go
+++ b/entry/ratelimits_test.go
@@ -82,7 +82,7 @@
 }
 
 // announceLimit announces in the answer to a call of an instance what the upstream says of itself.
-func (us *upstreamSet) announceLimit(ctx context.Context, nd *node, up *upstream) {
+func (us *upstreamSet) announceLimit(ctx context.Context, nd *node, up *upstream, isRejection bool) {
 	us.mu.Lock()
 	announced := ratelimit.Announcement(ratelimit.None{})
 	if current := up.limit.current(time.Now()); current != unlimited {
@@ -97,10 +97,11 @@
 	if up.limit != nil && up.limit.unreadable && len(up.limit.calls)%2 == 0 {
 		announced = ratelimit.Invalid{Text: "many"}
 	}
-	seen := notice.Notice{Limit: announced}
+	seen := notice.Notice{Limit: announced, IsRejection: isRejection}
 	if up.standing != nil {
 		up.standing.say(nd, &seen)
 	}
+	up.brittle.say(&seen)
 	us.mu.Unlock()
 	if us.variant.hidesLimits {
 		seen.Limit = ratelimit.None{}
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -30,6 +30,8 @@
 	limit *rateLimit
 	// standing is what it says of a departure or a pause, or nil.
 	standing *standing
+	// brittle is how it falls over, or nil.
+	brittle *brittle
 	// crashedOn counts the crashes by request body.
 	crashedOn map[string]int
 }
@@ -127,6 +129,7 @@
 	}
 	if before := us.byID[id]; before != nil {
 		fresh.crashedOn = before.crashedOn
+		fresh.brittle, fresh.Slots = before.brittle, before.Slots
 	}
 	us.byID[id] = fresh
 	delay := us.registerDelay
@@ -244,7 +247,7 @@
 	us := uc.fleet.upstreams
 	us.recordLimitedCall(uc.node, up)
 	if reply := us.reject(uc.node, up, exchange); reply != nil {
-		us.announceLimit(ctx, uc.node, up)
+		us.announceLimit(ctx, uc.node, up, true)
 		return reply, nil
 	}
 	if us.variant.sendsTwice && us.random.IntN(20) == 0 {
@@ -256,7 +259,7 @@
 	if err != nil {
 		return nil, err
 	}
-	us.announceLimit(ctx, uc.node, up)
+	us.announceLimit(ctx, uc.node, up, false)
 	if us.variant.deniesRuns && us.random.IntN(20) == 0 {
 		return newRejection(), nil
 	}
@@ -280,7 +283,10 @@
 	if up.standing.rejects() {
 		return newRejection()
 	}
-	if up.running >= up.Slots || up.flaky && us.random.IntN(3) == 0 {
+	if up.running >= up.Slots+up.brittle.queue() || up.flaky && us.random.IntN(3) == 0 {
+		if up.brittle.reject() {
+			us.fleet.calls.Go(func() { us.crash(up) })
+		}
 		return newRejection()
 	}
 	for _, handle := range exchange.Inputs {
@@ -408,27 +414,6 @@
 // Close does nothing.
 func (es *eventStream) Close() error { return nil }
 
-// versionedEvent returns an event that names the software version of its upstream, if it has one.
-func versionedEvent(id string, number int, version string) string {
-	if version == "" {
-		return eventText(id, number)
-	}
-	return fmt.Sprintf("id: %d\nevent: %s\ndata: %s\n\n", number, version, id)
-}
-
-func eventText(id string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: %s\n\n", number, id)
-}
-
-// completeStream returns the body of a complete stream.
-func completeStream(id string) string {
-	body := ""
-	for number := range eventCount {
-		body += eventText(id, number+1)
-	}
-	return body
-}
-
 // Probe reports whether an upstream accepts connections.
 func (uc upstreamClient) Probe(ctx context.Context, target *roster.Upstream) gateway.ProcessState {
 	if _, err := uc.connect(ctx, target); err != nil && !uc.fleet.upstreams.variant.hidesCrashes {
@@ -442,7 +427,7 @@
 	up, err := uc.connect(ctx, target)
 	if err == nil {
 		uc.fleet.upstreams.recordLimitedCall(uc.node, up)
-		uc.fleet.upstreams.announceLimit(ctx, uc.node, up)
+		uc.fleet.upstreams.announceLimit(ctx, uc.node, up, false)
 	}
 	return err == nil && !uc.fleet.upstreams.variant.hidesCrashes && up.StartUnixMs != target.StartUnixMs
 }
--- a/layers_test.go
+++ b/layers_test.go
@@ -21,7 +21,7 @@
 	ground = []string{"timer", "priority", "hlc", "invariant", "digest", "entropy", "timeline", "inifile", "schema", "events", "readlimit", "readbudget", "calibration"}
 	core   = []string{
 		"answer", "document", "fairqueue", "limit", "choice", "retry", "dispatch", "admission", "attempt", "claim", "lease",
-		"order", "poison", "quarantine", "reach", "subset", "member", "gossip", "revision", "drain", "table",
+		"order", "poison", "quarantine", "headroom", "reach", "subset", "member", "gossip", "revision", "drain", "table",
 		"retryquota", "ratelimit", "notice", "noticetable", "pause", "confirmation", "permit", "ownership", "origin", "originhistory", "tombstone", "batch", "storereader", "overload", "placement", "replica", "roster", "route",
 	}
 )
@@ -101,7 +101,7 @@
 
 // platformNames are spellings of the users' platform that only its adapter knows.
 var platformNames = []string{
-	"Turmericdoor-", "Kv-From", "Kv-Fetch", "Last-Event-Id", "\"Resumes\"", "Retry-After", "Server-Limit", "/v1/rows", "/v1/stage", "/v1/report", "/v1/blob", "/v1/ready",
+	"Turmericdoor-", "Kv-From", "Kv-Fetch", "Last-Event-Id", "\"Resumes\"", "Retry-After", "Server-Limit", "Server-Brittle", "Store-Era", "/v1/rows", "/v1/stage", "/v1/report", "/v1/blob", "/v1/ready",
 	"rows-get", "rows-feed", "op/config", "\"servers\"", "row_version", "slot_count", "cold_left_ms", "headroom_mb", "gap_aim_ms", "api_keys",
 	"TURMERICDOOR_NODE_FILE", "node_name", "inner_ports",
 }
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -15,10 +15,20 @@
 	IsLeaving bool
 	// Pause is how long it wants no requests from the instance that it has answered, or 0.
 	Pause time.Duration
+	// Brittle is set if it ends when it has to reject too many requests.
+	Brittle *Brittle
+	// IsRejection is set if it has not executed the request for want of room.
+	IsRejection bool
 	// Unreadable describes a value that can't be parsed, or is empty. Such a value neither begins nor ends anything.
 	Unreadable string
 }
 
+// Brittle is what an upstream says that ends when it has to reject too many requests.
+type Brittle struct {
+	// Rejections is the number of requests that it can reject in a second.
+	Rejections float64
+}
+
 // observerKey is the context key of the observer.
 type observerKey struct{}
 
--- a/noticetable/noticetable.go
+++ b/noticetable/noticetable.go
@@ -20,6 +20,9 @@
 	// Pause says that the upstream has asked an instance for a pause. It binds that instance alone; the others prefer other
 	// upstreams.
 	Pause
+	// Brittle says that the upstream ends when it has to reject too many requests; PerSecond is the rate for which it is estimated to
+	// have room.
+	Brittle
 )
 
 // Entry is what one incarnation of an upstream has said of itself.
@@ -148,17 +151,32 @@
 	return known.Entry, true
 }
 
-// Limits returns the rate limits that have not ended, in requests per second.
+// Limits returns the rates that have not ended, in requests per second: those that upstreams have named, and those for which brittle
+// ones are estimated to have room. Of two the lower one counts.
 func (tb *Table) Limits() map[roster.Incarnation]float64 {
 	limits := map[roster.Incarnation]float64{}
 	for of, it := range tb.entries {
-		if of.kind == RateLimit && !it.Ended {
+		if of.kind != RateLimit && of.kind != Brittle || it.Ended {
+			continue
+		}
+		if known, found := limits[of.incarnation]; !found || it.PerSecond < known {
 			limits[of.incarnation] = it.PerSecond
 		}
 	}
 	return limits
 }
 
+// BrittleRates returns the rates for which brittle upstreams are estimated to have room, in requests per second.
+func (tb *Table) BrittleRates() map[roster.Incarnation]float64 {
+	rates := map[roster.Incarnation]float64{}
+	for of, it := range tb.entries {
+		if of.kind == Brittle && !it.Ended {
+			rates[of.incarnation] = it.PerSecond
+		}
+	}
+	return rates
+}
+
 // LeavingSince returns the incarnations that are leaving, with the time at which they said so first.
 func (tb *Table) LeavingSince() map[roster.Incarnation]time.Time {
 	since := map[roster.Incarnation]time.Time{}
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -44,6 +44,8 @@
 const (
 	// burstTime is the time at the limit for which requests that were not sent may be sent at once.
 	burstTime = 250 * time.Millisecond
+	// evenBurst is how many requests may be sent at once to an upstream that has no room for a burst.
+	evenBurst = 2
 	// minPerSecond is the least rate at which requests are sent: only their answers show that a limit has ended.
 	minPerSecond = 0.2
 )
@@ -82,9 +84,18 @@
 // Take decides on a request for a permit at a limit, in requests per second, which may wait for maxWait. Share is the part of
 // the limit that the owner may issue.
 func (ld *Ledger) Take(now time.Time, incarnation roster.Incarnation, perSecond, share float64, maxWait time.Duration) Decision {
+	return ld.take(now, incarnation, effectiveRate(perSecond)*share, burstTime, maxWait)
+}
+
+// TakeEvenly is Take for an upstream that has no room for more than evenBurst requests at once.
+func (ld *Ledger) TakeEvenly(now time.Time, incarnation roster.Incarnation, perSecond, share float64, maxWait time.Duration) Decision {
 	rate := effectiveRate(perSecond) * share
+	return ld.take(now, incarnation, rate, evenBurst*interval(rate), maxWait)
+}
+
+func (ld *Ledger) take(now time.Time, incarnation roster.Incarnation, rate float64, burst, maxWait time.Duration) Decision {
 	known := ld.account(now, incarnation, rate)
-	wait := max(known.next.Add(-burstTime).Sub(now), 0)
+	wait := max(known.next.Add(-burst).Sub(now), 0)
 	if wait > maxWait {
 		return Denied{Wait: wait}
 	}
--- a/throttle/observe.go
+++ b/throttle/observe.go
@@ -22,6 +22,7 @@
 		th.markLeaving(upstream.Incarnation())
 	}
 	th.observePause(upstream, seen.Pause)
+	th.observeBrittle(upstream, issued, seen)
 	th.observeLimit(upstream, issued, seen.Limit)
 }
 
@@ -105,8 +106,9 @@
 	th.pauses.Prune(th.Timers.Now(), isRegistered)
 	th.publish()
 	th.ledger.Prune(func(incarnation roster.Incarnation) bool {
-		_, found := th.table.Find(noticetable.RateLimit, incarnation)
-		return found
+		_, isLimited := th.table.Find(noticetable.RateLimit, incarnation)
+		_, isBrittle := th.table.Find(noticetable.Brittle, incarnation)
+		return isLimited || isBrittle
 	})
 }
 
--- a/throttle/owner.go
+++ b/throttle/owner.go
@@ -20,7 +20,10 @@
 	th.mu.Lock()
 	defer th.mu.Unlock()
 	entry, found := th.table.Find(noticetable.RateLimit, incarnation)
-	if !found || entry.Ended {
+	rate, isBrittle := th.brittleRate(now, incarnation)
+	if isLimited := found && !entry.Ended; isLimited {
+		rate = min(rate, entry.PerSecond)
+	} else if !isBrittle {
 		return &wire.PermitReply{Outcome: wire.PermitOutcome_PermitNotNeeded, Limit: toWire(entry)}
 	}
 	reply := &wire.PermitReply{Epoch: th.epoch, Limit: toWire(entry)}
@@ -28,9 +31,18 @@
 		reply.WaitMicros = left.Microseconds()
 		return reply
 	}
+	if wait := th.headroom.Wait(now, incarnation.ID); isBrittle && wait > 0 {
+		reply.WaitMicros = wait.Microseconds()
+		return reply
+	}
 	maxWait := time.Duration(request.GetMaxWaitMicros()) * time.Microsecond
-	switch decision := th.ledger.Take(now, incarnation, entry.PerSecond, share, maxWait).(type) {
+	take := th.ledger.Take
+	if isBrittle {
+		take, maxWait = th.ledger.TakeEvenly, min(maxWait, maxBrittleWait)
+	}
+	switch decision := take(now, incarnation, rate, share, maxWait).(type) {
 	case permit.Granted:
+		th.headroom.Grant(now, incarnation.ID)
 		reply.Outcome, reply.Number, reply.WaitMicros = wire.PermitOutcome_PermitGranted, decision.Number, decision.Wait.Microseconds()
 	case permit.Denied:
 		reply.WaitMicros = decision.Wait.Microseconds()
@@ -47,6 +59,9 @@
 		return &wire.LimitReply{}
 	}
 	announced.At = th.Fleet.Time()
+	if announced.Kind == noticetable.Brittle {
+		return th.applyBrittle(announced, report)
+	}
 	share := th.Fleet.Share(lostWithin)
 	th.mu.Lock()
 	known, found := th.table.Find(noticetable.RateLimit, incarnation)
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/headroom"
 	"github.com/turmericdoor/turmericdoor/inflight"
 	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/notice"
@@ -64,13 +65,17 @@
 	leaving atomic.Pointer[map[roster.Incarnation]time.Time]
 	paused  atomic.Pointer[map[roster.Incarnation]time.Time]
 	// avoided holds the upstreams that have asked any instance for a pause, until its end.
-	avoided    atomic.Pointer[map[roster.Incarnation]time.Time]
-	background inflight.Group
-	owners     ranking.Cache
+	avoided atomic.Pointer[map[roster.Incarnation]time.Time]
+	// brittle holds the rates of brittle upstreams, brittlePools the lowest one of each pool.
+	brittle      atomic.Pointer[map[roster.Incarnation]float64]
+	brittlePools atomic.Pointer[map[string]float64]
+	background   inflight.Group
+	owners       ranking.Cache
 
 	mu       sync.Mutex
 	table    *noticetable.Table
 	ledger   *permit.Ledger
+	headroom *headroom.Register
 	pauses   *pause.Register
 	messages uint64
 	// unresponsive holds the instances that did not answer, until when they are not asked again.
@@ -98,12 +103,14 @@
 func New(parts Parts) *Throttle {
 	now := parts.Timers.Now()
 	th := &Throttle{
-		Parts: parts, epoch: now.UnixNano(), startedAt: now, table: noticetable.New(), ledger: permit.New(), pauses: pause.New(), unresponsive: map[string]time.Time{},
+		Parts: parts, epoch: now.UnixNano(), startedAt: now, table: noticetable.New(), ledger: permit.New(), headroom: headroom.New(), pauses: pause.New(), unresponsive: map[string]time.Time{},
 	}
 	th.limited.Store(&map[roster.Incarnation]float64{})
 	th.leaving.Store(&map[roster.Incarnation]time.Time{})
 	th.paused.Store(&map[roster.Incarnation]time.Time{})
 	th.avoided.Store(&map[roster.Incarnation]time.Time{})
+	th.brittle.Store(&map[roster.Incarnation]float64{})
+	th.brittlePools.Store(&map[string]float64{})
 	return th
 }
 
@@ -135,6 +142,9 @@
 	if err := th.checkPause(incarnation); err != nil {
 		return nil, err
 	}
+	if rate, inPool := (*th.brittlePools.Load())[upstream.Pool]; inPool {
+		th.expectFromPool(upstream, rate)
+	}
 	if _, limited := th.Limits()[incarnation]; limited {
 		reply, err := th.ask(ctx, upstream, maxWait)
 		if err != nil {
@@ -234,6 +244,7 @@
 	limits, leaving, pauses := th.table.Limits(), th.table.LeavingSince(), th.pauses.Until()
 	th.limited.Store(&limits)
 	th.paused.Store(&pauses)
+	th.publishBrittle()
 	avoided, ahead := th.table.PausesUntil(th.Fleet.Time()), th.Fleet.Time().Sub(th.Timers.Now())
 	for incarnation, until := range avoided {
 		avoided[incarnation] = until.Add(-ahead)
