--- a/throttle/brittle.go
+++ b/throttle/brittle.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/headroom"
