Sound upstreams that are silent for a second keep their work

A sound upstream may fall silent for a second or so and go on. An idempotent request was sent to a second upstream after 700 ms without a first byte (TestSilentUpstreamIsGivenUp: two runs instead of one), and a stage's call of one item was given up after some 1.3 s. Now the first byte is waited for 1.5 s at least, and a call of a stage 0.4 s longer. Streams were sound before: they waited for twice their target and between events. TCP_USER_TIMEOUT is 1.5 s at upstreams, which have no keep-alive probes here; between instances gRPC sets it to 2 s by itself, where calls have shorter timeouts of their own.

--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -212,9 +212,9 @@
 
 const (
 	// firstByteTargets is how many target latencies a retryable request waits for the first byte before it is sent to
-	// another upstream, but at least minFirstByteTimeout.
+	// another upstream, but at least minFirstByteTimeout: a sound upstream may be silent for a second.
 	firstByteTargets    = 2
-	minFirstByteTimeout = 700 * time.Millisecond
+	minFirstByteTimeout = 1500 * time.Millisecond
 )
 
 // noFirstByteTimeout exceeds every request deadline, which ends the request first.
--- a/gather/queue.go
+++ b/gather/queue.go
@@ -321,7 +321,7 @@
 const (
 	// A call times out after callTimeoutFactor times its expected duration plus callTimeoutMargin.
 	callTimeoutFactor = 6
-	callTimeoutMargin = 300 * time.Millisecond
+	callTimeoutMargin = 700 * time.Millisecond
 )
 
 // send spends the retry budget for the items that are sent again and makes the call in the background.
