--- a/endlessserver/endlessserver.go
+++ b/endlessserver/endlessserver.go
@@ -55,6 +55,9 @@
 	Every    time.Duration
 	// AtOnce sends the answer without waiting for the first bytes of a request.
 	AtOnce bool
+	// Limit is how many bytes a peer may read, or 0 for no limit. Once it must have read more, the server reports that on Overrun and
+	// falls silent.
+	Limit int64
 }
 
 // Closed reports that a peer closed its connection: after how long, and how many bytes of the answer were sent by then.
@@ -78,8 +81,11 @@
 	Closed <-chan Closed
 	// Began receives a value for each connection on which the answer begins.
 	Began <-chan struct{}
+	// Overrun receives a value for each connection whose peer has read more than the answer's limit.
+	Overrun <-chan struct{}
 
 	began    chan struct{}
+	overrun  chan struct{}
 	answer   Answer
 	head     []byte
 	listener net.Listener
@@ -98,9 +104,9 @@
 	if err != nil {
 		return nil, err
 	}
-	closed, began := make(chan Closed, maxClosed), make(chan struct{}, maxClosed)
+	closed, began, overrun := make(chan Closed, maxClosed), make(chan struct{}, maxClosed), make(chan struct{}, maxClosed)
 	sv := &Server{
-		Address: listener.Addr().String(), Closed: closed, Began: began, began: began,
+		Address: listener.Addr().String(), Closed: closed, Began: began, began: began, Overrun: overrun, overrun: overrun,
 		answer: answer, head: []byte(answer.Head), listener: listener, closed: closed, open: map[net.Conn]bool{},
 	}
 	sv.tasks.Go(sv.accept)
@@ -218,6 +224,14 @@
 		}
 		count, err = connection.Write(repeated)
 		sent += int64(count)
+		if sv.answer.Limit > 0 && sent > MaxSent(sv.answer.Limit) {
+			select {
+			case sv.overrun <- struct{}{}:
+			default:
+			}
+			<-ended
+			return sent
+		}
 	}
 	return sent
 }
