Fault soak: a store that comes back older, and a brittle upstream

In each run the store goes away for 0.3 s and comes back from a copy of 1.5 s before; a configuration that is written after that must be in force at undisturbed instances. One model upstream has room for two requests and ends when it has to reject more than three in a second; it may end twice.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -42,6 +42,8 @@
 	// addresses are the addresses for callers, settings the settings files, by instance.
 	addresses []string
 	settings  []string
+	// metrics are the addresses of the instances' metrics.
+	metrics []string
 
 	mu        sync.Mutex
 	processes []*exec.Cmd
@@ -155,6 +157,7 @@
 	path := filepath.Join(fl.folder, fmt.Sprintf("i%d.json", at))
 	must.NoError(fl.t, os.WriteFile(path, []byte(content), 0o600))
 	fl.settings = append(fl.settings, path)
+	fl.metrics = append(fl.metrics, ports[2])
 }
 
 // putConfiguration writes the configuration to the platform under the next version.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -67,6 +67,7 @@
 	}
 	callers.Go(func() { fl.watchMemory(ctx) })
 	callers.Go(func() { fl.sendBadParts(ctx) })
+	callers.Go(func() { fl.storeComesBackOlder(ctx) })
 	time.Sleep(time.Second)
 	for _, id := range standingUpstreams {
 		fl.upstreams[id].leave()
@@ -76,6 +77,7 @@
 	}
 	callers.Wait()
 	fl.checkBadParts()
+	fl.ledger.checkFalls()
 	for _, wrong := range fl.ledger.checkLimits() {
 		fl.ledger.violation("%s", wrong)
 	}
@@ -86,9 +88,9 @@
 	defer fl.ledger.mu.Unlock()
 	played, _ := json.Marshal(fl.ledger.played)
 	text := fmt.Sprintf("seed %d: answers by status %s, %d runs, responses by kind %s; endless ones were open for %v and sent up to %v bytes; instances used up to %d MB; "+
-		"a part crashed %d upstreams, %d requests with it reached upstreams; most requests in %v at upstreams with a limit %v; streams taken up, by status: %v; %d instances told that upstreams are leaving, of which %d requests arrived",
+		"a part crashed %d upstreams, %d requests with it reached upstreams; most requests in %v at upstreams with a limit %v; streams taken up, by status: %v; a brittle upstream rejected up to %d in a second and fell over %d times; %d instances told that upstreams are leaving, of which %d requests arrived",
 		seed, summary, len(fl.ledger.runs), played, fl.ledger.longest, fl.ledger.most, fl.ledger.memoryMB, len(fl.ledger.crashes), len(fl.ledger.crashers),
-		limitWindow, fl.ledger.limits.most, fl.ledger.takenUp, len(fl.ledger.told), fl.ledger.toldArrivals)
+		limitWindow, fl.ledger.limits.most, fl.ledger.takenUp, fl.ledger.brittle.most, fl.ledger.brittle.falls, len(fl.ledger.told), fl.ledger.toldArrivals)
 	t.Log(text)
 	if len(fl.ledger.violations) > 0 {
 		fl.keep(t, seed, text)
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -146,6 +146,11 @@
 	if us.crashesOn(request, id) {
 		return
 	}
+	leavePlace := us.takePlace(writer, id)
+	if leavePlace == nil {
+		return
+	}
+	defer leavePlace()
 	kind := routeKinds[routeName(request.URL.Path)]
 	number := us.ledger.recordArrival(id)
 	random := seededRandom(us.seed, fmt.Sprintf("%s/%d", id, number))
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -32,6 +32,9 @@
 	limits     *limitLedger
 	takenUp    map[string]int
 	violations []string
+	brittle    brittle
+	// began is when the run began.
+	began time.Time
 	// examples holds the first violation of each kind.
 	examples map[string]string
 	// isUndisturbed reports whether an instance's process ran for newsBound.
@@ -46,6 +49,7 @@
 
 func newLedger() *ledger {
 	return &ledger{
+		began:    time.Now(),
 		arrivals: map[string]int{}, runs: map[string]int{}, notRun: map[string]int{}, junk: map[string]bool{}, played: map[string]int{},
 		answers: map[string][]string{}, longest: map[string]time.Duration{}, most: map[string]int{}, examples: map[string]string{},
 		limits: newLimitLedger(), told: map[toldKey]time.Time{}, takenUp: map[string]int{},
