--- a/entry/store_test.go
+++ b/entry/store_test.go
@@ -31,6 +31,8 @@
 	changed     chan struct{}
 	down        bool
 	delay       time.Duration
+	// silentSince is when the connections that there were fell silent for good, or zero.
+	silentSince time.Time
 	outages     []outage
 	// tables holds the decoded configuration of each revision.
 	tables map[int64]*route.Table
@@ -104,6 +106,20 @@
 	return time.Now()
 }
 
+// silence makes the connections on which calls are waiting silent for good.
+func (st *store) silence() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.silentSince = time.Now()
+}
+
+// isSilent reports whether a call that began at a time is on a silent connection.
+func (st *store) isSilent(began time.Time) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return began.Before(st.silentSince)
+}
+
 // storeCopy is the content of the store at a moment.
 type storeCopy struct {
 	version int64
@@ -201,7 +217,7 @@
 	sc.store.mu.Lock()
 	era := sc.store.era
 	sc.store.mu.Unlock()
-	limit := time.After(wait)
+	limit, began := time.After(wait), time.Now()
 	for {
 		sc.store.mu.Lock()
 		lost, isRestored := after < sc.store.historyLost[table] || after > sc.store.version, sc.store.era != era
@@ -212,6 +228,10 @@
 		if lost {
 			return replica.Update{}, watch.ErrHistoryGone
 		}
+		if sc.store.isSilent(began) {
+			<-ctx.Done()
+			return replica.Update{}, ctx.Err()
+		}
 		page, more := sc.store.page(table, after)
 		if len(page.Rows) > 0 {
 			return page, sc.connect(ctx)
