Rows of an instance that knows no era yet do not count as those of the current one (CONFIG)

Found by reading, shown by a test that failed before (TestRestoredStore, rows of an instance that knows no era yet): era 0 stood both for an answer without an era and for the time before the first one, so that rows of an instance which had not heard of the first rise of the era were taken for current. An answer without an era is EraUnknown now.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -29,8 +29,11 @@
 	return cmp.Or(cmp.Compare(ps.Era, other.Era), cmp.Compare(ps.Version, other.Version)) < 0
 }
 
+// EraUnknown is the era of an answer that does not state it.
+const EraUnknown = -1
+
 // Update holds the rows of the full table, or those changed since an earlier version, up to Version. Era is the era of the
-// store in which they were read, or 0 if it is not known: the era rises each time the store comes back from an older copy.
+// store in which they were read, or EraUnknown: the era rises each time the store comes back from an older copy.
 type Update struct {
 	Rows    []Row
 	Era     int64
@@ -105,7 +108,7 @@
 // Apply applies an update and returns the changed rows. Updates older than the replica are ignored, and so are partial
 // ones before the first full table, or of a later era than the replica's.
 func (rp *Replica) Apply(now time.Time, update Update) []Row {
-	if update.Era == 0 {
+	if update.Era == EraUnknown {
 		update.Era = rp.era
 	}
 	if update.Position().IsBefore(rp.Position()) || !update.Full && (!rp.hasSnapshot || update.Era > rp.era) {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -181,6 +181,20 @@
 		rp.Apply(start, restored)
 		must.SliceEmpty(t, rp.Apply(start, replica.Update{Era: 1, Full: true, Version: 30, Rows: []replica.Row{row("c", 30)}}))
 	})
+	t.Run("rows of an instance that knows no era yet are older than those of an era", func(t *testing.T) {
+		ahead, behind := replica.New(), replica.New()
+		for _, rp := range []*replica.Replica{ahead, behind} {
+			rp.Apply(start, replica.Update{Era: replica.EraUnknown, Full: true, Version: 9, Rows: []replica.Row{row("a", 9)}})
+		}
+		ahead.Apply(start, replica.Update{Era: 1, Full: true, Version: 5, Rows: []replica.Row{row("b", 5)}})
+		must.SliceEmpty(t, ahead.Apply(start, behind.ChangesSince(replica.Position{})))
+		must.Eq(t, replica.Position{Era: 1, Version: 5}, ahead.Position())
+	})
+	t.Run("an answer without an era counts as one of the era that is known", func(t *testing.T) {
+		rp := before()
+		must.SliceLen(t, 1, rp.Apply(start, replica.Update{Era: replica.EraUnknown, Version: 10, Rows: []replica.Row{row("c", 10)}}))
+		must.Eq(t, int64(1), rp.Position().Era)
+	})
 	t.Run("a replica of an earlier era gets the full table", func(t *testing.T) {
 		ahead, behind := before(), before()
 		ahead.Apply(start, restored)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -274,7 +274,7 @@
 // position, whose version is given out again.
 func checkEra(update replica.Update, before replica.Position) error {
 	switch {
-	case update.Era == 0 || update.Era == before.Era:
+	case update.Era == replica.EraUnknown || update.Era == before.Era:
 		return nil
 	case update.Era > before.Era:
 		return ErrHistoryGone
@@ -316,7 +316,7 @@
 		return err
 	}
 	position, own := update.Position(), wt.Position()
-	if position.Era == 0 {
+	if position.Era == replica.EraUnknown {
 		position.Era = own.Era
 	}
 	if position.IsBefore(own) {
