--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -51,7 +51,7 @@
 	usedShare = 0.8
 	// minPerSecond is the least rate.
 	minPerSecond = 1
-	// toleratedShare is the share of the rejections that an upstream can bear, after which it gets no requests for a time.
+	// toleratedShare is the share of an upstream's bound on rejections after which it gets no requests for a time.
 	toleratedShare = 0.5
 )
 
@@ -86,7 +86,7 @@
 	}
 }
 
-// Reject records that an upstream has rejected a request for want of room.
+// Reject records that an upstream has rejected a request because it was full.
 func (rg *Register) Reject(now time.Time, id string) {
 	known, found := rg.estimates[id]
 	if !found {
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -17,7 +17,7 @@
 	Pause time.Duration
 	// Brittle is set if it ends when it has to reject too many requests.
 	Brittle *Brittle
-	// IsRejection is set if it has not executed the request for want of room.
+	// IsRejection is set if it has not executed the request because it was full.
 	IsRejection bool
 	// Unreadable describes a value that can't be parsed, or is empty. Such a value neither begins nor ends anything.
 	Unreadable string
