--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -45,7 +45,7 @@
 	// The others are those for upstreams that can reject fewer than fragileBelow requests in a second.
 	fragileFirstGrowth = 1.12
 	fragileGrowth      = 1.001
-	fragileNearShare   = 0.82
+	fragileNearShare   = 0.75
 	fragileBelow       = 3
 	// usedShare is the share of a rate from which on it counts as used.
 	usedShare = 0.8
