--- a/entry/brittle_test.go
+++ b/entry/brittle_test.go
@@ -111,16 +111,16 @@
 
 // TestBrittleUpstreamsFallOver guards against instances that together send more to brittle upstreams than these have room for.
 func TestBrittleUpstreamsFallOver(t *testing.T) {
-	assertStanding(t, 5, 20)
+	assertFewFalls(t, 5, 20)
 }
 
 // TestUpstreamsThatBearOneRejectionFallOver guards against the same where a second rejection in a second is one too many.
 func TestUpstreamsThatBearOneRejectionFallOver(t *testing.T) {
-	assertStanding(t, 1)
+	assertFewFalls(t, 1)
 }
 
-// assertStanding checks how often brittle upstreams fall over that can reject so many requests in a second, and how much of their room is used.
-func assertStanding(t *testing.T, eachRejections ...float64) {
+// assertFewFalls checks how often brittle upstreams fall over that can reject so many requests in a second, and how much of their room is used.
+func assertFewFalls(t *testing.T, eachRejections ...float64) {
 	t.Helper()
 	for _, size := range []int{8, 77} {
 		for _, count := range []int{1, 4} {
--- a/throttle/brittle.go
+++ b/throttle/brittle.go
@@ -17,7 +17,7 @@
 	maxBrittleRate = 1e6
 	// maxBrittleWait bounds how long requests wait for a permit that is issued: they are sent although the rate is lowered meanwhile.
 	maxBrittleWait = 20 * time.Millisecond
-	// announcedChange is the change of an estimated rate, as a factor, from which on the other instances are told.
+	// announcedChange is the factor by which an estimated rate must change before it is announced to the other instances.
 	announcedChange = 1.15
 )
 
@@ -99,9 +99,8 @@
 	return &wire.LimitReply{}
 }
 
-// updateBrittle updates the estimate for a brittle upstream, and returns whether the other instances are to be told its rate. The caller
-// holds the lock.
-func (th *Throttle) updateBrittle(now time.Time, known noticetable.Entry, isActive bool, report *wire.LimitReport) (tells bool, perSecond float64) {
+// updateBrittle updates the estimate for a brittle upstream, and returns its rate and whether to announce it. The caller holds the lock.
+func (th *Throttle) updateBrittle(now time.Time, known noticetable.Entry, isActive bool, report *wire.LimitReport) (announces bool, perSecond float64) {
 	id, before := report.GetAnnounced().GetUpstream(), maxBrittleRate
 	if isActive {
 		before = known.PerSecond
