TestStoreComesBackOlder: what its fake upstreams share is read under their lock

Cause: races of the test alone, both reported by the race detector. A goroutine that writes a registration again read the upstream's row while leave set Leaving without the lock of the set, and read the length of the list of lost upstreams, which the second drill extends. Only when the store comes back older twice do these happen at one time. Change: leave sets Leaving under the lock, all that write registrations read the row under it, and the spacing of the registrations is computed before the goroutines start.

--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -69,7 +69,7 @@
 				still := !up.crashed && up.leftAt.IsZero() && us.byID[up.ID] == up
 				us.mu.Unlock()
 				if still {
-					sk.fleet.store.put(registrations, registrationRow(up))
+					us.writeRegistration(up)
 				}
 			})
 		}
--- a/entry/olderstore_test.go
+++ b/entry/olderstore_test.go
@@ -62,7 +62,7 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	for range os.lostChanges {
-		os.fleet.store.put(registrations, registrationRow(os.lost[0]))
+		os.fleet.upstreams.writeRegistration(os.lost[0])
 	}
 	time.Sleep(time.Second)
 }
@@ -77,17 +77,18 @@
 	st.setState(false, 0)
 	us.mu.Lock()
 	defer us.mu.Unlock()
+	spacing := registerAgainTime / time.Duration(len(os.lost))
 	for number, up := range os.lost {
 		os.group.Go(func() {
-			time.Sleep(registerAgainTime * time.Duration(number+1) / time.Duration(len(os.lost)))
-			st.put(registrations, registrationRow(up))
+			time.Sleep(spacing * time.Duration(number+1))
+			us.writeRegistration(up)
 		})
 	}
 	for number, up := range os.left {
 		os.group.Go(func() {
 			time.Sleep(lapseTime)
 			if number%2 == 0 {
-				st.put(registrations, registrationRow(up))
+				us.writeRegistration(up)
 				time.Sleep(time.Second)
 			}
 			st.put(registrations, removalRow(up))
@@ -192,7 +193,7 @@
 			os.fleet.store.restore(os.taken)
 			os.configure()
 			for range 100 {
-				os.fleet.store.put(registrations, registrationRow(os.lost[0]))
+				os.fleet.upstreams.writeRegistration(os.lost[0])
 			}
 			os.fleet.store.setState(false, 0)
 			must.LessEq(t, appliedWithin, os.awaitRevision(os.revision, 4*appliedWithin))
@@ -304,7 +305,7 @@
 		isSame, isRunning, isLeaving := us.byID[id] == up, !up.crashed && up.leftAt.IsZero(), up.Leaving
 		us.mu.Unlock()
 		if isSame && (isRunning || isLeaving) {
-			up.acknowledgeAgain(us, lost, st.put(registrations, registrationRow(up)))
+			up.acknowledgeAgain(us, lost, us.writeRegistration(up))
 		}
 	}
 	time.Sleep(lapseTime - registerAgainTime)
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -135,7 +135,7 @@
 	delay := us.registerDelay
 	us.mu.Unlock()
 	if delay == 0 {
-		us.fleet.store.put(registrations, registrationRow(fresh))
+		us.writeRegistration(fresh)
 		return
 	}
 	us.fleet.calls.Go(func() {
@@ -144,12 +144,20 @@
 		ended := fresh.crashed || us.byID[id] != fresh
 		us.mu.Unlock()
 		if !ended {
-			us.fleet.store.put(registrations, registrationRow(fresh))
+			us.writeRegistration(fresh)
 		}
 	})
 }
 
-// registrationRow returns the row of a registration.
+// writeRegistration writes the registration of an upstream as it is now, and returns when that was acknowledged.
+func (us *upstreamSet) writeRegistration(up *upstream) time.Time {
+	us.mu.Lock()
+	row := registrationRow(up)
+	us.mu.Unlock()
+	return us.fleet.store.put(registrations, row)
+}
+
+// registrationRow returns the row of a registration. The caller holds the lock of the set.
 func registrationRow(up *upstream) replica.Row {
 	value, err := json.Marshal(up.Upstream)
 	if err != nil {
@@ -162,8 +170,10 @@
 func (us *upstreamSet) leave(up *upstream, announced bool) {
 	row := removalRow(up)
 	if announced {
+		us.mu.Lock()
 		up.Leaving = true
 		row = registrationRow(up)
+		us.mu.Unlock()
 	}
 	at := us.fleet.store.put(registrations, row)
 	us.mu.Lock()
