timer: After returns a channel that is ready when there is no time to wait

Cause: time.After(0) starts a timer of the runtime for nothing, and receiving from a timer whose time is up is what crashes the race detector under fake time (runtime.(*timer).maybeRunChan uses the one race context of the bubble from two threads). Change: After with a duration of zero or less returns a filled channel, with both clocks. Measured: TestAfterNoTime; the packages timer, catalog, gather, peer and gateway pass.

--- a/timer/timer.go
+++ b/timer/timer.go
@@ -45,8 +45,13 @@
 	return sv.now
 }
 
-// After returns a channel that receives the time after d.
+// After returns a channel that receives the time after d, or holds it already if d is not positive.
 func (sv *Service) After(d time.Duration) <-chan time.Time {
+	if d <= 0 {
+		due := make(chan time.Time, 1)
+		due <- sv.Now()
+		return due
+	}
 	if !sv.manual {
 		return time.After(d)
 	}
--- a/timer/timer_test.go
+++ b/timer/timer_test.go
@@ -19,3 +19,12 @@
 	must.Eq(t, start.Add(2*time.Second), <-ch)
 	must.Eq(t, start.Add(2*time.Second), sv.Now())
 }
+
+func TestAfterNoTime(t *testing.T) {
+	for name, sv := range map[string]*timer.Service{"system clock": timer.New(), "manual clock": timer.NewManual(time.Unix(1000, 0))} {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, 1, len(sv.After(0)))
+			must.Eq(t, 1, len(sv.After(-time.Second)))
+		})
+	}
+}
