Instances that are cut off ask more of the others for help

Cause: an instance that is cut off asked eight others, and two as long as it did not know that it was cut off. Change: 16 others, whether or not the cut is known; an answer about the upstream still ends the search, so a dead upstream costs one question, and one that could not help is left out for a second.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -65,13 +65,11 @@
 
 const (
 	// maxHelpers is the number of instances through which this one connects.
-	maxHelpers = 8
+	maxHelpers = 16
 	// connectTimeout is how long another instance has to connect.
 	connectTimeout = 700 * time.Millisecond
-	// helpTimeout is how long other instances are asked for one connection; maxOpinions is the number of them that are asked while it
-	// is not known that this one is cut off.
+	// helpTimeout is how long other instances are asked for one connection.
 	helpTimeout = time.Second
-	maxOpinions = 2
 	// avoidTime is how long an instance that could not help is not asked.
 	avoidTime = time.Second
 	// probeInterval is how often an instance that is cut off tries to connect itself; probeCount is the number of upstreams it tries.
@@ -216,9 +214,6 @@
 		swap := at + rl.Random.IntN(len(list)-at)
 		list[at], list[swap] = list[swap], list[at]
 	}
-	if !rl.tracker.IsCutOff() {
-		list = list[:min(len(list), maxOpinions)]
-	}
 	return list
 }
 
