The fake store of the randomised run waits without channels of timers: the race detector crashed

Cause: under fake time the race detector keeps one context for all timers of a bubble. A timer whose time is up when its channel is received from, as of time.After(0), is run by the receiver (runtime.(*timer).maybeRunChan), so two threads use that context at one time: 'CHECK failed: tsan_rtl.cpp:346' or a SIGSEGV at address 0 in maybeRunChan, not a fault of this code. Reads of changes that don't wait did this all the time. Change: the fake store bounds its waits by contexts.

--- a/entry/store_test.go
+++ b/entry/store_test.go
@@ -209,7 +209,8 @@
 	return page, nil
 }
 
-// ReadChanges waits for rows that changed after a version.
+// ReadChanges waits for rows that changed after a version. It bounds the wait by a context: a channel of a timer that is received
+// from when its time is up crashes the race detector under fake time, as it then runs in two threads of one bubble.
 func (sc storeClient) ReadChanges(ctx context.Context, table string, after int64, wait time.Duration) (replica.Update, error) {
 	if err := sc.connect(ctx); err != nil {
 		return replica.Update{}, err
@@ -217,7 +218,9 @@
 	sc.store.mu.Lock()
 	era := sc.store.era
 	sc.store.mu.Unlock()
-	limit, began := time.After(wait), time.Now()
+	began := time.Now()
+	limit, end := context.WithTimeout(ctx, wait)
+	defer end()
 	for {
 		sc.store.mu.Lock()
 		lost, isRestored := after < sc.store.historyLost[table] || after > sc.store.version, sc.store.era != era
@@ -238,10 +241,11 @@
 		}
 		select {
 		case <-more:
-		case <-limit:
+		case <-limit.Done():
+			if err := ctx.Err(); err != nil {
+				return replica.Update{}, err
+			}
 			return page, sc.connect(ctx)
-		case <-ctx.Done():
-			return replica.Update{}, ctx.Err()
 		}
 	}
 }
@@ -271,13 +275,12 @@
 	return registration, nil
 }
 
+// sleep waits, and returns whether the context lasted; it uses no channel of a timer for the reason given at ReadChanges.
 func sleep(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-time.After(wait):
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
+	limit, end := context.WithTimeout(ctx, wait)
+	defer end()
+	<-limit.Done()
+	return ctx.Err() == nil
 }
 
 // removalRow returns the row that removes a registration.
