--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"fmt"
+	"time"
+
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/gossip"
 	"github.com/turmericdoor/turmericdoor/member"
@@ -32,6 +35,11 @@
 	ch.entry.catalog.StoreRestored(table, before, after)
 }
 
+// ReadOverdue records that this instance reads the store itself.
+func (ch changeListener) ReadOverdue(table string, staleness time.Duration) {
+	ch.entry.events.Record(&wire.Event{Kind: wire.EventKind_EventStoreReadOverdue, Stage: table, Detail: fmt.Sprintf("age=%dms", staleness.Milliseconds())})
+}
+
 // StoreUnavailable reports the start of an outage to the catalog.
 func (ch changeListener) StoreUnavailable(table string, cause error) {
 	ch.entry.catalog.StoreUnavailable(table, cause)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -32,6 +32,8 @@
 	ChangesMissed(table string)
 	// StoreRestored reports that the store has come back from an older copy; the rows of the copy are delivered next.
 	StoreRestored(table string, before, after replica.Position)
+	// ReadOverdue reports that this instance reads the store itself, since no other one has confirmed the table for a time.
+	ReadOverdue(table string, staleness time.Duration)
 	// StoreUnavailable reports the first failed call to the store.
 	StoreUnavailable(table string, cause error)
 	// StoreRecovered reports that the store is available again.
@@ -54,6 +56,8 @@
 	peerAhead   chan struct{}
 	// freshAt is when the replica was last known to be up to date with the store.
 	freshAt time.Time
+	// overdue is set once ReadOverdue has been reported, until the table is up to date again.
+	overdue bool
 }
 
 const (
@@ -136,7 +140,7 @@
 	if newest.Era != own.Era || own.IsBefore(newest) || !at.After(wt.freshAt) {
 		return
 	}
-	wt.freshAt = at
+	wt.freshAt, wt.overdue = at, false
 	if wt.unavailable && age < recoveredStaleness {
 		wt.unavailable = false
 		wt.listener.StoreRecovered(wt.table)
@@ -155,6 +159,18 @@
 	return !wt.hasSnapshot() || wt.isReader() || wt.Staleness() > maxStaleness
 }
 
+// reportOverdue reports once that no other instance has confirmed the table for a time.
+func (wt *Watcher) reportOverdue() {
+	staleness := wt.Staleness()
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	if wt.overdue || !wt.replica.HasSnapshot() || wt.isReader() || staleness <= maxStaleness {
+		return
+	}
+	wt.overdue = true
+	wt.listener.ReadOverdue(wt.table, staleness)
+}
+
 // ApplyFromPeer applies an update from another instance.
 func (wt *Watcher) ApplyFromPeer(update replica.Update) {
 	wt.apply(update, true)
@@ -208,6 +224,7 @@
 			_ = wt.timers.Sleep(ctx, roleCheckInterval)
 			continue
 		}
+		wt.reportOverdue()
 		before := wt.NewestChange()
 		err := wt.fetch(ctx, full)
 		switch {
@@ -360,7 +377,7 @@
 func (wt *Watcher) recordSuccess() {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	wt.freshAt = wt.timers.Now()
+	wt.freshAt, wt.overdue = wt.timers.Now(), false
 	if wt.unavailable {
 		wt.unavailable = false
 		wt.listener.StoreRecovered(wt.table)
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -129,6 +129,7 @@
 func (lg *log) StoreUnavailable(string, error) { lg.mu.Lock(); defer lg.mu.Unlock(); lg.lost++ }
 
 func (lg *log) ChangesMissed(string)                                     { lg.mu.Lock(); defer lg.mu.Unlock(); lg.missed++ }
+func (lg *log) ReadOverdue(string, time.Duration)                        {}
 func (lg *log) StoreRestored(string, replica.Position, replica.Position) {}
 func (lg *log) StoreRecovered(string)                                    { lg.mu.Lock(); defer lg.mu.Unlock(); lg.back++ }
 
