The reading of the store goes round all instances, so that no few of them can hide a change

Cause: a few fixed instances read the store, and the others read it only once their table was 4 s old. Not the ages that instances tell each other and not the spreading of a change were at fault.

Change: the instance after the one that last confirmed the tables, in the order of a hash of their ids, reads next and waits for changes for a turn (two fifths of the shorter one of drain_ms and config_apply_ms, a second at most); what it finds is passed on at once. If a turn brings nothing, the next instances read one after the other, and all of them 0.3 of the bound later. Related paths, same cause (what is called up to date is not): - an answer counts as of the store's clock in it (storeclock), not of its arrival: a slow or frozen reader no longer vouches for what it read long ago, and no message grows younger on its way; - an answer whose version is below the replica's is stale; the client of the store hid that by taking the higher one; - an instance that lacks a change of another one no longer vouches for that one's table; - rows from another instance bring its freshness along, so that one that starts from them knows how old they are; - triggered heartbeats no longer put off the checks of the members. The tests of the selection of fixed readers gave way to those of the rotation: as strict on the number of reads, which doesn't grow with the fleet, and stricter on what happens when readers are lost.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -21,10 +20,10 @@
 	"github.com/turmericdoor/turmericdoor/member"
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/peer"
-	"github.com/turmericdoor/turmericdoor/ranking"
 	"github.com/turmericdoor/turmericdoor/relay"
 	"github.com/turmericdoor/turmericdoor/revision"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/storeclock"
 	"github.com/turmericdoor/turmericdoor/storereader"
 	"github.com/turmericdoor/turmericdoor/streamdirectory"
 	"github.com/turmericdoor/turmericdoor/throttle"
@@ -76,7 +75,9 @@
 	items    *gather.Client
 	batches  *gather.Server
 	relay    *relay.Relay
-	readerOf atomic.Pointer[readerRole]
+	rotation *storereader.Rotation
+	// storeClock relates what answers of the store say to the time here.
+	storeClock *storeclock.Clock
 
 	// requestsCtx is cancelled when the requests in flight must end; drainStarted is when StartDraining was called.
 	requestsCtx    context.Context
@@ -116,8 +117,13 @@
 	clock := hlc.New(parts.Timers)
 	en.events = timeline.New(en.settings.Instance, clock, timelineEvents, en.recordEvent)
 	en.catalog = catalog.New(parts.Decoder, parts.Tables, parts.Timers, en.events)
+	en.storeClock = storeclock.New()
+	en.rotation = storereader.New(en.settings.Instance, en.settings.ChangeBound, parts.Tables.Configuration, parts.Tables.Registrations)
 	for _, table := range []string{parts.Tables.Configuration, parts.Tables.Registrations} {
-		en.watches = append(en.watches, watch.New(table, meteredSource{parts.Source, en.metrics}, parts.Timers, parts.Random.Fork(table), changeListener{en}, en.isStoreReader))
+		en.watches = append(en.watches, watch.New(table, watch.Parts{
+			Source: meteredSource{parts.Source, en.metrics}, Timers: parts.Timers, Random: parts.Random.Fork(table), Clock: en.storeClock,
+			Schedule: readSchedule{en}, Listener: changeListener{en},
+		}))
 	}
 	en.peer = en.newPeer(parts, clock)
 	en.throttle = throttle.New(throttle.Parts{
@@ -172,20 +178,39 @@
 	en.logbook.Write(event)
 }
 
-// isStoreReader reports whether this instance reads the platform's store and passes the changes on to the others.
-func (en *Instance) isStoreReader() bool {
-	live, known := en.peer.Live(), en.readerOf.Load()
-	if known == nil || !ranking.IsSame(known.live, live) {
-		known = &readerRole{live: live, isReader: storereader.IsSelected(en.settings.Instance, live)}
-		en.readerOf.Store(known)
-	}
-	return known.isReader
+// readSchedule gives the watchers their turns among the live instances.
+type readSchedule struct {
+	entry *Instance
+}
+
+// Next returns the next turn of this instance.
+func (sc readSchedule) Next(table string, staleness time.Duration) storereader.Turn {
+	return sc.entry.rotation.Next(sc.entry.timers.Now(), table, staleness, sc.entry.peer.Live())
 }
 
-// readerRole is whether this instance reads the store while the live instances are those in a list.
-type readerRole struct {
-	live     []member.Member
-	isReader bool
+// Begin records the beginning of a turn.
+func (sc readSchedule) Begin(table string) {
+	sc.entry.rotation.Begin(table)
+}
+
+// Fail records that a turn has brought nothing.
+func (sc readSchedule) Fail(table string) {
+	sc.entry.rotation.Fail(sc.entry.timers.Now(), table)
+}
+
+// confirmed records that a table was up to date at a time, as a reader has found, lets the other instances know and begins the turn
+// that follows.
+func (en *Instance) confirmed(table string, at time.Time, reader uint64) {
+	isNews, isNextTurn := en.rotation.Confirm(table, at, reader)
+	if isNews {
+		en.peer.TriggerHeartbeat()
+	}
+	if !isNextTurn {
+		return
+	}
+	for _, each := range en.watches {
+		each.Wake()
+	}
 }
 
 func (en *Instance) registerGauges() {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -32,6 +32,13 @@
 	side             atomic.Int32
 	storeUnreachable atomic.Bool
 	storeHangs       atomic.Bool
+	// storeDelay is how long the answers of the store take to this instance, in nanoseconds, and storeReplica is what it reads instead of
+	// the store, or nil.
+	storeDelay   atomic.Int64
+	storeReplica atomic.Pointer[storeCopy]
+	// storeCalls is the number of calls to the store in progress, and storeCalledAt is when the last one ended, in Unix nanoseconds.
+	storeCalls    atomic.Int64
+	storeCalledAt atomic.Int64
 	// frozen makes all calls from and to the instance wait.
 	frozen atomic.Bool
 	// connectedAt is when the instance was last started or reconnected, in Unix nanoseconds.
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -11,6 +11,7 @@
 	"github.com/turmericdoor/turmericdoor/replica"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timer"
+	"github.com/turmericdoor/turmericdoor/watch"
 )
 
 // changeListener applies changed rows to the catalog and announces new versions to the other instances.
@@ -35,6 +36,11 @@
 	ch.entry.catalog.StoreRestored(table, before, after)
 }
 
+// Confirmed lets the other instances know that this one has found the table up to date.
+func (ch changeListener) Confirmed(table string, at time.Time) {
+	ch.entry.confirmed(table, at, ch.entry.rotation.Self())
+}
+
 // ReadOverdue records that this instance reads the store itself.
 func (ch changeListener) ReadOverdue(table string, staleness time.Duration) {
 	ch.entry.events.Record(&wire.Event{Kind: wire.EventKind_EventStoreReadOverdue, Stage: table, Detail: fmt.Sprintf("age=%dms", staleness.Milliseconds())})
@@ -55,19 +61,24 @@
 	entry *Instance
 }
 
-// Versions returns the version and the staleness of each replica.
+// Versions returns the state of each replica.
 func (rp peerReplicas) Versions() []*wire.TableVersion {
 	list := []*wire.TableVersion{}
 	for _, each := range rp.entry.watches {
-		position := each.Position()
-		list = append(list, &wire.TableVersion{
-			Table: each.Table(), Era: position.Era, Version: position.Version, Revision: position.Revision, Newest: each.NewestChange().Version,
-			AgeMs: each.Staleness().Milliseconds(),
-		})
+		list = append(list, rp.version(each))
 	}
 	return list
 }
 
+// version returns the state of a table's replica.
+func (rp peerReplicas) version(of *watch.Watcher) *wire.TableVersion {
+	position := of.Position()
+	return &wire.TableVersion{
+		Table: of.Table(), Era: position.Era, Version: position.Version, Revision: position.Revision, Newest: of.NewestChange().Version,
+		AgeMs: of.Staleness().Milliseconds(), StoreMs: rp.entry.storeClock.Reading(of.FreshAt()).Milliseconds(), Reader: rp.entry.rotation.Reader(),
+	}
+}
+
 // ChangesSince returns the rows of a table that a replica lacks.
 func (rp peerReplicas) ChangesSince(request *wire.FetchRowsRequest) *wire.FetchRowsReply {
 	after := replica.Position{Era: request.GetEra(), Version: request.GetAfter(), Revision: request.GetRevision()}
@@ -77,6 +88,7 @@
 			continue
 		}
 		page := each.ChangesSince(after)
+		reply.Source = rp.version(each)
 		reply.Era, reply.Version, reply.Whole = page.Era, page.Version, page.Full
 		for _, row := range page.Rows {
 			reply.Rows = append(reply.Rows, &wire.TableRow{
@@ -100,12 +112,37 @@
 			each.ObservePeerNewest(newest)
 			return true
 		}
-		each.ObservePeerFreshness(newest, timer.Milliseconds(version.GetAgeMs()))
+		rp.observeFreshness(each, version)
 		return newest.Era == own.Era && version.GetRevision() > own.Revision
 	}
 	return false
 }
 
+// observeFreshness records how up to date another instance's replica of a table was.
+func (rp peerReplicas) observeFreshness(own *watch.Watcher, version *wire.TableVersion) {
+	at, known := rp.confirmedAt(version)
+	if !known {
+		return
+	}
+	peer := watch.Confirmation{
+		Newest: replica.Position{Era: version.GetEra(), Version: version.GetNewest()}, At: at,
+		Position: replica.Position{Era: version.GetEra(), Version: version.GetVersion()},
+	}
+	if own.ObservePeerFreshness(peer) {
+		rp.entry.confirmed(own.Table(), at, version.GetReader())
+	}
+}
+
+// confirmedAt returns when another instance's replica was last known to be up to date. An instance that does not state the store's time,
+// as those of an earlier version, states an age, which grows on the way unseen.
+func (rp peerReplicas) confirmedAt(version *wire.TableVersion) (time.Time, bool) {
+	now := rp.entry.timers.Now()
+	if version.GetStoreMs() > 0 && rp.entry.storeClock.IsKnown() {
+		return rp.entry.storeClock.Local(now, timer.Milliseconds(version.GetStoreMs()))
+	}
+	return now.Add(-timer.Milliseconds(version.GetAgeMs())), true
+}
+
 // ApplyRows applies rows that another instance sent.
 func (rp peerReplicas) ApplyRows(table string, reply *wire.FetchRowsReply) {
 	rp.entry.catalog.ExtendGrace(timer.Milliseconds(reply.GetGraceMs()))
@@ -116,8 +153,12 @@
 		})
 	}
 	for _, each := range rp.entry.watches {
-		if each.Table() == table && page.Version > 0 {
-			each.ApplyFromPeer(page)
+		if each.Table() != table || page.Version == 0 {
+			continue
+		}
+		each.ApplyFromPeer(page)
+		if reply.GetSource() != nil {
+			rp.observeFreshness(each, reply.GetSource())
 		}
 	}
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -18,6 +18,8 @@
 	StoreAddress   string
 	// GracePeriod is the time between the stop signal and the end of the process.
 	GracePeriod time.Duration
+	// ChangeBound is the time after the store's acknowledgement within which a change must be in force, or 0 for the default.
+	ChangeBound time.Duration
 	// IsFirstStart is set while the whole fleet starts for the first time.
 	IsFirstStart bool
 	MemoryBytes  int64
--- a/entry/store_test.go
+++ b/entry/store_test.go
@@ -120,8 +120,20 @@
 	return began.Before(st.silentSince)
 }
 
+// page returns the rows of a table in the copy after a version.
+func (sc *storeCopy) page(table string, after int64) replica.Update {
+	page := replica.Update{Era: sc.era, Version: sc.version, Full: after < 0}
+	for _, row := range sc.rows[table] {
+		if row.Version > after && !(page.Full && row.Deleted) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page
+}
+
 // storeCopy is the content of the store at a moment.
 type storeCopy struct {
+	era     int64
 	version int64
 	rows    map[string][]replica.Row
 }
@@ -130,7 +142,7 @@
 func (st *store) copy() storeCopy {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	taken := storeCopy{version: st.version, rows: map[string][]replica.Row{}}
+	taken := storeCopy{era: st.era, version: st.version, rows: map[string][]replica.Row{}}
 	for table, rows := range st.rows {
 		taken.rows[table] = slices.Clone(rows)
 	}
@@ -194,17 +206,35 @@
 		time.Sleep(time.Millisecond)
 		return errStoreDown
 	}
-	if !sleep(ctx, slow+4*time.Millisecond) || !sc.node.awaitThaw(ctx) {
+	if !sleep(ctx, slow+4*time.Millisecond+time.Duration(sc.node.storeDelay.Load())) || !sc.node.awaitThaw(ctx) {
 		return ctx.Err()
 	}
 	return nil
 }
 
+// begin records that a call begins; the function that it returns records its end.
+func (sc storeClient) begin() func() {
+	sc.node.storeCalls.Add(1)
+	return func() {
+		sc.node.storeCalls.Add(-1)
+		sc.node.storeCalledAt.Store(time.Now().UnixNano())
+	}
+}
+
+// hasCalledStore reports whether the instance has had a call to the store within a time.
+func (nd *node) hasCalledStore(within time.Duration) bool {
+	return nd.storeCalls.Load() > 0 || time.Since(time.Unix(0, nd.storeCalledAt.Load())) < within
+}
+
 // ReadAll returns all rows of a table.
 func (sc storeClient) ReadAll(ctx context.Context, table string) (replica.Update, error) {
+	defer sc.begin()()
 	if err := sc.connect(ctx); err != nil {
 		return replica.Update{}, err
 	}
+	if old := sc.node.storeReplica.Load(); old != nil {
+		return old.page(table, -1), nil
+	}
 	page, _ := sc.store.page(table, -1)
 	return page, nil
 }
@@ -212,6 +242,7 @@
 // ReadChanges waits for rows that changed after a version. It bounds the wait by a context: a channel of a timer that is received
 // from when its time is up crashes the race detector under fake time, as it then runs in two threads of one bubble.
 func (sc storeClient) ReadChanges(ctx context.Context, table string, after int64, wait time.Duration) (replica.Update, error) {
+	defer sc.begin()()
 	if err := sc.connect(ctx); err != nil {
 		return replica.Update{}, err
 	}
@@ -236,6 +267,9 @@
 			return replica.Update{}, ctx.Err()
 		}
 		page, more := sc.store.page(table, after)
+		if old := sc.node.storeReplica.Load(); old != nil {
+			page = old.page(table, after)
+		}
 		if len(page.Rows) > 0 {
 			return page, sc.connect(ctx)
 		}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -26,8 +26,10 @@
 func (pr *Peer) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	defer pr.closeLinks(0)
-	beats := 0
+	ticks := 0
 	pr.sendToSeeds(ctx)
+	tickAt := pr.timers.Now().Add(pr.nextInterval())
+	sendAt := tickAt
 	for {
 		select {
 		case <-ctx.Done():
@@ -35,11 +37,20 @@
 			return
 		case <-pr.heartbeatDue:
 			pr.sendToPartners(ctx)
+			sendAt = pr.timers.Now().Add(pr.nextInterval())
 			_ = pr.timers.Sleep(ctx, minPushInterval)
-		case <-pr.timers.After(pr.nextInterval()):
-			pr.tick()
+		case <-pr.timers.After(min(tickAt.Sub(pr.timers.Now()), sendAt.Sub(pr.timers.Now()))):
+		}
+		now := pr.timers.Now()
+		if !now.Before(sendAt) {
 			pr.sendToPartners(ctx)
-			if beats++; beats%lostRetryBeats == 0 {
+			sendAt = now.Add(pr.nextInterval())
+		}
+		// Triggered heartbeats, however many, don't put off the checks of the members.
+		if !now.Before(tickAt) {
+			pr.tick()
+			tickAt = now.Add(pr.nextInterval())
+			if ticks++; ticks%lostRetryBeats == 0 {
 				pr.sendToLost(ctx)
 			}
 		}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -34,11 +34,14 @@
 
 // Update holds the rows of the full table, or those changed since an earlier version, up to Version. Era is the era of the
 // store in which they were read, or EraUnknown: the era rises each time the store comes back from an older copy.
+//
+// StoreTime is the reading of the store's steady clock in the answer, or 0 if it states none.
 type Update struct {
-	Rows    []Row
-	Era     int64
-	Version int64
-	Full    bool
+	Rows      []Row
+	Era       int64
+	Version   int64
+	Full      bool
+	StoreTime time.Duration
 }
 
 // Position returns the position up to which the update brings a replica; it has no revision.
--- a/storereader/storereader_test.go
+++ b/storereader/storereader_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -10,36 +11,170 @@
 	"github.com/turmericdoor/turmericdoor/storereader"
 )
 
-func members(domains ...string) []member.Member {
-	list := []member.Member{}
-	for index, domain := range domains {
-		list = append(list, member.Member{ID: fmt.Sprintf("i%d", index), FailureDomain: domain})
+const (
+	table     = "t"
+	bound     = 2 * time.Second
+	step      = 10 * time.Millisecond
+	newsDelay = 50 * time.Millisecond
+)
+
+// reader is an instance of a run, and what it knows of the table.
+type reader struct {
+	id        string
+	rotation  *storereader.Rotation
+	confirmed time.Time
+	// ends is when its turn ends, or zero.
+	ends time.Time
+	// isCut is set while the store does not answer it, and lastCall is when it last began a call.
+	isCut    bool
+	lastCall time.Time
+	calls    int
+}
+
+// news is what one instance lets the others know.
+type news struct {
+	at      time.Time
+	arrives time.Time
+	reader  uint64
+}
+
+// run plays a fleet in which each confirmation reaches all instances after newsDelay.
+type run struct {
+	now     time.Time
+	readers []*reader
+	live    []member.Member
+	sent    []news
+	// stalest is the greatest staleness of an instance that is not cut off.
+	stalest time.Duration
+}
+
+func newRun(size int) *run {
+	rn := &run{now: time.Unix(1000, 0)}
+	for number := range size {
+		id := fmt.Sprint("i", number)
+		rn.live = append(rn.live, member.Member{ID: id})
+		rn.readers = append(rn.readers, &reader{id: id, rotation: storereader.New(id, bound, table), confirmed: rn.now})
+	}
+	for _, rd := range rn.readers {
+		rd.rotation.Confirm(table, rn.now, rn.readers[0].rotation.Self())
 	}
-	return list
+	return rn
 }
 
-func TestSelect(t *testing.T) {
-	t.Run("each failure domain has readers", func(t *testing.T) {
-		list := members("a", "a", "a", "a", "b", "b", "c", "c", "c")
-		domains := map[string]int{}
-		for _, mb := range list {
-			if storereader.IsSelected(mb.ID, list) {
-				domains[mb.FailureDomain]++
+// play runs the fleet for a time.
+func (rn *run) play(length time.Duration) {
+	for end := rn.now.Add(length); rn.now.Before(end); rn.now = rn.now.Add(step) {
+		kept := []news{}
+		for _, each := range rn.sent {
+			if each.arrives.After(rn.now) {
+				kept = append(kept, each)
+				continue
+			}
+			for _, rd := range rn.readers {
+				rd.learn(each)
 			}
 		}
-		must.Eq(t, map[string]int{"a": 2, "b": 2, "c": 2}, domains)
-	})
-	t.Run("the number of readers does not grow with the fleet", func(t *testing.T) {
-		domains := []string{}
-		for index := range 380 {
-			domains = append(domains, []string{"a", "b", "c", "d"}[index%4])
+		rn.sent = kept
+		for _, rd := range rn.readers {
+			rn.act(rd)
+			if !rd.isCut {
+				rn.stalest = max(rn.stalest, rn.now.Sub(rd.confirmed))
+			}
 		}
-		must.SliceLen(t, 8, storereader.Select(members(domains...)))
+	}
+}
+
+func (rd *reader) learn(each news) {
+	if each.at.After(rd.confirmed) {
+		rd.confirmed = each.at
+		rd.rotation.Confirm(table, each.at, each.reader)
+	}
+}
+
+// act ends the turn of an instance or begins its next one.
+func (rn *run) act(rd *reader) {
+	switch {
+	case rd.ends.After(rn.now):
+		return
+	case !rd.ends.IsZero() && rd.isCut:
+		rd.rotation.Fail(rn.now, table)
+	case !rd.ends.IsZero():
+		found := news{at: rn.now, arrives: rn.now.Add(newsDelay), reader: rd.rotation.Self()}
+		rd.learn(found)
+		rn.sent = append(rn.sent, found)
+	}
+	rd.ends = time.Time{}
+	next := rd.rotation.Next(rn.now, table, rn.now.Sub(rd.confirmed), rn.live)
+	if next.Delay > 0 {
+		return
+	}
+	rd.rotation.Begin(table)
+	rd.calls++
+	rd.lastCall = rn.now
+	rd.ends = rn.now.Add(max(next.Wait, step))
+	if rd.isCut {
+		rd.ends = rn.now.Add(next.Wait + 600*time.Millisecond)
+	}
+}
+
+// calls returns the number of calls of all instances.
+func (rn *run) calls() int {
+	sum := 0
+	for _, rd := range rn.readers {
+		sum += rd.calls
+	}
+	return sum
+}
+
+func TestRotation(t *testing.T) {
+	for _, size := range []int{1, 2, 8, 77, 295} {
+		t.Run(fmt.Sprintf("%d instances read about once in a turn, in turns", size), func(t *testing.T) {
+			rn := newRun(size)
+			rn.play(20 * time.Second)
+			must.Between(t, 20, rn.calls(), 26)
+			must.LessEq(t, time.Second, rn.stalest)
+			for _, rd := range rn.readers {
+				must.LessEq(t, 26/size+2, rd.calls, must.Sprint(rd.id))
+			}
+		})
+	}
+	t.Run("an instance that knows no others reads all the time", func(t *testing.T) {
+		rotation := storereader.New("a", bound, table)
+		must.Eq(t, time.Duration(0), rotation.Next(time.Now(), table, 0, nil).Delay)
 	})
-	t.Run("a small fleet has five readers, so that some remain when a third of it is cut off", func(t *testing.T) {
-		must.SliceLen(t, 5, storereader.Select(members("a", "a", "a", "a", "a", "a", "a", "a")))
+	t.Run("a turn of a long bound is short enough for all that rely on it", func(t *testing.T) {
+		rotation := storereader.New("a", time.Minute, table)
+		must.Eq(t, time.Second, rotation.Next(time.Now(), table, 0, nil).Wait)
 	})
-	t.Run("an instance that knows too few others is a reader", func(t *testing.T) {
-		must.True(t, storereader.IsSelected("i0", members("a")))
+}
+
+// TestReadersThatAreCutOff guards against instances that stay out of date for long when those that read the store can't any more.
+func TestReadersThatAreCutOff(t *testing.T) {
+	for _, size := range []int{3, 8, 18, 77, 295} {
+		t.Run(fmt.Sprintf("a third of %d instances, those that read last", size), func(t *testing.T) {
+			rn := newRun(size)
+			rn.play(5 * time.Second)
+			for range size / 3 {
+				latest := rn.readers[0]
+				for _, rd := range rn.readers {
+					if !rd.isCut && (latest.isCut || rd.lastCall.After(latest.lastCall)) {
+						latest = rd
+					}
+				}
+				latest.isCut = true
+			}
+			rn.play(8 * time.Second)
+			must.LessEq(t, bound*3/4, rn.stalest)
+		})
+	}
+	t.Run("a store that is away is not called by all, all the time", func(t *testing.T) {
+		rn := newRun(77)
+		rn.play(5 * time.Second)
+		before := rn.calls()
+		for _, rd := range rn.readers {
+			rd.isCut = true
+		}
+		rn.play(10 * time.Second)
+		must.LessEq(t, 77*5, rn.calls()-before)
 	})
 }
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/replica"
+	"github.com/turmericdoor/turmericdoor/storeclock"
+	"github.com/turmericdoor/turmericdoor/storereader"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
 
@@ -32,6 +33,8 @@
 	ChangesMissed(table string)
 	// StoreRestored reports that the store has come back from an older copy; the rows of the copy are delivered next.
 	StoreRestored(table string, before, after replica.Position)
+	// Confirmed reports that the table was up to date at a time, as this instance has found.
+	Confirmed(table string, at time.Time)
 	// ReadOverdue reports that this instance reads the store itself, since no other one has confirmed the table for a time.
 	ReadOverdue(table string, staleness time.Duration)
 	// StoreUnavailable reports the first failed call to the store.
@@ -40,20 +43,48 @@
 	StoreRecovered(table string)
 }
 
+// Schedule decides when this instance reads a table.
+type Schedule interface {
+	// Next returns the next turn, given how long the table has not been known to be up to date.
+	Next(table string, staleness time.Duration) storereader.Turn
+	// Begin records the beginning of a turn, and Fail that a turn has brought nothing.
+	Begin(table string)
+	Fail(table string)
+}
+
+// Parts holds the dependencies of a watcher.
+type Parts struct {
+	Source   Source
+	Timers   *timer.Service
+	Random   *entropy.Source
+	Clock    *storeclock.Clock
+	Schedule Schedule
+	Listener Listener
+}
+
 // Watcher watches one table; it is safe for concurrent use.
 type Watcher struct {
 	table    string
 	source   Source
 	timers   *timer.Service
 	random   *entropy.Source
+	clock    *storeclock.Clock
+	schedule Schedule
 	listener Listener
-	isReader func() bool
+	// wake ends the pause before the next turn.
+	wake chan struct{}
+	// isFull is set if the next call reads the full table, and emptyAt is when the last answer came that brought nothing. Run alone
+	// uses them.
+	isFull  bool
+	emptyAt time.Time
 
 	mu          sync.Mutex
 	replica     *replica.Replica
 	unavailable bool
-	peerNewest  replica.Position
-	peerAhead   chan struct{}
+	// unavailableAt is when the call began whose failure showed that the store is not available.
+	unavailableAt time.Time
+	peerNewest    replica.Position
+	peerAhead     chan struct{}
 	// freshAt is when the replica was last known to be up to date with the store.
 	freshAt time.Time
 	// overdue is set once ReadOverdue has been reported, until the table is up to date again.
@@ -61,8 +92,6 @@
 }
 
 const (
-	// changesWait bounds a wait for changes, so that a dead connection is detected.
-	changesWait = 2500 * time.Millisecond
 	// callSlack is added to the wait to get the timeout of a call.
 	callSlack = 600 * time.Millisecond
 	// readTimeout bounds a read of the full table.
@@ -75,25 +104,20 @@
 	minEmptyInterval = 200 * time.Millisecond
 	// coalescePause is the pause after a change, so that changes in quick succession need only one call.
 	coalescePause = 60 * time.Millisecond
-	// maxStaleness is the staleness at which an instance that relies on others reads the store itself.
-	maxStaleness = 4 * time.Second
 	// missedAfter is the staleness at which a read of the full table may hide rows that came and went meanwhile: their
 	// writers keep them for longer.
 	missedAfter = 2 * time.Second
-	// recoveredStaleness is how fresh another instance must be for the store to count as recovered.
-	recoveredStaleness = time.Second
-	// roleCheckInterval is how often an instance that does not read the store checks whether it should.
-	roleCheckInterval = 500 * time.Millisecond
+	// maxPause bounds the pause between two looks at the schedule.
+	maxPause = 500 * time.Millisecond
 	// peerAheadTimeout is how long the store has to deliver a change that another instance already has.
 	peerAheadTimeout = 150 * time.Millisecond
 )
 
-// New returns a watcher with an empty replica; Run must be called. It reads the store while isReader returns true, and
-// otherwise only before the first snapshot or when its replica is stale.
-func New(table string, source Source, timers *timer.Service, random *entropy.Source, listener Listener, isReader func() bool) *Watcher {
+// New returns a watcher with an empty replica; Run must be called. It reads the store before the first snapshot and in its turns.
+func New(table string, parts Parts) *Watcher {
 	return &Watcher{
-		table: table, source: source, timers: timers, random: random, listener: listener, isReader: isReader,
-		replica: replica.New(), peerAhead: make(chan struct{}, 1),
+		table: table, source: parts.Source, timers: parts.Timers, random: parts.Random, clock: parts.Clock, schedule: parts.Schedule,
+		listener: parts.Listener, replica: replica.New(), peerAhead: make(chan struct{}, 1), wake: make(chan struct{}, 1), isFull: true,
 	}
 }
 
@@ -130,21 +154,44 @@
 	return wt.timers.Now().Sub(wt.freshAt)
 }
 
-// ObservePeerFreshness records the newest change of another instance's replica and its staleness. If this replica has
-// that change too, it is at least as fresh.
-func (wt *Watcher) ObservePeerFreshness(newest replica.Position, age time.Duration) {
+// Confirmation says that another instance has found its replica, whose newest change is at Newest, up to date at Position and At.
+type Confirmation struct {
+	Newest   replica.Position
+	Position replica.Position
+	At       time.Time
+}
+
+// ObservePeerFreshness records what another instance has found. If this replica has all changes of that one, it was as up to date; else
+// it returns false, and also if that one lacks a change of this replica: it was not up to date, or not so lately.
+func (wt *Watcher) ObservePeerFreshness(peer Confirmation) bool {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	at := wt.timers.Now().Add(-age)
 	own := wt.replica.Position()
-	if newest.Era != own.Era || own.IsBefore(newest) || !at.After(wt.freshAt) {
-		return
+	isBehind := !wt.replica.HasSnapshot() || peer.Newest.Era != own.Era || own.IsBefore(peer.Newest)
+	if isBehind || peer.Position.IsBefore(wt.replica.NewestChange()) || !peer.At.After(wt.freshAt) {
+		return false
 	}
-	wt.freshAt, wt.overdue = at, false
-	if wt.unavailable && age < recoveredStaleness {
+	wt.freshAt, wt.overdue = peer.At, false
+	if wt.unavailable && peer.At.After(wt.unavailableAt) {
 		wt.unavailable = false
 		wt.listener.StoreRecovered(wt.table)
 	}
+	return true
+}
+
+// FreshAt returns when the replica was last known to be up to date with the store, or the zero time.
+func (wt *Watcher) FreshAt() time.Time {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	return wt.freshAt
+}
+
+// Wake makes the watcher look at its schedule.
+func (wt *Watcher) Wake() {
+	select {
+	case wt.wake <- struct{}{}:
+	default:
+	}
 }
 
 // hasSnapshot reports whether a full table has been applied; the version can't tell, as an empty store has version 0.
@@ -154,17 +201,20 @@
 	return wt.replica.HasSnapshot()
 }
 
-// shouldReadStore reports whether this instance must read the store.
-func (wt *Watcher) shouldReadStore() bool {
-	return !wt.hasSnapshot() || wt.isReader() || wt.Staleness() > maxStaleness
+// nextTurn returns the next turn of this instance; before the first snapshot it is always due.
+func (wt *Watcher) nextTurn() storereader.Turn {
+	if !wt.hasSnapshot() {
+		return storereader.Turn{}
+	}
+	return wt.schedule.Next(wt.table, wt.Staleness())
 }
 
-// reportOverdue reports once that no other instance has confirmed the table for a time.
+// reportOverdue reports once that the turn of another instance has not confirmed the table.
 func (wt *Watcher) reportOverdue() {
 	staleness := wt.Staleness()
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	if wt.overdue || !wt.replica.HasSnapshot() || wt.isReader() || staleness <= maxStaleness {
+	if wt.overdue {
 		return
 	}
 	wt.overdue = true
@@ -217,178 +267,37 @@
 func (wt *Watcher) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	backoff := minBackoff
-	full := true
-	emptyAt := time.Time{}
 	for ctx.Err() == nil {
-		if !wt.shouldReadStore() {
-			_ = wt.timers.Sleep(ctx, roleCheckInterval)
+		next := wt.nextTurn()
+		if next.Delay > 0 {
+			wt.pause(ctx, min(next.Delay, maxPause))
 			continue
 		}
-		wt.reportOverdue()
-		before := wt.NewestChange()
-		err := wt.fetch(ctx, full)
+		if next.Overdue {
+			wt.reportOverdue()
+		}
+		wt.schedule.Begin(wt.table)
+		began := wt.timers.Now()
+		err := wt.readFor(ctx, next.Wait)
 		switch {
+		case ctx.Err() != nil:
+			return
 		case err == nil:
 			backoff = minBackoff
-			wt.recordSuccess()
-			switch {
-			case wt.NewestChange() != before:
-				_ = wt.timers.Sleep(ctx, coalescePause)
-			case !full:
-				emptyAt = wt.pauseAfterEmpty(ctx, emptyAt)
-			}
-			full = false
-			continue
-		case errors.Is(err, ErrHistoryGone):
-			full = true
-			emptyAt = wt.pauseAfterEmpty(ctx, emptyAt)
 			continue
-		case ctx.Err() != nil:
-			return
 		}
-		wt.recordFailure(err)
+		wt.schedule.Fail(wt.table)
+		wt.recordFailure(began, err)
 		_ = wt.timers.Sleep(ctx, backoff/2+wt.random.DurationUpTo(backoff/2))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-// pauseAfterEmpty pauses after an answer that brought nothing, until minEmptyInterval after the one before, and returns
-// the current time. An answer that was waited for, or the first one, is followed by no pause.
-func (wt *Watcher) pauseAfterEmpty(ctx context.Context, last time.Time) time.Time {
-	if left := minEmptyInterval - wt.timers.Now().Sub(last); left > 0 {
-		_ = wt.timers.Sleep(ctx, left)
-	}
-	return wt.timers.Now()
-}
-
-// fetch makes one call to the store and applies the result.
-func (wt *Watcher) fetch(ctx context.Context, full bool) error {
-	if full || !wt.hasSnapshot() {
-		return wt.readAll(ctx)
-	}
-	ctx, cancel := context.WithTimeout(ctx, changesWait+callSlack)
-	defer cancel()
-	stopped := make(chan struct{})
-	defer func() { cancel(); <-stopped }()
-	go wt.cancelWhenPeerAhead(ctx, cancel, stopped)
-	before, wait := wt.Position(), changesWait
-	if wt.isUnavailable() {
-		// The answer tells whether the store is back, and of which era it is.
-		wait = 0
-	}
-	update, err := wt.source.ReadChanges(ctx, wt.table, before.Version, wait)
-	if err != nil {
-		return err
-	}
-	if err := checkEra(update, before); err != nil {
-		return err
-	}
-	wt.apply(update, false)
-	return nil
-}
-
-// checkEra returns an error if changes after a position were read in another era: those of a later one may not follow the
-// position, whose version is given out again.
-func checkEra(update replica.Update, before replica.Position) error {
-	switch {
-	case update.Era == replica.EraUnknown || update.Era == before.Era:
-		return nil
-	case update.Era > before.Era:
-		return ErrHistoryGone
-	}
-	return fmt.Errorf("%w: era %d, replica has %d", errStale, update.Era, before.Era)
-}
-
-// errNoSnapshot reports that the table has never been read.
-var errNoSnapshot = errors.New("the table has not been read yet")
-
-// Confirm brings the replica up to date with the store; the error is that of the read.
-func (wt *Watcher) Confirm(ctx context.Context) error {
-	if !wt.hasSnapshot() {
-		return errNoSnapshot
-	}
-	before := wt.Position()
-	update, err := wt.source.ReadChanges(ctx, wt.table, before.Version, 0)
-	if err == nil {
-		err = checkEra(update, before)
-	}
-	switch {
-	case errors.Is(err, ErrHistoryGone):
-		err = wt.readAll(ctx)
-	case err == nil:
-		wt.apply(update, false)
-	}
-	if err != nil {
-		return err
-	}
-	wt.recordSuccess()
-	return nil
-}
-
-func (wt *Watcher) readAll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	update, err := wt.source.ReadAll(ctx, wt.table)
-	if err != nil {
-		return err
-	}
-	position, own := update.Position(), wt.Position()
-	if position.Era == replica.EraUnknown {
-		position.Era = own.Era
-	}
-	if position.IsBefore(own) {
-		return fmt.Errorf("%w of table %q: version %d of era %d, replica has %d of %d", errStale, wt.table, position.Version, position.Era, own.Version, own.Era)
-	}
-	wt.apply(update, false)
-	return nil
-}
-
-// errStale reports that a read of the full table returned an older version than the replica's.
-var errStale = errors.New("stale read")
-
-// cancelWhenPeerAhead cancels a call that does not deliver the changes that another instance has.
-func (wt *Watcher) cancelWhenPeerAhead(ctx context.Context, cancel context.CancelFunc, stopped chan<- struct{}) {
-	defer close(stopped)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-wt.peerAhead:
-		}
-		if wt.timers.Sleep(ctx, peerAheadTimeout) != nil {
-			return
-		}
-		wt.mu.Lock()
-		lagging := wt.replica.Position().IsBefore(wt.peerNewest)
-		wt.mu.Unlock()
-		if lagging {
-			cancel()
-			return
-		}
-	}
-}
-
-func (wt *Watcher) isUnavailable() bool {
-	wt.mu.Lock()
-	defer wt.mu.Unlock()
-	return wt.unavailable
-}
-
-func (wt *Watcher) recordSuccess() {
-	wt.mu.Lock()
-	defer wt.mu.Unlock()
-	wt.freshAt, wt.overdue = wt.timers.Now(), false
-	if wt.unavailable {
-		wt.unavailable = false
-		wt.listener.StoreRecovered(wt.table)
-	}
-}
-
-func (wt *Watcher) recordFailure(cause error) {
-	wt.mu.Lock()
-	defer wt.mu.Unlock()
-	if !wt.unavailable {
-		wt.unavailable = true
-		wt.listener.StoreUnavailable(wt.table, cause)
+// pause waits for a time, or until Wake is called.
+func (wt *Watcher) pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-wt.wake:
+	case <-wt.timers.After(length):
 	}
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/replica"
+	"github.com/turmericdoor/turmericdoor/storeclock"
+	"github.com/turmericdoor/turmericdoor/storereader"
 	"github.com/turmericdoor/turmericdoor/timer"
 	"github.com/turmericdoor/turmericdoor/watch"
 )
@@ -129,6 +131,7 @@
 func (lg *log) StoreUnavailable(string, error) { lg.mu.Lock(); defer lg.mu.Unlock(); lg.lost++ }
 
 func (lg *log) ChangesMissed(string)                                     { lg.mu.Lock(); defer lg.mu.Unlock(); lg.missed++ }
+func (lg *log) Confirmed(string, time.Time)                              {}
 func (lg *log) ReadOverdue(string, time.Duration)                        {}
 func (lg *log) StoreRestored(string, replica.Position, replica.Position) {}
 func (lg *log) StoreRecovered(string)                                    { lg.mu.Lock(); defer lg.mu.Unlock(); lg.back++ }
@@ -153,12 +156,49 @@
 	return append([]string{}, lg.keys...)
 }
 
+// testWait is how long a call waits for changes, and testStaleness the staleness at which one that does not always read does so.
+const (
+	testWait      = 2500 * time.Millisecond
+	testStaleness = 4 * time.Second
+)
+
+// schedule has an instance read all the time, or only when its table is stale.
+type schedule struct {
+	isReader bool
+}
+
+func (sc schedule) Next(_ string, staleness time.Duration) storereader.Turn {
+	switch {
+	case sc.isReader:
+		return storereader.Turn{Wait: testWait}
+	case staleness >= testStaleness:
+		return storereader.Turn{Overdue: true}
+	}
+	return storereader.Turn{Delay: testStaleness - staleness}
+}
+
+func (schedule) Begin(string) {}
+func (schedule) Fail(string)  {}
+
+// newWatcher returns a watcher of a store.
+func newWatcher(st *store, lg *log, isReader bool) *watch.Watcher {
+	return watch.New("t", watch.Parts{
+		Source: st, Timers: timer.New(), Random: entropy.New(1), Clock: storeclock.New(), Schedule: schedule{isReader}, Listener: lg,
+	})
+}
+
+// peerFresh returns what another instance has found whose replica ends at a version, an age ago.
+func peerFresh(version int64, age time.Duration) watch.Confirmation {
+	position := replica.Position{Version: version}
+	return watch.Confirmation{Newest: position, Position: position, At: time.Now().Add(-age)}
+}
+
 // runWatcher runs a watcher in fake time.
 func runWatcher(t *testing.T, isReader bool, play func(st *store, wt *watch.Watcher, lg *log)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		st, lg := newStore(), &log{}
-		wt := watch.New("t", st, timer.New(), entropy.New(1), lg, func() bool { return isReader })
+		wt := newWatcher(st, lg, isReader)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go wt.Run(ctx, done)
@@ -243,7 +283,7 @@
 			before := st.callCount()
 			for range 20 {
 				time.Sleep(500 * time.Millisecond)
-				wt.ObservePeerFreshness(replica.Position{Version: 1}, 200*time.Millisecond)
+				wt.ObservePeerFreshness(peerFresh(1, 200*time.Millisecond))
 			}
 			must.Eq(t, before, st.callCount())
 		})
@@ -261,7 +301,7 @@
 			time.Sleep(8 * time.Second)
 			lost, _ := lg.outages()
 			must.Eq(t, 1, lost)
-			wt.ObservePeerFreshness(replica.Position{Version: 1}, 100*time.Millisecond)
+			wt.ObservePeerFreshness(peerFresh(1, 100*time.Millisecond))
 			_, back := lg.outages()
 			must.Eq(t, 1, back)
 		})
@@ -278,7 +318,7 @@
 	synctest.Test(t, func(*testing.T) {
 		st, lg := newStore(), &log{}
 		st.page.Version = 0
-		wt := watch.New("t", st, timer.New(), entropy.New(1), lg, func() bool { return true })
+		wt := newWatcher(st, lg, true)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go wt.Run(ctx, done)
