A request that may outlast a stopping instance is refused, not passed on and cut off

Cause: nothing looked at what was left of the grace period. After the notice time the listener is closed and kept connections are closed; but a request whose head had come before and whose body took longer was still served, whatever its deadline. Connections through a stopping instance were made for others until it had left.

Change: from the end of the notice on, a request whose deadline is later than the moment at which all requests are cancelled is refused with a 503, before anything is sent (cause Stopping); one that surely ends before is served. A stopping instance makes no more connections for others, which ask the next instance.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -83,6 +84,8 @@
 	requestsCtx    context.Context
 	cancelRequests context.CancelFunc
 	drainStarted   time.Time
+	// endBy is when the requests in flight will be cancelled, once that is near, or nil.
+	endBy atomic.Pointer[time.Time]
 
 	lifetime       context.Context
 	cancelLifetime context.CancelFunc
@@ -271,6 +274,7 @@
 func (en *Instance) StartDraining() {
 	en.drainStarted = en.timers.Now()
 	en.gate.Advance(drain.Draining)
+	en.relay.Refuse()
 	en.events.Record(&wire.Event{Kind: wire.EventKind_EventStopping})
 }
 
@@ -312,6 +316,11 @@
 	en.cancelRequests()
 }
 
+// EndRequestsBy refuses requests from now on that may not have ended at a time, at which CancelRequests will be called.
+func (en *Instance) EndRequestsBy(end time.Time) {
+	en.endBy.Store(&end)
+}
+
 // Ready reports whether the instance should receive new connections.
 func (en *Instance) Ready() bool {
 	return en.gate.Phase() == drain.Serving && en.catalog.IsLoaded()
@@ -344,6 +353,9 @@
 		return gateway.Refused{RetryAfter: closedRetryAfter, Cause: gateway.Closed}
 	}
 	defer en.gate.Leave()
+	if end := en.endBy.Load(); end != nil {
+		decoded.EndBy = *end
+	}
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
 	stop := context.AfterFunc(en.requestsCtx, func() { cancel(gateway.ErrTimeout) })
--- a/entrypoint/entrypoint.go
+++ b/entrypoint/entrypoint.go
@@ -138,10 +138,13 @@
 func (sv *Server) shutdown(started time.Time) {
 	sv.entry.StartDraining()
 	_ = sv.timers.Sleep(context.Background(), drainDelay)
-	left := sv.settings.GracePeriod - shutdownReserve - sv.timers.Now().Sub(started)
-	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
+	left := max(sv.settings.GracePeriod-shutdownReserve-sv.timers.Now().Sub(started), 0)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
-	stop := sv.timers.AfterFunc(max(left-cancelLead, 0), sv.entry.CancelRequests)
+	untilCancel := max(left-cancelLead, 0)
+	// Connections on which no request has come yet stay open, so that requests still arrive.
+	sv.entry.EndRequestsBy(sv.timers.Now().Add(untilCancel))
+	stop := sv.timers.AfterFunc(untilCancel, sv.entry.CancelRequests)
 	defer stop()
 	if err := sv.callers.Shutdown(ctx); err != nil {
 		sv.logger.Warn("grace period ended with requests in flight", "err", err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -209,6 +209,9 @@
 		timeout = min(timeout, rn.pipeline.Timeout)
 	}
 	rn.deadline = rn.request.Arrived.Add(timeout)
+	if end := rn.request.EndBy; !end.IsZero() && rn.deadline.After(end) {
+		return rn.refuse(stoppingRetryAfter, Stopping, fmt.Sprintf("ends %dms before the deadline", rn.deadline.Sub(end).Milliseconds()))
+	}
 	rn.abandonAt = rn.deadline
 	if rn.pipeline.AbandonAfter > 0 && rn.pipeline.AbandonAfter < timeout {
 		rn.abandonAt = rn.request.Arrived.Add(rn.pipeline.AbandonAfter)
@@ -226,6 +229,8 @@
 const (
 	// notReadyRetryAfter is the delay after which a caller is asked to retry while the instance has no configuration or pool.
 	notReadyRetryAfter = 500 * time.Millisecond
+	// stoppingRetryAfter is the delay after which a caller is asked to retry, at another instance, while this one stops.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// minRetryAfter is the shortest delay after which a caller is asked to retry if the stages of its request failed.
 	minRetryAfter = 100 * time.Millisecond
 )
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -26,7 +26,9 @@
 	Arrived  time.Time
 	// CallerTimeout is how long the caller waits, or 0 if it sent no timeout.
 	CallerTimeout time.Duration
-	Prompt        Prompt
+	// EndBy is when the instance ends all requests since it stops, or zero. A request that may take longer is refused.
+	EndBy  time.Time
+	Prompt Prompt
 	// ItemCounts is the number of items of each stage; ItemKey is sent with the items of stages that read no results.
 	ItemCounts  []int
 	ItemKey     string
@@ -167,6 +169,8 @@
 	VersionGone    Cause = "VersionGone"
 	// NoTime: the deadline passed before the request was sent.
 	NoTime Cause = "NoTime"
+	// Stopping: the instance ends before the deadline.
+	Stopping Cause = "Stopping"
 	// Closed: the instance no longer accepts requests.
 	Closed Cause = "Closed"
 )
--- a/instance/stop_test.go
+++ b/instance/stop_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -51,3 +53,27 @@
 		must.True(t, during.Close)
 	})
 }
+
+// TestLateRequestIsCutOffByStop guards against an instance that ends while a request is on its way whose body took longer than the notice.
+func TestLateRequestIsCutOffByStop(t *testing.T) {
+	notice := func(cl *cluster) { cl.noticeMs = 300 }
+	withCluster(t, 1, notice, func(cl *cluster) {
+		dialed, err := net.Dial("tcp", cl.members[0].settings.GetInstance().GetCallerAddress())
+		must.NoError(t, err)
+		defer dialed.Close()
+		body := `{"Rank":"Urgent","Input":"a dial"}`
+		_, err = fmt.Fprintf(dialed, "POST /v1/pipelines/draft-commission HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer kumasi-guild-key\r\nContent-Length: %d\r\n\r\n%s",
+			len(body), body[:1])
+		must.NoError(t, err)
+		cl.members[0].stop()
+		time.Sleep(time.Second)
+		_, err = io.WriteString(dialed, body[1:])
+		must.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(dialed), nil)
+		must.NoError(t, err)
+		defer response.Body.Close()
+		must.Eq(t, http.StatusOK, response.StatusCode)
+		_, err = io.Copy(io.Discard, response.Body)
+		must.NoError(t, err)
+	})
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -225,3 +225,16 @@
 	close(release)
 	<-drained
 }
+
+// TestStoppingInstanceIsNotAsked guards against connections through an instance that ends before the requests on them do.
+func TestStoppingInstanceIsNotAsked(t *testing.T) {
+	address := newUpstream(t, func(connection *net.TCPConn) { _ = connection.Close() })
+	cut, helper := pair(t, address)
+	connection, err := cut.DialUpstream(t.Context(), address)
+	must.NoError(t, err)
+	must.NoError(t, connection.Close())
+	helper.Refuse()
+	_, err = cut.DialUpstream(t.Context(), address)
+	must.Error(t, err)
+	must.Eq(t, int64(1), cut.Relayed())
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -87,9 +87,14 @@
 	}
 }
 
+// Refuse accepts no more connections for other instances from now on; they ask another instance.
+func (rl *Relay) Refuse() {
+	rl.isStopping.Store(true)
+}
+
 // Drain accepts no more connections for other instances, and waits until those that there are have ended or ctx ends.
 func (rl *Relay) Drain(ctx context.Context) {
-	rl.isStopping.Store(true)
+	rl.Refuse()
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -153,7 +153,7 @@
 	must.NoError(fl.t, err)
 	content := fmt.Sprintf(`{"node_name":"i%d","zone":"z%d","ip":"127.0.0.1","listen":{"front":%q,"ready":%q,"control":%q},"inner_ports":[%d,65535],
 "seeds":[%q,%q],"limits":{"memory_mb":%d},"bounds":{"grace_s":4,"retry_budget_ratio":0.2,"budget_window_s":10,"budget_extra":50},
-"platform":{"address":%q}}`, at, at%2, ports[0], ports[1], control[at], port-1, control[0], control[1], memoryLimitMB, storeAddress)
+"platform":{"address":%q}}`, at, at%2, ports[0], ports[1], control[at], port-1, control[0], control[min(1, len(control)-1)], memoryLimitMB, storeAddress)
 	path := filepath.Join(fl.folder, fmt.Sprintf("i%d.json", at))
 	must.NoError(fl.t, os.WriteFile(path, []byte(content), 0o600))
 	fl.settings = append(fl.settings, path)
