--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -122,3 +122,25 @@
 		})
 	}
 }
+
+// brokenHeads are heads of answers that break off.
+var brokenHeads = []string{
+	okHead + "X-Request-Id: r1\r\nX-Stage: s\r\nX-Attempt: 1\r\nContent-Length: 2\r\n\r\n",
+	okHead + "Transfer-Encoding: chunked\r\n\r\n", okHead + "\r\n", refusedHead + "\r\n", invalidHead + "Content-Length: 0\r\n\r\n",
+}
+
+// TestHeadThatBreaksOff guards against an answer whose head breaks off at any byte and that is taken for an answer, or for one that says
+// that the call has not run.
+func TestHeadThatBreaksOff(t *testing.T) {
+	for _, kind := range []document.Kind{document.Service, document.Engine, document.Encoder, document.Retriever} {
+		for _, head := range brokenHeads {
+			for end := range len(head) {
+				switch outcome := answerRaw(t, kind, head[:end], end%20 == 7); outcome.(type) {
+				case upstream.Broken, upstream.Garbage:
+				default:
+					must.Unreachable(t, must.Sprintf("%q: %#v", head[:end], outcome))
+				}
+			}
+		}
+	}
+}
