An upstream that came and went unseen before the store came back older is not used

Cause: removals were remembered by incarnation only. An incarnation whose registration and removal fell between two reads, or were both before an instance's start, was known to nobody; the copy brought its registration back as that of a new one.

Change: a registration of the copy with a version that this instance had read up to, and that is missing from what it knew, has been removed since; it is held like one whose removal was seen, until it registers again or the platform has had time to remove it.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -45,6 +45,8 @@
 	registrationsLoaded bool
 	// restoredVersion is the version up to which the registrations are those of an older copy from which the store came back.
 	restoredVersion int64
+	// versionBefore is the version up to which the registrations were known when the store came back from that copy.
+	versionBefore int64
 	// leaving holds the incarnations whose answers have said that they are leaving, and since when.
 	leaving map[roster.Incarnation]time.Time
 	wake    chan struct{}
@@ -174,7 +176,7 @@
 		return
 	}
 	if row.Version <= ct.restoredVersion {
-		ct.roster.PutRestored(now, upstream)
+		ct.roster.PutRestored(now, upstream, row.Version <= ct.versionBefore)
 		ct.signal()
 		return
 	}
@@ -247,7 +249,7 @@
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
 	if table == ct.tableNames.Registrations {
-		ct.restoredVersion = after.Version
+		ct.restoredVersion, ct.versionBefore = after.Version, before.Version
 		ct.roster.StoreRestored(ct.timers.Now())
 	}
 	ct.events.Record(&wire.Event{
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -95,8 +95,9 @@
 }
 
 // PutRestored adds an upstream's registration from an older copy of the store. An incarnation that is known to be leaving still
-// is, and one that was removed is not used until the platform would have removed it again.
-func (rs *Roster) PutRestored(now time.Time, upstream Upstream) {
+// is, and one that was removed is not used until the platform would have removed it again. wasRead is set if all changes of the store
+// were known up to one after the registration: if there is none under its id now, it has been removed since, seen or not.
+func (rs *Roster) PutRestored(now time.Time, upstream Upstream, wasRead bool) {
 	known, found := rs.entries[upstream.ID]
 	if found && known.upstream.StartUnixMs > upstream.StartUnixMs && known.removedAt.IsZero() {
 		return
@@ -105,7 +106,7 @@
 		upstream.Leaving = upstream.Leaving || known.upstream.Leaving
 	}
 	fresh := &entry{upstream: upstream}
-	if _, isGone := rs.gone[upstream.Incarnation()]; isGone {
+	if _, isGone := rs.gone[upstream.Incarnation()]; isGone || wasRead && !found {
 		fresh.heldUntil = now.Add(lapseTime)
 	}
 	rs.entries[upstream.ID] = fresh
