Turns of reading the store: a second instance stands by, and a turn that fails is passed on at once

One instance waited for changes at a time; if the store refused it, hung, or it had died, nobody read for 1.1 s, and an instance that was refused took that for an outage of the store, after which removals are held for 1.7 s.

Change: turns are numbered, and the number goes along with the heartbeats, so that of two turns side by side only one counts; a turn that fails is passed on, up to three times in a row, and the next one begins with a read that doesn't wait; the instance after the next one waits for changes as well; an instance does not report the store as unavailable if another one has read it since its call began.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -196,21 +196,26 @@
 	sc.entry.rotation.Begin(table)
 }
 
-// Fail records that a turn has brought nothing.
+// Fail records that a turn has brought nothing, and has the next one begin.
 func (sc readSchedule) Fail(table string) {
-	sc.entry.rotation.Fail(sc.entry.timers.Now(), table)
+	if sc.entry.rotation.Fail(sc.entry.timers.Now(), table) {
+		sc.entry.beginTurn()
+	}
 }
 
-// confirmed records that a table was up to date at a time, as a reader has found, lets the other instances know and begins the turn
-// that follows.
-func (en *Instance) confirmed(table string, at time.Time, reader uint64) {
-	isNews, isNextTurn := en.rotation.Confirm(table, at, reader)
-	if isNews {
+// confirmed records that this instance has found a table up to date at a time, lets the other instances know and has the next turn begin.
+func (en *Instance) confirmed(table string, at time.Time) {
+	isNews, isNextTurn := en.rotation.Confirm(table, at)
+	if isNextTurn {
+		en.beginTurn()
+	} else if isNews {
 		en.peer.TriggerHeartbeat()
 	}
-	if !isNextTurn {
-		return
-	}
+}
+
+// beginTurn sends word of a turn that has ended, and has this instance read the store if it is its turn now.
+func (en *Instance) beginTurn() {
+	en.peer.TriggerHeartbeat()
 	for _, each := range en.watches {
 		each.Wake()
 	}
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -10,6 +10,7 @@
 	"github.com/turmericdoor/turmericdoor/poison"
 	"github.com/turmericdoor/turmericdoor/replica"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/storereader"
 	"github.com/turmericdoor/turmericdoor/timer"
 	"github.com/turmericdoor/turmericdoor/watch"
 )
@@ -38,7 +39,7 @@
 
 // Confirmed lets the other instances know that this one has found the table up to date.
 func (ch changeListener) Confirmed(table string, at time.Time) {
-	ch.entry.confirmed(table, at, ch.entry.rotation.Self())
+	ch.entry.confirmed(table, at)
 }
 
 // ReadOverdue records that this instance reads the store itself.
@@ -75,7 +76,7 @@
 	position := of.Position()
 	return &wire.TableVersion{
 		Table: of.Table(), Era: position.Era, Version: position.Version, Revision: position.Revision, Newest: of.NewestChange().Version,
-		AgeMs: of.Staleness().Milliseconds(), StoreMs: rp.entry.storeClock.Reading(of.FreshAt()).Milliseconds(), Reader: rp.entry.rotation.Reader(),
+		AgeMs: of.Staleness().Milliseconds(), StoreMs: rp.entry.storeClock.Reading(of.FreshAt()).Milliseconds(),
 	}
 }
 
@@ -118,6 +119,20 @@
 	return false
 }
 
+// ReadTurn returns the turn of reading the store that ended last.
+func (rp peerReplicas) ReadTurn() *wire.ReadTurn {
+	ended := rp.entry.rotation.Ended()
+	return &wire.ReadTurn{Number: ended.Number, Reader: ended.Reader, Failures: ended.Failures}
+}
+
+// ObserveReadTurn records a turn of reading the store that ended at another instance.
+func (rp peerReplicas) ObserveReadTurn(turn *wire.ReadTurn) {
+	ended := storereader.Ended{Number: turn.GetNumber(), Reader: turn.GetReader(), Failures: turn.GetFailures()}
+	if rp.entry.rotation.LearnEnded(ended) {
+		rp.entry.beginTurn()
+	}
+}
+
 // observeFreshness records how up to date another instance's replica of a table was.
 func (rp peerReplicas) observeFreshness(own *watch.Watcher, version *wire.TableVersion) {
 	at, known := rp.confirmedAt(version)
@@ -128,8 +143,8 @@
 		Newest: replica.Position{Era: version.GetEra(), Version: version.GetNewest()}, At: at,
 		Position: replica.Position{Era: version.GetEra(), Version: version.GetVersion()},
 	}
-	if own.ObservePeerFreshness(peer) {
-		rp.entry.confirmed(own.Table(), at, version.GetReader())
+	if own.ObservePeerFreshness(peer) && rp.entry.rotation.Learn(own.Table(), at) {
+		rp.entry.peer.TriggerHeartbeat()
 	}
 }
 
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -161,7 +161,7 @@
 	}
 	pr.setPartNews(heartbeat)
 	if pr.replicas != nil {
-		heartbeat.Versions = pr.replicas.Versions()
+		heartbeat.Versions, heartbeat.ReadTurn = pr.replicas.Versions(), pr.replicas.ReadTurn()
 	}
 	if pr.limits != nil {
 		heartbeat.Notices = pr.limits.News(full)
@@ -214,6 +214,9 @@
 	}
 	if pr.replicas != nil {
 		pr.fetchMissingRows(ctx, sender.Address, heartbeat.GetVersions())
+		if turn := heartbeat.GetReadTurn(); turn != nil {
+			pr.replicas.ObserveReadTurn(turn)
+		}
 	}
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -38,6 +38,9 @@
 	ChangesSince(request *wire.FetchRowsRequest) *wire.FetchRowsReply
 	// ObserveVersion records another instance's version of a table and reports whether to fetch rows from that instance.
 	ObserveVersion(version *wire.TableVersion) bool
+	// ReadTurn returns the turn of reading the platform's store that ended last, and ObserveReadTurn records one of another instance.
+	ReadTurn() *wire.ReadTurn
+	ObserveReadTurn(turn *wire.ReadTurn)
 	// ApplyRows applies rows that another instance sent.
 	ApplyRows(table string, reply *wire.FetchRowsReply)
 }
--- a/storereader/storereader.go
+++ b/storereader/storereader.go
@@ -1,6 +1,7 @@
 package storereader
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -11,8 +12,9 @@
 )
 
 // Rotation passes the reading of the store round the live instances, in the order of a hash of their IDs. The instance after the
-// one that last confirmed the tables reads them next and waits for changes for a turn. When a confirmation is overdue, the following
-// instances read at once, one after the other, and soon all of them. It is safe for concurrent use.
+// one whose turn ended last reads the tables next and waits for changes for a turn; the one after it does the same, so that one may be
+// lost. When a confirmation is overdue, the following instances read at once, one after the other, and soon all of them. It is safe
+// for concurrent use.
 type Rotation struct {
 	self  uint64
 	bound time.Duration
@@ -20,17 +22,26 @@
 	mu sync.Mutex
 	// confirmed is when each table was last known to be up to date, by this instance or another one.
 	confirmed map[string]time.Time
-	// reader is the place of the instance that last confirmed all tables, or 0 before the first time. round counts how often that
-	// has changed.
-	reader uint64
-	round  int64
-	// begun is the round in which this instance last began a turn for a table, and failedAt is when its last call failed.
-	begun    map[string]int64
+	ended     Ended
+	// begun is the turn that had ended last when this instance began its own for a table, and failedAt is when its last call failed.
+	begun    map[string]Ended
 	failedAt map[string]time.Time
 	live     []member.Member
 	places   []uint64
 }
 
+// Ended is the turn that ended last: its number, the place of its instance, and how many turns have failed since the last confirmation.
+type Ended struct {
+	Number   int64
+	Reader   uint64
+	Failures int32
+}
+
+// isBefore reports whether another turn counts instead; of two turns side by side only one does.
+func (en Ended) isBefore(other Ended) bool {
+	return cmp.Or(cmp.Compare(en.Number, other.Number), cmp.Compare(en.Reader, other.Reader)) < 0
+}
+
 // Turn is when an instance reads a table next, and how long that call may wait for a change. Overdue is set if the turn of another
 // instance has brought no confirmation.
 type Turn struct {
@@ -44,6 +55,9 @@
 	DefaultBound = 2 * time.Second
 	// maxTurn bounds a turn.
 	maxTurn = time.Second
+	// maxFailures is how many turns are passed on at once although they failed; a store that fails for all of them is left alone for
+	// a while.
+	maxFailures = 3
 	// nearRanks is the number of instances that keep trying to reach a store that fails; the others pause for retryPause.
 	nearRanks  = 6
 	retryPause = 2 * time.Second
@@ -56,29 +70,27 @@
 		bound = DefaultBound
 	}
 	rt := &Rotation{
-		self: place(self), bound: bound, confirmed: map[string]time.Time{}, begun: map[string]int64{}, failedAt: map[string]time.Time{},
+		self: place(self), bound: bound, confirmed: map[string]time.Time{}, begun: map[string]Ended{}, failedAt: map[string]time.Time{},
 	}
 	for _, table := range tables {
-		rt.confirmed[table], rt.begun[table] = time.Time{}, -1
+		rt.confirmed[table], rt.begun[table] = time.Time{}, noTurn
 	}
 	return rt
 }
 
+// noTurn is before all turns.
+var noTurn = Ended{Number: -1}
+
 // place returns the place of an instance in the order; it is never 0.
 func place(instance string) uint64 {
 	return max(1, xxhash.Sum64String(instance))
 }
 
-// Self returns the place of this instance.
-func (rt *Rotation) Self() uint64 {
-	return rt.self
-}
-
-// Reader returns the place of the instance that last confirmed all tables, or 0 if that is unknown.
-func (rt *Rotation) Reader() uint64 {
+// Ended returns the turn that ended last, as far as this instance knows.
+func (rt *Rotation) Ended() Ended {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
-	return rt.reader
+	return rt.ended
 }
 
 // turn returns how long an instance waits for changes in its turn.
@@ -106,13 +118,19 @@
 	switch {
 	case staleness >= overdueAfter:
 		return Turn{Overdue: rank > 0}
-	case rank == 0 && rt.begun[table] != rt.round:
+	case rank > 1 || rt.begun[table] == rt.ended || rt.ended.Failures > maxFailures:
+	case rt.ended.Failures > 0:
+		return Turn{}
+	case rank == 1:
+		// It stands by: if the turn before its own ends without a word, no change is missed.
+		return Turn{Wait: rt.turn() * 3 / 2}
+	default:
 		return Turn{Wait: rt.turn()}
 	}
 	return Turn{Delay: overdueAfter - staleness}
 }
 
-// rank returns how many instances come between the last reader and this one. The caller holds the lock.
+// rank returns how many instances come between the one whose turn ended last and this one. The caller holds the lock.
 func (rt *Rotation) rank(live []member.Member) int {
 	if len(live) == 0 {
 		return 0
@@ -125,7 +143,7 @@
 		slices.Sort(rt.places)
 	}
 	own, _ := slices.BinarySearch(rt.places, rt.self)
-	first, isLive := slices.BinarySearch(rt.places, rt.reader)
+	first, isLive := slices.BinarySearch(rt.places, rt.ended.Reader)
 	if isLive {
 		first++
 	}
@@ -136,42 +154,61 @@
 func (rt *Rotation) Begin(table string) {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
-	rt.begun[table] = rt.round
+	rt.begun[table] = rt.ended
 }
 
-// Fail records that this instance could not read a table.
-func (rt *Rotation) Fail(now time.Time, table string) {
+// Fail records that this instance could not read a table. It reports whether that ends its turn, so that the next one begins.
+func (rt *Rotation) Fail(now time.Time, table string) (isNextTurn bool) {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
-	rt.begun[table], rt.failedAt[table] = -1, now
+	rt.failedAt[table] = now
+	isNextTurn = rt.begun[table] == rt.ended && rt.ended.Failures <= maxFailures
+	if isNextTurn {
+		rt.ended = Ended{Number: rt.ended.Number + 1, Reader: rt.self, Failures: rt.ended.Failures + 1}
+	}
+	rt.begun[table] = noTurn
+	return isNextTurn
 }
 
-// Confirm records that a table was up to date at a time, as an instance with a place, or 0 if it is unknown, has found. It reports
-// whether other instances should learn of it now, and whether the next turn begins.
-func (rt *Rotation) Confirm(table string, at time.Time, reader uint64) (isNews, isNextTurn bool) {
+// Confirm records that this instance has found a table up to date at a time. It reports whether that is news for other instances, and
+// whether it ends a turn, so that the next one begins.
+func (rt *Rotation) Confirm(table string, at time.Time) (isNews, isNextTurn bool) {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
-	gain, before := at.Sub(rt.confirmed[table]), rt.oldest()
-	if gain <= 0 {
-		return false, false
-	}
-	rt.confirmed[table] = at
-	isNextTurn = rt.oldest().After(before) && rt.passesOn(table, reader)
+	before := rt.oldest()
+	isNews = rt.confirm(table, at)
+	isNextTurn = rt.oldest().After(before) && rt.begun[table] == rt.ended
 	if isNextTurn {
-		rt.reader = reader
-		rt.round++
+		rt.ended = Ended{Number: rt.ended.Number + 1, Reader: rt.self}
 	}
-	return gain >= rt.turn()/2, isNextTurn
+	return isNews, isNextTurn
 }
 
-// passesOn reports whether a confirmation begins the next round: it is one of this instance in the round in which its turn began, or
-// of another instance that has not begun the present one. Of several rounds that run side by side, all but the last thus end. The caller
-// holds the lock.
-func (rt *Rotation) passesOn(table string, reader uint64) bool {
-	if reader == rt.self {
-		return rt.begun[table] == rt.round
+// Learn records that a table was up to date at a time, as another instance has found. It reports whether that is news for other instances.
+func (rt *Rotation) Learn(table string, at time.Time) (isNews bool) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.confirm(table, at)
+}
+
+// confirm records when a table was up to date and reports whether other instances should learn of it now. The caller holds the lock.
+func (rt *Rotation) confirm(table string, at time.Time) bool {
+	gain := at.Sub(rt.confirmed[table])
+	if gain > 0 {
+		rt.confirmed[table] = at
+	}
+	return gain >= rt.turn()/2
+}
+
+// LearnEnded records a turn that ended elsewhere. It reports whether that is the last one, so that the next one begins.
+func (rt *Rotation) LearnEnded(other Ended) bool {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	if !rt.ended.isBefore(other) {
+		return false
 	}
-	return reader != 0 && reader != rt.reader
+	rt.ended = other
+	return true
 }
 
 // oldest returns when all tables were last known to be up to date. The caller holds the lock.
--- a/watch/read.go
+++ b/watch/read.go
@@ -196,11 +196,12 @@
 	wt.listener.Confirmed(wt.table, wt.freshAt)
 }
 
-// recordFailure records that a call that began at a time has failed.
+// recordFailure records that a call that began at a time has failed. If another instance has read the store since, only the path of this
+// one is at fault: the store is available.
 func (wt *Watcher) recordFailure(began time.Time, cause error) {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	if !wt.unavailable {
+	if !wt.unavailable && !wt.freshAt.After(began) {
 		wt.unavailable, wt.unavailableAt = true, began
 		wt.listener.StoreUnavailable(wt.table, cause)
 	}
