Randomised run and fault soak: readers of the store cut off, stops with late requests, heads that break off

Change: the randomised run over fakes cuts off, refuses or slows down just those instances that read the store now, and stops instances as planned with requests that come until their end; a variant that keeps the end of the grace period from the instance shows that it would be noticed. The fault soak of real processes cuts the readers off silently while the operator writes, sends requests whose bodies end late in a stop, none of which may be passed on, and breaks a third of the cut chunked answers off in their heads already. Their random numbers are their own, so that the other faults of a seed stay.

--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -101,7 +101,7 @@
 }
 
 func (sk *soak) randomNode() *node {
-	nodes := sk.fleet.live()
+	nodes := slices.DeleteFunc(sk.fleet.live(), func(nd *node) bool { return nd.isStopping.Load() })
 	return nodes[sk.random.IntN(len(nodes))]
 }
 
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -39,6 +39,10 @@
 	// storeCalls is the number of calls to the store in progress, and storeCalledAt is when the last one ended, in Unix nanoseconds.
 	storeCalls    atomic.Int64
 	storeCalledAt atomic.Int64
+	// isStopping is set from the beginning of a planned stop on.
+	isStopping atomic.Bool
+	// endsAt is when the requests of a stopping instance are cancelled, in Unix nanoseconds, from the end of the notice on.
+	endsAt atomic.Int64
 	// frozen makes all calls from and to the instance wait.
 	frozen atomic.Bool
 	// connectedAt is when the instance was last started or reconnected, in Unix nanoseconds.
@@ -78,6 +82,8 @@
 	completesCutOff bool
 	// hidesLimits keeps the rate limits in the answers of upstreams from the instances.
 	hidesLimits bool
+	// passesOnLate keeps the end of its grace period from a stopping instance.
+	passesOnLate bool
 	// startsFirst makes the settings say that the fleet starts for the first time.
 	startsFirst bool
 	// hidesCrashes makes probes find every upstream alive.
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -42,6 +42,7 @@
 	// standings are what upstreams said that left or paused.
 	standings      []*standing
 	standingRandom *entropy.Source
+	laterRandom    *entropy.Source
 	group          sync.WaitGroup
 
 	mu         sync.Mutex
@@ -150,6 +151,7 @@
 	sk.activeFaults = kept
 	sk.checkRevisions()
 	sk.startStanding()
+	sk.startLaterFault()
 	switch draw := sk.random.IntN(100); {
 	case draw < 76:
 		sk.send()
@@ -279,6 +281,7 @@
 		sk.violations = append(sk.violations, fmt.Sprintf("outcome %s of request %s arrived late, after %v", name, request.Path, took))
 	}
 	sk.checkAnswer(request, outcome, out)
+	sk.checkLate(nd, request, outcome)
 	return outcome
 }
 
@@ -398,6 +401,7 @@
 		"cut streams that look complete":   {defects{completesCutOff: true}, "returned body"},
 		"crashes that go unnoticed":        {defects{hidesCrashes: true}, "reached upstreams"},
 		"ignored rate limits":              {defects{hidesLimits: true}, "more than its rate limit allows"},
+		"late requests in a stop":          {defects{passesOnLate: true}, "late in a stop"},
 		"unlimited retry budget":           {defects{budget: retryquota.Config{Ratio: 5, Extra: 5000, Window: 10 * time.Second}}, "retries in a window"},
 	}
 	for name, each := range variants {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -34,7 +34,9 @@
 	folder  string
 	store   *standin.Store
 	proxies []*proxy
-	ledger  *ledger
+	// storePaths are those of them before the store, by instance.
+	storePaths []*proxy
+	ledger     *ledger
 	// upstreams are the upstreams by their ids.
 	upstreams map[string]*upstream
 	// endlessStore makes the store answer some calls with bytes without end.
@@ -48,6 +50,8 @@
 	mu        sync.Mutex
 	processes []*exec.Cmd
 	version   int
+	// stopping is when each instance got a SIGTERM that it has not yet ended after, or zero.
+	stopping [instances]time.Time
 	// disturbed is when each instance was last ended, started, paused or woken.
 	disturbed [instances]time.Time
 }
@@ -103,7 +107,7 @@
 	control := free[3*instances:]
 	for at := range instances {
 		px := newProxy(t, strings.TrimPrefix(server.URL, "http://"))
-		fl.proxies = append(fl.proxies, px)
+		fl.proxies, fl.storePaths = append(fl.proxies, px), append(fl.storePaths, px)
 		ports := free[3*at : 3*at+3]
 		fl.addresses = append(fl.addresses, ports[0])
 		fl.writeSettings(at, ports, control, px.address())
@@ -244,6 +248,10 @@
 	command := fl.process(at)
 	fl.disturb(at)
 	defer fl.disturb(at)
+	if signal == syscall.SIGTERM {
+		fl.setStopping(at, time.Now())
+		defer fl.setStopping(at, time.Time{})
+	}
 	_ = command.Process.Signal(signal)
 	_ = command.Process.Signal(syscall.SIGCONT)
 	_ = command.Wait()
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -19,6 +19,8 @@
 	addr     string
 	target   string
 	delay    atomic.Int64
+	// lastUse is when data was last forwarded, in Unix nanoseconds.
+	lastUse atomic.Int64
 	// dropResponses drops data from the target, dropRequests data to it; refuse closes new connections.
 	dropResponses atomic.Bool
 	dropRequests  atomic.Bool
@@ -140,6 +142,7 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		count, err := from.Read(buffer)
+		px.lastUse.Store(time.Now().UnixNano())
 		time.Sleep(time.Duration(px.delay.Load()))
 		switch {
 		case count > 0 && drop.Load():
--- a/soak/response_test.go
+++ b/soak/response_test.go
@@ -37,12 +37,14 @@
 	unsigned
 	// The answer has no end.
 	endless
+	// The head breaks off at any byte: by a regular close or a reset.
+	cutHead
 	faultCount
 )
 
 var faultNames = [faultCount]string{
 	"whole", "cutReset", "cutClose", "cutInChunk", "cutLength", "bareReset", "bareClose", "error500", "error502", "error404",
-	"error409", "error204", "error503", "errorNotRun", "emptyAnswer", "startAgain", "unsigned", "endless",
+	"error409", "error204", "error503", "errorNotRun", "emptyAnswer", "startAgain", "unsigned", "endless", "cutHead",
 }
 
 // String returns the fault's name.
@@ -62,6 +64,8 @@
 	// noRoomShare.
 	endlessReportShare = 5
 	noRoomShare        = 30
+	// cutHeadShare is the share of the chunked answers that break off of which already the head does: one of so many.
+	cutHeadShare = 3
 	// cutPercent is the share of answers that break off; an error follows in errorPercent of the sends after the first.
 	cutPercent   = 12
 	errorPercent = 50
@@ -116,6 +120,8 @@
 	case unsigned:
 		answer.seal = ""
 		writeWhole(writer, answer)
+	case cutHead:
+		writeCutHead(writer, answer)
 	case endless:
 		us.ledger.writeEndless(writer, answer.random, answer.id, answer.deadline, answer.head(), strings.Join(answer.events, ""))
 	default:
@@ -196,6 +202,21 @@
 	}
 }
 
+// writeCutHead writes an answer whose head breaks off at any byte.
+func writeCutHead(writer http.ResponseWriter, answer response) {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	framing := []string{"Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n", "Content-Length: 0\r\n"}
+	head := answer.head() + framing[answer.random.IntN(len(framing))] + "\r\n"
+	_, _ = conn.Write([]byte(head[:answer.random.IntN(len(head))]))
+	if answer.random.IntN(3) == 0 {
+		resetConnection(conn)
+	}
+}
+
 // writeEvents writes the first bytes of the events, event by event.
 func writeEvents(conn net.Conn, ft fault, events []string, left int) {
 	for _, event := range events {
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -71,11 +71,12 @@
 func sendLate(connection net.Conn, id, path string, stopped time.Time, at time.Duration) lateRequest {
 	lr := lateRequest{id: id}
 	_ = connection.SetDeadline(time.Now().Add(longDeadline + time.Second))
-	_, err := fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Token k\r\nTurmericdoor-Attempt-Id: %s\r\nTurmericdoor-Deadline-Ms: %d\r\nContent-Length: 2\r\n\r\nx",
-		path, id, longDeadline.Milliseconds())
+	body := "body of " + id
+	_, err := fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Token k\r\nTurmericdoor-Attempt-Id: %s\r\nTurmericdoor-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		path, id, longDeadline.Milliseconds(), len(body), body[:len(body)-1])
 	time.Sleep(time.Until(stopped.Add(at)))
 	if err == nil {
-		_, err = io.WriteString(connection, "y")
+		_, err = io.WriteString(connection, body[len(body)-1:])
 	}
 	lr.sentAt = time.Since(stopped)
 	if err == nil {
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -156,6 +156,12 @@
 	random := seededRandom(us.seed, fmt.Sprintf("%s/%d", id, number))
 	resumed := request.Header.Get("Last-Event-Id")
 	fault := pickFault(random, us.endlessShare(), number, kind.streaming, resumed != request.Header.Get(fromHeader))
+	if fault == cutReset || fault == cutClose {
+		// Its random numbers are its own, so that the other answers of a seed stay as they are.
+		if seededRandom(us.seed, fmt.Sprintf("%s/head/%d", id, number)).IntN(cutHeadShare) == 0 {
+			fault = cutHead
+		}
+	}
 	us.ledger.recordPlayed(id, fault.String())
 	if fault != errorNotRun {
 		us.ledger.recordRun(id, kind.limit)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -43,6 +43,8 @@
 	lastFault func(instance int) time.Time
 	// told is when instances first passed on that an upstream is leaving.
 	told map[toldKey]time.Time
+	// late counts the requests that were sent late in a stop.
+	late int
 	// toldArrivals counts the requests of such instances that reached those upstreams, at any time.
 	toldArrivals int
 }
