--- a/entry/storereaders_test.go
+++ b/entry/storereaders_test.go
@@ -96,3 +96,34 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// TestInstanceThatStartsFromAnotherOne guards against an instance that gets its tables from another one, since the store does not answer it, and
+// then misses changes while the instances that read the store fall behind, too.
+func TestInstanceThatStartsFromAnotherOne(t *testing.T) {
+	for change, make := range changesInTouch {
+		t.Run(change, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				os := newOlderStore(8)
+				defer os.fleet.stop()
+				fresh := os.fleet.live()[3]
+				os.fleet.kill(fresh)
+				os.fleet.restart(fresh, defects{})
+				fresh = os.fleet.nodeAt(fresh.id)
+				fresh.storeHangs.Store(true)
+				time.Sleep(convergenceTime)
+				must.True(t, fresh.entry.Ready())
+				others := os.fleet.live()
+				for _, nd := range others {
+					if nd != fresh && nd.hasCalledStore(time.Second) {
+						nd.storeHangs.Store(true)
+					}
+				}
+				isKnown, began := make(os), time.Now()
+				for slices.ContainsFunc(others, func(nd *node) bool { return !isKnown(nd) }) {
+					must.LessEq(t, appliedWithin, time.Since(began))
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
