--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,8 +84,8 @@
 	requestsCtx    context.Context
 	cancelRequests context.CancelFunc
 	drainStarted   time.Time
-	// endBy is when the requests in flight will be cancelled, once that is near, or nil.
-	endBy atomic.Pointer[time.Time]
+	// closing is set once the instance stops.
+	closing atomic.Pointer[closing]
 
 	lifetime       context.Context
 	cancelLifetime context.CancelFunc
@@ -321,9 +321,14 @@
 	en.cancelRequests()
 }
 
-// EndRequestsBy refuses requests from now on that may not have ended at a time, at which CancelRequests will be called.
-func (en *Instance) EndRequestsBy(end time.Time) {
-	en.endBy.Store(&end)
+// closing is the last part of a stop: from a time on, requests that may not have ended at its end are refused.
+type closing struct {
+	from, end time.Time
+}
+
+// EndRequestsBy refuses requests that come later than a time and may not have ended at another one, at which CancelRequests will be called.
+func (en *Instance) EndRequestsBy(from, end time.Time) {
+	en.closing.Store(&closing{from: from, end: end})
 }
 
 // Ready reports whether the instance should receive new connections.
@@ -358,8 +363,8 @@
 		return gateway.Refused{RetryAfter: closedRetryAfter, Cause: gateway.Closed}
 	}
 	defer en.gate.Leave()
-	if end := en.endBy.Load(); end != nil {
-		decoded.EndBy = *end
+	if last := en.closing.Load(); last != nil && !en.timers.Now().Before(last.from) {
+		decoded.EndBy = last.end
 	}
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
--- a/entry/laterfaults_test.go
+++ b/entry/laterfaults_test.go
@@ -87,14 +87,13 @@
 	sk.group.Go(func() {
 		began := time.Now()
 		nd.entry.StartDraining()
+		if !sk.variant.passesOnLate {
+			nd.entry.EndRequestsBy(began.Add(stopNotice), began.Add(stopTime))
+		}
 		for number := 0; time.Since(began) < stopTime; number++ {
 			time.Sleep(lateInterval)
 			if time.Since(began) >= stopNotice && nd.endsAt.Load() == 0 {
-				end := began.Add(stopTime)
-				nd.endsAt.Store(end.UnixNano())
-				if !sk.variant.passesOnLate {
-					nd.entry.EndRequestsBy(end)
-				}
+				nd.endsAt.Store(began.Add(stopTime).UnixNano())
 			}
 			sk.sendLate(nd, holder, fmt.Sprint("late-", nd.id, "-", began.UnixNano(), "-", number))
 		}
--- a/entrypoint/entrypoint.go
+++ b/entrypoint/entrypoint.go
@@ -137,14 +137,13 @@
 // shutdown drains the requests in flight within the grace period and stops the instance.
 func (sv *Server) shutdown(started time.Time) {
 	sv.entry.StartDraining()
+	// Connections on which no request has come yet stay open, and so do those whose request is on its way.
+	sv.entry.EndRequestsBy(started.Add(drainDelay), started.Add(max(sv.settings.GracePeriod-shutdownReserve-cancelLead, drainDelay)))
 	_ = sv.timers.Sleep(context.Background(), drainDelay)
 	left := max(sv.settings.GracePeriod-shutdownReserve-sv.timers.Now().Sub(started), 0)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
-	untilCancel := max(left-cancelLead, 0)
-	// Connections on which no request has come yet stay open, so that requests still arrive.
-	sv.entry.EndRequestsBy(sv.timers.Now().Add(untilCancel))
-	stop := sv.timers.AfterFunc(untilCancel, sv.entry.CancelRequests)
+	stop := sv.timers.AfterFunc(max(left-cancelLead, 0), sv.entry.CancelRequests)
 	defer stop()
 	if err := sv.callers.Shutdown(ctx); err != nil {
 		sv.logger.Warn("grace period ended with requests in flight", "err", err)
