A store's clock that stands still is none; ages without a clock don't shrink on their way

Cause: the stand-in of the store states the same clock reading for ever. Each instance related it to its own clock anew, and what one told another counted as later than it was, again and again, so that all thought their tables fresh. The same holds, more slowly, for ages: each message makes them younger by the time that it takes.

Change: a clock that shows the same reading for 2 s counts as unknown, until it goes on; an age without a clock counts as 250 ms older than it says; the stand-in and the fake state a steady clock, as the platform's store does.

--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -148,14 +148,18 @@
 	}
 }
 
+// wayAllowance is the longest time that an age is expected to be on its way, which it does not say. Without it, ages that instances tell
+// each other in turn would shrink.
+const wayAllowance = 250 * time.Millisecond
+
 // confirmedAt returns when another instance's replica was last known to be up to date. An instance that does not state the store's time,
-// as those of an earlier version, states an age, which grows on the way unseen.
+// as those of an earlier version, states an age.
 func (rp peerReplicas) confirmedAt(version *wire.TableVersion) (time.Time, bool) {
 	now := rp.entry.timers.Now()
 	if version.GetStoreMs() > 0 && rp.entry.storeClock.IsKnown() {
 		return rp.entry.storeClock.Local(now, timer.Milliseconds(version.GetStoreMs()))
 	}
-	return now.Add(-timer.Milliseconds(version.GetAgeMs())), true
+	return now.Add(-timer.Milliseconds(version.GetAgeMs()) - wayAllowance), true
 }
 
 // ApplyRows applies rows that another instance sent.
--- a/entry/store_test.go
+++ b/entry/store_test.go
@@ -33,7 +33,9 @@
 	delay       time.Duration
 	// silentSince is when the connections that there were fell silent for good, or zero.
 	silentSince time.Time
-	outages     []outage
+	// began is when its steady clock read zero.
+	began   time.Time
+	outages []outage
 	// tables holds the decoded configuration of each revision.
 	tables map[int64]*route.Table
 }
@@ -81,7 +83,7 @@
 
 func newStore() *store {
 	return &store{
-		era: 1, rows: map[string][]replica.Row{}, historyLost: map[string]int64{}, changed: make(chan struct{}), tables: map[int64]*route.Table{},
+		began: time.Now(), era: 1, rows: map[string][]replica.Row{}, historyLost: map[string]int64{}, changed: make(chan struct{}), tables: map[int64]*route.Table{},
 	}
 }
 
@@ -122,7 +124,7 @@
 
 // page returns the rows of a table in the copy after a version.
 func (sc *storeCopy) page(table string, after int64) replica.Update {
-	page := replica.Update{Era: sc.era, Version: sc.version, Full: after < 0}
+	page := replica.Update{Era: sc.era, Version: sc.version, Full: after < 0, StoreTime: 1 + time.Since(sc.began)}
 	for _, row := range sc.rows[table] {
 		if row.Version > after && !(page.Full && row.Deleted) {
 			page.Rows = append(page.Rows, row)
@@ -136,13 +138,14 @@
 	era     int64
 	version int64
 	rows    map[string][]replica.Row
+	began   time.Time
 }
 
 // copy returns the content of the store.
 func (st *store) copy() storeCopy {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	taken := storeCopy{era: st.era, version: st.version, rows: map[string][]replica.Row{}}
+	taken := storeCopy{began: st.began, era: st.era, version: st.version, rows: map[string][]replica.Row{}}
 	for table, rows := range st.rows {
 		taken.rows[table] = slices.Clone(rows)
 	}
@@ -172,7 +175,7 @@
 func (st *store) page(table string, after int64) (replica.Update, <-chan struct{}) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	page := replica.Update{Era: st.era, Version: st.version, Full: after < 0}
+	page := replica.Update{Era: st.era, Version: st.version, Full: after < 0, StoreTime: 1 + time.Since(st.began)}
 	for _, row := range st.rows[table] {
 		if row.Version > after && !(page.Full && row.Deleted) {
 			page.Rows = append(page.Rows, row)
@@ -279,6 +282,9 @@
 			if err := ctx.Err(); err != nil {
 				return replica.Update{}, err
 			}
+			if sc.node.storeReplica.Load() == nil {
+				page, _ = sc.store.page(table, after)
+			}
 			return page, sc.connect(ctx)
 		}
 	}
--- a/storeclock/storeclock.go
+++ b/storeclock/storeclock.go
@@ -11,8 +11,9 @@
 	known bool
 	// origin is the estimated local time at which the store's clock read zero: that of the answer which took the least time.
 	origin time.Time
-	// newest is the highest reading since the store's clock last went back.
-	newest time.Duration
+	// newest is the highest reading since the store's clock last went back, and newestAt is when it arrived.
+	newest   time.Duration
+	newestAt time.Time
 }
 
 const (
@@ -20,6 +21,8 @@
 	backTolerance = time.Second
 	// aheadTolerance is how far the estimate of a reading may be in the future.
 	aheadTolerance = 250 * time.Millisecond
+	// stuckAfter is how long a clock may show the same reading: one that stands still says nothing.
+	stuckAfter = 2 * time.Second
 	// driftShare is the share of the difference by which a slower answer moves the origin, so that it follows the drift of clocks.
 	driftShare = 32
 )
@@ -36,14 +39,19 @@
 	defer cl.mu.Unlock()
 	origin := at.Add(-reading)
 	switch {
+	case reading <= cl.newest && reading >= cl.newest-backTolerance && at.Sub(cl.newestAt) > stuckAfter:
+		cl.known = false
+		return
 	case !cl.known || reading < cl.newest-backTolerance:
-		cl.known, cl.origin, cl.newest = true, origin, reading
+		cl.known, cl.origin, cl.newest, cl.newestAt = true, origin, reading, at
 	case origin.Before(cl.origin):
 		cl.origin = origin
 	default:
 		cl.origin = cl.origin.Add(origin.Sub(cl.origin) / driftShare)
 	}
-	cl.newest = max(cl.newest, reading)
+	if reading > cl.newest {
+		cl.newest, cl.newestAt = reading, at
+	}
 }
 
 // Local returns the latest local time at which the store's clock can have had a reading, at most now. It returns false if that is
--- a/storeclock/storeclock_test.go
+++ b/storeclock/storeclock_test.go
@@ -53,6 +53,16 @@
 		_, known := cl.Local(later, startReading)
 		must.False(t, known, must.Sprint("a reading of the clock before is in the future"))
 	})
+	t.Run("a clock that stands still is none, until it goes on", func(t *testing.T) {
+		cl := storeclock.New()
+		for second := range 4 {
+			cl.Observe(start.Add(time.Duration(second)*time.Second), startReading)
+		}
+		must.False(t, cl.IsKnown())
+		must.Eq(t, time.Duration(0), cl.Reading(start))
+		cl.Observe(start.Add(5*time.Second), startReading+time.Second)
+		must.True(t, cl.IsKnown())
+	})
 	t.Run("a reading a little ahead of the estimate is that of now", func(t *testing.T) {
 		cl := storeclock.New()
 		cl.Observe(start, startReading)
