Turns of reading the store: standing by goes over into the instance's own turn

The turn of an instance that had stood by ended at the same moment as the next one's standing by; both then counted as the last turn, and the one that lost could leave the others without a confirmation for 1.2 s, at which the third instance reads needlessly.

Change: an instance waits once, a turn and a half, and ends its turn with that, also if the one before has not ended its own.

--- a/storereader/storereader.go
+++ b/storereader/storereader.go
@@ -23,7 +23,7 @@
 	// confirmed is when each table was last known to be up to date, by this instance or another one.
 	confirmed map[string]time.Time
 	ended     Ended
-	// begun is the turn that had ended last when this instance began its own for a table, and failedAt is when its last call failed.
+	// begun is the turn that had ended last when this instance began or ended its own for a table, and failedAt is when its last call failed.
 	begun    map[string]Ended
 	failedAt map[string]time.Time
 	live     []member.Member
@@ -122,7 +122,7 @@
 	case rt.ended.Failures > 0:
 		return Turn{}
 	case rank == 1:
-		// It stands by: if the turn before its own ends without a word, no change is missed.
+		// It stands by, and that goes over into its own turn: if the one before ends without a word, no change is missed.
 		return Turn{Wait: rt.turn() * 3 / 2}
 	default:
 		return Turn{Wait: rt.turn()}
@@ -132,22 +132,27 @@
 
 // rank returns how many instances come between the one whose turn ended last and this one. The caller holds the lock.
 func (rt *Rotation) rank(live []member.Member) int {
-	if len(live) == 0 {
-		return 0
-	}
-	if len(rt.live) != len(live) || &rt.live[0] != &live[0] {
+	if len(rt.live) != len(live) || len(live) > 0 && &rt.live[0] != &live[0] {
 		rt.live, rt.places = live, rt.places[:0]
 		for _, mb := range live {
 			rt.places = append(rt.places, place(mb.ID))
 		}
 		slices.Sort(rt.places)
 	}
+	return rt.knownRank()
+}
+
+// knownRank is the rank among the instances that were live when it was last asked for. The caller holds the lock.
+func (rt *Rotation) knownRank() int {
+	if len(rt.places) == 0 {
+		return 0
+	}
 	own, _ := slices.BinarySearch(rt.places, rt.self)
 	first, isLive := slices.BinarySearch(rt.places, rt.ended.Reader)
 	if isLive {
 		first++
 	}
-	return (own - first + len(live)) % len(live)
+	return (own - first + len(rt.places)) % len(rt.places)
 }
 
 // Begin records that this instance begins to read a table.
@@ -177,7 +182,9 @@
 	defer rt.mu.Unlock()
 	before := rt.oldest()
 	isNews = rt.confirm(table, at)
-	isNextTurn = rt.oldest().After(before) && rt.begun[table] == rt.ended
+	// An instance that stood by ends its own turn, also if the one before has not ended its.
+	isNextTurn = rt.oldest().After(before) && (rt.begun[table] == rt.ended || rt.knownRank() <= 1)
+	rt.begun[table] = rt.ended
 	if isNextTurn {
 		rt.ended = Ended{Number: rt.ended.Number + 1, Reader: rt.self}
 	}
