--- a/storereader/storereader.go
+++ b/storereader/storereader.go
@@ -122,8 +122,8 @@
 	case rt.ended.Failures > 0:
 		return Turn{}
 	case rank == 1:
-		// It stands by, and that goes over into its own turn: if the one before ends without a word, no change is missed.
-		return Turn{Wait: rt.turn() * 3 / 2}
+		// It stands by, and goes over into its own turn without another call: if the one before ends without a word, no change is missed.
+		return Turn{Wait: 2 * rt.turn()}
 	default:
 		return Turn{Wait: rt.turn()}
 	}
