--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -152,6 +152,9 @@
 // each other in turn would shrink.
 const wayAllowance = 250 * time.Millisecond
 
+// maxAge is the greatest age that counts: a replica that has never been up to date states one of centuries.
+const maxAge = time.Hour
+
 // confirmedAt returns when another instance's replica was last known to be up to date. An instance that does not state the store's time,
 // as those of an earlier version, states an age.
 func (rp peerReplicas) confirmedAt(version *wire.TableVersion) (time.Time, bool) {
@@ -159,7 +162,11 @@
 	if version.GetStoreMs() > 0 && rp.entry.storeClock.IsKnown() {
 		return rp.entry.storeClock.Local(now, timer.Milliseconds(version.GetStoreMs()))
 	}
-	return now.Add(-timer.Milliseconds(version.GetAgeMs()) - wayAllowance), true
+	age := timer.Milliseconds(version.GetAgeMs())
+	if age < 0 || age > maxAge {
+		return time.Time{}, false
+	}
+	return now.Add(-age - wayAllowance), true
 }
 
 // ApplyRows applies rows that another instance sent.
--- a/entry/storereaders_test.go
+++ b/entry/storereaders_test.go
@@ -127,3 +127,22 @@
 		})
 	}
 }
+
+// TestInstanceThatStartsWhileTheStoreIsAway guards against an instance that has never read the store, states an age of centuries, and is
+// taken for one that has just read it.
+func TestInstanceThatStartsWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		os := newOlderStore(8)
+		defer os.fleet.stop()
+		os.fleet.store.setState(true, 0)
+		time.Sleep(2 * time.Second)
+		old := os.fleet.live()[3]
+		os.fleet.kill(old)
+		os.fleet.restart(old, defects{})
+		time.Sleep(2 * time.Second)
+		os.fleet.store.setState(false, 0)
+		time.Sleep(inTouchAfter)
+		os.configure()
+		must.LessEq(t, appliedWithin, os.awaitRevision(os.revision, 4*appliedWithin))
+	})
+}
