--- a/entry/storereaders_test.go
+++ b/entry/storereaders_test.go
@@ -59,10 +59,6 @@
 func TestReadersOfTheStoreThatFallBehind(t *testing.T) {
 	for _, size := range []int{8, 18, 77} {
 		for fault, set := range readerFaults {
-			if size > 18 && fault != "cut off silently" && fault != "slow" {
-				// The race detector takes minutes for each of them.
-				continue
-			}
 			for change, make := range changesInTouch {
 				t.Run(fmt.Sprintf("%s of %d instances, %s", change, size, fault), func(t *testing.T) {
 					t.Parallel()
