--- a/soak/calm_test.go
+++ b/soak/calm_test.go
@@ -37,7 +37,13 @@
 // newCalmFleet starts instances of the programs, one each, before upstreams at addresses by their ids.
 func newCalmFleet(t *testing.T, programs []string, upstreams map[string]string) *calmFleet {
 	t.Helper()
-	cf := &calmFleet{fleet: &fleet{t: t, folder: t.TempDir(), store: standin.New()}}
+	return newLimitedFleet(t, programs, upstreams, defaultResources, configuredLimits)
+}
+
+// newLimitedFleet is newCalmFleet with limits of the settings and of the configuration.
+func newLimitedFleet(t *testing.T, programs []string, upstreams map[string]string, resources resourceLimits, configured string) *calmFleet {
+	t.Helper()
+	cf := &calmFleet{fleet: &fleet{t: t, folder: t.TempDir(), store: standin.New(), resources: resources, configured: configured}}
 	server := httptest.NewServer(cf.store)
 	t.Cleanup(server.Close)
 	for id, address := range upstreams {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -46,6 +46,9 @@
 	settings  []string
 	// metrics are the addresses of the instances' metrics.
 	metrics []string
+	// resources are the limits in the settings of each process, and configured those in the configuration.
+	resources  resourceLimits
+	configured string
 
 	mu        sync.Mutex
 	processes []*exec.Cmd
@@ -56,9 +59,21 @@
 	disturbed [instances]time.Time
 }
 
+// resourceLimits are what a process may use, as its settings say.
+type resourceLimits struct {
+	memoryMB    int
+	descriptors int
+}
+
+// defaultResources are those of an instance in the tests that play no callers beyond the limits.
+var defaultResources = resourceLimits{memoryMB: memoryLimitMB, descriptors: 4100}
+
+// configuredLimits bound what callers may send in the tests with short bodies.
+const configuredLimits = `{"max_body_bytes":100000,"idle_timeout_ms":30000}`
+
 const services = `"services":[{"name":"model","engine":{"slot_count":64,"kv_capacity_tokens":100000}},{"name":"plain"},
 {"name":"stage","pieces":{"slot_count":1,"queue":2,"batch":8,"call_ms":20,"item_ms":1,"headroom_mb":36,"handle_s":4}}],
-"tenants":[{"name":"guild","api_keys":["k"]}],"limits":{"max_body_bytes":100000,"idle_timeout_ms":30000}}`
+"tenants":[{"name":"guild","api_keys":["k"]}],"limits":`
 
 const routes = `"routes":[{"name":"resume","host":"h","prefix":"/resume/","kind":"streaming","resumable":true,"timeout_ms":5000,
 "target_latency_ms":2000,"service":"model","max_attempts":2},
@@ -85,7 +100,7 @@
 	t.Helper()
 	fl := &fleet{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), binary: binary, folder: t.TempDir(),
-		store:  standin.New(),
+		store: standin.New(), resources: defaultResources, configured: configuredLimits,
 		ledger: newLedger(), upstreams: map[string]*upstream{},
 	}
 	fl.ledger.isUndisturbed, fl.ledger.lastFault = fl.isUndisturbed, fl.lastFault
@@ -156,8 +171,9 @@
 	port, err := strconv.Atoi(metrics)
 	must.NoError(fl.t, err)
 	content := fmt.Sprintf(`{"node_name":"i%d","zone":"z%d","ip":"127.0.0.1","listen":{"front":%q,"ready":%q,"control":%q},"inner_ports":[%d,65535],
-"seeds":[%q,%q],"limits":{"memory_mb":%d},"bounds":{"grace_s":4,"retry_budget_ratio":0.2,"budget_window_s":10,"budget_extra":50},
-"platform":{"address":%q}}`, at, at%2, ports[0], ports[1], control[at], port-1, control[0], control[min(1, len(control)-1)], memoryLimitMB, storeAddress)
+"seeds":[%q,%q],"limits":{"memory_mb":%d,"max_fds":%d},"bounds":{"grace_s":4,"retry_budget_ratio":0.2,"budget_window_s":10,"budget_extra":50},
+"platform":{"address":%q}}`, at, at%2, ports[0], ports[1], control[at], port-1, control[0], control[min(1, len(control)-1)], fl.resources.memoryMB,
+		fl.resources.descriptors, storeAddress)
 	path := filepath.Join(fl.folder, fmt.Sprintf("i%d.json", at))
 	must.NoError(fl.t, os.WriteFile(path, []byte(content), 0o600))
 	fl.settings = append(fl.settings, path)
@@ -170,7 +186,7 @@
 	fl.version++
 	version := fl.version
 	fl.mu.Unlock()
-	fl.store.Put("op", "config", fmt.Sprintf(`{"version":%d,%s%s`, version, routes, services))
+	fl.store.Put("op", "config", fmt.Sprintf(`{"version":%d,%s%s%s}`, version, routes, services, fl.configured))
 }
 
 func (fl *fleet) start(at int) {
