Limit the requests to cold upstreams

Cause: cold_s, cold_per_s and Turmericdoor-Cold-Ms were not read, and each instance sent a cold upstream what it would send a warm one. Change: throttle takes a cold upstream for one with a rate limit whose end is known, from its registration or from an answer. The owner of its permits issues them at cold_per_s, with the cold time of the asking instance if it knows of none.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -129,9 +129,13 @@
 		}))
 	}
 	en.peer = en.newPeer(parts, clock)
-	en.throttle = throttle.New(throttle.Parts{
+	limits := throttle.Parts{
 		Self: en.settings.Instance, Fleet: en.peer, Find: en.catalog.Find, LeavingChanged: en.upstreamsLeaving, Timers: parts.Timers, Events: en.events,
-	})
+	}
+	if en.settings.LimitsCold {
+		limits.ColdRate, limits.Registered = en.coldRate, en.registered
+	}
+	en.throttle = throttle.New(limits)
 	en.streams = streamdirectory.New(streamdirectory.Parts{
 		Self: en.settings.Instance, IsFirst: en.settings.IsFirstStart, Fleet: en.peer, Present: en.presentOrigins, Confirm: en.confirm, Staleness: en.staleness, Timers: parts.Timers, Events: en.events,
 	})
@@ -231,6 +235,15 @@
 	en.metrics.RegisterGauge("upstreams_limited", func() float64 { return float64(len(en.throttle.Limits())) })
 	en.metrics.RegisterGauge("upstreams_leaving", func() float64 { return float64(len(en.throttle.Leaving())) })
 	en.metrics.RegisterGauge("upstreams_paused", func() float64 { return float64(len(en.throttle.Pauses())) })
+	en.metrics.RegisterGauge("upstreams_cold", func() float64 { return float64(len(en.throttle.Cold())) })
+	en.metrics.RegisterGauge(`cold_permits{outcome="granted"}`, func() float64 {
+		granted, _ := en.throttle.ColdPermits()
+		return float64(granted)
+	})
+	en.metrics.RegisterGauge(`cold_permits{outcome="denied"}`, func() float64 {
+		_, denied := en.throttle.ColdPermits()
+		return float64(denied)
+	})
 	en.metrics.RegisterGauge("upstreams_cut_off", func() float64 {
 		if en.relay.IsCutOff() {
 			return 1
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -12,6 +12,21 @@
 	en.catalog.SetLeaving(since)
 }
 
+// coldRate returns the rate that cold upstreams of a pool accept, or 0 if it is not limited.
+func (en *Instance) coldRate(pool string) float64 {
+	configured, _ := en.catalog.Pool(pool)
+	return configured.ColdPerSecond
+}
+
+// registered returns all registered upstreams.
+func (en *Instance) registered() []*roster.Upstream {
+	snapshot, list := en.catalog.Snapshot(), []*roster.Upstream{}
+	for _, id := range snapshot.IDs() {
+		list = append(list, snapshot.Find(id))
+	}
+	return list
+}
+
 // peerLimits exposes the rate limits of upstreams to other instances.
 type peerLimits struct {
 	entry *Instance
--- a/entry/replicas.go
+++ b/entry/replicas.go
@@ -23,6 +23,7 @@
 // RowsChanged applies changed rows and triggers a heartbeat that carries the new version.
 func (ch changeListener) RowsChanged(table string, rows []replica.Row, version int64, fromPeer bool) {
 	ch.entry.catalog.RowsChanged(table, rows, version, fromPeer)
+	ch.entry.throttle.UpstreamsChanged()
 	ch.entry.peer.TriggerHeartbeat()
 	ch.entry.streams.Refresh()
 }
--- a/gateway/fakepeers_test.go
+++ b/gateway/fakepeers_test.go
@@ -43,6 +43,21 @@
 	return limits
 }
 
+// Cold returns a cold time of coldFor from the first call on for each upstream in permitAfter.
+func (fk *fakes) Cold() map[roster.Incarnation]time.Time {
+	cold := map[roster.Incarnation]time.Time{}
+	if fk.coldFor == 0 {
+		return cold
+	}
+	if fk.coldUntil.IsZero() {
+		fk.coldUntil = time.Now().Add(fk.coldFor)
+	}
+	for id := range fk.permitAfter {
+		cold[roster.Incarnation{ID: id}] = fk.coldUntil
+	}
+	return cold
+}
+
 // begunElsewhere is an attempt that began a stream at a model engine without a version.
 const begunElsewhere = "begun-elsewhere"
 
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -87,6 +87,9 @@
 	mu sync.Mutex
 	// pauses are until when upstreams want no requests.
 	pauses map[roster.Incarnation]time.Time
+	// coldFor is how long the upstreams of permitAfter are cold, or 0 if their limits have another reason.
+	coldFor   time.Duration
+	coldUntil time.Time
 	// log holds the events, metrics the page of the metrics after the request.
 	log     []*wire.Event
 	metrics string
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -20,12 +20,14 @@
 	// Acquire waits until a request may be sent, at most maxWait, and returns the function to call with what its answer
 	// announces. The error is ratelimit.Exceeded or that of ctx; then the request must not be sent.
 	Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(notice.Notice), error)
-	// Limits returns the limits in force, in requests per second.
+	// Limits returns the limits in force, in requests per second, those of cold upstreams included.
 	Limits() map[roster.Incarnation]float64
 	// Pauses returns until when upstreams want no requests of this instance.
 	Pauses() map[roster.Incarnation]time.Time
 	// Avoided returns until when upstreams want no requests of some instance.
 	Avoided() map[roster.Incarnation]time.Time
+	// Cold returns until when upstreams are cold whose requests are limited for that.
+	Cold() map[roster.Incarnation]time.Time
 }
 
 const (
@@ -35,6 +37,8 @@
 	maxLimitedRetryAfter = 10 * time.Second
 	// returnInterval is the least time between two callers who are asked to retry, so that not all come at one moment.
 	returnInterval = 10 * time.Millisecond
+	// neverWarm is longer than any wait for a permit.
+	neverWarm = 24 * time.Hour
 )
 
 // pick selects an upstream and returns how long its permit may be waited for: not at all while another upstream may be tried.
@@ -57,13 +61,18 @@
 }
 
 // permitPatience returns how long the request may wait for a permit: until its first byte would be late or, while its answer
-// is interrupted, for a fixed time.
+// is interrupted, for a fixed time. At a cold upstream a request waits the less the lower its rank is: a permit is reserved when the wait
+// for it begins, so that the later ones are left to more urgent requests, of whatever instance.
 func (rn *run) permitPatience(choice placement.Choice) time.Duration {
 	now := rn.Timers.Now()
 	if rn.response.IsBegun() {
 		return min(resumePermitWait, rn.deadline.Sub(now))
 	}
-	return min(rn.targetAt.Sub(now)-choice.ExpectedLatency, rn.deadline.Sub(now)-minTimeToSend)
+	patience := min(rn.targetAt.Sub(now)-choice.ExpectedLatency, rn.deadline.Sub(now)-minTimeToSend)
+	if choice.Upstream != nil && now.Before(rn.Limits.Cold()[choice.Upstream.Incarnation()]) {
+		patience /= time.Duration(max(rn.rank, 0) + 1)
+	}
+	return patience
 }
 
 // acquire waits until the request may be sent to an upstream. It returns nil if the rate limit does not allow it, or if the
@@ -98,7 +107,7 @@
 	if !limited || rn.audit.Executions() > 0 {
 		return rn.noUpstreamOutcome()
 	}
-	after := rn.Pools.retryAfterLimited(rn.pool.Name, wait, rn.acceptedRate(list))
+	after := rn.Pools.retryAfterLimited(rn.pool.Name, wait, rn.acceptedRate(list), rn.warmIn(list))
 	if rn.isPoolPaused() {
 		return rn.refuse(after, UpstreamsPaused, fmt.Sprintf("the upstreams want no requests for %dms", wait.Milliseconds()))
 	}
@@ -119,6 +128,20 @@
 	return total
 }
 
+// warmIn returns the time until the first of some upstreams is no longer cold, from when on it needs no permits, or neverWarm if one of
+// them is limited for another reason.
+func (rn *run) warmIn(list []*roster.Upstream) time.Duration {
+	first, cold, now := neverWarm, rn.Limits.Cold(), rn.Timers.Now()
+	for _, up := range list {
+		until, isCold := cold[up.Incarnation()]
+		if !isCold {
+			return neverWarm
+		}
+		first = min(first, max(until.Sub(now), 0))
+	}
+	return first
+}
+
 // isPoolPaused reports whether all upstreams of the pool want no requests of this instance.
 func (rn *run) isPoolPaused() bool {
 	left, paused := rn.pauseLeft()
@@ -166,7 +189,7 @@
 	if len(accepting) == 0 {
 		return 0
 	}
-	return rn.Pools.permitWait(rn.pool.Name, rn.acceptedRate(accepting))
+	return min(rn.Pools.permitWait(rn.pool.Name, rn.acceptedRate(accepting)), rn.warmIn(accepting))
 }
 
 // pickLimited returns the upstream whose rate limit first allows another request, and how long that takes.
@@ -213,8 +236,9 @@
 }
 
 // retryAfterLimited returns after what time a caller is asked to retry if the rate limits of a pool's upstreams are used up for
-// wait. Callers are asked to return one after the other, at this instance's share of the limits.
-func (pl *Pools) retryAfterLimited(pool string, wait time.Duration, perSecond float64) time.Duration {
+// wait. Callers are asked to return one after the other, at this instance's share of the limits, or returnInterval apart from the time on
+// when the first upstream is no longer limited since it is warm.
+func (pl *Pools) retryAfterLimited(pool string, wait time.Duration, perSecond float64, warmIn time.Duration) time.Duration {
 	each := max(pl.share(1, perSecond), returnInterval)
 	now := pl.timers.Now()
 	pl.mu.Lock()
@@ -223,6 +247,20 @@
 	if next := pl.nextReturn[pool]; next.After(at) {
 		at = next
 	}
-	pl.nextReturn[pool] = at.Add(each)
+	pl.nextReturn[pool] = minTime(at.Add(each), maxTime(at, now.Add(warmIn)).Add(returnInterval))
 	return min(at.Sub(now), maxLimitedRetryAfter)
 }
+
+func minTime(left, right time.Time) time.Time {
+	if left.Before(right) {
+		return left
+	}
+	return right
+}
+
+func maxTime(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
+	}
+	return right
+}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -17,6 +17,8 @@
 	Pause time.Duration
 	// Brittle is set if it ends when it has to reject too many requests.
 	Brittle *Brittle
+	// Cold is set if it says whether it is cold.
+	Cold *Cold
 	// IsRejection is set if it has not executed the request because it was full.
 	IsRejection bool
 	// Unreadable describes a value that can't be parsed, or is empty. Such a value neither begins nor ends anything.
@@ -29,6 +31,12 @@
 	Rejections float64
 }
 
+// Cold is what an upstream says of the time in which it is slow and accepts only a low rate of requests.
+type Cold struct {
+	// Left is how long it still is cold, or 0 if it is not.
+	Left time.Duration
+}
+
 // observerKey is the context key of the observer.
 type observerKey struct{}
 
--- a/noticetable/noticetable.go
+++ b/noticetable/noticetable.go
@@ -23,6 +23,9 @@
 	// Brittle says that the upstream ends when it has to reject too many requests; PerSecond is the rate for which it is estimated to
 	// have room.
 	Brittle
+	// Cold says that the upstream is slow for some time and accepts only the rate of its pool's cold upstreams until then. An entry
+	// that has ended says that it is not.
+	Cold
 )
 
 // Entry is what one incarnation of an upstream has said of itself.
@@ -36,6 +39,9 @@
 	Length time.Duration
 	// At is when the entry was announced, changed or ended, by the hybrid logical clock.
 	At time.Time
+	// Until is when a cold time ends, by the clock of the timers: instances tell each other the remaining time, since their clocks differ
+	// and may jump.
+	Until time.Time
 }
 
 // Table holds one entry of each kind for each incarnation; it is not safe for concurrent use.
@@ -68,6 +74,8 @@
 	repeatedEntries = 4
 	// minExtension is by how much a pause must end later than a known one to be news.
 	minExtension = 500 * time.Millisecond
+	// minColdChange is by how much a cold time must end earlier or later than a known one to be news; each answer states it anew.
+	minColdChange = 250 * time.Millisecond
 	// retention is how long an entry is kept after its upstream is no longer registered, or after it ended.
 	retention = time.Minute
 )
@@ -97,6 +105,8 @@
 		return false
 	case fresh.Kind == Pause:
 		return fresh.end().After(known.end().Add(minExtension))
+	case fresh.Kind == Cold:
+		return fresh.At.After(known.At) && (fresh.Ended || known.Ended || fresh.Until.Sub(known.Until).Abs() > minColdChange)
 	case !fresh.At.Equal(known.At):
 		return fresh.At.After(known.At)
 	case fresh.Ended != known.Ended:
@@ -177,6 +187,17 @@
 	return rates
 }
 
+// ColdTimes returns the entries of cold times, also of those that have ended or are over.
+func (tb *Table) ColdTimes() map[roster.Incarnation]Entry {
+	times := map[roster.Incarnation]Entry{}
+	for of, it := range tb.entries {
+		if of.kind == Cold {
+			times[of.incarnation] = it.Entry
+		}
+	}
+	return times
+}
+
 // LeavingSince returns the incarnations that are leaving, with the time at which they said so first.
 func (tb *Table) LeavingSince() map[roster.Incarnation]time.Time {
 	since := map[roster.Incarnation]time.Time{}
@@ -218,9 +239,12 @@
 }
 
 // Prune drops the pauses that are over, and the entries that are older than retention and have ended, or whose upstream is not
-// registered.
+// registered. PruneCold drops cold times.
 func (tb *Table) Prune(now time.Time, isRegistered func(roster.Incarnation) bool) {
 	for of, it := range tb.entries {
+		if of.kind == Cold {
+			continue
+		}
 		if of.kind == Pause && now.After(it.end()) {
 			delete(tb.entries, of)
 		}
@@ -229,3 +253,13 @@
 		}
 	}
 }
+
+// PruneCold drops the cold times that have been over for retention, by the clock of the timers. Until then an instance that still
+// holds one can't bring it back with a remaining time that grows on its way.
+func (tb *Table) PruneCold(now time.Time) {
+	for of, it := range tb.entries {
+		if of.kind == Cold && now.Sub(it.Until) > retention {
+			delete(tb.entries, of)
+		}
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -104,6 +104,8 @@
 	}
 	if found && known.upstream.Incarnation() == upstream.Incarnation() {
 		upstream.Leaving = upstream.Leaving || known.upstream.Leaving
+		// The copy says how long the upstream was cold when it registered, which is over or known.
+		upstream.WarmAt = known.upstream.WarmAt
 	}
 	fresh := &entry{upstream: upstream}
 	if _, isGone := rs.gone[upstream.Incarnation()]; isGone || wasRead && !found {
--- a/route/route.go
+++ b/route/route.go
@@ -90,6 +90,10 @@
 	MaxConnections int
 	Engine         *Engine
 	Batching       *Batching
+	// ColdPerSecond is the rate in requests per second that an upstream accepts from all instances while it is cold, or 0 for no
+	// limit. ColdTime is how long an upstream is cold that has started during traffic.
+	ColdPerSecond float64
+	ColdTime      time.Duration
 }
 
 // Engine describes the model engines of a pool.
--- a/throttle/brittle.go
+++ b/throttle/brittle.go
@@ -39,7 +39,7 @@
 	default:
 		entry.Ended = true
 	}
-	report.Announced = toWire(entry)
+	report.Announced = th.toWire(entry)
 	th.report(report)
 }
 
--- a/throttle/notices.go
+++ b/throttle/notices.go
@@ -106,8 +106,8 @@
 }
 
 // checkPause returns the error of a request that must not be sent because of its upstream's pause, or nil.
-func (th *Throttle) checkPause(incarnation roster.Incarnation) error {
-	if left := th.Pauses()[incarnation].Sub(th.Timers.Now()); left > 0 {
+func (th *Throttle) checkPause(now time.Time, incarnation roster.Incarnation) error {
+	if left := th.Pauses()[incarnation].Sub(now); left > 0 {
 		return ratelimit.Exceeded{RetryAfter: left, IsPause: true}
 	}
 	return nil
--- a/throttle/observe.go
+++ b/throttle/observe.go
@@ -37,7 +37,7 @@
 		if !isActive || issued.number == 0 {
 			return
 		}
-		report.Announced = toWire(noticetable.Entry{Incarnation: incarnation, Ended: true})
+		report.Announced = th.toWire(noticetable.Entry{Incarnation: incarnation, Ended: true})
 	case ratelimit.Limit:
 		if isActive && announced.PerSecond == current {
 			return
@@ -45,7 +45,7 @@
 		if !isActive || announced.PerSecond < current {
 			th.set(incarnation, announced.PerSecond)
 		}
-		report.Announced = toWire(noticetable.Entry{Incarnation: incarnation, PerSecond: announced.PerSecond})
+		report.Announced = th.toWire(noticetable.Entry{Incarnation: incarnation, PerSecond: announced.PerSecond})
 	case ratelimit.Invalid:
 		th.Events.Record(&wire.Event{Kind: wire.EventKind_EventRateLimitUnreadable, Upstream: upstream.ID, Stage: upstream.Pool, Detail: announced.Text})
 		return
@@ -103,31 +103,39 @@
 		return registered != nil && registered.Incarnation() == incarnation
 	}
 	th.table.Prune(now, isRegistered)
+	th.table.PruneCold(th.Timers.Now())
 	th.pauses.Prune(th.Timers.Now(), isRegistered)
 	th.publish()
 	th.ledger.Prune(func(incarnation roster.Incarnation) bool {
 		_, isLimited := th.table.Find(noticetable.RateLimit, incarnation)
 		_, isBrittle := th.table.Find(noticetable.Brittle, incarnation)
-		return isLimited || isBrittle
+		_, isCold := th.Cold()[incarnation]
+		return isLimited || isBrittle || isCold
 	})
 }
 
-func toWire(entry noticetable.Entry) *wire.UpstreamNotice {
+func (th *Throttle) toWire(entry noticetable.Entry) *wire.UpstreamNotice {
 	converted := &wire.UpstreamNotice{
 		Upstream: entry.Incarnation.ID, StartUnixMs: entry.Incarnation.StartUnixMs, PerSecond: entry.PerSecond, Ended: entry.Ended,
 		Kind: wire.NoticeKind(entry.Kind), LengthMs: entry.Length.Milliseconds(),
 	}
+	if entry.Kind == noticetable.Cold {
+		converted.LengthMs = max(entry.Until.Sub(th.Timers.Now()), 0).Milliseconds()
+	}
 	if !entry.At.IsZero() {
 		converted.UnixNanos = entry.At.UnixNano()
 	}
 	return converted
 }
 
-func fromWire(limit *wire.UpstreamNotice) noticetable.Entry {
+func (th *Throttle) fromWire(limit *wire.UpstreamNotice) noticetable.Entry {
 	entry := noticetable.Entry{
 		Kind: noticetable.Kind(limit.GetKind()), Incarnation: incarnationOf(limit), PerSecond: limit.GetPerSecond(), Ended: limit.GetEnded(),
 		Length: timer.Milliseconds(limit.GetLengthMs()),
 	}
+	if entry.Kind == noticetable.Cold {
+		entry.Until = th.Timers.Now().Add(milliseconds(limit.GetLengthMs()))
+	}
 	if limit.GetUnixNanos() != 0 {
 		entry.At = time.Unix(0, limit.GetUnixNanos())
 	}
--- a/throttle/owner.go
+++ b/throttle/owner.go
@@ -5,6 +5,7 @@
 
 	"github.com/turmericdoor/turmericdoor/noticetable"
 	"github.com/turmericdoor/turmericdoor/permit"
+	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
 
@@ -19,41 +20,77 @@
 	share := th.Fleet.Share(lostWithin)
 	th.mu.Lock()
 	defer th.mu.Unlock()
-	entry, found := th.table.Find(noticetable.RateLimit, incarnation)
-	rate, isBrittle := th.brittleRate(now, incarnation)
-	if isLimited := found && !entry.Ended; isLimited {
-		rate = min(rate, entry.PerSecond)
-	} else if !isBrittle {
-		return &wire.PermitReply{Outcome: wire.PermitOutcome_PermitNotNeeded, Limit: toWire(entry)}
-	}
-	reply := &wire.PermitReply{Epoch: th.epoch, Limit: toWire(entry)}
+	limit := th.limitFor(now, incarnation, request)
+	known, _ := th.find(incarnation)
+	if !limit.isSet() {
+		return &wire.PermitReply{Outcome: wire.PermitOutcome_PermitNotNeeded, Limit: th.toWire(known)}
+	}
+	reply := &wire.PermitReply{Epoch: th.epoch, Limit: th.toWire(known)}
+	th.decide(now, incarnation, limit, share, reply, time.Duration(request.GetMaxWaitMicros())*time.Microsecond)
+	if limit.coldLeft > 0 {
+		th.countCold(reply.GetOutcome())
+	}
+	if !limit.isAnnounced && !limit.isBrittle {
+		// From the end of the cold time on no permit is needed.
+		reply.WaitMicros = min(reply.GetWaitMicros(), limit.coldLeft.Microseconds())
+	}
+	return reply
+}
+
+// limit is what bounds the requests to an upstream: the lowest of the rate that it has announced, the one for which it is estimated to
+// have room and the one that it accepts while it is cold.
+type limit struct {
+	perSecond   float64
+	isAnnounced bool
+	isBrittle   bool
+	// coldLeft is how long the upstream still is cold, or 0.
+	coldLeft time.Duration
+}
+
+func (lm limit) isSet() bool { return lm.isAnnounced || lm.isBrittle || lm.coldLeft > 0 }
+
+// limitFor returns the limit of an upstream with which to decide on a request for a permit. The caller holds the lock.
+func (th *Throttle) limitFor(now time.Time, incarnation roster.Incarnation, request *wire.PermitRequest) limit {
+	found := limit{}
+	found.perSecond, found.isBrittle = th.brittleRate(now, incarnation)
+	if entry, is := th.table.Find(noticetable.RateLimit, incarnation); is && !entry.Ended {
+		found.isAnnounced = true
+		found.perSecond = min(found.perSecond, entry.PerSecond)
+	}
+	perSecond, left := th.coldLimit(now, incarnation, request)
+	if found.coldLeft = left; left > 0 {
+		found.perSecond = min(found.perSecond, perSecond)
+	}
+	return found
+}
+
+// decide decides on a request for a permit that may wait for maxWait. The caller holds the lock.
+func (th *Throttle) decide(now time.Time, incarnation roster.Incarnation, of limit, share float64, reply *wire.PermitReply, maxWait time.Duration) {
 	if left := settleTime - now.Sub(th.startedAt); left > 0 {
 		reply.WaitMicros = left.Microseconds()
-		return reply
+		return
 	}
-	if wait := th.headroom.Wait(now, incarnation.ID); isBrittle && wait > 0 {
+	if wait := th.headroom.Wait(now, incarnation.ID); of.isBrittle && wait > 0 {
 		reply.WaitMicros = wait.Microseconds()
-		return reply
+		return
 	}
-	maxWait := time.Duration(request.GetMaxWaitMicros()) * time.Microsecond
 	take := th.ledger.Take
-	if isBrittle {
+	if of.isBrittle {
 		take, maxWait = th.ledger.TakeEvenly, min(maxWait, maxBrittleWait)
 	}
-	switch decision := take(now, incarnation, rate, share, maxWait).(type) {
+	switch decision := take(now, incarnation, of.perSecond, share, maxWait).(type) {
 	case permit.Granted:
 		th.headroom.Grant(now, incarnation.ID)
 		reply.Outcome, reply.Number, reply.WaitMicros = wire.PermitOutcome_PermitGranted, decision.Number, decision.Wait.Microseconds()
 	case permit.Denied:
 		reply.WaitMicros = decision.Wait.Microseconds()
 	}
-	return reply
 }
 
 // ApplyReport applies what an answer to this or another instance announced. If the request had a permit that was issued since
 // the last change of the limit, its answer is newer than that change; otherwise it can only set a limit or lower it.
 func (th *Throttle) ApplyReport(report *wire.LimitReport) *wire.LimitReply {
-	announced := fromWire(report.GetAnnounced())
+	announced := th.fromWire(report.GetAnnounced())
 	incarnation := announced.Incarnation
 	if th.owner(incarnation.ID, report.GetFailureDomain()).ID != th.Self {
 		return &wire.LimitReply{}
@@ -90,7 +127,7 @@
 		th.recordChange(announced)
 		th.Fleet.TriggerHeartbeat()
 	}
-	return &wire.LimitReply{Limit: toWire(known)}
+	return &wire.LimitReply{Limit: th.toWire(known)}
 }
 
 // News returns what upstreams have said for a heartbeat, all of it for a full exchange.
@@ -104,7 +141,7 @@
 	}
 	list := []*wire.UpstreamNotice{}
 	for _, entry := range entries {
-		list = append(list, toWire(entry))
+		list = append(list, th.toWire(entry))
 	}
 	return list
 }
@@ -118,10 +155,10 @@
 
 // merge adds what another instance knows and reports whether any of it was new.
 func (th *Throttle) merge(news []*wire.UpstreamNotice) bool {
-	changed, others := []noticetable.Entry{}, false
+	changed, others, begun := []noticetable.Entry{}, false, []roster.Incarnation{}
 	th.mu.Lock()
 	for _, item := range news {
-		entry := fromWire(item)
+		entry := th.fromWire(item)
 		if entry.Incarnation.ID == "" || entry.At.IsZero() {
 			continue
 		}
@@ -139,9 +176,10 @@
 		}
 	}
 	if len(changed) > 0 || others {
-		th.publish()
+		begun = th.publish()
 	}
 	th.mu.Unlock()
+	th.recordCold(begun, "peer")
 	for _, entry := range changed {
 		th.recordChange(entry)
 	}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -47,8 +47,12 @@
 	// LeavingChanged is called with the incarnations whose answers have said that they are leaving, and since when. It must not
 	// call the throttle.
 	LeavingChanged func(map[roster.Incarnation]time.Time)
-	Timers         *timer.Service
-	Events         *timeline.Ring
+	// ColdRate returns the rate in requests per second that cold upstreams of a pool accept, or 0 if it is not limited, and Registered
+	// the registered upstreams. They take no lock; both are nil if no pool limits its cold upstreams.
+	ColdRate   func(pool string) float64
+	Registered func() []*roster.Upstream
+	Timers     *timer.Service
+	Events     *timeline.Ring
 }
 
 // Throttle holds what upstreams have said of themselves in their answers, keeps requests to them within it, and issues the permits
@@ -69,8 +73,13 @@
 	// brittle holds the rates of brittle upstreams, brittlePools the lowest one of each pool.
 	brittle      atomic.Pointer[map[roster.Incarnation]float64]
 	brittlePools atomic.Pointer[map[string]float64]
-	background   inflight.Group
-	owners       ranking.Cache
+	// cold holds the cold times of upstreams, coldUntil when those end that are not over. coldGranted and coldDenied count the permits.
+	cold                    atomic.Pointer[map[roster.Incarnation]coldTime]
+	coldUntil               atomic.Pointer[map[roster.Incarnation]time.Time]
+	coldGranted, coldDenied atomic.Uint64
+	background              inflight.Group
+	owners                  ranking.Cache
+	wakeup                  chan struct{}
 
 	mu       sync.Mutex
 	table    *noticetable.Table
@@ -78,6 +87,9 @@
 	headroom *headroom.Register
 	pauses   *pause.Register
 	messages uint64
+	// coldStarts holds the cold times that registrations state; nextWarm is when the next upstream is no longer cold, or the zero time.
+	coldStarts map[roster.Incarnation]coldStart
+	nextWarm   time.Time
 	// unresponsive holds the instances that did not answer, until when they are not asked again.
 	unresponsive map[string]time.Time
 }
@@ -104,6 +116,7 @@
 	now := parts.Timers.Now()
 	th := &Throttle{
 		Parts: parts, epoch: now.UnixNano(), startedAt: now, table: noticetable.New(), ledger: permit.New(), headroom: headroom.New(), pauses: pause.New(), unresponsive: map[string]time.Time{},
+		wakeup: make(chan struct{}, 1),
 	}
 	th.limited.Store(&map[roster.Incarnation]float64{})
 	th.leaving.Store(&map[roster.Incarnation]time.Time{})
@@ -111,19 +124,46 @@
 	th.avoided.Store(&map[roster.Incarnation]time.Time{})
 	th.brittle.Store(&map[roster.Incarnation]float64{})
 	th.brittlePools.Store(&map[string]float64{})
+	th.cold.Store(&map[roster.Incarnation]coldTime{})
+	th.coldUntil.Store(&map[roster.Incarnation]time.Time{})
 	return th
 }
 
-// Run forgets the limits of upstreams that are gone until ctx ends, and waits for all background calls; done is closed at the
-// end.
+// Run forgets the limits of upstreams that are gone, and those of cold upstreams when these are warm, until ctx ends, and waits for all
+// background calls; done is closed at the end.
 func (th *Throttle) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	defer th.background.Wait()
-	for th.Timers.Sleep(ctx, pruneInterval) == nil {
+	pruneAt := th.Timers.Now().Add(pruneInterval)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-th.wakeup:
+			continue
+		case <-th.Timers.After(th.untilChange(pruneAt)):
+		}
+		if th.Timers.Now().Before(pruneAt) {
+			th.mu.Lock()
+			th.publishCold()
+			th.mu.Unlock()
+			continue
+		}
 		th.prune()
+		pruneAt = th.Timers.Now().Add(pruneInterval)
 	}
 }
 
+// untilChange returns the time until the next upstream is no longer cold, or until pruneAt if that comes first.
+func (th *Throttle) untilChange(pruneAt time.Time) time.Duration {
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	if !th.nextWarm.IsZero() && th.nextWarm.Before(pruneAt) {
+		pruneAt = th.nextWarm
+	}
+	return max(pruneAt.Sub(th.Timers.Now()), 0)
+}
+
 // Limits returns the limits in force, in requests per second; it takes no lock. The map must not be changed.
 func (th *Throttle) Limits() map[roster.Incarnation]float64 {
 	return *th.limited.Load()
@@ -138,14 +178,19 @@
 // Acquire waits until a request may be sent to an upstream, at most maxWait, and returns the function to call with what
 // the upstream's answer announces. The error is ratelimit.Exceeded or that of ctx; then the request must not be sent.
 func (th *Throttle) Acquire(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (func(notice.Notice), error) {
-	issued, incarnation := sent{}, upstream.Incarnation()
-	if err := th.checkPause(incarnation); err != nil {
+	now, issued, incarnation := th.Timers.Now(), sent{}, upstream.Incarnation()
+	if err := th.checkPause(now, incarnation); err != nil {
 		return nil, err
 	}
 	if rate, inPool := (*th.brittlePools.Load())[upstream.Pool]; inPool {
 		th.expectFromPool(upstream, rate)
 	}
-	if _, limited := th.Limits()[incarnation]; limited {
+	_, limited := th.Limits()[incarnation]
+	if !limited && now.Before(upstream.WarmAt) {
+		_, left := th.coldLeft(now, upstream)
+		limited = left > 0
+	}
+	if limited {
 		reply, err := th.ask(ctx, upstream, maxWait)
 		if err != nil {
 			return nil, err
@@ -153,12 +198,15 @@
 		if err := th.await(ctx, reply); err != nil {
 			return nil, err
 		}
-		issued = sent{number: reply.GetNumber(), epoch: reply.GetEpoch()}
+		issued, now = sent{number: reply.GetNumber(), epoch: reply.GetEpoch()}, th.Timers.Now()
 	}
 	if err := th.takeAfterPause(incarnation); err != nil {
 		return nil, err
 	}
-	return func(seen notice.Notice) { th.observe(upstream, issued, seen) }, nil
+	return func(seen notice.Notice) {
+		th.observeCold(upstream, now, seen.Cold)
+		th.observe(upstream, issued, seen)
+	}, nil
 }
 
 // await waits until the request of a reply may be sent, or returns why it may not.
@@ -182,8 +230,10 @@
 // ask asks the owner of an upstream's permits for one.
 func (th *Throttle) ask(ctx context.Context, upstream *roster.Upstream, maxWait time.Duration) (*wire.PermitReply, error) {
 	owner := th.owner(upstream.ID, upstream.FailureDomain)
+	perSecond, left := th.coldLeft(th.Timers.Now(), upstream)
 	request := &wire.PermitRequest{
 		Limit: th.known(upstream.Incarnation()), FailureDomain: upstream.FailureDomain, MaxWaitMicros: max(maxWait, 0).Microseconds(),
+		ColdPerSecond: perSecond, ColdLeftMs: left.Milliseconds(),
 	}
 	if owner.ID == th.Self {
 		return th.IssuePermit(request), nil
@@ -228,21 +278,29 @@
 	th.unresponsive[owner] = now.Add(unresponsiveBackoff)
 }
 
-// known returns what this instance knows of the limit of an upstream.
+// known returns what this instance knows of the rate limit of an upstream, or else of its cold time.
 func (th *Throttle) known(incarnation roster.Incarnation) *wire.UpstreamNotice {
 	th.mu.Lock()
 	defer th.mu.Unlock()
-	entry, found := th.table.Find(noticetable.RateLimit, incarnation)
+	entry, found := th.find(incarnation)
 	if !found {
 		entry = noticetable.Entry{Incarnation: incarnation, Ended: true}
 	}
-	return toWire(entry)
+	return th.toWire(entry)
+}
+
+// find returns the entry of an upstream's rate limit, or else of its cold time, or false if there is neither. The caller holds the lock.
+func (th *Throttle) find(incarnation roster.Incarnation) (noticetable.Entry, bool) {
+	if entry, found := th.table.Find(noticetable.RateLimit, incarnation); found {
+		return entry, true
+	}
+	return th.table.Find(noticetable.Cold, incarnation)
 }
 
-// publish makes visible what the upstreams have said; the caller holds the lock.
-func (th *Throttle) publish() {
-	limits, leaving, pauses := th.table.Limits(), th.table.LeavingSince(), th.pauses.Until()
-	th.limited.Store(&limits)
+// publish makes visible what the upstreams have said, and returns those that have become cold; the caller holds the lock.
+func (th *Throttle) publish() (begun []roster.Incarnation) {
+	leaving, pauses := th.table.LeavingSince(), th.pauses.Until()
+	begun = th.publishCold()
 	th.paused.Store(&pauses)
 	th.publishBrittle()
 	avoided, ahead := th.table.PausesUntil(th.Fleet.Time()), th.Fleet.Time().Sub(th.Timers.Now())
@@ -254,4 +312,5 @@
 		th.leaving.Store(&leaving)
 		th.LeavingChanged(leaving)
 	}
+	return begun
 }
