Tests of the permits of cold upstreams without a network and over sockets

Cause: the limits of cold upstreams were untested. Cold times that are over don't come back by gossip.

--- a/entry/settings.go
+++ b/entry/settings.go
@@ -23,8 +23,8 @@
 	// IsFirstStart is set while the whole fleet starts for the first time.
 	IsFirstStart bool
 	// LimitsCold is set if the requests to cold upstreams are limited to the rate of their pool.
-	LimitsCold bool
-	MemoryBytes  int64
+	LimitsCold  bool
+	MemoryBytes int64
 	// MilliCores is the processor time available to the process, in thousandths of a core.
 	MilliCores  int64
 	RetryBudget retryquota.Config
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -40,7 +40,7 @@
 	pools := func(name string) []route.WeightedPool { return []route.WeightedPool{{Pool: name, Weight: 1}} }
 	return route.New(route.Table{
 		Revision:      3,
-		Organisations: map[string]route.Organisation{"key": {Name: "guild"}},
+		Organisations: map[string]route.Organisation{"key": {Name: "guild"}, "patient": {Name: "patient", Rank: 1, HasRank: true}},
 		Pools: map[string]route.Pool{
 			"plain": {Name: "plain"}, "model": {Name: "model", Engine: &route.Engine{Slots: 64}},
 			"stage": {Name: "stage", Batching: &route.Batching{MaxBatch: 8, CallTime: 150 * time.Millisecond, ItemTime: 16 * time.Millisecond}},
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -85,3 +85,31 @@
 		assertRefusedAt(t, fk, outcome, 200*time.Millisecond)
 	})
 }
+
+// withKey gives a request another API key.
+func withKey(key string) func(rq *gateway.Request) {
+	return func(rq *gateway.Request) { rq.APIKey = key }
+}
+
+// TestAllColdUpstreams guards against callers who are asked to come back long after the upstreams are warm, and against less urgent
+// requests that take the permits for which more urgent ones wait.
+func TestAllColdUpstreams(t *testing.T) {
+	t.Run("callers are asked to come back one after the other, soon after the end of the cold time at the latest", func(t *testing.T) {
+		fk := permitsAfter(800*time.Millisecond, "p1", "p2")
+		fk.coldFor, fk.earlier = time.Second, 9
+		outcome, _ := serve(t, fk, "/lookup/1", nil)
+		assertRefusedAt(t, fk, outcome, time.Second+9*10*time.Millisecond)
+	})
+	t.Run("an urgent request waits as at a rate limit", func(t *testing.T) {
+		fk := permitsAfter(150*time.Millisecond, "p1", "p2")
+		fk.coldFor = time.Second
+		outcome, _ := serve(t, fk, "/lookup/1", nil)
+		assertOutcome(t, "Answered", outcome)
+	})
+	t.Run("a less urgent one leaves the late permits to others", func(t *testing.T) {
+		fk := permitsAfter(150*time.Millisecond, "p1", "p2")
+		fk.coldFor = time.Second
+		outcome, _ := serve(t, fk, "/lookup/1", withKey("patient"))
+		assertRefusedAt(t, fk, outcome, 150*time.Millisecond)
+	})
+}
--- a/noticetable/noticetable.go
+++ b/noticetable/noticetable.go
@@ -239,10 +239,10 @@
 }
 
 // Prune drops the pauses that are over, and the entries that are older than retention and have ended, or whose upstream is not
-// registered. PruneCold drops cold times.
+// registered. PruneCold drops the cold times that were not ended.
 func (tb *Table) Prune(now time.Time, isRegistered func(roster.Incarnation) bool) {
 	for of, it := range tb.entries {
-		if of.kind == Cold {
+		if of.kind == Cold && !it.Ended {
 			continue
 		}
 		if of.kind == Pause && now.After(it.end()) {
@@ -258,7 +258,7 @@
 // holds one can't bring it back with a remaining time that grows on its way.
 func (tb *Table) PruneCold(now time.Time) {
 	for of, it := range tb.entries {
-		if of.kind == Cold && now.Sub(it.Until) > retention {
+		if of.kind == Cold && !it.Ended && now.Sub(it.Until) > retention {
 			delete(tb.entries, of)
 		}
 	}
--- a/noticetable/noticetable_test.go
+++ b/noticetable/noticetable_test.go
@@ -125,3 +125,47 @@
 	tb.Prune(start.Add(6*time.Second), func(roster.Incarnation) bool { return true })
 	must.SliceEmpty(t, tb.All())
 }
+
+// TestColdTimes guards against a cold time that each answer announces anew, one that an older notice brings back, and one that is
+// dropped, or kept, since the wall time has jumped.
+func TestColdTimes(t *testing.T) {
+	cold := func(seconds int64, until time.Time, ended bool) noticetable.Entry {
+		return noticetable.Entry{Kind: noticetable.Cold, Incarnation: roster.Incarnation{ID: "u"}, At: time.Unix(seconds, 0), Until: until, Ended: ended}
+	}
+	start := time.Unix(100, 0)
+	end := start.Add(3 * time.Second)
+	tb := noticetable.New()
+	must.True(t, tb.Merge(cold(100, end, false)))
+	must.False(t, tb.Merge(cold(101, end.Add(100*time.Millisecond), false)), must.Sprint("nearly the same end"))
+	must.False(t, tb.Merge(cold(99, end.Add(time.Minute), false)), must.Sprint("older"))
+	must.True(t, tb.Merge(cold(102, end.Add(-time.Second), false)), must.Sprint("earlier"))
+	must.False(t, tb.Merge(cold(101, start, true)), must.Sprint("an end that is older"))
+	must.True(t, tb.Merge(cold(103, start, true)))
+	must.True(t, tb.ColdTimes()[roster.Incarnation{ID: "u"}].Ended)
+	must.False(t, tb.Merge(cold(102, end, false)))
+	must.True(t, tb.Merge(cold(104, end, false)), must.Sprint("it is cold again"))
+	must.MapEmpty(t, tb.Limits(), must.Sprint("the rate is that of the pool"))
+	t.Run("it is dropped a minute after its end, whatever the wall time", func(t *testing.T) {
+		tb.Prune(time.Unix(1e6, 0), func(roster.Incarnation) bool { return false })
+		tb.PruneCold(end.Add(50 * time.Second))
+		must.MapLen(t, 1, tb.ColdTimes())
+		tb.PruneCold(end.Add(70 * time.Second))
+		must.MapEmpty(t, tb.ColdTimes())
+	})
+	t.Run("one that was ended is dropped a minute after that", func(t *testing.T) {
+		tb.Merge(cold(200, start, true))
+		tb.Prune(time.Unix(250, 0), func(roster.Incarnation) bool { return true })
+		must.MapLen(t, 1, tb.ColdTimes())
+		tb.Prune(time.Unix(270, 0), func(roster.Incarnation) bool { return true })
+		must.MapEmpty(t, tb.ColdTimes())
+	})
+}
+
+// TestManyColdTimes guards against a table that grows with every upstream that was ever cold.
+func TestManyColdTimes(t *testing.T) {
+	tb := noticetable.New()
+	for at := range 3000 {
+		tb.Merge(noticetable.Entry{Kind: noticetable.Cold, Incarnation: roster.Incarnation{ID: fmt.Sprint("u", at)}, At: time.Unix(int64(at), 0), Until: time.Unix(9000, 0)})
+	}
+	must.MapLen(t, 1024, tb.ColdTimes())
+}
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -1,6 +1,8 @@
 package permit_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -92,3 +94,31 @@
 	ld.Take(start, up, 5, 1, time.Minute)
 	must.True(t, ld.IsNewer(up, 2))
 }
+
+// TestColdUpstreams guards against more requests in one second than cold upstreams bear, 1.5 times their rate and 5 more, also where
+// another owner takes over halfway, and against a rate that is not used.
+func TestColdUpstreams(t *testing.T) {
+	const perSecond, length, step = 9.2, 3 * time.Second, 5 * time.Millisecond
+	for _, maxWait := range []time.Duration{0, time.Second} {
+		for _, changes := range []bool{false, true} {
+			ld, times := permit.New(), map[roster.Incarnation][]time.Time{}
+			for at := start; at.Before(start.Add(length)); at = at.Add(step) {
+				if changes && at.Equal(start.Add(length/2)) {
+					ld = permit.New()
+				}
+				for number := range 35 {
+					incarnation := roster.Incarnation{ID: fmt.Sprint("u", number)}
+					if granted, is := ld.Take(at, incarnation, perSecond, 1, maxWait).(permit.Granted); is {
+						times[incarnation] = append(times[incarnation], at.Add(granted.Wait))
+					}
+				}
+			}
+			must.MapLen(t, 35, times)
+			for _, each := range times {
+				slices.SortFunc(each, time.Time.Compare)
+				must.LessEq(t, 18, most(each, time.Second), must.Sprintf("wait %v, owner changes %t", maxWait, changes))
+				must.GreaterEq(t, int(0.8*perSecond*length.Seconds()), len(each), must.Sprintf("wait %v, owner changes %t", maxWait, changes))
+			}
+		}
+	}
+}
--- a/throttle/cold.go
+++ b/throttle/cold.go
@@ -10,8 +10,12 @@
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
 
-// maxColdTime bounds the cold time that another instance reports.
-const maxColdTime = 24 * time.Hour
+const (
+	// maxColdTime bounds the cold time that another instance reports.
+	maxColdTime = 24 * time.Hour
+	// maxEndAge is how old the end of a cold time may be to be learned; the table drops ends that are a minute old.
+	maxEndAge = 50 * time.Second
+)
 
 // coldTime is the rate that an upstream accepts while it is cold, in requests per second, and until when it is, by the clock of the
 // timers; the zero time if an answer has said that it no longer is.
@@ -194,6 +198,18 @@
 	}
 }
 
+// isForgotten reports whether a cold time of which this instance knows nothing is over: it may have dropped the entry, which must not come
+// back from the others. The caller holds the lock.
+func (th *Throttle) isForgotten(entry noticetable.Entry) bool {
+	if _, found := th.table.Find(noticetable.Cold, entry.Incarnation); found {
+		return false
+	}
+	if entry.Ended {
+		return th.Fleet.Time().Sub(entry.At) > maxEndAge
+	}
+	return !th.Timers.Now().Before(entry.Until)
+}
+
 // recordCold records upstreams that have become cold in the time line, with the source of the knowledge.
 func (th *Throttle) recordCold(begun []roster.Incarnation, source string) {
 	now, until := th.Timers.Now(), th.Cold()
--- a/throttle/owner.go
+++ b/throttle/owner.go
@@ -162,6 +162,9 @@
 		if entry.Incarnation.ID == "" || entry.At.IsZero() {
 			continue
 		}
+		if entry.Kind == noticetable.Cold && th.isForgotten(entry) {
+			continue
+		}
 		if entry.Kind != noticetable.RateLimit {
 			others = th.table.Merge(entry) || others
 			continue
