--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -86,6 +86,8 @@
 	passesOnLate bool
 	// startsFirst makes the settings say that the fleet starts for the first time.
 	startsFirst bool
+	// ignoresCold makes the instances ignore that upstreams are cold.
+	ignoresCold bool
 	// hidesCrashes makes probes find every upstream alive.
 	hidesCrashes bool
 }
@@ -127,7 +129,7 @@
 	}
 	upstreams := upstreamClient{fleet: fl, node: nd}
 	nd.entry = entry.New(entry.Parts{
-		Settings: entry.Settings{Instance: id, FailureDomain: domain, PeerAddress: id, Seeds: seeds, RetryBudget: terms, IsFirstStart: variant.startsFirst},
+		Settings: entry.Settings{Instance: id, FailureDomain: domain, PeerAddress: id, Seeds: seeds, RetryBudget: terms, IsFirstStart: variant.startsFirst, LimitsCold: !variant.ignoresCold},
 		Logger:   log.New(io.Discard), Timers: timer.New(), Random: fl.random.Fork(fmt.Sprint(id, time.Now().UnixNano())),
 		Source: storeClient{store: fl.store, node: nd}, Decoder: reader,
 		Tables: catalog.TableNames{Configuration: configurations, Registrations: registrations},
--- a/entry/items_test.go
+++ b/entry/items_test.go
@@ -23,6 +23,7 @@
 		us.mu.Unlock()
 		return gather.NotRun{Misdirected: true}
 	}
+	up.cold.record(uc.node)
 	if up.standing.rejects() {
 		us.mu.Unlock()
 		us.announceLimit(ctx, uc.node, up, false)
@@ -84,6 +85,7 @@
 	us.mu.Unlock()
 	if up != nil {
 		us.recordLimitedCall(uc.node, up)
+		us.recordOtherCall(uc.node, up, target)
 	}
 	return 1e9, nil
 }
@@ -96,6 +98,7 @@
 	}
 	us := uc.fleet.upstreams
 	us.recordLimitedCall(uc.node, up)
+	us.recordOtherCall(uc.node, up, target)
 	us.announceLimit(ctx, uc.node, up, false)
 	us.mu.Lock()
 	defer us.mu.Unlock()
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -27,6 +27,12 @@
 	// begin replaces the beginning of the limits; countsFrom is when the outcomes are counted from.
 	begin      func(lr *limitRun)
 	countsFrom time.Duration
+	// length is how long the limits last, variant is how the fleet violates them, and prepare is called before the configuration.
+	length  time.Duration
+	variant defects
+	prepare func(lr *limitRun)
+	// key returns the holder of the key of a request, by its number.
+	key func(number int) string
 	// during is called each 100 ms with the time since the limits began.
 	during func(lr *limitRun, elapsed time.Duration)
 	// leastUse is the least part of the last limit that must be used.
@@ -40,6 +46,8 @@
 	slowest                   time.Duration
 	// slow counts the refusals that took longer than slowestRefusal, withoutTime those without such a time.
 	slow, withoutTime int
+	// answeredOf and sentOf count the counted requests by the holder of their key.
+	answeredOf, sentOf map[string]int
 }
 
 const (
@@ -52,7 +60,10 @@
 )
 
 func newLimitRun() *limitRun {
-	return &limitRun{instances: 8, upstreams: 9, limited: 2, perSecond: 1, every: 20 * time.Millisecond, atOnce: 1, path: "/stream/", pool: "model", leastUse: 0.5, countsFrom: settleBound}
+	return &limitRun{
+		instances: 8, upstreams: 9, limited: 2, perSecond: 1, every: 20 * time.Millisecond, atOnce: 1, path: "/stream/", pool: "model", leastUse: 0.5, countsFrom: settleBound,
+		length: limitTime, key: func(int) string { return organisationName(0) }, answeredOf: map[string]int{}, sentOf: map[string]int{},
+	}
 }
 
 // limitedID returns the id of a limited upstream by its number.
@@ -69,11 +80,14 @@
 func (lr *limitRun) play(t *testing.T) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
-		fl := newFleetOf(lr.instances, max(*soakSeed, limitSeed), defects{})
+		fl := newFleetOf(lr.instances, max(*soakSeed, limitSeed), lr.variant)
 		lr.soak = &soak{fleet: fl, random: fl.random.Fork("limits"), outcomes: map[string]int{}, faults: map[string]int{}, lastOutcome: map[string]string{}, keyHolders: []string{organisationName(0)}}
 		for at := 4; at < lr.upstreams; at++ {
 			fl.upstreams.register(fmt.Sprintf("model-%d", at), "model", domains[at%len(domains)])
 		}
+		if lr.prepare != nil {
+			lr.prepare(lr)
+		}
 		lr.soak.configure()
 		time.Sleep(convergenceTime + time.Second)
 		lr.sendFor(2*time.Second, false)
@@ -82,7 +96,7 @@
 		} else {
 			lr.begin(lr)
 		}
-		lr.sendFor(limitTime, true)
+		lr.sendFor(lr.length, true)
 		lr.soak.group.Wait()
 		fl.stop()
 		lr.ended = time.Now()
@@ -110,26 +124,29 @@
 	nodes := lr.soak.fleet.live()
 	nd := nodes[lr.soak.random.IntN(len(nodes))]
 	id := fmt.Sprint("l", lr.sent)
+	holder := lr.key(lr.sent)
 	request := &gateway.Request{
-		ID: id, Method: "POST", Host: "h", Path: lr.path + id, APIKey: "key-" + organisationName(0), Body: []byte(id),
+		ID: id, Method: "POST", Host: "h", Path: lr.path + id, APIKey: "key-" + holder, Body: []byte(id),
 		Arrived: time.Now(), CallerTimeout: requestTimeout, ItemCounts: []int{2, 1}, ItemKey: id,
 		Prompt: promptOf("first", fmt.Sprint("session-", lr.soak.random.IntN(sessionsPerUpstream*lr.upstreams)), "own-"+id),
 	}
 	lr.soak.group.Go(func() {
 		outcome := lr.soak.serve(context.Background(), nd, request)
 		if counted && !nd.dead.Load() {
-			lr.count(outcome, time.Since(request.Arrived))
+			lr.count(outcome, holder, time.Since(request.Arrived))
 		}
 	})
 }
 
 // count counts the outcome of a request.
-func (lr *limitRun) count(outcome gateway.Outcome, took time.Duration) {
+func (lr *limitRun) count(outcome gateway.Outcome, holder string, took time.Duration) {
 	lr.soak.mu.Lock()
 	defer lr.soak.mu.Unlock()
+	lr.sentOf[holder]++
 	switch outcome := outcome.(type) {
 	case gateway.Answered:
 		lr.answered++
+		lr.answeredOf[holder]++
 	case gateway.Refused:
 		lr.refused++
 		lr.slowest = max(lr.slowest, took)
--- a/entry/ratelimits_test.go
+++ b/entry/ratelimits_test.go
@@ -102,6 +102,7 @@
 		up.standing.say(nd, &seen)
 	}
 	up.brittle.say(&seen)
+	up.cold.say(&seen)
 	us.mu.Unlock()
 	if us.variant.hidesLimits {
 		seen.Limit = ratelimit.None{}
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -49,14 +49,18 @@
 	violations []string
 	outcomes   map[string]int
 	// lastOutcome is the outcome of each request by its id.
-	lastOutcome  map[string]string
-	faults       map[string]int
-	sent         int
-	revision     int64
-	keyHolders   []string
-	poisonBodies []string
-	badParts     []string
-	partitioned  bool
+	lastOutcome map[string]string
+	faults      map[string]int
+	sent        int
+	revision    int64
+	keyHolders  []string
+	// ranks are the ranks of organisations that have one of their own, coldPerSecond is the rate of cold upstreams in the next
+	// configuration.
+	ranks         map[string]int
+	coldPerSecond float64
+	poisonBodies  []string
+	badParts      []string
+	partitioned   bool
 	// copied is set while the store is about to come back older.
 	copied atomic.Bool
 }
@@ -111,8 +115,13 @@
 			"encode": stagePool("encode"), "rank": stagePool("rank"),
 		},
 	}
+	for name, pool := range table.Pools {
+		pool.ColdPerSecond = sk.coldPerSecond
+		table.Pools[name] = pool
+	}
 	for _, holder := range sk.keyHolders {
-		table.Organisations["key-"+holder] = route.Organisation{Name: holder}
+		rank, hasRank := sk.ranks[holder]
+		table.Organisations["key-"+holder] = route.Organisation{Name: holder, Rank: rank, HasRank: hasRank}
 	}
 	to := func(pool string) []route.WeightedPool { return []route.WeightedPool{{Pool: pool, Weight: 1}} }
 	table.Pipelines = []route.Pipeline{
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -32,6 +32,8 @@
 	standing *standing
 	// brittle is how it falls over, or nil.
 	brittle *brittle
+	// cold is the time in which it is cold, or nil.
+	cold *coldSpan
 	// crashedOn counts the crashes by request body.
 	crashedOn map[string]int
 }
@@ -79,6 +81,8 @@
 	knowsOnlyIDs bool
 	// registerDelay is how long after its start an upstream's registration is written.
 	registerDelay time.Duration
+	// coldFor is how long upstreams are cold that start from now on.
+	coldFor time.Duration
 }
 
 // arrival is a request or an item that an upstream received; repeated is set if it was received before.
@@ -131,6 +135,10 @@
 		fresh.crashedOn = before.crashedOn
 		fresh.brittle, fresh.Slots = before.brittle, before.Slots
 	}
+	if us.coldFor > 0 {
+		fresh.WarmAt = time.Now().Add(us.coldFor)
+		fresh.cold = &coldSpan{upstream: id, from: time.Now(), until: fresh.WarmAt}
+	}
 	us.byID[id] = fresh
 	delay := us.registerDelay
 	us.mu.Unlock()
@@ -290,6 +298,7 @@
 		return reply
 	}
 	us.recordArrival(nd, up, exchange.Request.ID)
+	up.cold.record(nd)
 	if up.standing.rejects() {
 		return newRejection()
 	}
@@ -437,6 +446,7 @@
 	up, err := uc.connect(ctx, target)
 	if err == nil {
 		uc.fleet.upstreams.recordLimitedCall(uc.node, up)
+		uc.fleet.upstreams.recordOtherCall(uc.node, up, target)
 		uc.fleet.upstreams.announceLimit(ctx, uc.node, up, false)
 	}
 	return err == nil && !uc.fleet.upstreams.variant.hidesCrashes && up.StartUnixMs != target.StartUnixMs
