--- a/entry/cold_test.go
+++ b/entry/cold_test.go
@@ -30,6 +30,14 @@
 	coldTime    = 3 * time.Second
 )
 
+// startCold makes an upstream cold that starts now.
+func (up *upstream) startCold(length time.Duration) {
+	if length > 0 {
+		up.WarmAt = time.Now().Add(length)
+		up.cold = &coldSpan{upstream: up.ID, from: time.Now(), until: up.WarmAt}
+	}
+}
+
 // record records a call; the caller holds the lock of the upstreams.
 func (cs *coldSpan) record(nd *node) {
 	if cs != nil {
@@ -95,7 +103,7 @@
 type coldRun struct {
 	*limitRun
 	spans []*coldSpan
-	// length is how long they are cold.
+	// coldFor is how long they are cold.
 	coldFor time.Duration
 }
 
@@ -176,7 +184,7 @@
 					cr.limited = 4
 				}
 				cr.every, cr.atOnce, cr.coldFor, cr.length = 10*time.Millisecond, 3, 6*time.Second, 6*time.Second
-				cr.soakRanks(map[string]int{organisationName(0): 0, organisationName(1): 2})
+				cr.setRanks(map[string]int{organisationName(0): 0, organisationName(1): 2})
 				assertColdIsKept(t, cr, 0.7)
 				must.Positive(t, cr.refused)
 				urgent, other := cr.answeredShare(0), cr.answeredShare(1)
@@ -188,8 +196,8 @@
 	}
 }
 
-// soakRanks gives two organisations ranks of their own, and each of them half of the requests.
-func (cr *coldRun) soakRanks(ranks map[string]int) {
+// setRanks gives two organisations ranks of their own, and each of them half of the requests.
+func (cr *coldRun) setRanks(ranks map[string]int) {
 	before := cr.prepare
 	cr.prepare = func(lr *limitRun) {
 		before(lr)
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -135,10 +135,7 @@
 		fresh.crashedOn = before.crashedOn
 		fresh.brittle, fresh.Slots = before.brittle, before.Slots
 	}
-	if us.coldFor > 0 {
-		fresh.WarmAt = time.Now().Add(us.coldFor)
-		fresh.cold = &coldSpan{upstream: id, from: time.Now(), until: fresh.WarmAt}
-	}
+	fresh.startCold(us.coldFor)
 	us.byID[id] = fresh
 	delay := us.registerDelay
 	us.mu.Unlock()
--- a/layers_test.go
+++ b/layers_test.go
@@ -102,7 +102,7 @@
 // platformNames are spellings of the users' platform that only its adapter knows.
 var platformNames = []string{
 	"Turmericdoor-", "Kv-From", "Kv-Fetch", "Last-Event-Id", "\"Resumes\"", "Retry-After", "Server-Limit", "Server-Brittle", "Store-Era", "/v1/rows", "/v1/stage", "/v1/report", "/v1/blob", "/v1/ready",
-	"rows-get", "rows-feed", "op/config", "\"servers\"", "row_version", "slot_count", "cold_left_ms", "headroom_mb", "gap_aim_ms", "api_keys",
+	"rows-get", "rows-feed", "op/config", "\"servers\"", "row_version", "slot_count", "cold_left_ms", "headroom_mb", "gap_aim_ms", "api_keys", "cold_per_s", "cold_overage", "cold_slack",
 	"TURMERICDOOR_NODE_FILE", "node_name", "inner_ports",
 }
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -139,6 +139,12 @@
 		rs.PutRestored(start, copied, false)
 		assertUsable(t, rs)
 	})
+	t.Run("an upstream that is warm does not become cold again", func(t *testing.T) {
+		rs := registered("a")
+		rs.Put(roster.Upstream{ID: "a", Pool: "p", StartUnixMs: 5, WarmAt: start.Add(-time.Minute)})
+		rs.PutRestored(start, roster.Upstream{ID: "a", Pool: "p", StartUnixMs: 5, WarmAt: start.Add(3 * time.Second)}, false)
+		must.Eq(t, start.Add(-time.Minute), rs.Snapshot().Find("a").WarmAt)
+	})
 	t.Run("a later incarnation than that of the copy stays in use", func(t *testing.T) {
 		rs := registered("a")
 		rs.Put(roster.Upstream{ID: "a", Pool: "p", StartUnixMs: 9})
