Tests of cold upstreams without races

Cause: the race detector found that one test replaced the instances of a fleet whose gossip read them, and that another read the number of events while gossip could record some. Change: the first has a fleet of its own, the second reads the number under the lock. Result: the new tests of throttle, and those of entry with 8 instances, pass with the race detector.

--- a/throttle/cold_test.go
+++ b/throttle/cold_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -12,7 +13,6 @@
 	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
-	"github.com/turmericdoor/turmericdoor/timer"
 )
 
 // TestColdUpstreamsUnderABurst guards against instances that each send an upstream which has just started what they would send a warm
@@ -29,7 +29,7 @@
 					for _, up := range list {
 						must.Positive(t, countBetween(fl.arrivals[up.ID], began.Add(coldLength+10*time.Millisecond), time.Now()), must.Sprint("requests after the cold time"))
 					}
-					must.Eq(t, 35*instances, fl.events[wire.EventKind_EventUpstreamCold])
+					must.Eq(t, 35*instances, fl.coldEvents())
 					for _, cn := range fl.nodes {
 						must.MapEmpty(t, cn.throttle.Limits())
 						must.MapEmpty(t, cn.throttle.Cold())
@@ -102,14 +102,14 @@
 		must.NoError(t, err)
 		time.Sleep(10 * time.Millisecond)
 		must.NoError(t, fl.nodes[0].send(ctx, up, 0, &notice.Cold{Left: coldLength}))
-		must.Eq(t, 1, fl.events[wire.EventKind_EventUpstreamCold])
+		must.Eq(t, 1, fl.coldEvents())
 		assertExceeded(t, fl.nodes[0].send(ctx, up, 0, nil), 100*time.Millisecond)
 		time.Sleep(time.Second)
 		for _, cn := range fl.nodes {
 			must.MapContainsKey(t, cn.throttle.Limits(), up.Incarnation(), must.Sprint(cn.id))
 			must.Between(t, coldLength-1200*time.Millisecond, time.Until(cn.throttle.Cold()[up.Incarnation()]), coldLength-900*time.Millisecond)
 		}
-		must.Eq(t, 18, fl.events[wire.EventKind_EventUpstreamCold])
+		must.Eq(t, 18, fl.coldEvents())
 		began := time.Now()
 		fl.burst(ctx, 800*time.Millisecond, 0, []*roster.Upstream{up})
 		fl.assertCold(t, []*roster.Upstream{up}, began, time.Now(), 0.8)
@@ -235,23 +235,20 @@
 
 // TestColdUpstreamsAtTheStart guards against instances that issue permits for a cold upstream before they know each other.
 func TestColdUpstreamsAtTheStart(t *testing.T) {
-	runColdFleet(t, 2, func(ctx context.Context, fl *coldFleet) {
+	synctest.Test(t, func(*testing.T) {
+		fl := newColdFleet()
+		fl.nodes = []*coldNode{fl.newNode("alone")}
 		up := fl.startCold(1, time.Minute)[0]
-		fresh := fl.newNode("alone")
-		fl.nodes = []*coldNode{fresh}
-		fresh.throttle.UpstreamsChanged()
-		assertExceeded(t, fresh.send(ctx, up, time.Second, nil), 2*time.Second)
+		assertExceeded(t, fl.nodes[0].send(context.Background(), up, time.Second, nil), 2*time.Second)
 		time.Sleep(2 * time.Second)
-		must.NoError(t, fresh.send(ctx, up, time.Second, nil))
+		must.NoError(t, fl.nodes[0].send(context.Background(), up, time.Second, nil))
 	})
 }
 
 // BenchmarkPermit measures a permit of an owner, and a request that needs none, with 35 cold upstreams of 140 and with none.
 func BenchmarkPermit(b *testing.B) {
 	for _, count := range []int{0, 35} {
-		fl := &coldFleet{
-			timers: timer.New(), upstreams: map[string]*roster.Upstream{}, arrivals: map[string][]time.Time{}, asked: map[string]int{}, events: map[wire.EventKind]int{},
-		}
+		fl := newColdFleet()
 		fl.nodes = []*coldNode{fl.newNode("n0")}
 		for at := range 140 {
 			fl.register(fmt.Sprint("u", at), "limited", 0)
--- a/throttle/coldfleet_test.go
+++ b/throttle/coldfleet_test.go
@@ -158,6 +158,13 @@
 
 func (*coldNode) TriggerHeartbeat() {}
 
+// newColdFleet returns a fleet without instances.
+func newColdFleet() *coldFleet {
+	return &coldFleet{
+		timers: timer.New(), upstreams: map[string]*roster.Upstream{}, arrivals: map[string][]time.Time{}, asked: map[string]int{}, events: map[wire.EventKind]int{},
+	}
+}
+
 // newNode returns an instance; its throttle has just started.
 func (fl *coldFleet) newNode(id string) *coldNode {
 	cn := &coldNode{fleet: fl, id: id, clock: hlc.New(fl.timers)}
@@ -174,6 +181,13 @@
 	return cn
 }
 
+// coldEvents returns how often an instance has recorded that an upstream is cold.
+func (fl *coldFleet) coldEvents() int {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.events[wire.EventKind_EventUpstreamCold]
+}
+
 func (fl *coldFleet) find(id string) *roster.Upstream {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
@@ -206,9 +220,7 @@
 func runColdFleet(t *testing.T, instances int, run func(ctx context.Context, fl *coldFleet)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
-		fl := &coldFleet{
-			timers: timer.New(), upstreams: map[string]*roster.Upstream{}, arrivals: map[string][]time.Time{}, asked: map[string]int{}, events: map[wire.EventKind]int{},
-		}
+		fl := newColdFleet()
 		for at := range instances {
 			fl.nodes = append(fl.nodes, fl.newNode(fmt.Sprint("n", at)))
 		}
