--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -40,7 +40,7 @@
 	pools := func(name string) []route.WeightedPool { return []route.WeightedPool{{Pool: name, Weight: 1}} }
 	return route.New(route.Table{
 		Revision:      3,
-		Organisations: map[string]route.Organisation{"key": {Name: "guild"}},
+		Organisations: map[string]route.Organisation{"key": {Name: "guild"}, "patient": {Name: "patient", Rank: 1, HasRank: true}},
 		Pools: map[string]route.Pool{
 			"plain": {Name: "plain"}, "model": {Name: "model", Engine: &route.Engine{Slots: 64}},
 			"stage": {Name: "stage", Batching: &route.Batching{MaxBatch: 8, CallTime: 150 * time.Millisecond, ItemTime: 16 * time.Millisecond}},
@@ -87,6 +87,9 @@
 	mu sync.Mutex
 	// pauses are until when upstreams want no requests.
 	pauses map[roster.Incarnation]time.Time
+	// coldFor is how long the upstreams of permitAfter are cold, or 0 if their limits have another reason.
+	coldFor   time.Duration
+	coldUntil time.Time
 	// log holds the events, metrics the page of the metrics after the request.
 	log     []*wire.Event
 	metrics string
