Evacuated failure domains: rows, register, and upstreams out of use

Change: package evacuation holds the evacuated domains, without I/O. The platform decodes the row; the catalog applies it before the configuration of the same update, and logs DomainEvacuated and DomainRestored.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/evacuation"
 	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/replica"
 	"github.com/turmericdoor/turmericdoor/roster"
@@ -22,16 +23,19 @@
 	Configuration(row replica.Row) (*route.Table, error)
 	// Registration decodes an upstream's registration.
 	Registration(row replica.Row, now time.Time) (roster.Upstream, error)
+	// Evacuation decodes the failure domain that a row of the configuration table evacuates while it is there, whatever its value is; ok is
+	// false for other rows. The error is to be logged, also if ok is true.
+	Evacuation(row replica.Row) (domain string, ok bool, err error)
 }
 
-// TableNames names the tables that hold the configuration and the registrations.
+// TableNames names the tables that hold the configuration, with the evacuations, and the registrations.
 type TableNames struct {
 	Configuration string
 	Registrations string
 }
 
-// Catalog holds the current configuration and upstreams. Reading RoutingTable, Snapshot, Pool, Upstreams, IsUsable and
-// Find takes no lock.
+// Catalog holds the current configuration, upstreams and evacuated failure domains. Reading RoutingTable, Snapshot, Pool, Upstreams,
+// Evacuated, IsUsable and Find takes no lock.
 type Catalog struct {
 	decoder    Decoder
 	tableNames TableNames
@@ -42,6 +46,7 @@
 	snapshot            atomic.Pointer[roster.Snapshot]
 	mu                  sync.Mutex
 	roster              *roster.Roster
+	evacuations         *evacuation.Register
 	registrationsLoaded bool
 	// restoredVersion is the version up to which the registrations are those of an older copy from which the store came back.
 	restoredVersion int64
@@ -56,7 +61,7 @@
 func New(decoder Decoder, tables TableNames, timers *timer.Service, events *timeline.Ring) *Catalog {
 	ct := &Catalog{
 		decoder: decoder, tableNames: tables, timers: timers, events: events, roster: roster.New(),
-		wake: make(chan struct{}, 1),
+		evacuations: evacuation.New(), wake: make(chan struct{}, 1),
 	}
 	ct.snapshot.Store(ct.roster.Snapshot())
 	return ct
@@ -104,7 +109,18 @@
 	return near
 }
 
-// IsUsable reports whether an incarnation is registered and not leaving.
+// Evacuated returns the upstreams of a pool that get no new requests since their failure domain is evacuated.
+func (ct *Catalog) Evacuated(pool string) []*roster.Upstream {
+	return ct.snapshot.Load().Evacuated(pool)
+}
+
+// IsPoolEvacuated reports whether a pool has no usable upstream since failure domains are evacuated.
+func (ct *Catalog) IsPoolEvacuated(pool string) bool {
+	snapshot := ct.snapshot.Load()
+	return len(snapshot.Usable(pool)) == 0 && len(snapshot.Evacuated(pool)) > 0
+}
+
+// IsUsable reports whether an incarnation may receive new requests: it is registered, not leaving, and not in an evacuated failure domain.
 func (ct *Catalog) IsUsable(incarnation roster.Incarnation) bool {
 	return ct.snapshot.Load().IsUsable(incarnation)
 }
@@ -118,6 +134,10 @@
 func (ct *Catalog) RowsChanged(table string, rows []replica.Row, version int64, fromPeer bool) {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
+	if table == ct.tableNames.Configuration {
+		// An instance that starts must not serve requests by its first configuration before it knows the evacuations.
+		ct.applyEvacuations(rows, fromPeer)
+	}
 	for _, row := range rows {
 		switch table {
 		case ct.tableNames.Configuration:
@@ -183,6 +203,57 @@
 	ct.roster.Put(upstream)
 }
 
+// applyEvacuations applies those of the rows that evacuate a failure domain, and makes them visible.
+func (ct *Catalog) applyEvacuations(rows []replica.Row, fromPeer bool) {
+	changed := false
+	for _, row := range rows {
+		domain, is, err := ct.decoder.Evacuation(row)
+		if err != nil {
+			ct.events.Record(&wire.Event{Kind: wire.EventKind_EventRowUnreadable, Stage: ct.tableNames.Configuration, Revision: row.Version, Detail: err.Error()})
+		}
+		if is {
+			changed = ct.applyEvacuation(domain, row, fromPeer) || changed
+		}
+	}
+	if changed {
+		ct.publishEvacuations()
+	}
+}
+
+// applyEvacuation applies a row that evacuates a failure domain, or its removal, and reports whether that changes which domains are
+// evacuated.
+func (ct *Catalog) applyEvacuation(domain string, row replica.Row, fromPeer bool) bool {
+	now := ct.timers.Now()
+	if !row.Deleted {
+		changed := ct.evacuations.Put(now, domain, row.Version)
+		if changed {
+			detail := fmt.Sprintf("domain=%s peer=%t upstreams=%d", domain, fromPeer, ct.snapshot.Load().CountIn(domain))
+			ct.events.Record(&wire.Event{Kind: wire.EventKind_EventDomainEvacuated, Revision: row.Version, Detail: detail})
+		}
+		ct.signal()
+		return changed
+	}
+	since, wasEvacuated := ct.evacuations.Domains(now)[domain]
+	if ct.evacuations.Remove(now, domain) {
+		detail := fmt.Sprintf("domain=%s peer=%t", domain, fromPeer)
+		ct.events.Record(&wire.Event{Kind: wire.EventKind_EventDomainRestored, Revision: row.Version, DurationMicros: now.Sub(since).Microseconds(), Detail: detail})
+		return true
+	}
+	if wasEvacuated {
+		left := ct.evacuations.NextExpiry().Sub(now)
+		detail := fmt.Sprintf("domain=%s source=held left=%dms", domain, left.Milliseconds())
+		ct.events.Record(&wire.Event{Kind: wire.EventKind_EventDomainEvacuated, Revision: row.Version, Detail: detail})
+		ct.signal()
+	}
+	return false
+}
+
+// publishEvacuations makes the evacuated failure domains visible.
+func (ct *Catalog) publishEvacuations() {
+	ct.roster.SetEvacuated(ct.evacuations.Domains(ct.timers.Now()))
+	ct.publish()
+}
+
 // publish makes the roster's state visible and records the upstreams that joined, are leaving or are gone.
 func (ct *Catalog) publish() {
 	before, after := ct.snapshot.Load(), ct.roster.Snapshot()
@@ -252,6 +323,10 @@
 		ct.restoredVersion, ct.versionBefore = after.Version, before.Version
 		ct.roster.StoreRestored(ct.timers.Now())
 	}
+	if table == ct.tableNames.Configuration {
+		ct.evacuations.StoreRestored(ct.timers.Now())
+		ct.signal()
+	}
 	ct.events.Record(&wire.Event{
 		Kind: wire.EventKind_EventStoreRestored, Stage: table, Revision: after.Version,
 		Detail: fmt.Sprintf("era=%d before=%d of era %d", after.Era, before.Version, before.Era),
@@ -280,12 +355,16 @@
 	}
 }
 
-// Run drops registrations whose grace period is over, until ctx ends; done is closed at the end.
+// Run drops registrations whose grace period is over, and evacuations that an older copy of the store lacks, until ctx ends; done is closed
+// at the end.
 func (ct *Catalog) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	for {
 		ct.mu.Lock()
 		at := ct.roster.NextExpiry()
+		if held := ct.evacuations.NextExpiry(); at.IsZero() || !held.IsZero() && held.Before(at) {
+			at = held
+		}
 		ct.mu.Unlock()
 		wait := ct.timers.After(max(at.Sub(ct.timers.Now()), 0))
 		if at.IsZero() {
@@ -304,7 +383,15 @@
 func (ct *Catalog) expire() {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
-	if changed := ct.roster.Expire(ct.timers.Now()); len(changed) > 0 {
+	now := ct.timers.Now()
+	if changed := ct.roster.Expire(now); len(changed) > 0 {
 		ct.publish()
 	}
+	expired := ct.evacuations.Expire(now)
+	for domain, version := range expired {
+		ct.events.Record(&wire.Event{Kind: wire.EventKind_EventDomainRestored, Revision: version, Detail: fmt.Sprintf("domain=%s source=expired", domain)})
+	}
+	if len(expired) > 0 {
+		ct.publishEvacuations()
+	}
 }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,6 +38,17 @@
 	return roster.Upstream{ID: row.Key, Pool: "p", Leaving: string(row.Value) == "leaving"}, nil
 }
 
+// evacuationKey begins the key of a row that evacuates a failure domain.
+const evacuationKey = "evacuation of "
+
+func (decoder) Evacuation(row replica.Row) (string, bool, error) {
+	domain, is := strings.CutPrefix(row.Key, evacuationKey)
+	if is && string(row.Value) == "unreadable" {
+		return domain, true, errors.New("unreadable")
+	}
+	return domain, is, nil
+}
+
 // runCatalog runs a catalog in fake time.
 func runCatalog(t *testing.T, run func(ct *catalog.Catalog)) {
 	t.Helper()
--- a/entry/store_test.go
+++ b/entry/store_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -297,6 +298,9 @@
 
 // Configuration returns the configuration of the revision in the row.
 func (dc decoder) Configuration(row replica.Row) (*route.Table, error) {
+	if row.Key != configurationKey {
+		return nil, nil
+	}
 	revision := int64(0)
 	if _, err := fmt.Sscan(string(row.Value), &revision); err != nil {
 		return nil, fmt.Errorf("parse configuration revision: %w", err)
@@ -315,6 +319,18 @@
 	return registration, nil
 }
 
+const (
+	configurationKey = "config"
+	// evacuationKey begins the key of a row that evacuates a failure domain.
+	evacuationKey = "evacuation of "
+)
+
+// Evacuation decodes the failure domain that a row evacuates.
+func (decoder) Evacuation(row replica.Row) (string, bool, error) {
+	domain, is := strings.CutPrefix(row.Key, evacuationKey)
+	return domain, is, nil
+}
+
 // sleep waits, and returns whether the context lasted; it uses no channel of a timer for the reason given at ReadChanges.
 func sleep(ctx context.Context, wait time.Duration) bool {
 	limit, end := context.WithTimeout(ctx, wait)
--- /dev/null
+++ b/evacuation/doc.go
@@ -0,0 +1,2 @@
+// Package evacuation holds which failure domains operators have evacuated.
+package evacuation
--- a/gateway/fakepeers_test.go
+++ b/gateway/fakepeers_test.go
@@ -26,6 +26,9 @@
 	if wait > maxWait {
 		return nil, ratelimit.Exceeded{RetryAfter: wait}
 	}
+	if wait > 0 && fk.whileWaiting != nil {
+		fk.whileWaiting()
+	}
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -129,6 +129,13 @@
 	// corrected lists the attempts for whose corrected records was waited, with the versions.
 	corrected []string
 	notFound  streamdirectory.NotFound
+	// evacuated are the failure domains that are evacuated from the beginning. catalog is that of the gateway, also while it serves.
+	evacuated []string
+	catalog   *catalog.Catalog
+	// registered are further upstreams, unregistered those that are not there.
+	registered, unregistered []string
+	// duringSend is called by the first send, whileWaiting while a permit is awaited.
+	duringSend, whileWaiting func()
 	// earlier is the number of requests that the gateway serves before the one whose response is checked.
 	earlier int
 }
@@ -153,6 +160,19 @@
 	}, nil
 }
 
+// evacuationKey begins the key of a row that evacuates a failure domain.
+const evacuationKey = "evacuation of "
+
+func (*fakes) Evacuation(row replica.Row) (string, bool, error) {
+	domain, is := strings.CutPrefix(row.Key, evacuationKey)
+	return domain, is, nil
+}
+
+// evacuate evacuates a failure domain.
+func (fk *fakes) evacuate(domain string) {
+	fk.catalog.RowsChanged("c", []replica.Row{{Key: evacuationKey + domain, Version: 9}}, 9, false)
+}
+
 func (fk *fakes) Send(ctx context.Context, request gateway.UpstreamRequest) (*gateway.UpstreamResponse, error) {
 	fk.mu.Lock()
 	fk.sends = append(fk.sends, request)
@@ -160,7 +180,12 @@
 	if len(fk.responses) > 0 {
 		next, fk.responses = fk.responses[0], fk.responses[1:]
 	}
+	during := fk.duringSend
+	fk.duringSend = nil
 	fk.mu.Unlock()
+	if during != nil {
+		during()
+	}
 	select {
 	case <-time.After(next.after):
 	case <-ctx.Done():
@@ -333,9 +358,17 @@
 		events := timeline.New("i", hlc.New(timers), 100, fk.record)
 		ct := catalog.New(fk, catalog.TableNames{Configuration: "c", Registrations: "r"}, timers, events)
 		ct.RowsChanged("c", []replica.Row{{Key: "config", Version: 1}}, 1, false)
-		for _, key := range []string{"p1@plain", "p2@plain", "p3@plain!", "m1@model", "m2@model", "m3@model", "s1@stage", "s2.b@stage"} {
+		keys := []string{"p1@plain", "p2@plain", "p3@plain!", "m1@model", "m2@model", "m3@model", "s1@stage", "s2.b@stage"}
+		for _, key := range append(keys, fk.registered...) {
+			if slices.Contains(fk.unregistered, key) {
+				continue
+			}
 			ct.RowsChanged("r", []replica.Row{{Key: key, Version: 1}}, 1, false)
 		}
+		fk.catalog = ct
+		for _, domain := range fk.evacuated {
+			fk.evacuate(domain)
+		}
 		budget := retryquota.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
 		if fk.budget.Window > 0 {
 			budget = fk.budget
--- a/layers_test.go
+++ b/layers_test.go
@@ -22,7 +22,7 @@
 	core   = []string{
 		"answer", "document", "fairqueue", "limit", "choice", "retry", "dispatch", "admission", "attempt", "claim", "lease",
 		"order", "poison", "quarantine", "headroom", "reach", "subset", "member", "gossip", "revision", "drain", "table",
-		"retryquota", "ratelimit", "notice", "noticetable", "pause", "confirmation", "permit", "ownership", "origin", "originhistory", "tombstone", "batch", "storereader", "storeclock", "overload", "placement", "replica", "roster", "route",
+		"retryquota", "ratelimit", "notice", "noticetable", "pause", "confirmation", "permit", "ownership", "evacuation", "origin", "originhistory", "tombstone", "batch", "storereader", "storeclock", "overload", "placement", "replica", "roster", "route",
 	}
 )
 
@@ -102,7 +102,7 @@
 // platformNames are spellings of the users' platform that only its adapter knows.
 var platformNames = []string{
 	"Turmericdoor-", "Kv-From", "Kv-Fetch", "Last-Event-Id", "\"Resumes\"", "Retry-After", "Server-Limit", "Server-Brittle", "Store-Era", "/v1/rows", "/v1/stage", "/v1/report", "/v1/blob", "/v1/ready",
-	"rows-get", "rows-feed", "op/config", "\"servers\"", "row_version", "slot_count", "cold_left_ms", "headroom_mb", "gap_aim_ms", "api_keys",
+	"rows-get", "rows-feed", "op/config", "evacuate/", "\"servers\"", "row_version", "slot_count", "cold_left_ms", "headroom_mb", "gap_aim_ms", "api_keys",
 	"TURMERICDOOR_NODE_FILE", "node_name", "inner_ports",
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -39,13 +39,23 @@
 type Snapshot struct {
 	byID   map[string]*Upstream
 	byPool map[string][]*Upstream
-	// addresses are those of all registrations.
+	// evacuatedByPool holds the upstreams of evacuated failure domains that are not leaving.
+	evacuatedByPool map[string][]*Upstream
+	evacuated       map[string]time.Time
+	// addresses are those of all registrations; the value is false if all upstreams with the address are in evacuated failure domains.
 	addresses map[string]bool
 }
 
 // HasAddress reports whether an upstream is registered with an address.
 func (sn *Snapshot) HasAddress(address string) bool {
-	return sn.addresses[address]
+	_, known := sn.addresses[address]
+	return known
+}
+
+// IsAddressEvacuated reports whether upstreams are registered with an address, all of them in evacuated failure domains.
+func (sn *Snapshot) IsAddressEvacuated(address string) bool {
+	isInUse, known := sn.addresses[address]
+	return known && !isInUse
 }
 
 // Roster tracks the registrations of upstreams in the store; it is not safe for concurrent use, its snapshots are.
@@ -55,6 +65,8 @@
 	graceUntil  time.Time
 	// leaving holds the incarnations that have said themselves that they are leaving, whatever is registered.
 	leaving map[Incarnation]time.Time
+	// evacuated holds the evacuated failure domains, and since when they are. It must not be changed.
+	evacuated map[string]time.Time
 	// gone holds the incarnations whose registrations were removed, and when.
 	gone map[Incarnation]time.Time
 }
@@ -148,6 +160,11 @@
 	rs.leaving = since
 }
 
+// SetEvacuated sets the evacuated failure domains, and since when they are. Their upstreams stay registered and get no new requests.
+func (rs *Roster) SetEvacuated(domains map[string]time.Time) {
+	rs.evacuated = domains
+}
+
 // isLeaving reports whether an upstream is registered as leaving, or has said so itself.
 func (rs *Roster) isLeaving(up *Upstream) bool {
 	_, said := rs.leaving[up.Incarnation()]
@@ -231,7 +248,10 @@
 
 // Snapshot returns the current state.
 func (rs *Roster) Snapshot() *Snapshot {
-	snapshot := &Snapshot{byID: map[string]*Upstream{}, byPool: map[string][]*Upstream{}, addresses: map[string]bool{}}
+	snapshot := &Snapshot{
+		byID: map[string]*Upstream{}, byPool: map[string][]*Upstream{}, evacuatedByPool: map[string][]*Upstream{}, evacuated: rs.evacuated,
+		addresses: map[string]bool{},
+	}
 	for id, known := range rs.entries {
 		if !known.heldUntil.IsZero() {
 			continue
@@ -239,15 +259,25 @@
 		upstream := known.upstream
 		upstream.Leaving = rs.isLeaving(&upstream)
 		snapshot.byID[id] = &upstream
-		snapshot.addresses[upstream.Address] = true
-		if !upstream.Leaving {
+		_, isEvacuated := rs.evacuated[upstream.FailureDomain]
+		snapshot.addresses[upstream.Address] = snapshot.addresses[upstream.Address] || !isEvacuated
+		switch {
+		case upstream.Leaving:
+		case isEvacuated:
+			snapshot.evacuatedByPool[upstream.Pool] = append(snapshot.evacuatedByPool[upstream.Pool], &upstream)
+		default:
 			snapshot.byPool[upstream.Pool] = append(snapshot.byPool[upstream.Pool], &upstream)
 		}
 	}
-	for _, each := range snapshot.byPool {
+	sortUpstreams(snapshot.byPool)
+	sortUpstreams(snapshot.evacuatedByPool)
+	return snapshot
+}
+
+func sortUpstreams(byPool map[string][]*Upstream) {
+	for _, each := range byPool {
 		slices.SortFunc(each, func(left, right *Upstream) int { return cmp.Compare(left.ID, right.ID) })
 	}
-	return snapshot
 }
 
 // Usable returns the upstreams of a pool that may receive new requests, ordered by id.
@@ -255,17 +285,54 @@
 	return sn.byPool[pool]
 }
 
-// Find returns the registered upstream with an id, or nil.
+// Evacuated returns the upstreams of a pool that get no new requests since their failure domain is evacuated, ordered by id. They are
+// registered and not leaving.
+func (sn *Snapshot) Evacuated(pool string) []*Upstream {
+	return sn.evacuatedByPool[pool]
+}
+
+// EvacuatedDomains returns the evacuated failure domains, and since when they are. The map must not be changed.
+func (sn *Snapshot) EvacuatedDomains() map[string]time.Time {
+	return sn.evacuated
+}
+
+// Find returns the registered upstream with an id, or nil. It may be leaving, or in an evacuated failure domain.
 func (sn *Snapshot) Find(id string) *Upstream {
 	return sn.byID[id]
 }
 
-// IsUsable reports whether an incarnation is registered and not leaving.
+// IsUsable reports whether an incarnation may receive new requests: it is registered, not leaving, and not in an evacuated failure domain.
 func (sn *Snapshot) IsUsable(incarnation Incarnation) bool {
+	return sn.IsStaying(incarnation) && !sn.IsEvacuated(incarnation)
+}
+
+// IsStaying reports whether an incarnation is registered and not leaving, also if its failure domain is evacuated.
+func (sn *Snapshot) IsStaying(incarnation Incarnation) bool {
 	known := sn.byID[incarnation.ID]
 	return known != nil && !known.Leaving && known.StartUnixMs == incarnation.StartUnixMs
 }
 
+// IsEvacuated reports whether the failure domain of a registered upstream is evacuated.
+func (sn *Snapshot) IsEvacuated(incarnation Incarnation) bool {
+	known := sn.byID[incarnation.ID]
+	if known == nil {
+		return false
+	}
+	_, isEvacuated := sn.evacuated[known.FailureDomain]
+	return isEvacuated
+}
+
+// CountIn returns the number of registered upstreams in a failure domain.
+func (sn *Snapshot) CountIn(failureDomain string) int {
+	count := 0
+	for _, up := range sn.byID {
+		if up.FailureDomain == failureDomain {
+			count++
+		}
+	}
+	return count
+}
+
 // IDs returns the ids of all registrations, sorted.
 func (sn *Snapshot) IDs() []string {
 	return slices.Sorted(maps.Keys(sn.byID))
