Evacuated upstreams get no requests, items, freed results or relayed connections

A queue without another failure domain returns its jobs at once. A scheduler that gets an upstream back knows its calls and results. Origins of streams at evacuated upstreams count as present. A crash there still counts against the request's content.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -89,9 +89,11 @@
 	config Config
 	groups map[uint64]*group
 	// queue holds the groups in the order of compareGroups.
-	queue      []*group
-	upstreams  map[string]*upstream
-	names      []string
+	queue     []*group
+	upstreams map[string]*upstream
+	names     []string
+	// absent holds the upstreams that are not listed but have calls or results, by name: they may be listed again.
+	absent     map[string]*upstream
 	calls      map[uint64]*call
 	lastCallID uint64
 	// itemTime is the moving average of the time for one item, in nanoseconds.
@@ -123,7 +125,7 @@
 // New returns a scheduler without upstreams.
 func New(config Config) *Scheduler {
 	return &Scheduler{
-		config: config, groups: map[uint64]*group{}, upstreams: map[string]*upstream{}, calls: map[uint64]*call{},
+		config: config, groups: map[uint64]*group{}, upstreams: map[string]*upstream{}, absent: map[string]*upstream{}, calls: map[uint64]*call{},
 		itemTime: float64(config.ItemTime), resultLifetime: float64(initialResultLifetime),
 	}
 }
@@ -136,12 +138,17 @@
 	sc.config = config
 }
 
-// SetUpstreams replaces the upstreams; calls in flight to removed ones continue.
+// SetUpstreams replaces the upstreams; calls in flight to removed ones continue. One that is listed again while it has calls or results still
+// has them.
 func (sc *Scheduler) SetUpstreams(list []Upstream) {
 	fresh := map[string]*upstream{}
 	sc.names = sc.names[:0]
 	for _, one := range list {
 		up, found := sc.upstreams[one.Name]
+		if !found {
+			up, found = sc.absent[one.Name]
+			delete(sc.absent, one.Name)
+		}
 		if !found {
 			up = &upstream{name: one.Name, slowdown: 1, results: map[string]result{}}
 		}
@@ -150,9 +157,23 @@
 		sc.names = append(sc.names, one.Name)
 	}
 	slices.Sort(sc.names)
+	for name, up := range sc.upstreams {
+		if fresh[name] == nil && (up.calls > 0 || len(up.results) > 0) {
+			sc.absent[name] = up
+		}
+	}
 	sc.upstreams = fresh
 }
 
+// pruneAbsent drops the absent upstreams that have no calls and no results left.
+func (sc *Scheduler) pruneAbsent(now time.Time) {
+	for name, up := range sc.absent {
+		if up.calls == 0 && up.usedBytes(now) == 0 {
+			delete(sc.absent, name)
+		}
+	}
+}
+
 // Submit enqueues a group.
 func (sc *Scheduler) Submit(added Group) {
 	gr := &group{Group: added, sendCounts: map[int]int{}}
@@ -251,9 +272,11 @@
 
 // ResultReleased removes a result that was freed from the used memory of its upstream.
 func (sc *Scheduler) ResultReleased(now time.Time, handle string) {
-	for _, up := range sc.upstreams {
-		if freed, found := up.removeResult(handle); found {
-			sc.resultLifetime += resultLifetimeWeight * (float64(now.Sub(freed.sentAt)) - sc.resultLifetime)
+	for _, list := range []map[string]*upstream{sc.upstreams, sc.absent} {
+		for _, up := range list {
+			if freed, found := up.removeResult(handle); found {
+				sc.resultLifetime += resultLifetimeWeight * (float64(now.Sub(freed.sentAt)) - sc.resultLifetime)
+			}
 		}
 	}
 }
@@ -268,6 +291,7 @@
 
 // Step returns the actions that are due; retriesLeft bounds the items that may be sent again.
 func (sc *Scheduler) Step(now time.Time, retriesLeft int) []Action {
+	sc.pruneAbsent(now)
 	actions := sc.dropExpired(now)
 	order, infeasible := sc.dropInfeasible(now)
 	actions = append(actions, infeasible...)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -151,8 +151,9 @@
 	})
 	en.relay = relay.New(relay.Parts{
 		Self: en.settings.Instance, Dial: parts.Dial, Live: en.peer.Live, Open: parts.RelayDialer,
-		IsUpstream: func(address string) bool { return en.catalog.Snapshot().HasAddress(address) },
-		Timers:     parts.Timers, Random: parts.Random.Fork("relay"), Events: en.events,
+		IsUpstream:  func(address string) bool { return en.catalog.Snapshot().HasAddress(address) },
+		IsEvacuated: func(address string) bool { return en.catalog.Snapshot().IsAddressEvacuated(address) },
+		Timers:      parts.Timers, Random: parts.Random.Fork("relay"), Events: en.events,
 	})
 	if parts.UseDial != nil {
 		parts.UseDial(en.relay.DialUpstream)
@@ -231,6 +232,7 @@
 	en.metrics.RegisterGauge("upstreams_limited", func() float64 { return float64(len(en.throttle.Limits())) })
 	en.metrics.RegisterGauge("upstreams_leaving", func() float64 { return float64(len(en.throttle.Leaving())) })
 	en.metrics.RegisterGauge("upstreams_paused", func() float64 { return float64(len(en.throttle.Pauses())) })
+	en.metrics.RegisterGauge("domains_evacuated", func() float64 { return float64(len(en.catalog.Snapshot().EvacuatedDomains())) })
 	en.metrics.RegisterGauge("upstreams_cut_off", func() float64 {
 		if en.relay.IsCutOff() {
 			return 1
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,7 +52,8 @@
 		longest = max(longest, pipeline.Timeout)
 		seen := map[origin.Origin]bool{}
 		for _, part := range pipeline.Pools {
-			for _, up := range en.catalog.Upstreams(part.Pool, "") {
+			// Streams that began at an upstream in an evacuated failure domain may go on there after the evacuation.
+			for _, up := range slices.Concat(en.catalog.Upstreams(part.Pool, ""), en.catalog.Evacuated(part.Pool)) {
 				seen[origin.Origin{Pool: part.Pool, Version: up.SoftwareVersion}] = true
 			}
 		}
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -69,6 +69,9 @@
 	}
 	failure := stageError{}
 	errors.As(err, &failure)
+	if refusal := rn.checkEvacuation(); refusal != nil {
+		return refusal
+	}
 	left := rn.abandonAt.Sub(rn.Timers.Now())
 	return rn.refuse(min(max(failure.wait-left, minRetryAfter), max(left, 0)+minRetryAfter), StagesRefused, failure.cause)
 }
@@ -374,10 +377,11 @@
 const crashProbeTimeout = 400 * time.Millisecond
 
 // reportCrash reports the request's content, and the parts of its prompt, to all instances if the upstream has died while
-// executing the attempt. An upstream that was leaving before is not expected to live.
+// executing the attempt. An upstream that was leaving before is not expected to live. One in an evacuated failure domain is, but gets no call
+// that asks for its incarnation.
 func (rn *run) reportCrash(at *attempt) {
 	up, fingerprint, id, isCause, isResumable := at.choice.Upstream, rn.fingerprint, rn.request.ID, at.isCrashCause(), rn.isResumable()
-	if !rn.Catalog.IsUsable(up.Incarnation()) {
+	if !rn.Catalog.Snapshot().IsStaying(up.Incarnation()) {
 		return
 	}
 	detail := fmt.Sprintf("%s began=%s parts=%s", fingerprint, at.sinceFirstByte(), rn.request.Prompt.sharedIDs())
@@ -385,7 +389,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
 		state := rn.Sender.Probe(ctx, up)
-		restarted := state == ProcessAlive && (isCause || isResumable) && rn.hasRestarted(ctx, up)
+		restarted := state == ProcessAlive && (isCause || isResumable) && rn.Catalog.IsUsable(up.Incarnation()) && rn.hasRestarted(ctx, up)
 		if restarted || state == ProcessGone {
 			rn.Streams.ReportEnded(up.Incarnation())
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -167,6 +167,9 @@
 	if refusal := rn.findOrigin(ctx); refusal != nil {
 		return refusal
 	}
+	if refusal := rn.checkEvacuation(); refusal != nil {
+		return refusal
+	}
 	if refusal := rn.checkAdmission(); refusal != nil {
 		return refusal
 	}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -90,6 +90,9 @@
 
 // unavailableOutcome returns the outcome of a request for which there is no upstream left to try now.
 func (rn *run) unavailableOutcome(criteria placement.Criteria) Outcome {
+	if rn.audit.Executions() == 0 && rn.isEvacuated() {
+		return rn.refuseEvacuated(rn.pool.Name)
+	}
 	if rn.origin != nil && rn.audit.Executions() == 0 && !rn.hasOriginLeft() {
 		return rn.refuse(rn.originRetryAfter(), VersionGone, rn.originDetail())
 	}
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -75,6 +75,8 @@
 	switch {
 	case !isRouted || !found:
 		return rn.refuse(0, VersionGone, fmt.Sprintf("the pipeline has left pool %s", known.Pool))
+	case rn.isEvacuated():
+		return rn.refuseEvacuated(known.Pool)
 	case !rn.hasOriginLeft():
 		return rn.refuse(rn.originRetryAfter(), VersionGone, rn.originDetail())
 	}
@@ -93,9 +95,7 @@
 
 // hasOriginLeft reports whether an upstream can continue the stream of a bound request.
 func (rn *run) hasOriginLeft() bool {
-	return slices.ContainsFunc(rn.Catalog.Upstreams(rn.origin.Pool, ""), func(up *roster.Upstream) bool {
-		return up.SoftwareVersion == rn.origin.Version && !rn.Streams.IsEnded(up.Incarnation())
-	})
+	return slices.ContainsFunc(rn.Catalog.Upstreams(rn.origin.Pool, ""), rn.canContinue)
 }
 
 func (rn *run) originDetail() string {
@@ -147,7 +147,8 @@
 }
 
 // isAnotherIncarnation reports whether another incarnation than the registered one answers at the attempt's upstream, whose
-// version may be another one. The answer to the attempt must have begun, so that its process is the one that reports.
+// version may be another one. The answer to the attempt must have begun, so that its process is the one that reports. An upstream in a failure
+// domain that has been evacuated since is asked, too: it is part of the work that runs there.
 func (at *attempt) isAnotherIncarnation() bool {
 	rn, up := at.run, at.choice.Upstream
 	if rn.origin == nil || !rn.hasRestarted(at.ctx, up) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -164,6 +164,8 @@
 	RateLimited Cause = "RateLimited"
 	// UpstreamsPaused: all upstreams want no requests for some time.
 	UpstreamsPaused Cause = "UpstreamsPaused"
+	// Evacuated: the failure domains of all upstreams that could serve the request, or one of its stages, are evacuated.
+	Evacuated Cause = "Evacuated"
 	// VersionUnknown: the software version that began the stream is not known; VersionGone: no upstream of it is left.
 	VersionUnknown Cause = "VersionUnknown"
 	VersionGone    Cause = "VersionGone"
--- a/gather/free.go
+++ b/gather/free.go
@@ -81,7 +81,7 @@
 		return
 	}
 	if err == nil && !gt.view.IsUsable(up.Incarnation()) {
-		// It frees its results when it ends.
+		// It frees its results when it ends, or when their time is over.
 		return
 	}
 	if err == nil {
@@ -119,8 +119,8 @@
 	gt.freeNow(id, waiting.handles, waiting.allFreed)
 }
 
-// errLeaving reports that an upstream is leaving, and gets no calls any more.
-var errLeaving = errors.New("the upstream is leaving")
+// errNotUsable reports that an upstream gets no calls any more, or not for now.
+var errNotUsable = errors.New("the upstream is leaving, or its failure domain is evacuated")
 
 // availableResultBytes asks an upstream for the memory that it has left for results.
 func (gt *Gatherer) availableResultBytes(ctx context.Context, up *roster.Upstream) (int64, error) {
@@ -129,7 +129,7 @@
 		return 0, err
 	}
 	if !gt.view.IsUsable(up.Incarnation()) {
-		return 0, errLeaving
+		return 0, errNotUsable
 	}
 	return gt.caller.AvailableResultBytes(notice.WithObserver(ctx, answered), up)
 }
@@ -144,7 +144,7 @@
 	case err != nil:
 		return NotSent{Cause: err.Error()}
 	case !gt.view.IsUsable(up.Incarnation()):
-		return NotSent{Cause: errLeaving.Error()}
+		return NotSent{Cause: errNotUsable.Error()}
 	}
 	return gt.caller.RunItems(notice.WithObserver(ctx, answered), up, items)
 }
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -15,8 +15,6 @@
 	"github.com/turmericdoor/turmericdoor/gather"
 	"github.com/turmericdoor/turmericdoor/hlc"
 	"github.com/turmericdoor/turmericdoor/member"
-	"github.com/turmericdoor/turmericdoor/notice"
-	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/route"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
@@ -34,6 +32,7 @@
 	mu             sync.Mutex
 	upstreams      []*roster.Upstream
 	leaving        map[string]bool
+	evacuated      map[string]bool
 	dead           map[string]bool
 	outcome        map[string]gather.Outcome
 	calls          []call
@@ -42,6 +41,8 @@
 	availableBytes int64
 	// limitedUntil is when the rate limit of an upstream allows another call.
 	limitedUntil map[string]time.Time
+	// duringAcquire is called by the next call that asks for a permit.
+	duringAcquire func()
 }
 
 // call records one call that an instance made.
@@ -68,7 +69,7 @@
 		upstreams: []*roster.Upstream{
 			{ID: "a1", Address: "a1", Pool: "p", FailureDomain: "a"}, {ID: "a2", Address: "a2", Pool: "p", FailureDomain: "a"}, {ID: "b1", Address: "b1", Pool: "p", FailureDomain: "b"},
 		},
-		leaving: map[string]bool{}, dead: map[string]bool{}, outcome: map[string]gather.Outcome{}, budget: 100, availableBytes: 36e6, limitedUntil: map[string]time.Time{},
+		leaving: map[string]bool{}, evacuated: map[string]bool{}, dead: map[string]bool{}, outcome: map[string]gather.Outcome{}, budget: 100, availableBytes: 36e6, limitedUntil: map[string]time.Time{},
 	}
 }
 
@@ -78,14 +79,14 @@
 	fk.mu.Lock()
 	defer fk.mu.Unlock()
 	return slices.DeleteFunc(slices.Clone(fk.upstreams), func(up *roster.Upstream) bool {
-		return fk.leaving[up.ID] || domain != "" && up.FailureDomain != domain
+		return fk.leaving[up.ID] || fk.evacuated[up.FailureDomain] || domain != "" && up.FailureDomain != domain
 	})
 }
 
 func (fk *fakes) IsUsable(incarnation roster.Incarnation) bool {
 	fk.mu.Lock()
 	defer fk.mu.Unlock()
-	return !fk.leaving[incarnation.ID]
+	return !fk.leaving[incarnation.ID] && !fk.evacuated[fk.Find(incarnation.ID).FailureDomain]
 }
 
 func (fk *fakes) Find(id string) *roster.Upstream {
@@ -118,28 +119,6 @@
 	fk.budget++
 }
 
-// Acquire permits every call, unless the rate limit of the upstream is used up.
-func (fk *fakes) Acquire(_ context.Context, up *roster.Upstream, _ time.Duration) (func(notice.Notice), error) {
-	time.Sleep(time.Millisecond)
-	fk.mu.Lock()
-	defer fk.mu.Unlock()
-	if left := time.Until(fk.limitedUntil[up.ID]); left > 0 {
-		return nil, ratelimit.Exceeded{RetryAfter: left}
-	}
-	return func(notice.Notice) {}, nil
-}
-
-// Limits returns a limit of one call in two seconds for each upstream whose limit was ever used up.
-func (fk *fakes) Limits() map[roster.Incarnation]float64 {
-	fk.mu.Lock()
-	defer fk.mu.Unlock()
-	limits := map[roster.Incarnation]float64{}
-	for id := range fk.limitedUntil {
-		limits[roster.Incarnation{ID: id}] = 0.5
-	}
-	return limits
-}
-
 func (fk *fakes) runItems(ctx context.Context, instance string, up *roster.Upstream, items []gather.Item) gather.Outcome {
 	fk.mu.Lock()
 	fk.calls = append(fk.calls, call{at: time.Now(), instance: instance, upstream: up.ID, items: items})
--- a/gather/limits_test.go
+++ b/gather/limits_test.go
@@ -10,6 +10,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericdoor/turmericdoor/gather"
+	"github.com/turmericdoor/turmericdoor/notice"
+	"github.com/turmericdoor/turmericdoor/ratelimit"
+	"github.com/turmericdoor/turmericdoor/roster"
 )
 
 // limit uses up the rate limits of upstreams for a time.
@@ -103,3 +106,32 @@
 		time.Sleep(50 * time.Millisecond)
 	})
 }
+
+// Acquire permits every call, unless the rate limit of the upstream is used up.
+func (fk *fakes) Acquire(_ context.Context, up *roster.Upstream, _ time.Duration) (func(notice.Notice), error) {
+	time.Sleep(time.Millisecond)
+	fk.mu.Lock()
+	during := fk.duringAcquire
+	fk.duringAcquire = nil
+	fk.mu.Unlock()
+	if during != nil {
+		during()
+	}
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	if left := time.Until(fk.limitedUntil[up.ID]); left > 0 {
+		return nil, ratelimit.Exceeded{RetryAfter: left}
+	}
+	return func(notice.Notice) {}, nil
+}
+
+// Limits returns a limit of one call in two seconds for each upstream whose limit was ever used up.
+func (fk *fakes) Limits() map[roster.Incarnation]float64 {
+	fk.mu.Lock()
+	defer fk.mu.Unlock()
+	limits := map[roster.Incarnation]float64{}
+	for id := range fk.limitedUntil {
+		limits[roster.Incarnation{ID: id}] = 0.5
+	}
+	return limits
+}
--- a/gather/queue.go
+++ b/gather/queue.go
@@ -246,8 +246,12 @@
 }
 
 // failOver returns the jobs to their clients if another failure domain has upstreams of the pool, one of them without a rate
-// limit if those of this one are limited.
+// limit if those of this one are limited. If all upstreams are in evacuated failure domains, waiting for one is of no use either.
 func (qu *queue) failOver() {
+	if qu.gatherer.view.IsPoolEvacuated(qu.key.Pool) {
+		qu.returnJobs(causeNoUpstream)
+		return
+	}
 	limits, wantsUnlimited := qu.gatherer.limits.Limits(), qu.scheduler.HasUsableUpstream(qu.gatherer.timers.Now())
 	for _, up := range qu.gatherer.view.Upstreams(qu.key.Pool, "") {
 		_, limited := limits[up.Incarnation()]
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -38,9 +38,11 @@
 	Open func(address string) (Link, error)
 	// IsUpstream reports whether an upstream is registered with an address.
 	IsUpstream func(address string) bool
-	Timers     *timer.Service
-	Random     *entropy.Source
-	Events     *timeline.Ring
+	// IsEvacuated reports whether the upstreams with an address are in evacuated failure domains.
+	IsEvacuated func(address string) bool
+	Timers      *timer.Service
+	Random      *entropy.Source
+	Events      *timeline.Ring
 }
 
 // Relay connects to upstreams, through other instances where this one is cut off, and for them. It is safe for concurrent use.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -75,13 +75,20 @@
 
 // pair starts an instance that reaches no upstream, and one that helps it and knows the given upstreams.
 func pair(t *testing.T, known ...string) (cut, helper *relay.Relay) {
+	t.Helper()
+	return pairWith(t, false, known...)
+}
+
+// pairWith is pair; the first upstream may be in an evacuated failure domain, as the helper knows.
+func pairWith(t *testing.T, isEvacuated bool, known ...string) (cut, helper *relay.Relay) {
 	t.Helper()
 	timers, listener := timer.New(), listen(t)
 	members := []member.Member{{ID: "cut"}, {ID: "helper", Address: listener.Addr().String()}}
 	parts := relay.Parts{
 		Self: "helper", Dial: dialTCP, Live: func() []member.Member { return members }, Open: open, Timers: timers, Random: entropy.New(1),
-		IsUpstream: func(address string) bool { return strings.Contains(strings.Join(known, " "), address) },
-		Events:     timeline.New("test", hlc.New(timers), 16, nil),
+		IsUpstream:  func(address string) bool { return strings.Contains(strings.Join(known, " "), address) },
+		IsEvacuated: func(address string) bool { return isEvacuated && address == known[0] },
+		Events:      timeline.New("test", hlc.New(timers), 16, nil),
 	}
 	helper = relay.New(parts)
 	server := grpc.NewServer()
--- a/relay/server.go
+++ b/relay/server.go
@@ -22,6 +22,10 @@
 	if rl.isStopping.Load() || rl.IsCutOff() || !rl.IsUpstream(first.GetAddress()) {
 		return stream.Send(&wire.RelayData{State: wire.RelayState_RelayUnavailable})
 	}
+	if rl.IsEvacuated(first.GetAddress()) {
+		// The other instance may not know it yet. The upstream has not ended, and this instance helps with others.
+		return stream.Send(&wire.RelayData{State: wire.RelayState_RelayUnreachable})
+	}
 	upstream, err := rl.Dial(stream.Context(), first.GetAddress())
 	if err != nil {
 		return stream.Send(&wire.RelayData{State: rl.failureState(err)})
