Tests of evacuations with whole fleets, and evacuations in the randomised run

Cause: an evacuation must hold for work that is on its way through instances, through outages of the store, and at instances that start.

No call may arrive from 20 ms after all instances know, nor later than 5 s after the acknowledgement, until the evacuation is withdrawn. TestSoak evacuates failure domains too, with random numbers of its own; the variants of TestSoakDetectsViolations are played without evacuations, as before, except the new one that ignores them.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -88,6 +88,8 @@
 	startsFirst bool
 	// hidesCrashes makes probes find every upstream alive.
 	hidesCrashes bool
+	// neverEvacuates keeps failure domains from being evacuated.
+	neverEvacuates bool
 }
 
 var domains = []string{"a", "b"}
--- a/entry/items_test.go
+++ b/entry/items_test.go
@@ -29,6 +29,7 @@
 		return gather.NotRun{}
 	}
 	for _, item := range items {
+		us.recordEvacuated(uc.node, up, "item")
 		us.recordArrival(uc.node, up, fmt.Sprintf("%s/%d/%d", item.RequestID, item.Stage, item.Index))
 		us.checkInputs(up, item)
 	}
@@ -81,6 +82,9 @@
 	us := uc.fleet.upstreams
 	us.mu.Lock()
 	up := us.byID[target.ID]
+	if up != nil {
+		us.recordEvacuated(uc.node, up, "report")
+	}
 	us.mu.Unlock()
 	if up != nil {
 		us.recordLimitedCall(uc.node, up)
@@ -99,6 +103,7 @@
 	us.announceLimit(ctx, uc.node, up, false)
 	us.mu.Lock()
 	defer us.mu.Unlock()
+	us.recordEvacuated(uc.node, up, "freed results")
 	for _, handle := range handles {
 		delete(us.results, handle)
 	}
--- a/entry/olderstore_test.go
+++ b/entry/olderstore_test.go
@@ -261,6 +261,7 @@
 			up.acknowledgeAgain(sk.fleet.upstreams, lost, time.Now().Add(lapseTime))
 		}
 		sk.fleet.store.restore(taken)
+		sk.fleet.upstreams.evacuationsLost(taken)
 		sk.fleet.store.setState(false, 0)
 		sk.writeAgain(again, lost)
 		sk.copied.Store(false)
@@ -297,7 +298,8 @@
 	us.mu.Unlock()
 	time.Sleep(configured)
 	sk.awaitStore()
-	st.put(configurations, replica.Row{Key: "config", Value: []byte(fmt.Sprint(st.newestRevision()))})
+	st.put(configurations, replica.Row{Key: configurationKey, Value: []byte(fmt.Sprint(st.newestRevision()))})
+	us.writeEvacuationsAgain()
 	time.Sleep(registerAgainTime - configured)
 	sk.awaitStore()
 	for id, up := range running {
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -43,7 +43,10 @@
 	standings      []*standing
 	standingRandom *entropy.Source
 	laterRandom    *entropy.Source
-	group          sync.WaitGroup
+	// evacuationRandom decides on evacuations, isEvacuating is set during one.
+	evacuationRandom *entropy.Source
+	isEvacuating     atomic.Bool
+	group            sync.WaitGroup
 
 	mu         sync.Mutex
 	violations []string
@@ -127,7 +130,7 @@
 	sk.fleet.store.mu.Lock()
 	sk.fleet.store.tables[sk.revision] = route.New(table)
 	sk.fleet.store.mu.Unlock()
-	sk.fleet.store.put(configurations, replica.Row{Key: "config", Value: []byte(fmt.Sprint(sk.revision))})
+	sk.fleet.store.put(configurations, replica.Row{Key: configurationKey, Value: []byte(fmt.Sprint(sk.revision))})
 }
 
 func stagePool(name string) route.Pool {
@@ -152,6 +155,7 @@
 	sk.checkRevisions()
 	sk.startStanding()
 	sk.startLaterFault()
+	sk.startEvacuation()
 	switch draw := sk.random.IntN(100); {
 	case draw < 76:
 		sk.send()
@@ -316,6 +320,9 @@
 		if !nd.entry.Ready() || nd.revision.Load() != sk.revision {
 			sk.violations = append(sk.violations, fmt.Sprintf("instance %s has revision %d, want %d, ready %t", nd.id, nd.revision.Load(), sk.revision, nd.entry.Ready()))
 		}
+		if evacuated := nd.entry.Catalog().Snapshot().EvacuatedDomains(); len(evacuated) > 0 {
+			sk.violations = append(sk.violations, fmt.Sprintf("instance %s takes failure domains for evacuated after the end: %v", nd.id, evacuated))
+		}
 	}
 	us := sk.fleet.upstreams
 	us.mu.Lock()
@@ -375,7 +382,7 @@
 // Configuration decodes a configuration revision.
 func (sd staleDecoder) Configuration(row replica.Row) (*route.Table, error) {
 	table, err := sd.decoder.Configuration(row)
-	if err != nil || !sd.ignoresRevocation {
+	if err != nil || table == nil || !sd.ignoresRevocation {
 		return table, err
 	}
 	changed := *table
@@ -401,11 +408,14 @@
 		"cut streams that look complete":   {defects{completesCutOff: true}, "returned body"},
 		"crashes that go unnoticed":        {defects{hidesCrashes: true}, "reached upstreams"},
 		"ignored rate limits":              {defects{hidesLimits: true}, "more than its rate limit allows"},
+		"ignored evacuations":              {defects{decoder: func(dc decoder) catalog.Decoder { return ignoringEvacuations{decoder: dc} }}, "whose failure domain was evacuated"},
 		"late requests in a stop":          {defects{passesOnLate: true}, "late in a stop"},
 		"unlimited retry budget":           {defects{budget: retryquota.Config{Ratio: 5, Extra: 5000, Window: 10 * time.Second}}, "retries in a window"},
 	}
 	for name, each := range variants {
 		t.Run(name, func(t *testing.T) {
+			// The other variants are played without evacuations, as they were before there were any.
+			each.variant.neverEvacuates = name != "ignored evacuations"
 			found := ""
 			for _, seed := range fixedSeeds {
 				if strings.Contains(found, each.expected) {
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -77,6 +77,9 @@
 	breaksAnswers bool
 	// knowsOnlyIDs makes upstreams take requests for an earlier incarnation of their id.
 	knowsOnlyIDs bool
+	// evacuations holds the evacuated failure domains, receivedIn when requests and items were received in each failure domain.
+	evacuations map[string]*evacuation
+	receivedIn  map[string][]time.Time
 	// registerDelay is how long after its start an upstream's registration is written.
 	registerDelay time.Duration
 }
@@ -102,7 +105,7 @@
 		fleet: fl, variant: variant, random: fl.random.Fork("world"), byID: map[string]*upstream{}, executions: map[string]int{},
 		arrivals: map[string][]arrival{}, arrivalCounts: map[string]int{}, results: map[string]bool{}, revokedAt: map[string]time.Time{},
 		crashParts: map[string]*partCrashes{}, sentAt: map[string][]time.Time{}, restartDelay: 3 * time.Second,
-		versions: map[string]string{}, streamEvents: eventCount,
+		versions: map[string]string{}, streamEvents: eventCount, evacuations: map[string]*evacuation{}, receivedIn: map[string][]time.Time{},
 	}
 	for pool, count := range map[string]int{"model": 4, "plain": 4, "encode": 4, "rank": 2} {
 		for at := range count {
@@ -242,6 +245,7 @@
 // recordArrival records a received request or item and checks that the upstream was not leaving.
 func (us *upstreamSet) recordArrival(nd *node, up *upstream, key string) {
 	us.arrivalCounts[key]++
+	us.receivedIn[up.FailureDomain] = append(us.receivedIn[up.FailureDomain], time.Now())
 	us.arrivals[up.Pool] = append(us.arrivals[up.Pool], arrival{at: time.Now(), repeated: us.arrivalCounts[key] > 1})
 	if !up.leftAt.IsZero() && time.Now().After(us.fleet.store.knownBy(up.leftAt, leaveBound)) && nd.hasConverged() {
 		us.violate("instance %s sent %s to %s, which left %v ago", nd.id, key, up.ID, time.Since(up.leftAt))
@@ -290,6 +294,7 @@
 		return reply
 	}
 	us.recordArrival(nd, up, exchange.Request.ID)
+	us.recordEvacuated(nd, up, kindOf(exchange))
 	if up.standing.rejects() {
 		return newRejection()
 	}
