The next owner of a queue starts with the speeds of slow upstreams

A new owner of a pool's queue knew nothing of its upstreams' speeds, and gave the slow ones calls like the others.

They go along with the loads that instances exchange anyway (PoolLoad.Slow); each instance keeps the last report for a queue, and a queue that had no jobs for 3 s takes it over with its first one. The time between report and takeover, up to 3 s, does not age the estimates.

replay_test.go in batch records the calls that were sent; its tests are unchanged.

--- a/batch/replay_test.go
+++ b/batch/replay_test.go
@@ -72,6 +72,7 @@
 	next      uint64
 	handles   int
 	sizes     []int
+	sent      []batch.Send
 	wakeAt    time.Time
 	// slow multiplies the duration of calls to an upstream; dead upstreams refuse connections.
 	slow map[string]float64
@@ -139,6 +140,7 @@
 		case batch.Send:
 			must.LessEq(t, config.MaxBatch, len(action.Items))
 			sm.sizes = append(sm.sizes, len(action.Items))
+			sm.sent = append(sm.sent, action)
 			sm.send(now, action)
 		case batch.Drop:
 			if known := sm.groups[action.GroupID]; known != nil {
--- a/gather/client.go
+++ b/gather/client.go
@@ -169,7 +169,8 @@
 // returns the failure domain with the shortest wait.
 func (cl *Client) abandonDomain(ctx context.Context, key QueueKey, result Unfinished) string {
 	cl.freeResults(ctx, key, result.Results)
-	cl.updateLoads(key.Pool, []*wire.PoolLoad{Load{DueSoonWait: batch.NoUpstreamWait, LowUrgencyWait: batch.NoUpstreamWait, LargeResultWait: batch.NoUpstreamWait}.toWire(key.FailureDomain)})
+	unusable := Load{DueSoonWait: batch.NoUpstreamWait, LowUrgencyWait: batch.NoUpstreamWait, LargeResultWait: batch.NoUpstreamWait, Slow: cl.cachedSlow(key)}
+	cl.updateLoads(key.Pool, []*wire.PoolLoad{unusable.toWire(cl.timers.Now(), key.FailureDomain)})
 	other, _ := cl.ShortestWait(key.Pool, key.FailureDomain, 0, JobClass{LowUrgency: true})
 	return other
 }
--- a/gather/exchange.go
+++ b/gather/exchange.go
@@ -21,7 +21,7 @@
 	defer cl.Close()
 	for cl.timers.Sleep(ctx, exchangeInterval) == nil {
 		for key, load := range cl.gatherer.ActiveLoads(cl.timers.Now().Add(-activeWindow)) {
-			own := load.toWire(key.FailureDomain)
+			own := load.toWire(cl.timers.Now(), key.FailureDomain)
 			cl.updateLoads(key.Pool, []*wire.PoolLoad{own})
 			for _, domain := range cl.FailureDomains(key.Pool) {
 				if domain != key.FailureDomain {
@@ -44,7 +44,7 @@
 	}
 	if owner.ID == cl.self {
 		if wantedDomain != "" {
-			cl.updateLoads(key.Pool, []*wire.PoolLoad{cl.gatherer.Load(key).toWire(wantedDomain)})
+			cl.updateLoads(key.Pool, []*wire.PoolLoad{cl.gatherer.Load(key).toWire(cl.timers.Now(), wantedDomain)})
 		}
 		return
 	}
@@ -61,7 +61,7 @@
 			return
 		}
 		if reply.GetLoad() != nil {
-			cl.updateLoads(key.Pool, []*wire.PoolLoad{reply.GetLoad()})
+			cl.receiveLoads(key.Pool, []*wire.PoolLoad{reply.GetLoad()})
 		}
 	})
 }
--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -59,9 +59,11 @@
 	queues map[QueueKey]*queue
 	// waitingFrees holds the results to be freed at upstreams whose rate limit is used up, by the upstream's id.
 	waitingFrees map[string]*waitingFree
-	ctx          context.Context
-	background   inflight.Group
-	stopping     atomic.Bool
+	// slow holds the estimates of slow upstreams that this instance starts with if it becomes the owner of a queue.
+	slow       slowReports
+	ctx        context.Context
+	background inflight.Group
+	stopping   atomic.Bool
 }
 
 // QueueKey identifies the queue of one pool in one failure domain.
@@ -87,6 +89,7 @@
 	return &Gatherer{
 		view: parts.View, caller: parts.Caller, retryBudget: parts.RetryBudget, limits: parts.Limits, owns: parts.Owns,
 		timers: parts.Timers, events: parts.Events, queues: map[QueueKey]*queue{}, waitingFrees: map[string]*waitingFree{}, ctx: ctx,
+		slow: slowReports{byQueue: map[QueueKey]slowReport{}},
 	}
 }
 
--- a/gather/load.go
+++ b/gather/load.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/batch"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
@@ -16,6 +17,8 @@
 	LowUrgencyWait   time.Duration
 	LargeResultWait  time.Duration
 	LargeResultBytes int64
+	// Slow are the estimates for slow upstreams of the queue.
+	Slow []batch.Slowdown
 }
 
 // JobClass holds the properties of a job that its expected wait depends on: with LowUrgency it waits behind all others,
@@ -38,10 +41,11 @@
 	}
 }
 
-func (ld Load) toWire(failureDomain string) *wire.PoolLoad {
+func (ld Load) toWire(now time.Time, failureDomain string) *wire.PoolLoad {
 	return &wire.PoolLoad{
 		FailureDomain: failureDomain, WaitMs: ld.DueSoonWait.Milliseconds(), LastMs: ld.LowUrgencyWait.Milliseconds(),
 		LargeMs: ld.LargeResultWait.Milliseconds(), LargeBytes: ld.LargeResultBytes,
+		Slow: toWireSlow(now, ld.Slow),
 	}
 }
 
@@ -175,7 +179,10 @@
 		}
 		return 0
 	}
-	return Load{DueSoonWait: age(ld.DueSoonWait), LowUrgencyWait: age(ld.LowUrgencyWait), LargeResultWait: age(ld.LargeResultWait), LargeResultBytes: ld.LargeResultBytes}
+	return Load{
+		DueSoonWait: age(ld.DueSoonWait), LowUrgencyWait: age(ld.LowUrgencyWait), LargeResultWait: age(ld.LargeResultWait),
+		LargeResultBytes: ld.LargeResultBytes, Slow: ld.Slow,
+	}
 }
 
 // cachedWait returns the decayed wait of a queue, at least the duration of a call with one item.
@@ -201,6 +208,7 @@
 				Load: Load{
 					DueSoonWait: timer.Milliseconds(each.GetWaitMs()), LowUrgencyWait: timer.Milliseconds(each.GetLastMs()),
 					LargeResultWait: timer.Milliseconds(each.GetLargeMs()), LargeResultBytes: each.GetLargeBytes(),
+					Slow: fromWireSlow(now, each.GetSlow()),
 				},
 				at: measuredAt,
 			}
@@ -216,7 +224,7 @@
 	list := []*wire.PoolLoad{}
 	for key, known := range cl.loads {
 		if key.Pool == pool && now.Sub(known.at) < loadTTL {
-			message := known.toWire(key.FailureDomain)
+			message := known.toWire(now, key.FailureDomain)
 			message.AgeMs = now.Sub(known.at).Milliseconds()
 			list = append(list, message)
 		}
--- a/gather/queue.go
+++ b/gather/queue.go
@@ -63,6 +63,9 @@
 	defer qu.mu.Unlock()
 	qu.maxResultBytes = max(qu.maxResultBytes, job.ResultBytes)
 	qu.refresh()
+	if now.Sub(qu.lastSubmit) > handoverTime {
+		qu.scheduler.AdoptSlowdowns(now, qu.gatherer.slow.get(now, qu.key))
+	}
 	group := batch.Group{
 		Count: job.Count, Rank: job.Rank, Due: job.Due, Expires: job.Expires, ResultBytes: job.ResultBytes,
 		HasInputs: len(job.Inputs) > 0, MayHaveRun: job.MayHaveRun,
@@ -149,6 +152,7 @@
 			Count: largeJobItems, Due: dueSoon, Expires: dueSoon, ResultBytes: qu.maxResultBytes,
 		})),
 		LargeResultBytes: qu.maxResultBytes,
+		Slow:             qu.scheduler.SlowUpstreams(now),
 	}, true
 }
 
@@ -191,7 +195,7 @@
 
 // upstreamName returns a name that differs between incarnations of an upstream.
 func upstreamName(up *roster.Upstream) string {
-	return fmt.Sprintf("%s@%d", up.ID, up.StartUnixMs)
+	return joinName(up.ID, up.StartUnixMs)
 }
 
 // run dispatches whenever it is signalled or a wake-up time passes, until ctx ends.
--- a/gather/server.go
+++ b/gather/server.go
@@ -82,7 +82,7 @@
 
 // loads updates the cached load of a queue, then returns the cached loads of all queues of its pool.
 func (sv *Server) loads(key QueueKey) []*wire.PoolLoad {
-	sv.client.updateLoads(key.Pool, []*wire.PoolLoad{sv.gatherer.Load(key).toWire(key.FailureDomain)})
+	sv.client.updateLoads(key.Pool, []*wire.PoolLoad{sv.gatherer.Load(key).toWire(sv.timers.Now(), key.FailureDomain)})
 	return sv.client.cachedLoads(key.Pool)
 }
 
@@ -96,15 +96,15 @@
 // domain or, if the request names none, of any active queue of the pool on this instance.
 func (sv *Server) Load(_ context.Context, request *wire.LoadRequest) (*wire.LoadReply, error) {
 	if request.GetLoad() != nil {
-		sv.client.updateLoads(request.GetPool(), []*wire.PoolLoad{request.GetLoad()})
+		sv.client.receiveLoads(request.GetPool(), []*wire.PoolLoad{request.GetLoad()})
 	}
 	if domain := request.GetFailureDomain(); domain != "" {
 		key := QueueKey{Pool: request.GetPool(), FailureDomain: domain}
-		return &wire.LoadReply{Load: sv.gatherer.Load(key).toWire(domain)}, nil
+		return &wire.LoadReply{Load: sv.gatherer.Load(key).toWire(sv.timers.Now(), domain)}, nil
 	}
 	for key, load := range sv.gatherer.ActiveLoads(sv.timers.Now().Add(-loadTTL)) {
 		if key.Pool == request.GetPool() {
-			return &wire.LoadReply{Load: load.toWire(key.FailureDomain)}, nil
+			return &wire.LoadReply{Load: load.toWire(sv.timers.Now(), key.FailureDomain)}, nil
 		}
 	}
 	return &wire.LoadReply{}, nil
--- a/gather/submit.go
+++ b/gather/submit.go
@@ -36,10 +36,10 @@
 	case refused.Cause == causeNotOwner:
 		return Unfinished{Cause: causeNotOwner}
 	default:
-		cl.updateLoads(key.Pool, []*wire.PoolLoad{cl.gatherer.Load(key).toWire(key.FailureDomain)})
+		cl.updateLoads(key.Pool, []*wire.PoolLoad{cl.gatherer.Load(key).toWire(cl.timers.Now(), key.FailureDomain)})
 		return *refused
 	}
-	cl.updateLoads(key.Pool, []*wire.PoolLoad{cl.gatherer.Load(key).toWire(key.FailureDomain)})
+	cl.updateLoads(key.Pool, []*wire.PoolLoad{cl.gatherer.Load(key).toWire(cl.timers.Now(), key.FailureDomain)})
 	cl.updateUpcoming(key, cl.gatherer.Upcoming(key))
 	select {
 	case result := <-ticket.Done:
@@ -81,11 +81,11 @@
 			return cl.streamFailure(ctx, err, accepted)
 		}
 		if full := reply.GetFullPool(); full != "" {
-			cl.updateLoads(full, reply.GetLoads())
+			cl.receiveLoads(full, reply.GetLoads())
 			cl.updateUpcoming(key, fromWireItems(reply.GetUpcoming()))
 			return Refused{Wait: timer.Milliseconds(reply.GetWaitMs()), Cause: fmt.Sprintf("later pool %q is full", full), FullPool: full}
 		}
-		cl.updateLoads(key.Pool, reply.GetLoads())
+		cl.receiveLoads(key.Pool, reply.GetLoads())
 		switch {
 		case reply.GetRefused():
 			return Refused{Wait: timer.Milliseconds(reply.GetWaitMs()), Cause: "refused by the owner of the queue"}
