--- /dev/null
+++ b/memorybudget/connection.go
@@ -0,0 +1,141 @@
+package memorybudget
+
+import "time"
+
+// Connection is a caller's connection.
+type Connection struct {
+	// since is when its state began.
+	since time.Time
+	// head is the number of bytes of its head that were read.
+	head           int64
+	closed         bool
+	list           *list
+	previous, next *Connection
+}
+
+// timeoutMargin is added to the configured timeouts as a fraction, for slow machines: 1 in 4.
+const timeoutMargin = 4
+
+// overshoot is the part of the connections, 1 in 16, by which their number is exceeded while connections with stalled bodies are asked to end.
+const overshoot = 16
+
+// Accept counts a new connection. If there are too many, it closes the one that has been idle longest, else the one that has been reading
+// its head longest, else asks the body that stalls to yield, else closes the new one.
+func (bu *Budget) Accept(now time.Time) (*Connection, []Action) {
+	cn := &Connection{since: now}
+	bu.connections++
+	if bu.connections <= bu.limits.Connections {
+		bu.idle.append(cn)
+		return cn, nil
+	}
+	for _, candidates := range []*list{&bu.idle, &bu.heads} {
+		if candidates.first != nil {
+			closed := bu.close(candidates.first, TooManyConnections)
+			bu.idle.append(cn)
+			return cn, []Action{closed}
+		}
+	}
+	stalled := bu.stalledLongest(now, func(*Body) bool { return true })
+	if stalled == nil || bu.connections > bu.limits.Connections+bu.limits.Connections/overshoot {
+		return cn, []Action{bu.close(cn, TooManyConnections)}
+	}
+	bu.idle.append(cn)
+	return cn, []Action{bu.yield(stalled)}
+}
+
+func (bu *Budget) close(cn *Connection, cause Cause) Action {
+	bu.Close(cn)
+	return CloseConnection{Connection: cn, Cause: cause}
+}
+
+// ReadHead counts bytes that were read from a connection before the head of its request was complete.
+func (bu *Budget) ReadHead(now time.Time, cn *Connection, count int) []Action {
+	if cn.closed {
+		return nil
+	}
+	if cn.list != &bu.heads {
+		cn.removeFromList()
+		cn.since = now
+		bu.heads.append(cn)
+	}
+	cn.head += int64(count)
+	bu.headBytes += int64(count) * HeadWeight
+	if bu.caller.HeadBytes > 0 && cn.head > bu.caller.HeadBytes+headSlack {
+		cn.removeFromList()
+		bu.releaseHead(cn)
+		return []Action{RefuseHead{Connection: cn}}
+	}
+	actions := []Action(nil)
+	for bu.headBytes > bu.limits.HeadBytes {
+		oldest := bu.heads.first
+		if bu.unread.first != nil && bu.unread.first.since.Before(oldest.since) {
+			oldest = bu.unread.first
+		}
+		actions = append(actions, bu.close(oldest, HeadsFull))
+		if oldest == cn {
+			break
+		}
+	}
+	return actions
+}
+
+// CompleteHead tells that the head of a request is complete; it counts until CompleteRequest.
+func (bu *Budget) CompleteHead(cn *Connection) {
+	if cn.closed {
+		return
+	}
+	cn.removeFromList()
+	bu.unread.append(cn)
+}
+
+// CompleteRequest tells that a connection's request was read to its end; its head no longer counts.
+func (bu *Budget) CompleteRequest(cn *Connection) {
+	if cn.closed {
+		return
+	}
+	cn.removeFromList()
+	bu.releaseHead(cn)
+}
+
+// Idle tells that a connection waits for its next request.
+func (bu *Budget) Idle(now time.Time, cn *Connection) {
+	if cn.closed {
+		return
+	}
+	cn.removeFromList()
+	bu.releaseHead(cn)
+	cn.since = now
+	bu.idle.append(cn)
+}
+
+// Close tells that a connection was closed; further calls with it do nothing.
+func (bu *Budget) Close(cn *Connection) {
+	if cn.closed {
+		return
+	}
+	cn.closed = true
+	cn.removeFromList()
+	bu.releaseHead(cn)
+	bu.connections--
+}
+
+func (bu *Budget) releaseHead(cn *Connection) {
+	bu.headBytes -= cn.head * HeadWeight
+	cn.head = 0
+}
+
+// closeOverdue closes the connections whose head or whose next request has taken too long.
+func (bu *Budget) closeOverdue(now time.Time) []Action {
+	actions := []Action(nil)
+	for _, each := range []struct {
+		list    *list
+		timeout time.Duration
+		cause   Cause
+	}{{&bu.heads, bu.caller.HeadTimeout, HeadTimeout}, {&bu.idle, bu.caller.IdleTimeout, IdleTimeout}} {
+		allowed := each.timeout + each.timeout/timeoutMargin
+		for allowed > 0 && each.list.first != nil && now.Sub(each.list.first.since) >= allowed {
+			actions = append(actions, bu.close(each.list.first, each.cause))
+		}
+	}
+	return actions
+}
