Memory for callers' bodies, heads and connections

Cause: decodeRequest read each body whole, heads were bounded by a constant of 256 KiB, and nothing read limits.max_fds: 64 callers made a process with 128 MB use 367 to 477 MB, 800 connections took 815 descriptors of 600.

Change: memoryguard enforces the budget on a listener and on bodies; platform checks route, key and stated length before a body is read, reads it in blocks and refuses with 408, 413, 431 or 503; requestbody holds the blocks until the request can't be sent again; the configuration's limits for heads and times are in force; the ready and the metrics server have timeouts and few connections. Existing tests: bodies are made with requestbody.Of; two fake servers of platform have the new methods; the system of platform's tests has the guarded listener that an instance has.

--- a/command/front.go
+++ b/command/front.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/turmericdoor/turmericdoor/entrypoint"
+	"github.com/turmericdoor/turmericdoor/memorybudget"
 	"github.com/turmericdoor/turmericdoor/platform"
 )
 
@@ -24,12 +25,24 @@
 		host, _, _ := net.SplitHostPort(settings.MetricsAddress)
 		settings.MetricsAddress = net.JoinHostPort(host, strconv.Itoa(port))
 	}
+	settings.Callers = cl.callerLimits(settings.Callers)
 	logger := log.NewWithOptions(os.Stdout, log.Options{
 		Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 	}).With("instance", settings.Instance)
 	return entrypoint.New(adapter, settings, logger).Run()
 }
 
+// callerLimits returns the limits of the settings file with those that flags override.
+func (cl *CLI) callerLimits(limits memorybudget.Limits) memorybudget.Limits {
+	if count := cl.options.maxConnections; count > 0 {
+		limits.Connections = count
+	}
+	if size := cl.options.bodyMemoryMB; size > 0 {
+		limits = limits.WithBodies(int64(size) << 20)
+	}
+	return limits
+}
+
 func (cl *CLI) checkDeployFile() error {
 	if err := platform.CheckDeployFile(cl.options.deployFile); err != nil {
 		return badInput(err)
--- a/command/table.go
+++ b/command/table.go
@@ -42,6 +42,8 @@
 	platformSettings string
 	deployFile       string
 	metricsPort      int
+	maxConnections   int
+	bodyMemoryMB     int
 	address          string
 	key              string
 	team             string
@@ -148,6 +150,8 @@
 func frontFlags(op *options, sub *flaggy.Subcommand) {
 	platformSettingsFlag(op, sub)
 	sub.Int(&op.metricsPort, "m", "metrics-port", "Port of the metrics on the instance's own address; 0 selects the second internal port of the platform's settings file")
+	sub.Int(&op.maxConnections, "c", "max-connections", "Greatest number of callers' connections; 0 derives it from the memory and the descriptors of the platform's settings file")
+	sub.Int(&op.bodyMemoryMB, "b", "body-memory-mb", "Memory for callers' request bodies in MB; 0 derives it from the memory of the platform's settings file")
 }
 
 func explainFlags(op *options, sub *flaggy.Subcommand) {
--- a/digest/digest.go
+++ b/digest/digest.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"hash"
 )
 
 // Sum is a SHA-256 digest.
@@ -12,20 +13,39 @@
 // Of returns the digest of the parts. Each part is prefixed with its length, so that different lists of parts with the
 // same concatenation have different digests.
 func Of(parts ...[]byte) Sum {
-	hash := sha256.New()
-	var size [8]byte
+	return OfBlocks(nil, parts...)
+}
+
+// OfBlocks returns the digest of the parts and, if there are blocks, of one more part that consists of these.
+func OfBlocks(blocks [][]byte, parts ...[]byte) Sum {
+	hasher := sha256.New()
 	for _, part := range parts {
-		for at := range size {
-			size[at] = byte(len(part) >> (8 * at))
+		writeLength(hasher, len(part))
+		hasher.Write(part)
+	}
+	if blocks != nil {
+		length := 0
+		for _, block := range blocks {
+			length += len(block)
 		}
-		hash.Write(size[:])
-		hash.Write(part)
+		writeLength(hasher, length)
+	}
+	for _, block := range blocks {
+		hasher.Write(block)
 	}
 	var sum Sum
-	hash.Sum(sum[:0])
+	hasher.Sum(sum[:0])
 	return sum
 }
 
+func writeLength(hasher hash.Hash, length int) {
+	var size [8]byte
+	for at := range size {
+		size[at] = byte(length >> (8 * at))
+	}
+	hasher.Write(size[:])
+}
+
 // OfKey returns the SHA-256 of a key without a length prefix, as `sha256sum` computes it.
 func OfKey(key string) Sum {
 	return sha256.Sum256([]byte(key))
--- a/entry/crashparts_test.go
+++ b/entry/crashparts_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/gateway"
+	"github.com/turmericdoor/turmericdoor/requestbody"
 )
 
 // partCrashes is what requests with one part of their prompts did to the upstreams: when upstreams crashed, and when
@@ -77,7 +78,7 @@
 			nodes := sk.fleet.live()
 			id := fmt.Sprint(part, "-", at)
 			request := &gateway.Request{
-				ID: id, Method: http.MethodPost, Host: "h", Path: "/stream/" + id, APIKey: "key-" + holder, Body: []byte(id),
+				ID: id, Method: http.MethodPost, Host: "h", Path: "/stream/" + id, APIKey: "key-" + holder, Body: requestbody.Of([]byte(id)),
 				Arrived: time.Now(), CallerTimeout: requestTimeout, Prompt: promptOf("first-"+holder, part, "own-"+id),
 			}
 			sk.group.Go(func() { sk.serve(context.Background(), nodes[at%len(nodes)], request) })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/turmericdoor/turmericdoor/hlc"
 	"github.com/turmericdoor/turmericdoor/logbook"
 	"github.com/turmericdoor/turmericdoor/member"
+	"github.com/turmericdoor/turmericdoor/memoryguard"
 	"github.com/turmericdoor/turmericdoor/metric"
 	"github.com/turmericdoor/turmericdoor/peer"
 	"github.com/turmericdoor/turmericdoor/relay"
@@ -76,6 +77,7 @@
 	items    *gather.Client
 	batches  *gather.Server
 	relay    *relay.Relay
+	memory   *memoryguard.Guard
 	rotation *storereader.Rotation
 	// storeClock relates what answers of the store say to the time here.
 	storeClock *storeclock.Clock
@@ -157,7 +159,9 @@
 	if parts.UseDial != nil {
 		parts.UseDial(en.relay.DialUpstream)
 	}
+	en.memory = en.newCallersGuard()
 	en.registerGauges()
+	en.registerMemoryGauges()
 	return en
 }
 
@@ -261,6 +265,7 @@
 	en.startLoop(en.throttle.Run)
 	en.startLoop(en.streams.Run)
 	en.startLoop(en.relay.Run)
+	en.startLoop(en.memory.Run)
 	for _, each := range en.watches {
 		en.startLoop(each.Run)
 	}
@@ -341,22 +346,11 @@
 	return en.gate.Phase() >= drain.Draining
 }
 
-// defaultMaxBodyBytes is the limit of a request body until a configuration sets one.
-const defaultMaxBodyBytes = 4 << 20
-
 // Now returns the time by which requests' deadlines are measured.
 func (en *Instance) Now() time.Time {
 	return en.timers.Now()
 }
 
-// MaxBodyBytes returns the limit of a request body.
-func (en *Instance) MaxBodyBytes() int64 {
-	if table := en.catalog.RoutingTable(); table != nil && table.Limits.BodyBytes > 0 {
-		return table.Limits.BodyBytes
-	}
-	return defaultMaxBodyBytes
-}
-
 // Serve processes a caller's request, writes an upstream's answer to sink and returns the outcome.
 func (en *Instance) Serve(request *http.Request, decoded *gateway.Request, sink gateway.Sink) gateway.Outcome {
 	if !en.gate.Enter() {
--- a/entry/laterfaults_test.go
+++ b/entry/laterfaults_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/gateway"
+	"github.com/turmericdoor/turmericdoor/requestbody"
 )
 
 const (
@@ -108,7 +109,7 @@
 // sendLate sends a request to an instance that stops.
 func (sk *soak) sendLate(nd *node, holder, id string) {
 	request := &gateway.Request{
-		ID: id, Method: http.MethodPost, Host: "h", Path: "/once/" + id, APIKey: "key-" + holder, Body: []byte("body"),
+		ID: id, Method: http.MethodPost, Host: "h", Path: "/once/" + id, APIKey: "key-" + holder, Body: requestbody.Of([]byte("body")),
 		Arrived: time.Now(), CallerTimeout: requestTimeout,
 	}
 	sk.group.Go(func() { sk.serve(context.Background(), nd, request) })
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericdoor/turmericdoor/gateway"
+	"github.com/turmericdoor/turmericdoor/requestbody"
 )
 
 // limitRun sends requests to a fleet whose upstreams announce rate limits.
@@ -111,7 +112,7 @@
 	nd := nodes[lr.soak.random.IntN(len(nodes))]
 	id := fmt.Sprint("l", lr.sent)
 	request := &gateway.Request{
-		ID: id, Method: "POST", Host: "h", Path: lr.path + id, APIKey: "key-" + organisationName(0), Body: []byte(id),
+		ID: id, Method: "POST", Host: "h", Path: lr.path + id, APIKey: "key-" + organisationName(0), Body: requestbody.Of([]byte(id)),
 		Arrived: time.Now(), CallerTimeout: requestTimeout, ItemCounts: []int{2, 1}, ItemKey: id,
 		Prompt: promptOf("first", fmt.Sprint("session-", lr.soak.random.IntN(sessionsPerUpstream*lr.upstreams)), "own-"+id),
 	}
--- a/entry/order_test.go
+++ b/entry/order_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericdoor/turmericdoor/gateway"
+	"github.com/turmericdoor/turmericdoor/requestbody"
 )
 
 // orderRun sends streams to a fleet whose upstreams have different software versions, and takes up those that break.
@@ -247,7 +248,7 @@
 	session := sc.run.soak.random.IntN(sessionsPerUpstream * sc.run.upstreams)
 	sc.run.mu.Unlock()
 	request := &gateway.Request{
-		ID: id, Method: "POST", Host: "h", Path: "/stream/" + sc.id, APIKey: "key-" + organisationName(0), Body: []byte(sc.id),
+		ID: id, Method: "POST", Host: "h", Path: "/stream/" + sc.id, APIKey: "key-" + organisationName(0), Body: requestbody.Of([]byte(sc.id)),
 		Arrived: time.Now(), CallerTimeout: requestTimeout, Prompt: promptOf("first", fmt.Sprint("session-", session), "own-"+sc.id),
 	}
 	counts := false
--- a/entry/parts_test.go
+++ b/entry/parts_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericdoor/turmericdoor/gateway"
+	"github.com/turmericdoor/turmericdoor/requestbody"
 )
 
 const (
@@ -129,7 +130,7 @@
 	nd := nodes[pr.soak.random.IntN(len(nodes))]
 	id := fmt.Sprint("p", pr.sent)
 	request := &gateway.Request{
-		ID: id, Method: "POST", Host: "h", Path: "/stream/" + id, APIKey: "key-" + organisationName(0), Body: []byte(id),
+		ID: id, Method: "POST", Host: "h", Path: "/stream/" + id, APIKey: "key-" + organisationName(0), Body: requestbody.Of([]byte(id)),
 		Arrived: time.Now(), CallerTimeout: requestTimeout, Prompt: pr.prompt(part, id),
 	}
 	pr.soak.group.Go(func() {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/memorybudget"
 	"github.com/turmericdoor/turmericdoor/retryquota"
 )
 
@@ -23,6 +24,8 @@
 	// IsFirstStart is set while the whole fleet starts for the first time.
 	IsFirstStart bool
 	MemoryBytes  int64
+	// Callers bounds what all callers may hold together; the zero value stands for no limits.
+	Callers memorybudget.Limits
 	// MilliCores is the processor time available to the process, in thousandths of a core.
 	MilliCores  int64
 	RetryBudget retryquota.Config
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -19,6 +19,7 @@
 	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/gateway"
 	"github.com/turmericdoor/turmericdoor/replica"
+	"github.com/turmericdoor/turmericdoor/requestbody"
 	"github.com/turmericdoor/turmericdoor/retryquota"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/route"
@@ -223,7 +224,7 @@
 	}
 	leaves := sk.random.IntN(12) == 0
 	request := &gateway.Request{
-		ID: id, Method: http.MethodPost, Host: "h", Path: "/" + pipelineNames[kind] + "/" + id, APIKey: "key-" + holder, Body: []byte("body"),
+		ID: id, Method: http.MethodPost, Host: "h", Path: "/" + pipelineNames[kind] + "/" + id, APIKey: "key-" + holder, Body: requestbody.Of([]byte("body")),
 		Arrived: time.Now(), CallerTimeout: requestTimeout, ItemCounts: []int{2, 1}, ItemKey: id,
 		Prompt: promptOf("first-"+holder, fmt.Sprint("session-", kind), "own-"+id),
 	}
@@ -296,7 +297,7 @@
 			nd := nodes[at%len(nodes)]
 			request := &gateway.Request{
 				ID: fmt.Sprint(strings.ReplaceAll(body, " ", "-"), "-", at), Method: http.MethodPost, Host: "h", Path: "/lookup/poison", APIKey: "key-" + holder,
-				Body: []byte(body), Arrived: time.Now(), CallerTimeout: requestTimeout,
+				Body: requestbody.Of([]byte(body)), Arrived: time.Now(), CallerTimeout: requestTimeout,
 			}
 			sk.serve(context.Background(), nd, request)
 			time.Sleep(time.Second)
--- a/entry/upstreams_test.go
+++ b/entry/upstreams_test.go
@@ -337,9 +337,9 @@
 		defer us.mu.Unlock()
 		up.running--
 	}()
-	if strings.HasPrefix(string(exchange.Request.Body), "poison") {
+	if body := string(slices.Concat(exchange.Request.Body.Blocks()...)); strings.HasPrefix(body, "poison") {
 		us.mu.Lock()
-		up.crashedOn[string(exchange.Request.Body)]++
+		up.crashedOn[body]++
 		us.mu.Unlock()
 		us.crash(up)
 		return nil, errReset
--- a/entrypoint/entrypoint.go
+++ b/entrypoint/entrypoint.go
@@ -17,6 +17,8 @@
 	"github.com/turmericdoor/turmericdoor/entry"
 	"github.com/turmericdoor/turmericdoor/invariant"
 	"github.com/turmericdoor/turmericdoor/listener"
+	"github.com/turmericdoor/turmericdoor/memorybudget"
+	"github.com/turmericdoor/turmericdoor/memoryguard"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
 
@@ -62,11 +64,22 @@
 	// cancelLead is the time between the cancellation of the requests in flight and the cut-off, in which their callers
 	// still get an answer.
 	cancelLead = 250 * time.Millisecond
-	// headerTimeout bounds the time to read the request headers; idleTimeout bounds the time between two requests.
-	headerTimeout  = 20 * time.Second
-	idleTimeout    = 90 * time.Second
-	maxHeaderBytes = 256 << 10
-	serverCount    = 4
+	// headerTimeout and idleTimeout bound the time to read a head and the time between two requests where the entry instance does not;
+	// its limits may be shorter or longer than those of the other servers.
+	headerTimeout       = 20 * time.Second
+	idleTimeout         = 90 * time.Second
+	callerHeaderTimeout = 10 * time.Minute
+	callerIdleTimeout   = time.Hour
+	// maxHeaderBytes bounds the head of a caller's request where the configuration does not, smallHeaderBytes that of the other servers.
+	maxHeaderBytes   = 256 << 10
+	smallHeaderBytes = 8 << 10
+	// smallTimeout bounds the time to read a request of the other servers and to write the answer.
+	smallTimeout = 10 * time.Second
+	serverCount  = 4
+	// smallConnections bounds the connections of each of the other servers, which a balancer and a few scrapers use; smallHeads is the memory
+	// for their incomplete heads, in bytes.
+	smallConnections = 32
+	smallHeads       = 1 << 20
 )
 
 // New returns a server that is not running yet; Run runs it.
@@ -158,12 +171,13 @@
 // that can't be opened fails the whole start.
 func (sv *Server) listen() error {
 	sv.callers = &http.Server{
-		Handler: invariant.Handler(sv.adapter.Handler(sv.entry), invariant.Abort), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: sv.adapter.ConnContext,
-		ErrorLog:    sv.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		Handler:           invariant.Handler(sv.adapter.Handler(sv.entry), invariant.Abort),
+		ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: sv.adapter.ConnContext, ConnState: sv.entry.Memory().ConnState,
+		ErrorLog: sv.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
-	sv.ready = &http.Server{Handler: http.HandlerFunc(sv.answerReady), ReadHeaderTimeout: headerTimeout}
-	sv.metrics = &http.Server{Handler: http.HandlerFunc(sv.answerMetrics), ReadHeaderTimeout: headerTimeout}
+	readyGuard, metricsGuard := sv.smallGuard(), sv.smallGuard()
+	sv.ready, sv.metrics = sv.smallServer(sv.answerReady, readyGuard), sv.smallServer(sv.answerMetrics, metricsGuard)
 	sv.peers = NewPeerServer(sv.entry)
 	opened, err := listener.OpenAll(
 		listener.Address{Setting: "CallerAddress", Address: sv.settings.CallerAddress},
@@ -174,12 +188,28 @@
 	if err != nil {
 		return err
 	}
+	opened[0] = sv.entry.Memory().Listen(opened[0])
+	opened[1], opened[3] = readyGuard.Listen(opened[1]), metricsGuard.Listen(opened[3])
 	for at, serve := range []func(net.Listener) error{sv.callers.Serve, sv.ready.Serve, sv.peers.Serve, sv.metrics.Serve} {
 		go func() { sv.report(serve(opened[at])) }()
 	}
 	return nil
 }
 
+// smallGuard returns a guard for a server for short requests. Its timeouts are those of the server.
+func (sv *Server) smallGuard() *memoryguard.Guard {
+	limits := memorybudget.Limits{Connections: smallConnections, HeadBytes: smallHeads}
+	return sv.entry.NewGuard(limits, func() memorybudget.CallerLimits { return memorybudget.CallerLimits{HeadBytes: smallHeaderBytes} })
+}
+
+// smallServer returns a server for short requests from a few clients.
+func (sv *Server) smallServer(handle http.HandlerFunc, guard *memoryguard.Guard) *http.Server {
+	return &http.Server{
+		Handler: handle, ReadHeaderTimeout: smallTimeout, ReadTimeout: smallTimeout, WriteTimeout: smallTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: smallHeaderBytes, ConnState: guard.ConnState, ErrorLog: sv.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+}
+
 // report passes the error of a server that stopped unexpectedly to await.
 func (sv *Server) report(err error) {
 	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -276,6 +276,7 @@
 		return attemptResult{outcome: rn.connectFailureOutcome(ctx), tryNext: ctx.Err() == nil}
 	case err != nil:
 		rn.audit.MarkMaybeExecuted()
+		rn.releaseUnneeded()
 		return at.handleLost(ctx, err.Error())
 	case reply.RequestMismatch:
 		// It says nothing about this request, not even that it was not executed.
@@ -288,6 +289,7 @@
 		return at.handleRejected(ctx, reply)
 	}
 	rn.audit.MarkMaybeExecuted()
+	rn.releaseUnneeded()
 	if reply.Encoded || reply.Status < http.StatusMultipleChoices && !reply.Signed {
 		_ = reply.Body.Close()
 		return at.handleLost(ctx, "response is unsigned or encoded")
@@ -344,6 +346,13 @@
 	return rn.takeBudget()
 }
 
+// releaseUnneeded releases the body of a request that may have been executed, if it will not be sent again.
+func (rn *run) releaseUnneeded() {
+	if rn.pipeline.RetryPolicy == route.AtMostOnce || rn.audit.Executions() >= rn.pipeline.MaxUpstreams {
+		rn.request.Body.Release()
+	}
+}
+
 // takeBudget takes one retry from the pool's budget and reports whether one was left.
 func (rn *run) takeBudget() bool {
 	if !rn.Pools.Spend(rn.pool.Name) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -176,48 +176,91 @@
 	return rn.execute(ctx)
 }
 
+// head is what the head of a request selects.
+type head struct {
+	table        *route.Table
+	pipeline     *route.Pipeline
+	organisation route.Organisation
+	deadline     time.Time
+}
+
+// lookUp looks up the pipeline and the organisation of a request, and its deadline. It returns nil or the outcome that rejects the request.
+func (gw *Gateway) lookUp(request *Request) (head, Outcome) {
+	found := head{table: gw.Catalog.RoutingTable()}
+	if found.table == nil {
+		return found, Refused{RetryAfter: notReadyRetryAfter, Cause: NoConfiguration}
+	}
+	found.pipeline = found.table.Match(request.Host, request.Path)
+	if found.pipeline == nil {
+		return found, NotFound{}
+	}
+	known := false
+	found.organisation, known = found.table.Organisations[request.APIKey]
+	if !known && !found.pipeline.Public && len(found.table.Organisations) > 0 {
+		return found, Unauthorised{}
+	}
+	timeout := request.CallerTimeout
+	if timeout <= 0 {
+		timeout = defaultCallerTimeout
+	}
+	if found.pipeline.Timeout > 0 {
+		timeout = min(timeout, found.pipeline.Timeout)
+	}
+	found.deadline = request.Arrived.Add(timeout)
+	return found, nil
+}
+
+// Terms are what a request whose body was not read is entitled to.
+type Terms struct {
+	Organisation string
+	Deadline     time.Time
+}
+
+// CheckHead checks the route and the API key of a request whose body was not read. It returns the outcome that rejects the request, which it
+// records, or nil; then the request may still be refused by Serve.
+func (gw *Gateway) CheckHead(request *Request) (Terms, Outcome) {
+	found, refusal := gw.lookUp(request)
+	if refusal == nil {
+		return Terms{Organisation: found.organisation.Name, Deadline: found.deadline}, nil
+	}
+	rn := &run{
+		Gateway: gw, request: request, response: response.NewAfter(nil, ""), audit: sendaudit.New(request.ID, sendaudit.Limits{AtMostOnce: true}),
+		table: found.table, pipeline: found.pipeline, organisation: found.organisation, detail: "before its body was read",
+	}
+	rn.recordEnd(refusal)
+	return Terms{}, refusal
+}
+
 // defaultCallerTimeout applies to callers that send no timeout.
 const defaultCallerTimeout = 10 * time.Second
 
 // resolveRoute looks up the pipeline, the organisation and the pool of a request and sets its deadlines. It returns nil
 // or the outcome that rejects the request.
 func (rn *run) resolveRoute() Outcome {
-	rn.table = rn.Catalog.RoutingTable()
-	if rn.table == nil {
-		return rn.refuse(notReadyRetryAfter, NoConfiguration, "no configuration loaded yet")
+	found, refusal := rn.lookUp(rn.request)
+	rn.table, rn.pipeline, rn.organisation, rn.deadline = found.table, found.pipeline, found.organisation, found.deadline
+	if refused, is := refusal.(Refused); is {
+		return rn.refuse(refused.RetryAfter, refused.Cause, "no configuration loaded yet")
 	}
-	rn.pipeline = rn.table.Match(rn.request.Host, rn.request.Path)
-	if rn.pipeline == nil {
-		return NotFound{}
+	if refusal != nil {
+		return refusal
 	}
 	known := false
-	rn.organisation, known = rn.table.Organisations[rn.request.APIKey]
-	if !known && !rn.pipeline.Public && len(rn.table.Organisations) > 0 {
-		return Unauthorised{}
-	}
 	rn.pool, known = rn.table.SelectPool(rn.pipeline, rn.request.ID)
 	if !known {
 		return rn.refuse(notReadyRetryAfter, NoPool, fmt.Sprintf("pipeline %q has no configured pool", rn.pipeline.Name))
 	}
 	rn.audit = sendaudit.New(rn.request.ID, sendaudit.Limits{AtMostOnce: rn.pipeline.RetryPolicy == route.AtMostOnce, MaxExecutions: rn.pipeline.MaxUpstreams})
 	rn.rank = route.RankOf(rn.pipeline, rn.organisation)
-	timeout := rn.request.CallerTimeout
-	if timeout <= 0 {
-		timeout = defaultCallerTimeout
-	}
-	if rn.pipeline.Timeout > 0 {
-		timeout = min(timeout, rn.pipeline.Timeout)
-	}
-	rn.deadline = rn.request.Arrived.Add(timeout)
 	if end := rn.request.EndBy; !end.IsZero() && rn.deadline.After(end) {
 		return rn.refuse(stoppingRetryAfter, Stopping, fmt.Sprintf("ends %dms before the deadline", rn.deadline.Sub(end).Milliseconds()))
 	}
 	rn.abandonAt = rn.deadline
-	if rn.pipeline.AbandonAfter > 0 && rn.pipeline.AbandonAfter < timeout {
+	if rn.pipeline.AbandonAfter > 0 && rn.pipeline.AbandonAfter < rn.deadline.Sub(rn.request.Arrived) {
 		rn.abandonAt = rn.request.Arrived.Add(rn.pipeline.AbandonAfter)
 	}
 	rn.targetAt = rn.request.Arrived.Add(rn.pipeline.TargetLatency)
-	rn.fingerprint = digest.Of([]byte(rn.request.Path), []byte(rn.organisation.Name), rn.request.Body)
+	rn.fingerprint = rn.request.fingerprint(rn.organisation.Name)
 	if rn.Crashes.Status(rn.fingerprint) == quarantine.Blocked {
 		return rn.refuse(0, CrashesUpstreams, "fingerprint="+rn.fingerprint.String())
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -7,7 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/turmericdoor/turmericdoor/digest"
 	"github.com/turmericdoor/turmericdoor/poison"
+	"github.com/turmericdoor/turmericdoor/requestbody"
 	"github.com/turmericdoor/turmericdoor/response"
 )
 
@@ -21,9 +23,10 @@
 	RawQuery string
 	HasQuery bool
 	Header   http.Header
-	Body     []byte
-	APIKey   string
-	Arrived  time.Time
+	// Body is released when the request ends, or once it can no longer be sent again.
+	Body    *requestbody.Body
+	APIKey  string
+	Arrived time.Time
 	// CallerTimeout is how long the caller waits, or 0 if it sent no timeout.
 	CallerTimeout time.Duration
 	// EndBy is when the instance ends all requests since it stops, or zero. A request that may take longer is refused.
@@ -42,6 +45,15 @@
 	return rq.LastEventID != "" || rq.Resumes != ""
 }
 
+// fingerprint identifies the content of an organisation's request.
+func (rq *Request) fingerprint(organisation string) digest.Sum {
+	path, name := []byte(rq.Path), []byte(organisation)
+	if rq.Body.Len() == 0 {
+		return digest.Of(path, name, nil)
+	}
+	return digest.OfBlocks(rq.Body.Blocks(), path, name)
+}
+
 // maxLoggedText bounds a caller's text in the log, in bytes.
 const maxLoggedText = 64
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -119,9 +119,13 @@
 	}
 }
 
-// begin begins the response to the caller, and observes how long that took against the forecast.
+// begin begins the response to the caller, and observes how long that took against the forecast. The body is released unless another upstream may
+// have to continue the response.
 func (at *attempt) begin(head response.Head) *response.Body {
 	rn := at.run
+	if rn.pipeline.RetryPolicy != route.Resumable {
+		rn.request.Body.Release()
+	}
 	rn.Pools.observeLatency(rn.pipeline.Name, rn.forecast, rn.Timers.Now().Sub(rn.request.Arrived))
 	return rn.response.Begin(head)
 }
--- a/layers_test.go
+++ b/layers_test.go
@@ -18,11 +18,11 @@
 
 // ground packages know nothing of the others; core packages decide and do no I/O; all others are outside.
 var (
-	ground = []string{"timer", "priority", "hlc", "invariant", "digest", "entropy", "timeline", "inifile", "schema", "events", "readlimit", "readbudget", "calibration"}
+	ground = []string{"timer", "priority", "hlc", "invariant", "digest", "entropy", "timeline", "inifile", "schema", "events", "readlimit", "readbudget", "calibration", "requestbody"}
 	core   = []string{
 		"answer", "document", "fairqueue", "limit", "choice", "retry", "dispatch", "admission", "attempt", "claim", "lease",
 		"order", "poison", "quarantine", "headroom", "reach", "subset", "member", "gossip", "revision", "drain", "table",
-		"retryquota", "ratelimit", "notice", "noticetable", "pause", "confirmation", "permit", "ownership", "origin", "originhistory", "tombstone", "batch", "storereader", "storeclock", "overload", "placement", "replica", "roster", "route",
+		"retryquota", "ratelimit", "notice", "noticetable", "pause", "confirmation", "permit", "ownership", "origin", "originhistory", "tombstone", "batch", "storereader", "storeclock", "overload", "placement", "memorybudget", "replica", "roster", "route",
 	}
 )
 
--- /dev/null
+++ b/memoryguard/guard.go
@@ -0,0 +1,195 @@
+package memoryguard
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/turmericdoor/turmericdoor/memorybudget"
+	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timeline"
+	"github.com/turmericdoor/turmericdoor/timer"
+)
+
+// Parts holds the dependencies of a guard.
+type Parts struct {
+	Limits memorybudget.Limits
+	// Caller returns the limits of single callers in force.
+	Caller func() memorybudget.CallerLimits
+	Timers *timer.Service
+	Events *timeline.Ring
+}
+
+// Guard enforces a budget; it is safe for concurrent use.
+type Guard struct {
+	Parts
+
+	mu          sync.Mutex
+	budget      *memorybudget.Budget
+	connections map[*memorybudget.Connection]*Conn
+	bodies      map[*memorybudget.Body]*Body
+}
+
+// New returns a guard; Run must be running so that timeouts are enforced.
+func New(parts Parts) *Guard {
+	gd := &Guard{
+		Parts: parts, budget: memorybudget.New(parts.Limits),
+		connections: map[*memorybudget.Connection]*Conn{}, bodies: map[*memorybudget.Body]*Body{},
+	}
+	gd.budget.Configure(parts.Caller())
+	return gd
+}
+
+// tickInterval is how often timeouts are checked; a wait for memory may last that much longer than its limit.
+const tickInterval = 100 * time.Millisecond
+
+// Run enforces the timeouts until ctx ends, then closes done.
+func (gd *Guard) Run(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	for gd.Timers.Sleep(ctx, tickInterval) == nil {
+		gd.update(func(now time.Time) []memorybudget.Action {
+			gd.budget.Configure(gd.Caller())
+			return gd.budget.Tick(now)
+		})
+	}
+}
+
+// Usage returns what callers hold.
+func (gd *Guard) Usage() memorybudget.Usage {
+	gd.mu.Lock()
+	defer gd.mu.Unlock()
+	return gd.budget.Usage()
+}
+
+// update makes a decision and executes its actions. Events are recorded without the lock.
+func (gd *Guard) update(decide func(now time.Time) []memorybudget.Action) {
+	now := gd.Timers.Now()
+	gd.mu.Lock()
+	events := gd.execute(decide(now))
+	gd.mu.Unlock()
+	for _, event := range events {
+		gd.Events.Record(event)
+	}
+}
+
+// execute executes actions and returns the events to record. The caller holds the lock.
+func (gd *Guard) execute(actions []memorybudget.Action) []*wire.Event {
+	events := []*wire.Event(nil)
+	for _, each := range actions {
+		switch action := each.(type) {
+		case memorybudget.CloseConnection:
+			closed := gd.connections[action.Connection]
+			delete(gd.connections, action.Connection)
+			closed.abort()
+			if action.Cause != memorybudget.IdleTimeout {
+				// The end of an idle connection is the usual one, of which the log tells nothing.
+				events = append(events, closed.event(action.Cause))
+			}
+		case memorybudget.RefuseHead:
+			refused := gd.connections[action.Connection]
+			refused.isHeadRefused.Store(true)
+			events = append(events, refused.event(memorybudget.HeadTooLong))
+		case memorybudget.GrantBody:
+			gd.bodies[action.Body].decisions <- Granted{}
+		case memorybudget.RefuseBody:
+			gd.bodies[action.Body].decisions <- Refused{Cause: action.Cause, RetryAfter: action.RetryAfter}
+		case memorybudget.YieldBody:
+			gd.bodies[action.Body].yield(action.Cause)
+		}
+	}
+	return events
+}
+
+// Listen returns a listener that counts the connections that it accepts, which must be TCP connections. ConnState of the server must be ConnState.
+func (gd *Guard) Listen(inner net.Listener) net.Listener {
+	return guardedListener{Listener: inner, guard: gd}
+}
+
+// guardedListener counts the connections that it accepts.
+type guardedListener struct {
+	net.Listener
+	guard *Guard
+}
+
+// Accept returns the next connection that may stay open.
+func (gl guardedListener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := gl.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, is := accepted.(*net.TCPConn)
+		if !is {
+			return nil, fmt.Errorf("expected a TCP connection, got %T", accepted)
+		}
+		if cn := gl.guard.accept(tcp); !cn.isAborted.Load() {
+			return cn, nil
+		}
+	}
+}
+
+func (gd *Guard) accept(tcp *net.TCPConn) *Conn {
+	cn := &Conn{TCPConn: tcp, guard: gd}
+	cn.isReadingHead.Store(true)
+	gd.update(func(now time.Time) []memorybudget.Action {
+		gd.budget.Configure(gd.Caller())
+		counted, actions := gd.budget.Accept(now)
+		cn.counted, cn.acceptedAt = counted, now
+		gd.connections[counted] = cn
+		return actions
+	})
+	return cn
+}
+
+// ConnState tells the guard of the states of connections; it is the hook of http.Server.
+func (gd *Guard) ConnState(connection net.Conn, state http.ConnState) {
+	cn, is := connection.(*Conn)
+	if !is {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		cn.isReadingHead.Store(false)
+		gd.update(func(time.Time) []memorybudget.Action {
+			gd.budget.CompleteHead(cn.counted)
+			return nil
+		})
+	case http.StateIdle:
+		gd.update(func(now time.Time) []memorybudget.Action {
+			gd.budget.Idle(now, cn.counted)
+			return nil
+		})
+		cn.isReadingHead.Store(true)
+	case http.StateNew, http.StateHijacked, http.StateClosed:
+	}
+}
+
+// RequestComplete tells that the request on a connection was read to its end.
+func (gd *Guard) RequestComplete(connection net.Conn) {
+	if cn, is := connection.(*Conn); is {
+		gd.update(func(time.Time) []memorybudget.Action {
+			gd.budget.CompleteRequest(cn.counted)
+			return nil
+		})
+	}
+}
+
+// RecordRefusal records that a request was refused before it was served.
+func (gd *Guard) RecordRefusal(refusal Refusal) {
+	gd.Events.Record(&wire.Event{
+		Kind: wire.EventKind_EventBodyRefused, RequestId: refusal.RequestID, Organisation: refusal.Organisation, Cause: string(refusal.Cause),
+		Detail: refusal.Detail, DurationMicros: refusal.After.Microseconds(),
+	})
+}
+
+// Refusal describes a request that was refused before it was served; After is the time since it arrived.
+type Refusal struct {
+	RequestID    string
+	Organisation string
+	Cause        memorybudget.Cause
+	Detail       string
+	After        time.Duration
+}
