--- a/entry/evacuationrun_test.go
+++ b/entry/evacuationrun_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericdoor/turmericdoor/gateway"
+	"github.com/turmericdoor/turmericdoor/requestbody"
 	"github.com/turmericdoor/turmericdoor/retryquota"
 )
 
@@ -112,7 +113,7 @@
 	id := fmt.Sprint("e", er.number)
 	er.mu.Unlock()
 	request := &gateway.Request{
-		ID: id, Method: http.MethodPost, Host: "h", Path: "/" + pipeline + "/" + id, APIKey: "key-" + organisationName(0), Body: []byte(id),
+		ID: id, Method: http.MethodPost, Host: "h", Path: "/" + pipeline + "/" + id, APIKey: "key-" + organisationName(0), Body: requestbody.Of([]byte(id)),
 		Arrived: time.Now(), CallerTimeout: requestTimeout, ItemCounts: []int{2, 1}, ItemKey: id,
 		Prompt: promptOf("first", fmt.Sprint("session-", er.random.IntN(20)), "own-"+id),
 	}
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericdoor/turmericdoor/gateway"
+	"github.com/turmericdoor/turmericdoor/requestbody"
 )
 
 // limitRun sends requests to a fleet whose upstreams announce rate limits.
@@ -126,7 +127,7 @@
 	id := fmt.Sprint("l", lr.sent)
 	holder := lr.key(lr.sent)
 	request := &gateway.Request{
-		ID: id, Method: "POST", Host: "h", Path: lr.path + id, APIKey: "key-" + holder, Body: []byte(id),
+		ID: id, Method: "POST", Host: "h", Path: lr.path + id, APIKey: "key-" + holder, Body: requestbody.Of([]byte(id)),
 		Arrived: time.Now(), CallerTimeout: requestTimeout, ItemCounts: []int{2, 1}, ItemKey: id,
 		Prompt: promptOf("first", fmt.Sprint("session-", lr.soak.random.IntN(sessionsPerUpstream*lr.upstreams)), "own-"+id),
 	}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/turmericdoor/turmericdoor/memorybudget"
 	"github.com/turmericdoor/turmericdoor/retryquota"
 )
 
@@ -25,6 +26,8 @@
 	// LimitsCold is set if the requests to cold upstreams are limited to the rate of their pool.
 	LimitsCold  bool
 	MemoryBytes int64
+	// Callers bounds what all callers may hold together; the zero value stands for no limits.
+	Callers memorybudget.Limits
 	// MilliCores is the processor time available to the process, in thousandths of a core.
 	MilliCores  int64
 	RetryBudget retryquota.Config
