--- a/entry/evacuationrun_test.go
+++ b/entry/evacuationrun_test.go
@@ -258,7 +258,7 @@
 
 func (er *evacuationRun) streamRequest(id string) *gateway.Request {
 	return &gateway.Request{
-		ID: id, Method: http.MethodPost, Host: "h", Path: "/stream/" + id, APIKey: "key-" + organisationName(0), Body: []byte(id),
+		ID: id, Method: http.MethodPost, Host: "h", Path: "/stream/" + id, APIKey: "key-" + organisationName(0), Body: requestbody.Of([]byte(id)),
 		Arrived: time.Now(), CallerTimeout: requestTimeout,
 	}
 }
