--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -13,6 +13,7 @@
 	"github.com/turmericdoor/turmericdoor/ratelimit"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timer"
 )
 
 // RateLimiter keeps the requests to an upstream within what it has said: the rate that it accepts from all instances, and a pause.
@@ -250,20 +251,6 @@
 	if next := pl.nextReturn[pool]; next.After(at) {
 		at = next
 	}
-	pl.nextReturn[pool] = minTime(at.Add(each), maxTime(at, now.Add(warmIn)).Add(returnInterval))
+	pl.nextReturn[pool] = timer.Earlier(at.Add(each), timer.Later(at, now.Add(warmIn)).Add(returnInterval))
 	return min(at.Sub(now), maxLimitedRetryAfter)
 }
-
-func minTime(left, right time.Time) time.Time {
-	if left.Before(right) {
-		return left
-	}
-	return right
-}
-
-func maxTime(left, right time.Time) time.Time {
-	if left.After(right) {
-		return left
-	}
-	return right
-}
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/turmericdoor/turmericdoor/roster"
+	"github.com/turmericdoor/turmericdoor/timer"
 )
 
 // Ledger issues the permits of the upstreams that an instance owns; it is not safe for concurrent use.
@@ -99,25 +100,11 @@
 	if wait > maxWait {
 		return Denied{Wait: wait}
 	}
-	known.next = maxTime(known.next, now.Add(wait)).Add(interval(rate))
+	known.next = timer.Later(known.next, now.Add(wait)).Add(interval(rate))
 	known.issued++
 	return Granted{Number: known.issued, Wait: wait}
 }
 
-func minTime(left, right time.Time) time.Time {
-	if left.Before(right) {
-		return left
-	}
-	return right
-}
-
-func maxTime(left, right time.Time) time.Time {
-	if left.After(right) {
-		return left
-	}
-	return right
-}
-
 // IsNewer reports whether a request with a permit was sent after the last change of the upstream's limit was known, so that
 // what its answer announces is newer.
 func (ld *Ledger) IsNewer(incarnation roster.Incarnation, number uint64) bool {
@@ -129,7 +116,7 @@
 func (ld *Ledger) Changed(now time.Time, incarnation roster.Incarnation, perSecond float64) {
 	if known, found := ld.accounts[incarnation]; found {
 		known.changedAt = known.issued
-		known.next = minTime(known.next, now.Add(interval(effectiveRate(perSecond))+burstTime))
+		known.next = timer.Earlier(known.next, now.Add(interval(effectiveRate(perSecond))+burstTime))
 	}
 }
 
--- a/throttle/coldfleet_test.go
+++ b/throttle/coldfleet_test.go
@@ -75,7 +75,7 @@
 	list := []member.Member{}
 	for _, other := range cn.fleet.nodes {
 		isUnreachable := (other.lost || cn.lost) && other != cn
-		if isUnreachable && time.Since(maxOf(other.lostAt, cn.lostAt)) > lostAfter {
+		if isUnreachable && time.Since(timer.Later(other.lostAt, cn.lostAt)) > lostAfter {
 			continue
 		}
 		list = append(list, member.Member{ID: other.id})
@@ -86,13 +86,6 @@
 	return cn.live
 }
 
-func maxOf(left, right time.Time) time.Time {
-	if left.After(right) {
-		return left
-	}
-	return right
-}
-
 func (cn *coldNode) Share(time.Duration) float64 {
 	return float64(len(cn.Live())) / float64(len(cn.fleet.nodes))
 }
@@ -103,7 +96,7 @@
 	wall := time.UnixMicro(read.WallMicros).Add(time.Duration(read.Logical))
 	cn.fleet.mu.Lock()
 	defer cn.fleet.mu.Unlock()
-	cn.last = maxOf(cn.last.Add(1), wall.Add(cn.step))
+	cn.last = timer.Later(cn.last.Add(1), wall.Add(cn.step))
 	return cn.last
 }
 
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -11,6 +11,22 @@
 	return time.Duration(count) * time.Millisecond
 }
 
+// Earlier returns the earlier of two times.
+func Earlier(left, right time.Time) time.Time {
+	if left.Before(right) {
+		return left
+	}
+	return right
+}
+
+// Later returns the later of two times.
+func Later(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
+	}
+	return right
+}
+
 // Service provides the time and timers, from the system clock or from a manual clock. It is safe for concurrent use.
 type Service struct {
 	mu      sync.Mutex
