Comments on evacuations say which evacuation, time and reason they mean

Many read 'since' for both a time and a reason ('no new requests since their failure domain is evacuated'), and 'since when they are' for the time at which an instance learned of an evacuation. They say 'because', and name that time. The fields of an entry of package evacuation have comments of their own instead of one text for all. Those on how long requests wait for cold upstreams say what is divided, and by what.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -23,8 +23,9 @@
 	Configuration(row replica.Row) (*route.Table, error)
 	// Registration decodes an upstream's registration.
 	Registration(row replica.Row, now time.Time) (roster.Upstream, error)
-	// Evacuation decodes the failure domain that a row of the configuration table evacuates while it is there, whatever its value is; ok is
-	// false for other rows. The error is to be logged, also if ok is true.
+	// Evacuation returns the failure domain that a row of the configuration table evacuates; ok is false if the row is not about an
+	// evacuation. The presence of the row counts, not its value: an unreadable value gives an error, which the caller logs, and ok is
+	// still true.
 	Evacuation(row replica.Row) (domain string, ok bool, err error)
 }
 
@@ -109,12 +110,12 @@
 	return near
 }
 
-// Evacuated returns the upstreams of a pool that get no new requests since their failure domain is evacuated.
+// Evacuated returns the upstreams of a pool that get no new requests because their failure domain is evacuated.
 func (ct *Catalog) Evacuated(pool string) []*roster.Upstream {
 	return ct.snapshot.Load().Evacuated(pool)
 }
 
-// IsPoolEvacuated reports whether a pool has no usable upstream since failure domains are evacuated.
+// IsPoolEvacuated reports whether a pool has no usable upstream because failure domains are evacuated.
 func (ct *Catalog) IsPoolEvacuated(pool string) bool {
 	snapshot := ct.snapshot.Load()
 	return len(snapshot.Usable(pool)) == 0 && len(snapshot.Evacuated(pool)) > 0
@@ -203,15 +204,15 @@
 	ct.roster.Put(upstream)
 }
 
-// applyEvacuations applies those of the rows that evacuate a failure domain, and makes them visible.
+// applyEvacuations applies the evacuations among the rows, and publishes the result if the evacuated failure domains changed.
 func (ct *Catalog) applyEvacuations(rows []replica.Row, fromPeer bool) {
 	changed := false
 	for _, row := range rows {
-		domain, is, err := ct.decoder.Evacuation(row)
+		domain, ok, err := ct.decoder.Evacuation(row)
 		if err != nil {
 			ct.events.Record(&wire.Event{Kind: wire.EventKind_EventRowUnreadable, Stage: ct.tableNames.Configuration, Revision: row.Version, Detail: err.Error()})
 		}
-		if is {
+		if ok {
 			changed = ct.applyEvacuation(domain, row, fromPeer) || changed
 		}
 	}
@@ -220,8 +221,8 @@
 	}
 }
 
-// applyEvacuation applies a row that evacuates a failure domain, or its removal, and reports whether that changes which domains are
-// evacuated.
+// applyEvacuation applies a row that evacuates a failure domain, or the removal of one, and reports whether the evacuated failure
+// domains changed.
 func (ct *Catalog) applyEvacuation(domain string, row replica.Row, fromPeer bool) bool {
 	now := ct.timers.Now()
 	if !row.Deleted {
@@ -248,7 +249,7 @@
 	return false
 }
 
-// publishEvacuations makes the evacuated failure domains visible.
+// publishEvacuations publishes a snapshot without the upstreams of evacuated failure domains.
 func (ct *Catalog) publishEvacuations() {
 	ct.roster.SetEvacuated(ct.evacuations.Domains(ct.timers.Now()))
 	ct.publish()
@@ -355,7 +356,7 @@
 	}
 }
 
-// Run drops registrations whose grace period is over, and evacuations that an older copy of the store lacks, until ctx ends; done is closed
+// Run drops registrations whose grace period is over, and evacuations that were held because an older copy of the store lacks their rows, until ctx ends; done is closed
 // at the end.
 func (ct *Catalog) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -2,20 +2,24 @@
 
 import "time"
 
-// Register holds the evacuated failure domains by the rows of the operators' table; it is not safe for concurrent use.
+// Register holds the evacuated failure domains, each with the version of the operators' row that evacuates it; it is not safe for
+// concurrent use.
 type Register struct {
 	entries map[string]*entry
-	// holdUntil is until when an evacuation that an older copy of the store lacks stays in force.
+	// holdUntil is the time until which evacuations stay in force whose rows an older copy of the store lacks.
 	holdUntil time.Time
 }
 
-// entry is an evacuation since a time, with the version of its row. isConfirmed is set if the row has been seen since the store last came
-// back from an older copy. heldUntil is when the evacuation ends if its row, which that copy lacks, is not written again, or zero.
+// entry is the evacuation of one failure domain.
 type entry struct {
-	since       time.Time
-	version     int64
+	// since is when this instance learned of the evacuation.
+	since time.Time
+	// version is that of the row.
+	version int64
+	// isConfirmed is set if the row has been read since the store last came back from an older copy.
 	isConfirmed bool
-	heldUntil   time.Time
+	// heldUntil is set if that copy lacks the row: the evacuation ends then unless the row is written again.
+	heldUntil time.Time
 }
 
 // holdTime is how long operators have to write their rows again after the store came back from an older copy.
@@ -37,8 +41,9 @@
 	return false
 }
 
-// Remove records that the row is gone, and reports whether that ends the evacuation. If an older copy of the store lacks the row, the
-// evacuation is held. Instances pass a row's removal on to each other, so that a second one does not end it either.
+// Remove records that the row is gone, and reports whether that ends the evacuation. If the row is gone because the store came back from an
+// older copy, the evacuation is held instead. Further removals while it is held do not end it either: instances pass the same removal on to
+// each other.
 func (rg *Register) Remove(now time.Time, domain string) (changed bool) {
 	known, found := rg.entries[domain]
 	if !found {
@@ -63,7 +68,7 @@
 	}
 }
 
-// Domains returns the evacuated failure domains, and since when they are.
+// Domains returns the evacuated failure domains, with the time at which this instance learned of each evacuation.
 func (rg *Register) Domains(now time.Time) map[string]time.Time {
 	domains := map[string]time.Time{}
 	for domain, known := range rg.entries {
@@ -74,11 +79,13 @@
 	return domains
 }
 
+// isOver reports whether the evacuation was held and its row was not written again in time.
 func (en *entry) isOver(now time.Time) bool {
 	return !en.heldUntil.IsZero() && !now.Before(en.heldUntil)
 }
 
-// Expire ends the held evacuations whose time is over and returns them with the versions of their last rows.
+// Expire ends the held evacuations whose rows were not written again in time, and returns their failure domains with the versions of the
+// last rows.
 func (rg *Register) Expire(now time.Time) map[string]int64 {
 	expired := map[string]int64{}
 	for domain, known := range rg.entries {
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -9,10 +9,10 @@
 )
 
 // evacuatedRetryAfter is the delay after which a caller is asked to retry while only upstreams in evacuated failure domains could serve its
-// request. Nobody knows when operators withdraw an evacuation.
+// request. It is not known when operators withdraw an evacuation.
 const evacuatedRetryAfter = time.Second
 
-// checkEvacuation refuses a request if its pool, or that of one of its stages, has no upstream left but in evacuated failure domains.
+// checkEvacuation refuses a request if all upstreams of its pool, or of the pool of one of its stages, are in evacuated failure domains.
 func (rn *run) checkEvacuation() Outcome {
 	if rn.isEvacuated() {
 		return rn.refuseEvacuated(rn.pool.Name)
@@ -25,7 +25,7 @@
 	return nil
 }
 
-// refuseEvacuated refuses a request for which only the evacuated upstreams of a pool are left.
+// refuseEvacuated refuses a request because all upstreams of a pool that could serve it are in evacuated failure domains.
 func (rn *run) refuseEvacuated(pool string) Outcome {
 	domains := []string{}
 	for _, up := range rn.Catalog.Evacuated(pool) {
@@ -41,7 +41,7 @@
 	return rn.refuse(evacuatedRetryAfter, Evacuated, detail)
 }
 
-// isEvacuated reports whether upstreams that could serve the request, or continue its stream, are left in evacuated failure domains only.
+// isEvacuated reports whether all upstreams that could serve the request, or continue its stream, are in evacuated failure domains.
 func (rn *run) isEvacuated() bool {
 	if rn.origin == nil {
 		return rn.Catalog.IsPoolEvacuated(rn.pool.Name)
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -353,7 +353,7 @@
 	return rn.takeBudget()
 }
 
-// releaseUnneeded releases the body of a request that may have been executed, if it will not be sent again.
+// releaseUnneeded releases the body of a request that may have been executed if the body will not be sent again.
 func (rn *run) releaseUnneeded() {
 	if rn.pipeline.RetryPolicy == route.AtMostOnce || rn.audit.Executions() >= rn.pipeline.MaxUpstreams {
 		rn.request.Body.Release()
@@ -390,8 +390,8 @@
 const crashProbeTimeout = 400 * time.Millisecond
 
 // reportCrash reports the request's content, and the parts of its prompt, to all instances if the upstream has died while
-// executing the attempt. An upstream that was leaving before is not expected to live. One in an evacuated failure domain is, but gets no call
-// that asks for its incarnation.
+// executing the attempt. An upstream that was leaving before is expected to end. One in an evacuated failure domain is not, but it gets no
+// call that asks for its incarnation.
 func (rn *run) reportCrash(at *attempt) {
 	up, fingerprint, id, isCause, isResumable := at.choice.Upstream, rn.fingerprint, rn.request.ID, at.isCrashCause(), rn.isResumable()
 	if !rn.Catalog.Snapshot().IsStaying(up.Incarnation()) {
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -27,7 +27,7 @@
 	Pauses() map[roster.Incarnation]time.Time
 	// Avoided returns until when upstreams want no requests of some instance.
 	Avoided() map[roster.Incarnation]time.Time
-	// Cold returns until when upstreams are cold whose requests are limited for that.
+	// Cold returns the upstreams whose requests are limited because they are cold, with the ends of their cold times.
 	Cold() map[roster.Incarnation]time.Time
 }
 
@@ -38,7 +38,7 @@
 	maxLimitedRetryAfter = 10 * time.Second
 	// returnInterval is the least time between two callers who are asked to retry, so that not all come at one moment.
 	returnInterval = 10 * time.Millisecond
-	// neverWarm is longer than any wait for a permit.
+	// neverWarm stands for upstreams whose limit does not end with a cold time; it is longer than any wait for a permit.
 	neverWarm = 24 * time.Hour
 )
 
@@ -62,8 +62,8 @@
 }
 
 // permitPatience returns how long the request may wait for a permit: until its first byte would be late or, while its answer
-// is interrupted, for a fixed time. At a cold upstream a request waits the less the lower its rank is: a permit is reserved when the wait
-// for it begins, so that the later ones are left to more urgent requests, of whatever instance.
+// is interrupted, for a fixed time. At a cold upstream this time is divided by the rank plus 1, so that less urgent requests wait for less:
+// a permit is reserved when the wait for it begins, and the later permits are left to more urgent requests of all instances.
 func (rn *run) permitPatience(choice placement.Choice) time.Duration {
 	now := rn.Timers.Now()
 	if rn.response.IsBegun() {
@@ -132,8 +132,8 @@
 	return total
 }
 
-// warmIn returns the time until the first of some upstreams is no longer cold, from when on it needs no permits, or neverWarm if one of
-// them is limited for another reason.
+// warmIn returns the time until the first of the listed upstreams is no longer cold and needs no permits, or neverWarm if one of them is
+// limited for another reason than being cold.
 func (rn *run) warmIn(list []*roster.Upstream) time.Duration {
 	first, cold, now := neverWarm, rn.Limits.Cold(), rn.Timers.Now()
 	for _, up := range list {
@@ -240,8 +240,8 @@
 }
 
 // retryAfterLimited returns after what time a caller is asked to retry if the rate limits of a pool's upstreams are used up for
-// wait. Callers are asked to return one after the other, at this instance's share of the limits, or returnInterval apart from the time on
-// when the first upstream is no longer limited since it is warm.
+// wait. Callers are asked to return one after the other, at this instance's share of the limits, and returnInterval apart once
+// the first upstream has become warm after warmIn and is no longer limited.
 func (pl *Pools) retryAfterLimited(pool string, wait time.Duration, perSecond float64, warmIn time.Duration) time.Duration {
 	each := max(pl.share(1, perSecond), returnInterval)
 	now := pl.timers.Now()
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -147,8 +147,8 @@
 }
 
 // isAnotherIncarnation reports whether another incarnation than the registered one answers at the attempt's upstream, whose
-// version may be another one. The answer to the attempt must have begun, so that its process is the one that reports. An upstream in a failure
-// domain that has been evacuated since is asked, too: it is part of the work that runs there.
+// version may be another one. The answer to the attempt must have begun, so that its process is the one that reports. An upstream is also
+// asked if its failure domain has been evacuated since the attempt began: the question belongs to the work that still runs there.
 func (at *attempt) isAnotherIncarnation() bool {
 	rn, up := at.run, at.choice.Upstream
 	if rn.origin == nil || !rn.hasRestarted(at.ctx, up) {
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -6,7 +6,7 @@
 	"github.com/turmericdoor/turmericdoor/placement"
 )
 
-// recordSent records where the shared parts of the prompt will be cached.
+// recordSent records that the upstream will have the shared parts of the prompt cached.
 func (rn *run) recordSent(choice placement.Choice, criteria placement.Criteria) {
 	if criteria.Session == 0 {
 		return
--- a/gather/free.go
+++ b/gather/free.go
@@ -81,7 +81,7 @@
 		return
 	}
 	if err == nil && !gt.view.IsUsable(up.Incarnation()) {
-		// It frees its results when it ends, or when their time is over.
+		// The results are freed when the upstream ends, or when they expire.
 		return
 	}
 	if err == nil {
@@ -119,7 +119,7 @@
 	gt.freeNow(id, waiting.handles, waiting.allFreed)
 }
 
-// errNotUsable reports that an upstream gets no calls any more, or not for now.
+// errNotUsable reports that an upstream gets no calls because it is leaving, or none until its failure domain is no longer evacuated.
 var errNotUsable = errors.New("the upstream is leaving, or its failure domain is evacuated")
 
 // availableResultBytes asks an upstream for the memory that it has left for results.
--- a/gather/gatherer.go
+++ b/gather/gatherer.go
@@ -41,7 +41,7 @@
 type View interface {
 	Pool(name string) (route.Pool, bool)
 	Upstreams(pool, failureDomain string) []*roster.Upstream
-	// IsPoolEvacuated reports whether a pool has no usable upstream since failure domains are evacuated.
+	// IsPoolEvacuated reports whether a pool has no usable upstream because failure domains are evacuated.
 	IsPoolEvacuated(pool string) bool
 	IsUsable(incarnation roster.Incarnation) bool
 	Find(id string) *roster.Upstream
--- a/gather/queue.go
+++ b/gather/queue.go
@@ -250,7 +250,8 @@
 }
 
 // failOver returns the jobs to their clients if another failure domain has upstreams of the pool, one of them without a rate
-// limit if those of this one are limited. If all upstreams are in evacuated failure domains, waiting for one is of no use either.
+// limit if those of this one are limited. It also returns them if all upstreams of the pool are in evacuated failure domains, since
+// waiting for one is of no use then.
 func (qu *queue) failOver() {
 	if qu.gatherer.view.IsPoolEvacuated(qu.key.Pool) {
 		qu.returnJobs(causeNoUpstream)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -41,7 +41,8 @@
 	byPool map[string][]*Upstream
 	// evacuatedByPool holds the upstreams of evacuated failure domains that are not leaving.
 	evacuatedByPool map[string][]*Upstream
-	evacuated       map[string]time.Time
+	// evacuated holds the evacuated failure domains, with the time at which this instance learned of each evacuation.
+	evacuated map[string]time.Time
 	// addresses are those of all registrations; the value is false if all upstreams with the address are in evacuated failure domains.
 	addresses map[string]bool
 }
@@ -65,7 +66,8 @@
 	graceUntil  time.Time
 	// leaving holds the incarnations that have said themselves that they are leaving, whatever is registered.
 	leaving map[Incarnation]time.Time
-	// evacuated holds the evacuated failure domains, and since when they are. It must not be changed.
+	// evacuated holds the evacuated failure domains, with the time at which this instance learned of each evacuation. The map must not
+	// be changed.
 	evacuated map[string]time.Time
 	// gone holds the incarnations whose registrations were removed, and when.
 	gone map[Incarnation]time.Time
@@ -116,7 +118,7 @@
 	}
 	if found && known.upstream.Incarnation() == upstream.Incarnation() {
 		upstream.Leaving = upstream.Leaving || known.upstream.Leaving
-		// The copy says how long the upstream was cold when it registered, which is over or known.
+		// The copy states the cold time as of the registration. That time is over, or its end is known.
 		upstream.WarmAt = known.upstream.WarmAt
 	}
 	fresh := &entry{upstream: upstream}
@@ -162,7 +164,8 @@
 	rs.leaving = since
 }
 
-// SetEvacuated sets the evacuated failure domains, and since when they are. Their upstreams stay registered and get no new requests.
+// SetEvacuated sets the evacuated failure domains, with the time at which this instance learned of each evacuation. Their upstreams stay
+// registered and get no new requests. The map must not be changed afterwards.
 func (rs *Roster) SetEvacuated(domains map[string]time.Time) {
 	rs.evacuated = domains
 }
@@ -287,18 +290,19 @@
 	return sn.byPool[pool]
 }
 
-// Evacuated returns the upstreams of a pool that get no new requests since their failure domain is evacuated, ordered by id. They are
-// registered and not leaving.
+// Evacuated returns the upstreams of a pool that get no new requests because their failure domain is evacuated, ordered by id.
+// They are registered and not leaving.
 func (sn *Snapshot) Evacuated(pool string) []*Upstream {
 	return sn.evacuatedByPool[pool]
 }
 
-// EvacuatedDomains returns the evacuated failure domains, and since when they are. The map must not be changed.
+// EvacuatedDomains returns the evacuated failure domains, with the time at which this instance learned of each evacuation. The map must
+// not be changed.
 func (sn *Snapshot) EvacuatedDomains() map[string]time.Time {
 	return sn.evacuated
 }
 
-// Find returns the registered upstream with an id, or nil. It may be leaving, or in an evacuated failure domain.
+// Find returns the registered upstream with an id, or nil. The upstream may be leaving, or in an evacuated failure domain.
 func (sn *Snapshot) Find(id string) *Upstream {
 	return sn.byID[id]
 }
@@ -308,7 +312,7 @@
 	return sn.IsStaying(incarnation) && !sn.IsEvacuated(incarnation)
 }
 
-// IsStaying reports whether an incarnation is registered and not leaving, also if its failure domain is evacuated.
+// IsStaying reports whether an incarnation is registered and not leaving; its failure domain may be evacuated.
 func (sn *Snapshot) IsStaying(incarnation Incarnation) bool {
 	known := sn.byID[incarnation.ID]
 	return known != nil && !known.Leaving && known.StartUnixMs == incarnation.StartUnixMs
