Comments on slow upstreams: which estimate is kept, and when it ages

'Its estimates come back' and 'does not age the estimates: meanwhile ...' had to be read twice; the rule, the two uses of handoverTime and the reason now stand in one sentence each. Comments on absent upstreams say why they are kept.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -92,7 +92,8 @@
 	queue     []*group
 	upstreams map[string]*upstream
 	names     []string
-	// absent holds the upstreams that are not listed but have calls or results, by name: they may be listed again.
+	// absent holds the upstreams that are no longer listed but still have calls or results, by name. They may be listed again, as after an
+	// evacuation, and then what they have counts.
 	absent     map[string]*upstream
 	calls      map[uint64]*call
 	lastCallID uint64
@@ -138,8 +139,8 @@
 	sc.config = config
 }
 
-// SetUpstreams replaces the upstreams; calls in flight to removed ones continue. One that is listed again while it has calls or results still
-// has them.
+// SetUpstreams replaces the upstreams; calls in flight to removed ones continue. The calls and results of an upstream that is removed and
+// listed again count as before.
 func (sc *Scheduler) SetUpstreams(list []Upstream) {
 	fresh := map[string]*upstream{}
 	sc.names = sc.names[:0]
--- a/batch/slow.go
+++ b/batch/slow.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Slowdown is the estimate of how slow an upstream is: the ratio of the duration of its calls to the expected one at a time.
+// Slowdown is the estimate of how slow an upstream is: the ratio of the duration of its calls to the expected duration, as of At.
 type Slowdown struct {
 	Upstream string
 	Factor   float64
@@ -14,9 +14,9 @@
 }
 
 const (
-	// minSlowdown is the slowdown above which an estimate is handed to the next scheduler of a pool.
+	// minSlowdown is the factor above which an estimate is handed to the scheduler of the next owner.
 	minSlowdown = 1.5
-	// maxSlowdown bounds the factors that are taken over, whatever another instance has sent.
+	// maxSlowdown bounds the factors that are adopted from another instance.
 	maxSlowdown = 100
 	// maxSlowUpstreams bounds the estimates that are handed over.
 	maxSlowUpstreams = 16
@@ -36,8 +36,8 @@
 	return list[:min(len(list), maxSlowUpstreams)]
 }
 
-// AdoptSlowdowns takes over the estimates of the scheduler that had the pool's upstreams before. An upstream's own calls count
-// instead unless they are older by more than slowdownHalfLife: its estimates come back through other instances.
+// AdoptSlowdowns adopts the estimates of the previous owner's scheduler. A known estimate of this scheduler is kept unless it is older than
+// the adopted one by more than slowdownHalfLife: this scheduler's own estimates come back through other instances.
 func (sc *Scheduler) AdoptSlowdowns(now time.Time, list []Slowdown) {
 	for _, each := range list[:min(len(list), maxSlowUpstreams)] {
 		up := sc.upstreams[each.Upstream]
--- a/gather/slow.go
+++ b/gather/slow.go
@@ -56,14 +56,14 @@
 	byQueue map[QueueKey]slowReport
 }
 
-// slowReport is the estimates in one message, when it was received, and when its load was measured.
+// slowReport holds the estimates of one message. receivedAt is when the message arrived, measuredAt when its load was measured.
 type slowReport struct {
 	list       []batch.Slowdown
 	receivedAt time.Time
 	measuredAt time.Time
 }
 
-// put replaces an older report of a queue.
+// put replaces the report of a queue if the known one is older.
 func (sr *slowReports) put(key QueueKey, fresh slowReport) {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
@@ -72,12 +72,11 @@
 	}
 }
 
-// handoverTime is the longest time between the last report of a queue's owner and the first job of the next owner that does not
-// age the estimates: meanwhile no call can show that an upstream is faster again. It is also how long a queue has had no jobs when
-// it takes over estimates.
+// handoverTime is the longest time after an owner's last report in which its estimates do not age: between two owners no call can show
+// that an upstream is faster again. It is also how long a queue must have had no jobs before it adopts estimates.
 const handoverTime = 3 * time.Second
 
-// get returns the estimates in the last report of a queue.
+// get returns the estimates in the last report of a queue; they do not age in the first handoverTime after it arrived.
 func (sr *slowReports) get(now time.Time, key QueueKey) []batch.Slowdown {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
