Comments and local names on cold upstreams

'begun' is newlyCold, 'said' and 'is' are stated and isKnown, the parameter 'of' is bound. coldTime and limit have comments at their fields. The comments on old ends, overtaken answers and dropped entries say which instance and which time they mean.

--- a/notice/notice.go
+++ b/notice/notice.go
@@ -17,7 +17,7 @@
 	Pause time.Duration
 	// Brittle is set if it ends when it has to reject too many requests.
 	Brittle *Brittle
-	// Cold is set if it says whether it is cold.
+	// Cold is set if it states its remaining cold time.
 	Cold *Cold
 	// IsRejection is set if it has not executed the request because it was full.
 	IsRejection bool
@@ -31,7 +31,7 @@
 	Rejections float64
 }
 
-// Cold is what an upstream says of the time in which it is slow and accepts only a low rate of requests.
+// Cold is what an upstream states of its cold time, in which it is slow and accepts only a low rate of requests.
 type Cold struct {
 	// Left is how long it still is cold, or 0 if it is not.
 	Left time.Duration
--- a/noticetable/noticetable.go
+++ b/noticetable/noticetable.go
@@ -23,8 +23,8 @@
 	// Brittle says that the upstream ends when it has to reject too many requests; PerSecond is the rate for which it is estimated to
 	// have room.
 	Brittle
-	// Cold says that the upstream is slow for some time and accepts only the rate of its pool's cold upstreams until then. An entry
-	// that has ended says that it is not.
+	// Cold says that the upstream is slow until a time and accepts only the rate of its pool's cold upstreams until then. An entry
+	// that has ended says that it is warm.
 	Cold
 )
 
@@ -74,7 +74,8 @@
 	repeatedEntries = 4
 	// minExtension is by how much a pause must end later than a known one to be news.
 	minExtension = 500 * time.Millisecond
-	// minColdChange is by how much a cold time must end earlier or later than a known one to be news; each answer states it anew.
+	// minColdChange is by how much the end of a cold time must differ from the known one to be news. Each answer states the remaining time,
+	// so that its end always differs a little.
 	minColdChange = 250 * time.Millisecond
 	// retention is how long an entry is kept after its upstream is no longer registered, or after it ended.
 	retention = time.Minute
@@ -239,7 +240,7 @@
 }
 
 // Prune drops the pauses that are over, and the entries that are older than retention and have ended, or whose upstream is not
-// registered. PruneCold drops the cold times that were not ended.
+// registered. Cold times are left to PruneCold, except those that an answer has ended.
 func (tb *Table) Prune(now time.Time, isRegistered func(roster.Incarnation) bool) {
 	for of, it := range tb.entries {
 		if of.kind == Cold && !it.Ended {
@@ -254,8 +255,8 @@
 	}
 }
 
-// PruneCold drops the cold times that have been over for retention, by the clock of the timers. Until then an instance that still
-// holds one can't bring it back with a remaining time that grows on its way.
+// PruneCold drops the cold times whose end is longer ago than retention, by the clock of the timers. If they were dropped earlier, an instance
+// that still holds one could bring it back, with a remaining time that grows by the time that the message takes.
 func (tb *Table) PruneCold(now time.Time) {
 	for of, it := range tb.entries {
 		if of.kind == Cold && !it.Ended && now.Sub(it.Until) > retention {
--- a/throttle/cold.go
+++ b/throttle/cold.go
@@ -13,15 +13,17 @@
 const (
 	// maxColdTime bounds the cold time that another instance reports.
 	maxColdTime = 24 * time.Hour
-	// maxEndAge is how old the end of a cold time may be to be learned; the table drops ends that are a minute old.
+	// maxEndAge is the greatest age at which the end of a cold time is taken from another instance. It is less than the minute after which
+	// the table drops ends, so that a dropped one is not added again.
 	maxEndAge = 50 * time.Second
 )
 
-// coldTime is the rate that an upstream accepts while it is cold, in requests per second, and until when it is, by the clock of the
-// timers; the zero time if an answer has said that it no longer is.
+// coldTime is what is known of an upstream that is cold, or was until an answer said otherwise.
 type coldTime struct {
+	// perSecond is the rate that it accepts while it is cold, in requests per second.
 	perSecond float64
-	until     time.Time
+	// until is the end of the cold time by the clock of the timers, or the zero time if an answer has said that it is over.
+	until time.Time
 }
 
 // coldStart is a cold time that a registration states.
@@ -31,7 +33,7 @@
 	learnedAt time.Time
 }
 
-// UpstreamsChanged learns from the registrations which upstreams are cold. It must be called after each change of the registrations
+// UpstreamsChanged reads from the registrations which upstreams are cold. It must be called after each change of the registrations
 // and of the configuration.
 func (th *Throttle) UpstreamsChanged() {
 	if th.ColdRate == nil {
@@ -51,13 +53,13 @@
 		starts[up.Incarnation()] = known
 	}
 	th.coldStarts = starts
-	begun := th.publishCold()
+	newlyCold := th.publishCold()
 	th.mu.Unlock()
-	th.recordCold(begun, "registration")
+	th.recordCold(newlyCold, "registration")
 }
 
-// Cold returns until when upstreams are cold whose requests are limited for that, by the clock of the timers. It takes no lock. The map
-// must not be changed.
+// Cold returns the upstreams whose requests are limited because they are cold, with the ends of their cold times by the clock of the timers.
+// It takes no lock. The map must not be changed.
 func (th *Throttle) Cold() map[roster.Incarnation]time.Time {
 	return *th.coldUntil.Load()
 }
@@ -67,11 +69,11 @@
 	return th.coldGranted.Load(), th.coldDenied.Load()
 }
 
-// publishCold makes visible which upstreams are cold, and returns those that were not before; the caller holds the lock.
+// publishCold publishes the cold upstreams and all limits, and returns the upstreams that have become cold; the caller holds the lock.
 func (th *Throttle) publishCold() []roster.Incarnation {
 	now, before := th.Timers.Now(), th.Cold()
 	times, until, next := th.coldTimes(now), map[roster.Incarnation]time.Time{}, time.Time{}
-	limits, begun := th.table.Limits(), []roster.Incarnation{}
+	limits, newlyCold := th.table.Limits(), []roster.Incarnation{}
 	for incarnation, cold := range times {
 		if !now.Before(cold.until) {
 			continue
@@ -84,7 +86,7 @@
 			next = cold.until
 		}
 		if _, known := before[incarnation]; !known {
-			begun = append(begun, incarnation)
+			newlyCold = append(newlyCold, incarnation)
 		}
 	}
 	th.cold.Store(&times)
@@ -94,23 +96,23 @@
 		th.nextWarm = next
 		th.signal()
 	}
-	return begun
+	return newlyCold
 }
 
-// coldTimes returns the cold times of the registered upstreams whose pool limits them: those that the registrations state, unless an
-// answer has said otherwise since, and those that answers state. The caller holds the lock.
+// coldTimes returns the cold times of the registered upstreams in pools that limit cold ones. An answer that is newer than the registration
+// replaces the cold time that the registration states; an older answer can only extend it. The caller holds the lock.
 func (th *Throttle) coldTimes(now time.Time) map[roster.Incarnation]coldTime {
 	until := map[roster.Incarnation]time.Time{}
 	for incarnation, start := range th.coldStarts {
 		until[incarnation] = start.until
 	}
-	for incarnation, said := range th.table.ColdTimes() {
-		start, isStated := th.coldStarts[incarnation]
-		switch isNewer := !isStated || said.At.After(start.learnedAt); {
-		case said.Ended && isNewer:
+	for incarnation, stated := range th.table.ColdTimes() {
+		start, hasStart := th.coldStarts[incarnation]
+		switch isNewer := !hasStart || stated.At.After(start.learnedAt); {
+		case stated.Ended && isNewer:
 			until[incarnation] = time.Time{}
-		case !said.Ended && (isNewer || said.Until.After(start.until)):
-			until[incarnation] = said.Until
+		case !stated.Ended && (isNewer || stated.Until.After(start.until)):
+			until[incarnation] = stated.Until
 		}
 	}
 	times := map[roster.Incarnation]coldTime{}
@@ -134,7 +136,7 @@
 	return th.ColdRate(pool)
 }
 
-// coldLeft returns the rate of a cold upstream and how long it still is cold, or zeros if it is not.
+// coldLeft returns the rate of a cold upstream and its remaining cold time, or zeros if it is not cold.
 func (th *Throttle) coldLeft(now time.Time, upstream *roster.Upstream) (perSecond float64, left time.Duration) {
 	known, found := (*th.cold.Load())[upstream.Incarnation()]
 	if !found && now.Before(upstream.WarmAt) {
@@ -147,8 +149,8 @@
 	return known.perSecond, left
 }
 
-// coldLimit returns the rate and the remaining cold time with which the owner decides on a request for a permit: its own, or those of the
-// sender if it knows of none.
+// coldLimit returns the rate and the remaining cold time with which the owner decides on a request for a permit: those that it knows itself
+// or, if it knows of no cold time, those in the request.
 func (th *Throttle) coldLimit(now time.Time, incarnation roster.Incarnation, request *wire.PermitRequest) (perSecond float64, left time.Duration) {
 	if registered := th.Find(incarnation.ID); registered != nil && registered.Incarnation() == incarnation {
 		if perSecond, left = th.coldLeft(now, registered); left > 0 {
@@ -161,7 +163,7 @@
 	return request.GetColdPerSecond(), milliseconds(request.GetColdLeftMs())
 }
 
-// countCold counts a decision on a permit for a cold upstream.
+// countCold counts a permit for a cold upstream as granted or denied.
 func (th *Throttle) countCold(outcome wire.PermitOutcome) {
 	if outcome == wire.PermitOutcome_PermitGranted {
 		th.coldGranted.Add(1)
@@ -170,16 +172,16 @@
 	th.coldDenied.Add(1)
 }
 
-// observeCold applies the cold time that the answer to a request states that was sent at a time. An end is as old as the request: an
-// answer that was overtaken must not end a cold time that began since.
-func (th *Throttle) observeCold(upstream *roster.Upstream, sentAt time.Time, said *notice.Cold) {
-	if said == nil || th.coldRate(upstream.Pool) <= 0 {
+// observeCold applies the cold time that an answer states to a request sent at sentAt. The end of a cold time counts as of sentAt: an answer
+// that is overtaken by a newer one must not end a cold time that began in between.
+func (th *Throttle) observeCold(upstream *roster.Upstream, sentAt time.Time, stated *notice.Cold) {
+	if stated == nil || th.coldRate(upstream.Pool) <= 0 {
 		return
 	}
 	now := th.Timers.Now()
 	_, left := th.coldLeft(now, upstream)
-	entry := noticetable.Entry{Kind: noticetable.Cold, Incarnation: upstream.Incarnation(), At: th.Fleet.Time(), Until: now.Add(said.Left)}
-	if said.Left <= 0 {
+	entry := noticetable.Entry{Kind: noticetable.Cold, Incarnation: upstream.Incarnation(), At: th.Fleet.Time(), Until: now.Add(stated.Left)}
+	if stated.Left <= 0 {
 		if left == 0 {
 			return
 		}
@@ -187,19 +189,19 @@
 	}
 	th.mu.Lock()
 	isNews := th.table.Merge(entry)
-	begun := []roster.Incarnation{}
+	newlyCold := []roster.Incarnation{}
 	if isNews {
-		begun = th.publishCold()
+		newlyCold = th.publishCold()
 	}
 	th.mu.Unlock()
-	th.recordCold(begun, "answer")
+	th.recordCold(newlyCold, "answer")
 	if isNews {
 		th.Fleet.TriggerHeartbeat()
 	}
 }
 
-// isForgotten reports whether a cold time of which this instance knows nothing is over: it may have dropped the entry, which must not come
-// back from the others. The caller holds the lock.
+// isForgotten reports whether an entry from another instance is over and this instance has none: it may have dropped it, and must not add it
+// again. The caller holds the lock.
 func (th *Throttle) isForgotten(entry noticetable.Entry) bool {
 	if _, found := th.table.Find(noticetable.Cold, entry.Incarnation); found {
 		return false
@@ -210,10 +212,11 @@
 	return !th.Timers.Now().Before(entry.Until)
 }
 
-// recordCold records upstreams that have become cold in the time line, with the source of the knowledge.
-func (th *Throttle) recordCold(begun []roster.Incarnation, source string) {
+// recordCold records in the timeline that upstreams have become cold. source is where their cold times are known from: the registration, an
+// answer to this instance or another instance.
+func (th *Throttle) recordCold(newlyCold []roster.Incarnation, source string) {
 	now, until := th.Timers.Now(), th.Cold()
-	for _, incarnation := range begun {
+	for _, incarnation := range newlyCold {
 		event := &wire.Event{
 			Kind: wire.EventKind_EventUpstreamCold, Upstream: incarnation.ID, Revision: incarnation.StartUnixMs,
 			DurationMicros: max(until[incarnation].Sub(now), 0).Microseconds(), Detail: fmt.Sprintf("source=%s", source),
@@ -225,7 +228,7 @@
 	}
 }
 
-// signal wakes Run to recompute when the next upstream is no longer cold.
+// signal wakes Run, which then waits for the new value of nextWarm.
 func (th *Throttle) signal() {
 	select {
 	case th.wakeup <- struct{}{}:
@@ -233,7 +236,7 @@
 	}
 }
 
-// milliseconds converts the remaining cold time that another instance reports.
+// milliseconds converts the remaining cold time that another instance reports, at most maxColdTime.
 func milliseconds(count int64) time.Duration {
 	return time.Duration(min(max(count, 0), maxColdTime.Milliseconds())) * time.Millisecond
 }
--- a/throttle/owner.go
+++ b/throttle/owner.go
@@ -31,16 +31,18 @@
 		th.countCold(reply.GetOutcome())
 	}
 	if !limit.isAnnounced && !limit.isBrittle {
-		// From the end of the cold time on no permit is needed.
+		// No permit is needed after the end of the cold time.
 		reply.WaitMicros = min(reply.GetWaitMicros(), limit.coldLeft.Microseconds())
 	}
 	return reply
 }
 
-// limit is what bounds the requests to an upstream: the lowest of the rate that it has announced, the one for which it is estimated to
-// have room and the one that it accepts while it is cold.
+// limit bounds the requests to an upstream.
 type limit struct {
-	perSecond   float64
+	// perSecond is the lowest of the rates that apply: the announced one, the one for which a brittle upstream is estimated to have room, and
+	// the one of a cold upstream.
+	perSecond float64
+	// isAnnounced is set if the upstream has announced a rate limit.
 	isAnnounced bool
 	isBrittle   bool
 	// coldLeft is how long the upstream still is cold, or 0.
@@ -53,7 +55,7 @@
 func (th *Throttle) limitFor(now time.Time, incarnation roster.Incarnation, request *wire.PermitRequest) limit {
 	found := limit{}
 	found.perSecond, found.isBrittle = th.brittleRate(now, incarnation)
-	if entry, is := th.table.Find(noticetable.RateLimit, incarnation); is && !entry.Ended {
+	if entry, isKnown := th.table.Find(noticetable.RateLimit, incarnation); isKnown && !entry.Ended {
 		found.isAnnounced = true
 		found.perSecond = min(found.perSecond, entry.PerSecond)
 	}
@@ -64,21 +66,22 @@
 	return found
 }
 
-// decide decides on a request for a permit that may wait for maxWait. The caller holds the lock.
-func (th *Throttle) decide(now time.Time, incarnation roster.Incarnation, of limit, share float64, reply *wire.PermitReply, maxWait time.Duration) {
+// decide fills in the reply to a request for a permit whose sender may wait for maxWait; share is the part of the limit that this instance
+// issues. The caller holds the lock.
+func (th *Throttle) decide(now time.Time, incarnation roster.Incarnation, bound limit, share float64, reply *wire.PermitReply, maxWait time.Duration) {
 	if left := settleTime - now.Sub(th.startedAt); left > 0 {
 		reply.WaitMicros = left.Microseconds()
 		return
 	}
-	if wait := th.headroom.Wait(now, incarnation.ID); of.isBrittle && wait > 0 {
+	if wait := th.headroom.Wait(now, incarnation.ID); bound.isBrittle && wait > 0 {
 		reply.WaitMicros = wait.Microseconds()
 		return
 	}
 	take := th.ledger.Take
-	if of.isBrittle {
+	if bound.isBrittle {
 		take, maxWait = th.ledger.TakeEvenly, min(maxWait, maxBrittleWait)
 	}
-	switch decision := take(now, incarnation, of.perSecond, share, maxWait).(type) {
+	switch decision := take(now, incarnation, bound.perSecond, share, maxWait).(type) {
 	case permit.Granted:
 		th.headroom.Grant(now, incarnation.ID)
 		reply.Outcome, reply.Number, reply.WaitMicros = wire.PermitOutcome_PermitGranted, decision.Number, decision.Wait.Microseconds()
@@ -155,7 +158,7 @@
 
 // merge adds what another instance knows and reports whether any of it was new.
 func (th *Throttle) merge(news []*wire.UpstreamNotice) bool {
-	changed, others, begun := []noticetable.Entry{}, false, []roster.Incarnation{}
+	changed, others, newlyCold := []noticetable.Entry{}, false, []roster.Incarnation{}
 	th.mu.Lock()
 	for _, item := range news {
 		entry := th.fromWire(item)
@@ -179,10 +182,10 @@
 		}
 	}
 	if len(changed) > 0 || others {
-		begun = th.publish()
+		newlyCold = th.publish()
 	}
 	th.mu.Unlock()
-	th.recordCold(begun, "peer")
+	th.recordCold(newlyCold, "peer")
 	for _, entry := range changed {
 		th.recordChange(entry)
 	}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -47,8 +47,8 @@
 	// LeavingChanged is called with the incarnations whose answers have said that they are leaving, and since when. It must not
 	// call the throttle.
 	LeavingChanged func(map[roster.Incarnation]time.Time)
-	// ColdRate returns the rate in requests per second that cold upstreams of a pool accept, or 0 if it is not limited, and Registered
-	// the registered upstreams. They take no lock; both are nil if no pool limits its cold upstreams.
+	// ColdRate returns the rate in requests per second that cold upstreams of a pool accept, or 0 if it is not limited. Registered returns
+	// the registered upstreams. Both take no lock, and are nil if cold upstreams are not limited.
 	ColdRate   func(pool string) float64
 	Registered func() []*roster.Upstream
 	Timers     *timer.Service
@@ -73,7 +73,8 @@
 	// brittle holds the rates of brittle upstreams, brittlePools the lowest one of each pool.
 	brittle      atomic.Pointer[map[roster.Incarnation]float64]
 	brittlePools atomic.Pointer[map[string]float64]
-	// cold holds the cold times of upstreams, coldUntil when those end that are not over. coldGranted and coldDenied count the permits.
+	// cold holds the cold times, coldUntil the ends of those that are not over yet. coldGranted and coldDenied count the permits for cold
+	// upstreams.
 	cold                    atomic.Pointer[map[roster.Incarnation]coldTime]
 	coldUntil               atomic.Pointer[map[roster.Incarnation]time.Time]
 	coldGranted, coldDenied atomic.Uint64
@@ -87,7 +88,7 @@
 	headroom *headroom.Register
 	pauses   *pause.Register
 	messages uint64
-	// coldStarts holds the cold times that registrations state; nextWarm is when the next upstream is no longer cold, or the zero time.
+	// coldStarts holds the cold times that registrations state; nextWarm is when the next upstream becomes warm, or the zero time.
 	coldStarts map[roster.Incarnation]coldStart
 	nextWarm   time.Time
 	// unresponsive holds the instances that did not answer, until when they are not asked again.
@@ -129,8 +130,8 @@
 	return th
 }
 
-// Run forgets the limits of upstreams that are gone, and those of cold upstreams when these are warm, until ctx ends, and waits for all
-// background calls; done is closed at the end.
+// Run drops the limits of upstreams that are gone, and of cold upstreams once they are warm, until ctx ends. Then it waits for all
+// background calls and closes done.
 func (th *Throttle) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	defer th.background.Wait()
@@ -154,7 +155,7 @@
 	}
 }
 
-// untilChange returns the time until the next upstream is no longer cold, or until pruneAt if that comes first.
+// untilChange returns the time until the next upstream becomes warm, or until pruneAt if that comes first.
 func (th *Throttle) untilChange(pruneAt time.Time) time.Duration {
 	th.mu.Lock()
 	defer th.mu.Unlock()
@@ -298,9 +299,9 @@
 }
 
 // publish makes visible what the upstreams have said, and returns those that have become cold; the caller holds the lock.
-func (th *Throttle) publish() (begun []roster.Incarnation) {
+func (th *Throttle) publish() (newlyCold []roster.Incarnation) {
 	leaving, pauses := th.table.LeavingSince(), th.pauses.Until()
-	begun = th.publishCold()
+	newlyCold = th.publishCold()
 	th.paused.Store(&pauses)
 	th.publishBrittle()
 	avoided, ahead := th.table.PausesUntil(th.Fleet.Time()), th.Fleet.Time().Sub(th.Timers.Now())
@@ -312,5 +313,5 @@
 		th.leaving.Store(&leaving)
 		th.LeavingChanged(leaving)
 	}
-	return begun
+	return newlyCold
 }
