Engines of a session have one name in package placement

A type, a method and variables were named copies, while the field and the glossary say engines of a session; the log field copies stays. Type copies is sessionEngines, the variables are serving, overflowed and Overflowed are recordOverflow and RecordOverflow as the other Record functions, the type sending is lastSent. Comments of hotpart no longer say 'carries', 'lately', 'flap' and 'is the same'.

--- a/hotpart/hotpart.go
+++ b/hotpart/hotpart.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxSessions bounds the sessions that are known; beyond it, the one that had no request for the longest time is dropped.
+	// maxSessions bounds the sessions of a table; a further one replaces the session that had no request for the longest time.
 	maxSessions = 4096
 	// maxEngines bounds the engines of one session.
 	maxEngines = 32
@@ -18,30 +18,31 @@
 	// window is the time constant with which requests lose their weight in the rate of a session.
 	window = 3 * time.Second
 	// minRequests is the number of earlier requests, weighted with the time constant evidenceWindow, below which a session has
-	// little demand, whatever the number of instances: a single earlier request says nothing of the rate at the other instances.
-	// With the time constant window, 31 of 68 instances with 25 requests a second in all took it for little demand after 15 s.
+	// little demand, whatever the number of instances: a single earlier request does not show the rate at the other instances. With the
+	// time constant window instead, 31 of 68 instances took a session with 25 requests a second in all for one with little demand after 15 s.
 	minRequests    = 1.5
 	evidenceWindow = 10 * time.Second
 	// holdTime is how long a number of engines is kept after demand last required it, and shrinkInterval the time between two
-	// reductions after that. Among many instances, each sees so few requests that shorter times would make the number flap.
+	// reductions after that. With many instances, each sees so few requests that the number would rise and fall again and again with
+	// shorter times.
 	holdTime       = 12 * time.Second
 	shrinkInterval = time.Second
-	// retention is how long an engine is expected to keep parts that no request used meanwhile.
+	// retention is how long an engine is expected to keep parts in its cache that no request uses.
 	retention = 20 * time.Second
 )
 
-// Demand is what the number of engines of a session depends on beside its rate at this instance.
+// Demand holds what the number of engines of a session depends on, besides the session's rate at this instance.
 type Demand struct {
 	// Instances is the number of live instances, which are assumed to have the same rate as this one.
 	Instances int
-	// EngineRate is how many of the session's requests a second one engine carries.
+	// EngineRate is how many of the session's requests a second one engine may serve.
 	EngineRate float64
 }
 
-// Table holds the sessions of a pool that had requests lately; it is not safe for concurrent use.
+// Table holds the sessions of a pool with the most recent requests; it is not safe for concurrent use.
 type Table struct {
 	sessions map[uint64]*list.Element
-	// order holds the sessions, that of the newest request first.
+	// order holds the sessions, the one with the newest request first.
 	order *list.List
 }
 
@@ -56,23 +57,23 @@
 	// requests is the number of requests at this instance, weighted by their age at observedAt.
 	requests   float64
 	observedAt time.Time
-	// evidence is the same with the time constant evidenceWindow.
+	// evidence is the number of requests weighted with the time constant evidenceWindow.
 	evidence float64
 	// engines is how many of the first engines in the order serve the session.
 	engines int
 	// neededAt is when demand last required that many engines.
 	neededAt time.Time
 	// sent holds the engines to which this instance has sent the session last.
-	sent [maxSent]sending
+	sent [maxSent]lastSent
 }
 
-// sending is an engine to which this instance has sent a request of the session, and when.
-type sending struct {
+// lastSent is an engine, and when this instance last sent it a request of the session.
+type lastSent struct {
 	engine roster.Incarnation
 	at     time.Time
 }
 
-// Observe records a request of a session and returns the session. The number of its engines follows from the requests before.
+// Observe records a request of a session and returns the session. The number of its engines is computed from the earlier requests.
 func (tb *Table) Observe(now time.Time, session uint64, demand Demand) *Session {
 	known := tb.touch(session)
 	known.age(now)
@@ -90,7 +91,7 @@
 	return nil
 }
 
-// touch returns a session as the newest one. A new session takes the place of the oldest one once the table is full.
+// touch returns a session and makes it the first one in the order. Once the table is full, a new session replaces the last one.
 func (tb *Table) touch(session uint64) *Session {
 	if found := tb.sessions[session]; found != nil {
 		tb.order.MoveToFront(found)
@@ -126,7 +127,7 @@
 	return int(min(max(math.Ceil(perSecond/demand.EngineRate), 1), maxEngines))
 }
 
-// resize grows the number of engines at once, and shrinks it one by one when it was not required for holdTime.
+// resize raises the number of engines at once, and lowers it one by one if it was not required for holdTime.
 func (ss *Session) resize(now time.Time, wanted int) {
 	if wanted >= ss.engines {
 		ss.engines, ss.neededAt = wanted, now
@@ -135,8 +136,8 @@
 	ss.engines, ss.neededAt = ss.enginesAt(now, wanted)
 }
 
-// enginesAt returns the number of engines at a time if demand has required only wanted ones since neededAt, and when the
-// number is regarded as needed last.
+// enginesAt returns the number of engines at a time, given that demand has required only the wanted number since neededAt, and the new value
+// of neededAt.
 func (ss *Session) enginesAt(now time.Time, wanted int) (int, time.Time) {
 	excess := now.Sub(ss.neededAt) - holdTime
 	if excess < 0 || ss.engines <= wanted {
@@ -151,9 +152,9 @@
 	return ss.engines
 }
 
-// Overflowed records that all engines of a session were so loaded that another one, at a position in the order, was better. A
-// session with little demand keeps its one engine.
-func (ss *Session) Overflowed(now time.Time, position int) {
+// RecordOverflow records that all engines of a session were so loaded that the engine at a position behind them was chosen. The session gets
+// one more engine, unless its demand is so little that it has only one.
+func (ss *Session) RecordOverflow(now time.Time, position int) {
 	if ss.engines > 1 && position >= ss.engines && ss.engines < maxEngines {
 		ss.engines, ss.neededAt = ss.engines+1, now
 	}
@@ -176,17 +177,17 @@
 			replaced = each
 		}
 	}
-	*replaced = sending{engine: engine, at: now}
+	*replaced = lastSent{engine: engine, at: now}
 }
 
-// RecordNotRun records that an engine has not executed a request that was recorded as sent, so that it has read no parts.
+// RecordNotRun records that an engine has not executed a request that was recorded as sent, and so has not processed its parts.
 func (tb *Table) RecordNotRun(session uint64, engine roster.Incarnation) {
 	if known := tb.Find(session); known != nil {
 		known.forget(engine)
 	}
 }
 
-// Forget drops what is remembered of an engine that is gone.
+// Forget drops an engine that is gone from all sessions.
 func (tb *Table) Forget(engine roster.Incarnation) {
 	for each := tb.order.Front(); each != nil; each = each.Next() {
 		each.Value.(*Session).forget(engine)
@@ -196,12 +197,12 @@
 func (ss *Session) forget(engine roster.Incarnation) {
 	for at := range ss.sent {
 		if ss.sent[at].engine == engine {
-			ss.sent[at] = sending{}
+			ss.sent[at] = lastSent{}
 		}
 	}
 }
 
-// HasSent reports whether this instance has sent a request of the session to an engine that is likely to have kept its parts.
+// HasSent reports whether this instance has sent a request of the session to an engine within retention.
 func (ss *Session) HasSent(now time.Time, engine roster.Incarnation) bool {
 	for at := range ss.sent {
 		if ss.sent[at].engine == engine {
--- a/hotpart/hotpart_test.go
+++ b/hotpart/hotpart_test.go
@@ -81,12 +81,12 @@
 func TestOverflowed(t *testing.T) {
 	known, now := observe(hotpart.New(), start, 1, 10, 10*time.Second, demand)
 	before := known.Engines()
-	known.Overflowed(now, before-1)
+	known.RecordOverflow(now, before-1)
 	must.Eq(t, before, known.Engines())
-	known.Overflowed(now, before)
+	known.RecordOverflow(now, before)
 	must.Eq(t, before+1, known.Engines())
 	single, now := observe(hotpart.New(), start, 1, 1, 10*time.Second, demand)
-	single.Overflowed(now, 5)
+	single.RecordOverflow(now, 5)
 	must.Eq(t, 1, single.Engines())
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -19,9 +19,9 @@
 	// SharedTokens are prompt tokens that an engine has cached if it served the session before. PromptTokens are not shared.
 	SharedTokens int
 	PromptTokens int
-	// Instances is the number of live instances, each of which places requests of the session; 0 counts as 1. IsRepeated is set
-	// if the request was placed before, so that it is no further demand.
-	Instances  int
+	// Instances is the number of live instances, each of which places requests of the session; 0 counts as 1.
+	Instances int
+	// IsRepeated is set if the request was placed before, so that it does not add to the session's demand.
 	IsRepeated bool
 	Exclude    []roster.Incarnation
 	// SoftwareVersion is the only version that upstreams may have if OnlyVersion is set.
@@ -177,7 +177,7 @@
 	best, found := Choice{}, false
 	lowest := math.Inf(1)
 	pl.rotation++
-	copies := pl.observe(now, list, criteria)
+	serving := pl.observe(now, list, criteria)
 	for position, at := range pl.order(list, criteria.Session) {
 		up := list[at]
 		known := pl.state(up.Incarnation())
@@ -187,10 +187,10 @@
 		if criteria.MaxInFlight > 0 && known.inFlight >= criteria.MaxInFlight {
 			continue
 		}
-		isCached := copies.isCached(now, up, position)
+		isCached := serving.isCached(now, up, position)
 		expected := pl.expectedLatency(now, known, up, criteria, isCached)
 		if criteria.Pinned {
-			return Choice{Upstream: up, Order: position, Engines: copies.engines, ExpectedLatency: expected}, true
+			return Choice{Upstream: up, Order: position, Engines: serving.count, ExpectedLatency: expected}, true
 		}
 		score := cost(expected, criteria.Slack) + known.failureRateAt(now)*float64(failureCost)
 		if up.FailureDomain != criteria.FailureDomain {
@@ -199,12 +199,12 @@
 		if now.Before(criteria.Avoided[up.Incarnation()]) {
 			score += float64(avoidedCost)
 		}
-		score += copies.cost(position, isCached, criteria.SharedTokens)
+		score += serving.cost(position, isCached, criteria.SharedTokens)
 		if score < lowest {
-			best, lowest, found = Choice{Upstream: up, Order: position, Engines: copies.engines, ExpectedLatency: expected}, score, true
+			best, lowest, found = Choice{Upstream: up, Order: position, Engines: serving.count, ExpectedLatency: expected}, score, true
 		}
 	}
-	copies.overflowed(now, best)
+	serving.recordOverflow(now, best)
 	return best, found
 }
 
@@ -213,7 +213,7 @@
 func (pl *Pool) PickLimited(now time.Time, list []*roster.Upstream, criteria Criteria) (Choice, time.Duration, bool) {
 	best, found := Choice{}, false
 	shortest := time.Duration(math.MaxInt64)
-	copies := pl.copies(list, criteria)
+	serving := pl.sessionEngines(list, criteria)
 	for position, at := range pl.order(list, criteria.Session) {
 		up := list[at]
 		known := pl.state(up.Incarnation())
@@ -222,8 +222,8 @@
 			continue
 		}
 		if wait < shortest {
-			expected := pl.expectedLatency(now, known, up, criteria, copies.isCached(now, up, position))
-			best, shortest, found = Choice{Upstream: up, Order: position, Engines: copies.engines, ExpectedLatency: expected}, wait, true
+			expected := pl.expectedLatency(now, known, up, criteria, serving.isCached(now, up, position))
+			best, shortest, found = Choice{Upstream: up, Order: position, Engines: serving.count, ExpectedLatency: expected}, wait, true
 		}
 	}
 	return best, shortest, found
--- a/placement/session.go
+++ b/placement/session.go
@@ -11,41 +11,42 @@
 const (
 	// sessionShare is the share of an engine that one session may use before it gets a further one; other sessions use the rest.
 	sessionShare = 0.5
-	// overflowShare is the share of the cost of processing the shared tokens that each place behind the engines of a session
-	// with several costs, so that the overflow of all instances meets at the same engines.
+	// overflowShare is added to the cost of an engine for each position behind the engines of a session that has several, as a share of
+	// the cost of processing the shared tokens. So the overflow of all instances goes to the same engines.
 	overflowShare = 0.02
 )
 
-// copies tells at which engines the shared parts of a request's prompt are expected to be cached.
-type copies struct {
-	// engines is how many of the first engines in the order serve the session; 0 without a session.
-	engines int
-	// session is what is known of the session, or nil.
+// sessionEngines are the engines at which the shared parts of a request's prompt are expected to be cached.
+type sessionEngines struct {
+	// count is how many of the first engines in the order serve the session; 0 without a session.
+	count int
+	// session is the session's entry in the pool's table, or nil. It is not nil if count is above 1.
 	session *hotpart.Session
 }
 
-// observe records a request of a session and returns where its shared parts are expected.
-func (pl *Pool) observe(now time.Time, list []*roster.Upstream, criteria Criteria) copies {
+// observe records a request of a session and returns the engines of the session. A request that was placed before, or whose upstream is
+// given, is not recorded.
+func (pl *Pool) observe(now time.Time, list []*roster.Upstream, criteria Criteria) sessionEngines {
 	if criteria.Session != 0 && !criteria.IsRepeated && !criteria.Pinned && len(list) > 0 {
 		pl.sessions.Observe(now, criteria.Session, hotpart.Demand{Instances: criteria.Instances, EngineRate: pl.engineRate(list[0], criteria)})
 	}
-	return pl.copies(list, criteria)
+	return pl.sessionEngines(list, criteria)
 }
 
-// copies returns where the shared parts of a request's prompt are expected.
-func (pl *Pool) copies(list []*roster.Upstream, criteria Criteria) copies {
+// sessionEngines returns the engines of a request's session.
+func (pl *Pool) sessionEngines(list []*roster.Upstream, criteria Criteria) sessionEngines {
 	if criteria.Session == 0 {
-		return copies{}
+		return sessionEngines{}
 	}
-	found := copies{engines: 1, session: pl.sessions.Find(criteria.Session)}
+	found := sessionEngines{count: 1, session: pl.sessions.Find(criteria.Session)}
 	if found.session != nil {
-		found.engines = max(min(found.session.Engines(), len(list)), 1)
+		found.count = max(min(found.session.Engines(), len(list)), 1)
 	}
 	return found
 }
 
-// engineRate returns how many requests a second like the given one an engine carries for one session: what it processes of
-// their prompts, and what its slots allow.
+// engineRate returns how many requests a second like the given one an engine may serve for one session: the lower of the rates that its
+// speed of processing prompts and its slots allow, times sessionShare.
 func (pl *Pool) engineRate(up *roster.Upstream, criteria Criteria) float64 {
 	rate := math.Inf(1)
 	if criteria.PromptTokens > 0 {
@@ -57,31 +58,31 @@
 	return rate * sessionShare
 }
 
-// isCached reports whether an engine is expected to have the session's parts, or the request has none. Only a session with
-// several engines counts those that this instance has sent it to: one with little demand stays at its first engine.
-func (cp copies) isCached(now time.Time, up *roster.Upstream, position int) bool {
-	if cp.engines == 0 || position < cp.engines {
+// isCached reports whether an engine is expected to have the session's parts cached, or the request has no shared parts. The engines to
+// which this instance has sent the session count only if it has several engines: a session with little demand stays at its first one.
+func (se sessionEngines) isCached(now time.Time, up *roster.Upstream, position int) bool {
+	if se.count == 0 || position < se.count {
 		return true
 	}
-	return cp.engines > 1 && cp.session.HasSent(now, up.Incarnation())
+	return se.count > 1 && se.session.HasSent(now, up.Incarnation())
 }
 
-// cost returns what an engine at a position costs because of the shared parts of the prompt.
-func (cp copies) cost(position int, isCached bool, sharedTokens int) float64 {
+// cost returns the time cost of the shared parts of the prompt at the engine at a position.
+func (se sessionEngines) cost(position int, isCached bool, sharedTokens int) float64 {
 	recompute, total := float64(sharedTokens)*float64(recomputeCost), 0.0
 	if !isCached {
 		total = recompute
 	}
-	if cp.engines > 1 && position >= cp.engines {
-		total += float64(position-cp.engines+1) * overflowShare * recompute
+	if se.count > 1 && position >= se.count {
+		total += float64(position-se.count+1) * overflowShare * recompute
 	}
 	return total
 }
 
-// overflowed records that the engines of a session with several are loaded if another one was chosen.
-func (cp copies) overflowed(now time.Time, best Choice) {
-	if cp.engines > 1 && best.Order >= cp.engines {
-		cp.session.Overflowed(now, best.Order)
+// recordOverflow records that a request of a session with several engines was placed at an engine behind these.
+func (se sessionEngines) recordOverflow(now time.Time, best Choice) {
+	if se.count > 1 && best.Order >= se.count {
+		se.session.RecordOverflow(now, best.Order)
 	}
 }
 
@@ -90,7 +91,8 @@
 	pl.sessions.RecordSent(now, session, incarnation)
 }
 
-// RecordNotRun records that the upstream has no shared parts of a session after an attempt that it has not executed.
+// RecordNotRun records that the upstream has not processed the shared parts of a session if the result is that of an attempt that was not
+// executed.
 func (pl *Pool) RecordNotRun(incarnation roster.Incarnation, session uint64, result Result) {
 	if result == Rejected || result == Unreachable {
 		pl.sessions.RecordNotRun(session, incarnation)
