--- a/entry/evacuated_test.go
+++ b/entry/evacuated_test.go
@@ -165,3 +165,13 @@
 		us.mu.Unlock()
 	}
 }
+
+// recordArrival records a received request or item and checks that the upstream was not leaving.
+func (us *upstreamSet) recordArrival(nd *node, up *upstream, key string) {
+	us.arrivalCounts[key]++
+	us.receivedIn[up.FailureDomain] = append(us.receivedIn[up.FailureDomain], time.Now())
+	us.arrivals[up.Pool] = append(us.arrivals[up.Pool], arrival{at: time.Now(), repeated: us.arrivalCounts[key] > 1})
+	if !up.leftAt.IsZero() && time.Now().After(us.fleet.store.knownBy(up.leftAt, leaveBound)) && nd.hasConverged() {
+		us.violate("instance %s sent %s to %s, which left %v ago", nd.id, key, up.ID, time.Since(up.leftAt))
+	}
+}
--- a/gateway/execute.go
+++ b/gateway/execute.go
@@ -353,13 +353,6 @@
 	return rn.takeBudget()
 }
 
-// releaseUnneeded releases the body of a request that may have been executed if the body will not be sent again.
-func (rn *run) releaseUnneeded() {
-	if rn.pipeline.RetryPolicy == route.AtMostOnce || rn.audit.Executions() >= rn.pipeline.MaxUpstreams {
-		rn.request.Body.Release()
-	}
-}
-
 // takeBudget takes one retry from the pool's budget and reports whether one was left.
 func (rn *run) takeBudget() bool {
 	if !rn.Pools.Spend(rn.pool.Name) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/turmericdoor/turmericdoor/poison"
 	"github.com/turmericdoor/turmericdoor/requestbody"
 	"github.com/turmericdoor/turmericdoor/response"
+	"github.com/turmericdoor/turmericdoor/route"
 )
 
 // Request is a caller's request; its method, path, query, headers and body are forwarded unchanged.
@@ -240,3 +241,10 @@
 	}
 	return "Unknown"
 }
+
+// releaseUnneeded releases the body of a request that may have been executed if the body will not be sent again.
+func (rn *run) releaseUnneeded() {
+	if rn.pipeline.RetryPolicy == route.AtMostOnce || rn.audit.Executions() >= rn.pipeline.MaxUpstreams {
+		rn.request.Body.Release()
+	}
+}
