Replay tests queue their events with package priority

batch and hotpart each had the same heap of events. The figures that TestHotPart, TestUnevenInstances, TestDemandEnds and TestSlowUpstreamsHandedOver log are the same before and after.

--- a/batch/replay_test.go
+++ b/batch/replay_test.go
@@ -1,7 +1,6 @@
 package batch_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericdoor/turmericdoor/batch"
+	"github.com/turmericdoor/turmericdoor/priority"
 )
 
 // config gives a pool of three upstreams a throughput of 18 items a second in calls of one, and 86 in full calls.
@@ -49,23 +49,15 @@
 	run func(now time.Time)
 }
 
-type events []event
-
-func (ev events) Len() int           { return len(ev) }
-func (ev events) Less(i, j int) bool { return ev[i].at.Before(ev[j].at) }
-func (ev events) Swap(i, j int)      { ev[i], ev[j] = ev[j], ev[i] }
-func (ev *events) Push(x any)        { *ev = append(*ev, x.(event)) }
-func (ev *events) Pop() any {
-	old := *ev
-	last := old[len(old)-1]
-	*ev = old[:len(old)-1]
-	return last
+// newEvents returns an empty queue of events, the earliest first.
+func newEvents() *priority.Queue[event] {
+	return priority.New(func(left, right event) bool { return left.at.Before(right.at) }, func(event, int) {})
 }
 
 // simulation runs a scheduler and its upstreams in simulated time.
 type simulation struct {
 	scheduler *batch.Scheduler
-	queue     events
+	queue     *priority.Queue[event]
 	random    *rand.Rand
 	groups    map[uint64]*pending
 	tallies   []tally
@@ -89,6 +81,7 @@
 
 func newSimulation(seed uint64, config batch.Config, upstreams ...string) *simulation {
 	sm := &simulation{
+		queue:     newEvents(),
 		scheduler: batch.New(config), random: rand.New(rand.NewPCG(seed, 1)), groups: map[uint64]*pending{},
 		slow: map[string]float64{}, dead: map[string]bool{},
 	}
@@ -101,7 +94,7 @@
 }
 
 func (sm *simulation) at(when time.Time, run func(time.Time)) {
-	heap.Push(&sm.queue, event{at: when, run: run})
+	sm.queue.Push(event{at: when, run: run})
 }
 
 // addArrivals schedules the arrivals of the groups of each kind.
@@ -125,8 +118,8 @@
 // run runs all events and returns a tally for each kind.
 func (sm *simulation) run(t *testing.T) []tally {
 	t.Helper()
-	for len(sm.queue) > 0 {
-		next := heap.Pop(&sm.queue).(event)
+	for sm.queue.Len() > 0 {
+		next := sm.queue.Pop()
 		next.run(next.at)
 		sm.step(t, next.at)
 	}
--- a/hotpart/replay_test.go
+++ b/hotpart/replay_test.go
@@ -1,7 +1,6 @@
 package hotpart_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericdoor/turmericdoor/placement"
+	"github.com/turmericdoor/turmericdoor/priority"
 	"github.com/turmericdoor/turmericdoor/roster"
 )
 
@@ -41,17 +41,9 @@
 	run func(now time.Time)
 }
 
-type events []event
-
-func (ev events) Len() int           { return len(ev) }
-func (ev events) Less(i, j int) bool { return ev[i].at.Before(ev[j].at) }
-func (ev events) Swap(i, j int)      { ev[i], ev[j] = ev[j], ev[i] }
-func (ev *events) Push(x any)        { *ev = append(*ev, x.(event)) }
-func (ev *events) Pop() any {
-	old := *ev
-	last := old[len(old)-1]
-	*ev = old[:len(old)-1]
-	return last
+// newEvents returns an empty queue of events, the earliest first.
+func newEvents() *priority.Queue[event] {
+	return priority.New(func(left, right event) bool { return left.at.Before(right.at) }, func(event, int) {})
 }
 
 // engine processes prompts one after the other, runs requests in its slots, and keeps the parts that were used last.
@@ -86,7 +78,7 @@
 
 // fleet runs the placement of all instances and the engines in simulated time.
 type fleet struct {
-	queue   events
+	queue   *priority.Queue[event]
 	random  *rand.Rand
 	list    []*roster.Upstream
 	engines map[string]*engine
@@ -118,7 +110,7 @@
 }
 
 func newFleet(seed uint64, isBefore bool) *fleet {
-	fl := &fleet{random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*engine{}, isBefore: isBefore}
+	fl := &fleet{queue: newEvents(), random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*engine{}, isBefore: isBefore}
 	for at := range engineCount {
 		up := &roster.Upstream{ID: fmt.Sprintf("e%d", at), Slots: slots, FailureDomain: domain(at)}
 		fl.list = append(fl.list, up)
@@ -136,7 +128,7 @@
 }
 
 func (fl *fleet) at(when time.Time, run func(time.Time)) {
-	heap.Push(&fl.queue, event{at: when, run: run})
+	fl.queue.Push(event{at: when, run: run})
 }
 
 // arrivals are requests of sessions at a rate during a time.
@@ -179,8 +171,8 @@
 }
 
 func (fl *fleet) run() {
-	for len(fl.queue) > 0 {
-		next := heap.Pop(&fl.queue).(event)
+	for fl.queue.Len() > 0 {
+		next := fl.queue.Pop()
 		next.run(next.at)
 	}
 }
