Comments of the new tests name the failure and its reason

'since' for a reason reads as a time; 'guards against the same where only the answers say so' says now what is guarded against. TestUpstreamCoolsDown is TestUpstreamColdAgain: the upstream does not cool, it becomes cold. Two tests without a comment have one.

--- a/batch/absent_test.go
+++ b/batch/absent_test.go
@@ -9,8 +9,8 @@
 	"github.com/turmericdoor/turmericdoor/batch"
 )
 
-// TestUpstreamThatIsListedAgain guards against more calls or results than an upstream can take, since what it had before it was left out, as
-// during an evacuation, is forgotten.
+// TestUpstreamThatIsListedAgain guards against more calls or results than an upstream can take, because those that it had before it was removed, as
+// by an evacuation, are no longer counted.
 func TestUpstreamThatIsListedAgain(t *testing.T) {
 	leaveOut := func(scheduler *batch.Scheduler, meanwhile func()) {
 		scheduler.SetUpstreams(nil)
--- a/batch/slow_test.go
+++ b/batch/slow_test.go
@@ -19,7 +19,7 @@
 	return sm
 }
 
-// loads are the kinds of groups at a load of half of the pool and at one that it just carries.
+// loads are the rates of the two kinds of groups at half of the load that the pool can just serve and at all of it.
 var loads = map[string][2]float64{"half": {30, 80}, "full": {50, 120}}
 
 func kindsOf(perSecond [2]float64, during time.Duration) []kind {
@@ -44,7 +44,7 @@
 	onTime int
 }
 
-// add runs a new scheduler with estimates and a backlog of one second, and counts the calls of its first time.
+// add runs a new scheduler with estimates and a backlog of one second, and adds the calls of the given time.
 func (sl *slowCalls) add(t *testing.T, seed uint64, perSecond [2]float64, during time.Duration, estimates []batch.Slowdown) {
 	t.Helper()
 	sm := newSlowPool(seed)
--- a/catalog/evacuation_test.go
+++ b/catalog/evacuation_test.go
@@ -60,6 +60,7 @@
 	must.Eq(t, !want, len(er.Evacuated("p")) == 1)
 }
 
+// TestEvacuation guards against an evacuation that does not take effect, or does not end, with its row.
 func TestEvacuation(t *testing.T) {
 	t.Run("takes upstreams out of use while its row is there", func(t *testing.T) {
 		runEvacuation(t, func(t *testing.T, er *evacuationRun) {
--- a/entry/cold_test.go
+++ b/entry/cold_test.go
@@ -16,7 +16,7 @@
 type coldSpan struct {
 	upstream    string
 	from, until time.Time
-	// says is set if its answers say how long it still is cold; firstSaid is when the first one did.
+	// says is set if its answers state the remaining cold time; firstSaid is when the first one did.
 	says      bool
 	firstSaid time.Time
 	calls     []limitedCall
@@ -211,7 +211,8 @@
 	return float64(cr.answeredOf[organisationName(number)]) / float64(cr.sentOf[organisationName(number)])
 }
 
-// TestUpstreamsThatAreColdAgain guards against the same where only the answers say so, to one instance first.
+// TestUpstreamsThatAreColdAgain guards against too many requests to upstreams that become cold without a new registration: only their answers
+// say so, each to one instance.
 func TestUpstreamsThatAreColdAgain(t *testing.T) {
 	for _, instances := range []int{8, 18, 85} {
 		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -31,8 +31,8 @@
 	})
 }
 
-// TestEvacuatedDomainWhileAnswersBreak guards against retries and resumed streams that reach an evacuated failure domain, since the upstreams
-// of the other one break off.
+// TestEvacuatedDomainWhileAnswersBreak guards against retries and resumed streams that reach an evacuated failure domain because the
+// answers of the upstreams in the other one break off.
 func TestEvacuatedDomainWhileAnswersBreak(t *testing.T) {
 	playEvacuation(t, defects{budget: generous}, func(t *testing.T, er *evacuationRun) {
 		us := er.fleet.upstreams
@@ -81,7 +81,7 @@
 	})
 }
 
-// TestEvacuationWhileStoreReadersAreCut guards against an evacuation that is not known since those instances that read the store are cut off
+// TestEvacuationWhileStoreReadersAreCut guards against an evacuation that is not known because the instances that read the store are cut off
 // from it.
 func TestEvacuationWhileStoreReadersAreCut(t *testing.T) {
 	for name, set := range map[string]func(nd *node, isCut bool){
@@ -109,8 +109,8 @@
 	}
 }
 
-// TestInstanceThatStartsDuringAnEvacuation guards against an instance that uses an evacuated failure domain, since it starts while the store,
-// which has the row, is away.
+// TestInstanceThatStartsDuringAnEvacuation guards against an instance that uses an evacuated failure domain because it starts while the store,
+// which has the row, can't be reached.
 func TestInstanceThatStartsDuringAnEvacuation(t *testing.T) {
 	playEvacuation(t, defects{}, func(t *testing.T, er *evacuationRun) {
 		list := er.evacuateAll(t, "a")
@@ -130,8 +130,8 @@
 	})
 }
 
-// TestEvacuationWithdrawnWithoutHistory guards against an evacuation that never ends, since its row was removed while the store was away and
-// the store no longer has that change: it is missing in the complete table.
+// TestEvacuationWithdrawnWithoutHistory guards against an evacuation that never ends because its row was removed while the store could not be
+// reached, and the store no longer has that change: the row is only missing in the complete table.
 func TestEvacuationWithdrawnWithoutHistory(t *testing.T) {
 	playEvacuation(t, defects{}, func(t *testing.T, er *evacuationRun) {
 		list := er.evacuateAll(t, "a")
@@ -149,7 +149,7 @@
 	})
 }
 
-// TestEvacuationThatAnOlderStoreLacks guards against an evacuation that ends since the store comes back from an older copy, and against one
+// TestEvacuationThatAnOlderStoreLacks guards against an evacuation that ends because the store comes back from an older copy, and against one
 // that then lasts although its row is not written again.
 func TestEvacuationThatAnOlderStoreLacks(t *testing.T) {
 	comeBack := func(t *testing.T, er *evacuationRun) []*evacuation {
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -11,7 +11,7 @@
 
 var start = time.Unix(1000, 0)
 
-// after returns a time so many seconds after the start.
+// after returns the time that many seconds after the start.
 func after(seconds float64) time.Time {
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
@@ -24,6 +24,7 @@
 	return rg
 }
 
+// TestRows guards against evacuations that begin, last or end otherwise than their rows.
 func TestRows(t *testing.T) {
 	t.Run("an evacuation lasts as long as its row", func(t *testing.T) {
 		rg := evacuation.New()
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -62,8 +62,8 @@
 	})
 }
 
-// TestEvacuatedMeanwhile guards against a request that is sent to an upstream after its failure domain was evacuated, since the request was
-// on its way through the instance at that moment.
+// TestEvacuatedMeanwhile guards against a request that is sent to an upstream after its failure domain was evacuated because the instance was
+// already serving the request at that moment.
 func TestEvacuatedMeanwhile(t *testing.T) {
 	t.Run("during its stages", func(t *testing.T) {
 		fk := &fakes{}
@@ -109,7 +109,7 @@
 	})
 }
 
-// TestEvacuatedStreams guards against streams that go on in an evacuated failure domain, and against callers that give their streams up since
+// TestEvacuatedStreams guards against streams that go on in an evacuated failure domain, and against callers that give their streams up because
 // they are told that the version is gone.
 func TestEvacuatedStreams(t *testing.T) {
 	t.Run("one that its caller takes up is refused with a time to come back", func(t *testing.T) {
@@ -146,7 +146,7 @@
 	})
 }
 
-// TestCrashInAnEvacuatedDomain guards against a request that crashes upstreams and goes unnoticed, since its upstream was evacuated.
+// TestCrashInAnEvacuatedDomain guards against a request that crashes upstreams and is not reported because its upstream was evacuated.
 func TestCrashInAnEvacuatedDomain(t *testing.T) {
 	fk := &fakes{dead: true, responses: []response{{err: errReset, after: 100 * time.Millisecond}}}
 	fk.duringSend = func() { fk.evacuate("a") }
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -91,7 +91,7 @@
 	return func(rq *gateway.Request) { rq.APIKey = key }
 }
 
-// TestAllColdUpstreams guards against callers who are asked to come back long after the upstreams are warm, and against less urgent
+// TestAllColdUpstreams guards against callers who are asked to retry long after the upstreams are warm, and against less urgent
 // requests that take the permits for which more urgent ones wait.
 func TestAllColdUpstreams(t *testing.T) {
 	t.Run("callers are asked to come back one after the other, soon after the end of the cold time at the latest", func(t *testing.T) {
--- a/gateway/sessions_test.go
+++ b/gateway/sessions_test.go
@@ -21,7 +21,7 @@
 	return detail
 }
 
-// withTokens gives a request the same prompt as withPrompt, with more tokens of its own.
+// withTokens gives a request the prompt of withPrompt with more unshared tokens.
 func withTokens(request *gateway.Request) {
 	withPrompt(request)
 	request.Prompt.Tokens = 2908
--- a/noticetable/noticetable_test.go
+++ b/noticetable/noticetable_test.go
@@ -127,7 +127,7 @@
 }
 
 // TestColdTimes guards against a cold time that each answer announces anew, one that an older notice brings back, and one that is
-// dropped, or kept, since the wall time has jumped.
+// dropped, or kept, because the wall time has jumped.
 func TestColdTimes(t *testing.T) {
 	cold := func(seconds int64, until time.Time, ended bool) noticetable.Entry {
 		return noticetable.Entry{Kind: noticetable.Cold, Incarnation: roster.Incarnation{ID: "u"}, At: time.Unix(seconds, 0), Until: until, Ended: ended}
--- a/throttle/cold_test.go
+++ b/throttle/cold_test.go
@@ -93,9 +93,9 @@
 	}
 }
 
-// TestUpstreamCoolsDown guards against an upstream that becomes cold again while only one instance knows it, and against an end that
+// TestUpstreamColdAgain guards against an upstream that becomes cold again while only one instance knows it, and against an end that
 // the others don't hear of or that an older answer causes.
-func TestUpstreamCoolsDown(t *testing.T) {
+func TestUpstreamColdAgain(t *testing.T) {
 	runColdFleet(t, 18, func(ctx context.Context, fl *coldFleet) {
 		up := fl.upstreams["u0"]
 		early, err := fl.nodes[3].throttle.Acquire(ctx, up, 0)
@@ -146,7 +146,7 @@
 	})
 }
 
-// TestColdTimeOnAClockThatJumps guards against cold times that end early or never since the wall time of an instance was stepped.
+// TestColdTimeOnAClockThatJumps guards against cold times that end early or never because the wall time of an instance was stepped.
 func TestColdTimeOnAClockThatJumps(t *testing.T) {
 	for _, step := range []time.Duration{10 * time.Minute, -10 * time.Minute} {
 		t.Run(fmt.Sprint(step), func(t *testing.T) {
