Fault soak: callers that read slowly or stop reading for a second

Cause: all callers of the fault soak read as fast as they could. Change: one call in 13 reads its answer 16 bytes at a time with a pause before each of the first 30 reads, one in 17 stops reading for a second after its first read. There is no new check: the memory bound and the answers of the others are checked as before.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -34,6 +34,9 @@
 	leaves  bool
 	resumes string
 	version string
+	// slow calls read an answer some bytes at a time, pausing calls stop reading for a time.
+	slow    bool
+	pausing bool
 	// bad calls have a part in their prompts that crashes upstreams.
 	bad bool
 }
@@ -44,6 +47,7 @@
 	cl := call{kind: kinds[at%len(kinds)], instance: (number + at/20) % instances, http10: at%7 == 3, single: at%11 == 5}
 	cl.id = fmt.Sprintf("c%d-%d@%d", number, at, cl.instance)
 	cl.leaves = routeKinds[cl.kind].resumable && at%9 == 4
+	cl.slow, cl.pausing = at%13 == 6, at%17 == 8
 	return cl
 }
 
--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 const (
@@ -51,6 +52,9 @@
 
 // readAnswer reads the body of an answer, or its first events if the caller then leaves. The error is that of the connection.
 func readAnswer(cl call, response *http.Response) (string, error) {
+	if cl.slow || cl.pausing {
+		response.Body = &slowBody{ReadCloser: response.Body, pausing: cl.pausing}
+	}
 	if !cl.leaves || response.StatusCode != http.StatusOK {
 		body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
 		if err == nil && len(body) == maxAnswer {
@@ -69,6 +73,36 @@
 	return text, errLeft
 }
 
+const (
+	// slowBytes is the length of the reads of a slow caller and slowGap the pause before each of the first slowReads of them.
+	slowBytes = 16
+	slowGap   = 10 * time.Millisecond
+	slowReads = 30
+	// readPause is how long a pausing caller does not read after its first read.
+	readPause = time.Second
+)
+
+// slowBody is the body of an answer that its caller reads slowly.
+type slowBody struct {
+	io.ReadCloser
+
+	pausing bool
+	reads   int
+}
+
+// Read reads some bytes after a pause.
+func (sb *slowBody) Read(buffer []byte) (int, error) {
+	sb.reads++
+	switch {
+	case sb.pausing && sb.reads == 2:
+		time.Sleep(readPause)
+	case !sb.pausing && sb.reads <= slowReads:
+		time.Sleep(slowGap)
+		buffer = buffer[:min(slowBytes, len(buffer))]
+	}
+	return sb.ReadCloser.Read(buffer)
+}
+
 // errLeft is the error of an answer whose caller has left.
 var errLeft = fmt.Errorf("the caller has left")
 
