Fault soak: evacuated failure domains and upstreams that return cold

Cause: the fault soak of real processes played neither. Their rules were only tested with whole fleets inside one process. Change: about a second after the beginning of a run the row evacuate/z0 or evacuate/z1 is written, half the time while an instance is cut off from the store, else while one is being restarted, and removed 5.5 to 6.5 s later. No call of any kind, items, freed results and reports included, may reach an upstream there later than 5 s after the write from an instance without a fault in the last 3 s. Calls of the upstreams' own interface do not name their sender, which is found by its socket. After a restore of the store from an older copy, the evacuations are written again, too. Two upstreams start again with cold_left_ms 3000; no second may bring one of them more than 2 x 1.5 + 5 requests, whatever the faults of the instances. The pools and settings of all tests in this package now have cold_s, cold_per_s, cold_overage and cold_slack.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -71,7 +71,8 @@
 // configuredLimits bound what callers may send in the tests with short bodies.
 const configuredLimits = `{"max_body_bytes":100000,"idle_timeout_ms":30000}`
 
-const services = `"services":[{"name":"model","engine":{"slot_count":64,"kv_capacity_tokens":100000}},{"name":"plain"},
+const services = `"services":[{"name":"model","engine":{"slot_count":64,"kv_capacity_tokens":100000},"cold_s":3,"cold_per_s":2},
+{"name":"plain","cold_s":3,"cold_per_s":2},
 {"name":"stage","pieces":{"slot_count":1,"queue":2,"batch":8,"call_ms":20,"item_ms":1,"headroom_mb":36,"handle_s":4}}],
 "tenants":[{"name":"guild","api_keys":["k"]}],"limits":`
 
@@ -108,15 +109,12 @@
 	t.Cleanup(server.Close)
 	for _, pool := range []string{"model", "plain", "stage"} {
 		for at := range upstreamCounts[pool] {
-			up := newUpstream(t, fmt.Sprintf("%s-%d", pool, at), seed, fl.ledger)
-			px := newProxy(t, strings.TrimPrefix(up.URL, "http://"))
-			fl.proxies = append(fl.proxies, px)
-			up.register = func() { fl.store.Put("servers", up.id, registration(up.id, px.address(), at%2, up.born.Load())) }
-			up.crash = func() { px.crash(crashLength, up.register) }
-			up.register()
-			fl.upstreams[up.id] = up
+			fl.proxies = append(fl.proxies, fl.addUpstream(fmt.Sprintf("%s-%d", pool, at), seed))
 		}
 	}
+	for _, id := range spareUpstreams {
+		fl.addUpstream(id, seed)
+	}
 	fl.putConfiguration()
 	free := freeAddresses(t, 4*instances)
 	control := free[3*instances:]
@@ -133,14 +131,40 @@
 	return fl
 }
 
-// upstreamCounts is the number of upstreams of each pool.
+// addUpstream starts an upstream in the failure domain that its number gives, with a proxy before it, and registers it.
+func (fl *fleet) addUpstream(id string, seed uint64) *proxy {
+	up := newUpstream(fl.t, id, seed, fl.ledger)
+	px := newProxy(fl.t, strings.TrimPrefix(up.URL, "http://"))
+	_, number, _ := strings.Cut(id, "-")
+	count, err := strconv.Atoi(number)
+	must.NoError(fl.t, err)
+	up.domain, up.senderOf = count%2, func(remote string) (int, bool) { return fl.instanceAt(px.sourceOf(remote)) }
+	up.register = func() {
+		fl.store.Put("servers", id, coldRegistration(id, px.address(), up.domain, up.born.Load(), up.coldLeft()))
+	}
+	up.crash = func() { px.crash(crashLength, up.register) }
+	up.register()
+	fl.upstreams[id] = up
+	return px
+}
+
+// upstreamCounts is the number of upstreams of each pool whose connections have faults.
 var upstreamCounts = map[string]int{"model": 4, "plain": 3, "stage": 3}
 
+// spareUpstreams are further ones, without such faults. While one failure domain is evacuated, the upstreams of the other one that are not
+// leaving or limited could serve only a small part of the load.
+var spareUpstreams = []string{"model-4", "model-5", "plain-3", "plain-4", "stage-3"}
+
 // registration returns the row that an upstream writes for itself.
 func registration(id, address string, domain int, born int64) string {
+	return coldRegistration(id, address, domain, born, 0)
+}
+
+// coldRegistration is registration of an upstream that is cold for a time.
+func coldRegistration(id, address string, domain int, born int64, cold time.Duration) string {
 	pool, _, _ := strings.Cut(id, "-")
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z%d","version":%q,"slot_count":8,"state":"ready","cold_left_ms":0,"sequence":1,"born":%d}`,
-		pool, address, domain, softwareVersion(id), born)
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z%d","version":%q,"slot_count":8,"state":"ready","cold_left_ms":%d,"sequence":1,"born":%d}`,
+		pool, address, domain, softwareVersion(id), cold.Milliseconds(), born)
 }
 
 // disturb records a fault of an instance's process.
@@ -171,7 +195,7 @@
 	port, err := strconv.Atoi(metrics)
 	must.NoError(fl.t, err)
 	content := fmt.Sprintf(`{"node_name":"i%d","zone":"z%d","ip":"127.0.0.1","listen":{"front":%q,"ready":%q,"control":%q},"inner_ports":[%d,65535],
-"seeds":[%q,%q],"limits":{"memory_mb":%d,"max_fds":%d},"bounds":{"grace_s":4,"retry_budget_ratio":0.2,"budget_window_s":10,"budget_extra":50},
+"seeds":[%q,%q],"limits":{"memory_mb":%d,"max_fds":%d},"bounds":{"grace_s":4,"retry_budget_ratio":0.2,"budget_window_s":10,"budget_extra":50,"cold_overage":1.5,"cold_slack":5},
 "platform":{"address":%q}}`, at, at%2, ports[0], ports[1], control[at], port-1, control[0], control[min(1, len(control)-1)], fl.resources.memoryMB,
 		fl.resources.descriptors, storeAddress)
 	path := filepath.Join(fl.folder, fmt.Sprintf("i%d.json", at))
--- a/soak/olderstore_test.go
+++ b/soak/olderstore_test.go
@@ -37,6 +37,7 @@
 	for _, up := range fl.upstreams {
 		up.register()
 	}
+	fl.writeEvacuationsAgain()
 	fl.putConfiguration()
 	fl.mu.Lock()
 	version := fl.version
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -28,6 +28,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	// sources are the addresses of the proxy's callers by the addresses from which it forwards their data to the target.
+	sources map[string]string
 	// crashed is set while the listener is closed by a crash, ended once it is closed for good.
 	crashed, ended bool
 }
@@ -36,7 +38,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	px := &proxy{t: t, listener: listener, addr: listener.Addr().String(), target: target, conns: map[net.Conn]bool{}}
+	px := &proxy{t: t, listener: listener, addr: listener.Addr().String(), target: target, conns: map[net.Conn]bool{}, sources: map[string]string{}}
 	t.Cleanup(px.end)
 	go px.accept(listener)
 	return px
@@ -110,6 +112,13 @@
 // address returns the address, which stays the same after a crash.
 func (px *proxy) address() string { return px.addr }
 
+// sourceOf returns the address of the caller whose data is forwarded from an address.
+func (px *proxy) sourceOf(forwarder string) string {
+	px.mu.Lock()
+	defer px.mu.Unlock()
+	return px.sources[forwarder]
+}
+
 func (px *proxy) accept(listener net.Listener) {
 	for {
 		from, err := listener.Accept()
@@ -127,6 +136,7 @@
 		}
 		px.mu.Lock()
 		px.conns[from], px.conns[to] = true, true
+		px.sources[to.LocalAddr().String()] = from.RemoteAddr().String()
 		px.mu.Unlock()
 		go px.forward(from, to, &px.dropRequests)
 		go px.forward(to, from, &px.dropResponses)
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -44,6 +44,11 @@
 	// leaving is set while it says that it is leaving, pauseUntil is until when it wants no requests, in Unix nanoseconds.
 	leaving    atomic.Bool
 	pauseUntil atomic.Int64
+	// coldFrom is when it last came back cold, in Unix nanoseconds.
+	coldFrom atomic.Int64
+	// domain is its failure domain; senderOf returns the instance of a connection by its remote address.
+	domain   int
+	senderOf func(remote string) (int, bool)
 	// born is the start time of the current incarnation; register writes its registration, crash ends and restarts it.
 	born     atomic.Int64
 	register func()
@@ -75,6 +80,7 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	us.checkEvacuated(request)
 	random := seededRandom(us.seed, fmt.Sprintf("%s/limit/%d", us.id, us.limited.Add(1)))
 	us.announceLimit(writer, random.IntN(unreadableShare) == 0)
 	if !strings.HasPrefix(request.URL.Path, "/v1/") {
@@ -143,6 +149,7 @@
 	id := request.Header.Get("Turmericdoor-Attempt-Id")
 	us.checkRequest(request, id, body)
 	us.recordLimited(id)
+	us.checkCold()
 	if us.crashesOn(request, id) {
 		return
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -33,6 +33,13 @@
 	takenUp    map[string]int
 	violations []string
 	brittle    brittle
+	// evacuated is when the evacuation in force of a failure domain was written, or zero.
+	evacuated [2]time.Time
+	// lateEvacuated counts the calls that reached upstreams of evacuated failure domains after the bound, those of disturbed instances, too.
+	lateEvacuated int
+	// cold holds the requests of the last second at cold upstreams, coldMost the most that one got in a second.
+	cold     map[string][]time.Time
+	coldMost map[string]int
 	// began is when the run began.
 	began time.Time
 	// examples holds the first violation of each kind.
@@ -55,6 +62,7 @@
 		arrivals: map[string]int{}, runs: map[string]int{}, notRun: map[string]int{}, junk: map[string]bool{}, played: map[string]int{},
 		answers: map[string][]string{}, longest: map[string]time.Duration{}, most: map[string]int{}, examples: map[string]string{},
 		limits: newLimitLedger(), told: map[toldKey]time.Time{}, takenUp: map[string]int{},
+		cold: map[string][]time.Time{}, coldMost: map[string]int{},
 	}
 }
 
