--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -204,49 +204,55 @@
 	ct.roster.Put(upstream)
 }
 
-// applyEvacuations applies the evacuations among the rows, and publishes the result if the evacuated failure domains changed.
+// applyEvacuations applies the evacuations among the rows, and publishes the result if the evacuated failure domains changed. Their events are
+// recorded after that: no request that is logged later is sent to an evacuated upstream.
 func (ct *Catalog) applyEvacuations(rows []replica.Row, fromPeer bool) {
-	changed := false
+	changed, recorded := false, []*wire.Event{}
 	for _, row := range rows {
 		domain, ok, err := ct.decoder.Evacuation(row)
 		if err != nil {
-			ct.events.Record(&wire.Event{Kind: wire.EventKind_EventRowUnreadable, Stage: ct.tableNames.Configuration, Revision: row.Version, Detail: err.Error()})
+			recorded = append(recorded, &wire.Event{Kind: wire.EventKind_EventRowUnreadable, Stage: ct.tableNames.Configuration, Revision: row.Version, Detail: err.Error()})
 		}
-		if ok {
-			changed = ct.applyEvacuation(domain, row, fromPeer) || changed
+		if !ok {
+			continue
+		}
+		hasChanged, event := ct.applyEvacuation(domain, row, fromPeer)
+		changed = changed || hasChanged
+		if event != nil {
+			event.Revision = row.Version
+			recorded = append(recorded, event)
 		}
 	}
 	if changed {
 		ct.publishEvacuations()
 	}
+	for _, event := range recorded {
+		ct.events.Record(event)
+	}
 }
 
-// applyEvacuation applies a row that evacuates a failure domain, or the removal of one, and reports whether the evacuated failure
-// domains changed.
-func (ct *Catalog) applyEvacuation(domain string, row replica.Row, fromPeer bool) bool {
+// applyEvacuation applies a row that evacuates a failure domain, or the removal of one. It reports whether the evacuated failure domains
+// changed, and returns the event to record, or nil.
+func (ct *Catalog) applyEvacuation(domain string, row replica.Row, fromPeer bool) (changed bool, event *wire.Event) {
 	now := ct.timers.Now()
+	defer ct.signal()
 	if !row.Deleted {
-		changed := ct.evacuations.Put(now, domain, row.Version)
-		if changed {
-			detail := fmt.Sprintf("domain=%s peer=%t upstreams=%d", domain, fromPeer, ct.snapshot.Load().CountIn(domain))
-			ct.events.Record(&wire.Event{Kind: wire.EventKind_EventDomainEvacuated, Revision: row.Version, Detail: detail})
+		if !ct.evacuations.Put(now, domain, row.Version) {
+			return false, nil
 		}
-		ct.signal()
-		return changed
+		detail := fmt.Sprintf("domain=%s peer=%t upstreams=%d", domain, fromPeer, ct.snapshot.Load().CountIn(domain))
+		return true, &wire.Event{Kind: wire.EventKind_EventDomainEvacuated, Detail: detail}
 	}
 	since, wasEvacuated := ct.evacuations.Domains(now)[domain]
 	if ct.evacuations.Remove(now, domain) {
 		detail := fmt.Sprintf("domain=%s peer=%t", domain, fromPeer)
-		ct.events.Record(&wire.Event{Kind: wire.EventKind_EventDomainRestored, Revision: row.Version, DurationMicros: now.Sub(since).Microseconds(), Detail: detail})
-		return true
+		return true, &wire.Event{Kind: wire.EventKind_EventDomainRestored, DurationMicros: now.Sub(since).Microseconds(), Detail: detail}
 	}
-	if wasEvacuated {
-		left := ct.evacuations.NextExpiry().Sub(now)
-		detail := fmt.Sprintf("domain=%s source=held left=%dms", domain, left.Milliseconds())
-		ct.events.Record(&wire.Event{Kind: wire.EventKind_EventDomainEvacuated, Revision: row.Version, Detail: detail})
-		ct.signal()
+	if !wasEvacuated {
+		return false, nil
 	}
-	return false
+	left := ct.evacuations.NextExpiry().Sub(now)
+	return false, &wire.Event{Kind: wire.EventKind_EventDomainEvacuated, Detail: fmt.Sprintf("domain=%s source=held left=%dms", domain, left.Milliseconds())}
 }
 
 // publishEvacuations publishes a snapshot without the upstreams of evacuated failure domains.
--- a/gather/slow.go
+++ b/gather/slow.go
@@ -29,7 +29,7 @@
 	converted := []batch.Slowdown{}
 	for _, each := range list[:min(len(list), maxSlowUpstreams)] {
 		converted = append(converted, batch.Slowdown{
-			Upstream: joinName(each.GetUpstream(), each.GetStartUnixMs()), Factor: each.GetFactor(), At: now.Add(-timer.Milliseconds(each.GetAgeMs())),
+			Upstream: joinName(each.GetUpstream(), each.GetStartUnixMs()), Factor: each.GetFactor(), At: now.Add(-timer.Milliseconds(max(each.GetAgeMs(), 0))),
 		})
 	}
 	return converted
@@ -63,10 +63,18 @@
 	measuredAt time.Time
 }
 
-// put replaces the report of a queue if the known one is older.
+// reportRetention is how long the report of a queue is kept; its estimates are too old to count long before.
+const reportRetention = time.Minute
+
+// put replaces the report of a queue if the known one is older, and drops the reports that are older than reportRetention.
 func (sr *slowReports) put(key QueueKey, fresh slowReport) {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
+	for other, known := range sr.byQueue {
+		if fresh.receivedAt.Sub(known.receivedAt) > reportRetention {
+			delete(sr.byQueue, other)
+		}
+	}
 	if sr.byQueue[key].measuredAt.Before(fresh.measuredAt) {
 		sr.byQueue[key] = fresh
 	}
@@ -96,7 +104,7 @@
 	for _, each := range loads {
 		key := QueueKey{Pool: pool, FailureDomain: each.GetFailureDomain()}
 		cl.gatherer.slow.put(key, slowReport{
-			list: fromWireSlow(now, each.GetSlow()), receivedAt: now, measuredAt: now.Add(-timer.Milliseconds(each.GetAgeMs())),
+			list: fromWireSlow(now, each.GetSlow()), receivedAt: now, measuredAt: now.Add(-timer.Milliseconds(max(each.GetAgeMs(), 0))),
 		})
 	}
 }
--- a/hotpart/hotpart.go
+++ b/hotpart/hotpart.go
@@ -183,20 +183,27 @@
 // RecordNotRun records that an engine has not executed a request that was recorded as sent, and so has not processed its parts.
 func (tb *Table) RecordNotRun(session uint64, engine roster.Incarnation) {
 	if known := tb.Find(session); known != nil {
-		known.forget(engine)
+		known.forget(map[roster.Incarnation]bool{engine: true})
 	}
 }
 
-// Forget drops an engine that is gone from all sessions.
-func (tb *Table) Forget(engine roster.Incarnation) {
+// Forget drops engines that are gone from all sessions, in one pass.
+func (tb *Table) Forget(engines ...roster.Incarnation) {
+	if len(engines) == 0 {
+		return
+	}
+	isGone := map[roster.Incarnation]bool{}
+	for _, engine := range engines {
+		isGone[engine] = true
+	}
 	for each := tb.order.Front(); each != nil; each = each.Next() {
-		each.Value.(*Session).forget(engine)
+		each.Value.(*Session).forget(isGone)
 	}
 }
 
-func (ss *Session) forget(engine roster.Incarnation) {
+func (ss *Session) forget(isGone map[roster.Incarnation]bool) {
 	for at := range ss.sent {
-		if ss.sent[at].engine == engine {
+		if isGone[ss.sent[at].engine] {
 			ss.sent[at] = lastSent{}
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -142,12 +142,14 @@
 	for _, up := range list {
 		listed[up.Incarnation()] = true
 	}
+	gone := []roster.Incarnation{}
 	for incarnation, known := range pl.states {
 		if !listed[incarnation] && known.inFlight == 0 {
 			delete(pl.states, incarnation)
-			pl.sessions.Forget(incarnation)
+			gone = append(gone, incarnation)
 		}
 	}
+	pl.sessions.Forget(gone...)
 }
 
 func (pl *Pool) state(incarnation roster.Incarnation) *state {
@@ -178,13 +180,12 @@
 	lowest := math.Inf(1)
 	pl.rotation++
 	serving := pl.observe(now, list, criteria)
+	hasUnavailable := false
 	for position, at := range pl.order(list, criteria.Session) {
 		up := list[at]
 		known := pl.state(up.Incarnation())
-		if now.Before(known.ejectedUntil) || now.Before(known.limitedUntil) || !criteria.allows(up) {
-			continue
-		}
-		if criteria.MaxInFlight > 0 && known.inFlight >= criteria.MaxInFlight {
+		if !known.isAvailable(now, up, criteria) {
+			hasUnavailable = hasUnavailable || position < serving.count
 			continue
 		}
 		isCached := serving.isCached(now, up, position)
@@ -204,10 +205,20 @@
 			best, lowest, found = Choice{Upstream: up, Order: position, Engines: serving.count, ExpectedLatency: expected}, score, true
 		}
 	}
-	serving.recordOverflow(now, best)
+	if !hasUnavailable {
+		serving.recordOverflow(now, best)
+	}
 	return best, found
 }
 
+// isAvailable reports whether a request may be sent to an upstream now.
+func (st *state) isAvailable(now time.Time, up *roster.Upstream, criteria Criteria) bool {
+	if now.Before(st.ejectedUntil) || now.Before(st.limitedUntil) || !criteria.allows(up) {
+		return false
+	}
+	return criteria.MaxInFlight == 0 || st.inFlight < criteria.MaxInFlight
+}
+
 // PickLimited returns the listed upstream whose rate limit first allows another request, and how long that takes, or false if no
 // upstream is left out for its rate limit alone.
 func (pl *Pool) PickLimited(now time.Time, list []*roster.Upstream, criteria Criteria) (Choice, time.Duration, bool) {
--- a/placement/session.go
+++ b/placement/session.go
@@ -79,7 +79,8 @@
 	return total
 }
 
-// recordOverflow records that a request of a session with several engines was placed at an engine behind these.
+// recordOverflow records that a request of a session with several engines was placed at an engine behind these, all of which were
+// available: one that is ejected or limited is no sign of more demand.
 func (se sessionEngines) recordOverflow(now time.Time, best Choice) {
 	if se.count > 1 && best.Order >= se.count {
 		se.session.RecordOverflow(now, best.Order)
--- a/throttle/observe.go
+++ b/throttle/observe.go
@@ -95,6 +95,11 @@
 
 // prune drops the notices and pauses of upstreams that are no longer registered.
 func (th *Throttle) prune() {
+	th.recordCold(th.pruneTables(), "registration")
+}
+
+// pruneTables drops the entries of upstreams that are no longer registered, and returns the upstreams that have become cold.
+func (th *Throttle) pruneTables() []roster.Incarnation {
 	now := th.Fleet.Time()
 	th.mu.Lock()
 	defer th.mu.Unlock()
@@ -105,13 +110,14 @@
 	th.table.Prune(now, isRegistered)
 	th.table.PruneCold(th.Timers.Now())
 	th.pauses.Prune(th.Timers.Now(), isRegistered)
-	th.publish()
+	newlyCold := th.publish()
 	th.ledger.Prune(func(incarnation roster.Incarnation) bool {
 		_, isLimited := th.table.Find(noticetable.RateLimit, incarnation)
 		_, isBrittle := th.table.Find(noticetable.Brittle, incarnation)
 		_, isCold := th.Cold()[incarnation]
 		return isLimited || isBrittle || isCold
 	})
+	return newlyCold
 }
 
 func (th *Throttle) toWire(entry noticetable.Entry) *wire.UpstreamNotice {
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -146,8 +146,9 @@
 		}
 		if th.Timers.Now().Before(pruneAt) {
 			th.mu.Lock()
-			th.publishCold()
+			newlyCold := th.publishCold()
 			th.mu.Unlock()
+			th.recordCold(newlyCold, "registration")
 			continue
 		}
 		th.prune()
