memoryguard: sleeps up to 1 s while nothing can time out soon

Guard.Run woke every 100 ms. The budget now says when the next tick is due: after 100 ms while a body waits, since bodies are refused and asked to yield only then; else when the oldest head or idle connection times out, after at most 1 s. A body that begins to wait shortens the sleep.

A timeout that is configured below 1 s may be enforced up to 1 s late.

--- a/memorybudget/budget.go
+++ b/memorybudget/budget.go
@@ -54,3 +54,25 @@
 func (bu *Budget) Tick(now time.Time) []Action {
 	return append(bu.closeOverdue(now), bu.settle(now)...)
 }
+
+const (
+	// MinTick is the time between two ticks while bodies wait: a wait for memory may last that much longer than its limit.
+	MinTick = 100 * time.Millisecond
+	// MaxTick is the longest time between two ticks. A timeout of less than that which begins in between is enforced that much later.
+	MaxTick = time.Second
+)
+
+// NextTick returns how long after a time the next tick is due, if no body begins to wait before. Bodies are refused, and asked to yield, by
+// a tick only while one waits; without one, only the timeouts of connections matter.
+func (bu *Budget) NextTick(now time.Time) time.Duration {
+	if len(bu.waiting) > 0 {
+		return MinTick
+	}
+	next := MaxTick
+	for _, each := range bu.timedLists() {
+		if each.allowed > 0 && each.list.first != nil {
+			next = min(next, each.list.first.since.Add(each.allowed).Sub(now))
+		}
+	}
+	return max(next, MinTick)
+}
--- a/memorybudget/connection.go
+++ b/memorybudget/connection.go
@@ -124,16 +124,27 @@
 	cn.head = 0
 }
 
+// timedList is a list of connections that are closed once they have been in it for a time; 0 means that they are not.
+type timedList struct {
+	list    *list
+	allowed time.Duration
+	cause   Cause
+}
+
+// timedLists returns the lists whose connections have a timeout, with the margin added to it.
+func (bu *Budget) timedLists() [2]timedList {
+	withMargin := func(timeout time.Duration) time.Duration { return timeout + timeout/timeoutMargin }
+	return [2]timedList{
+		{&bu.heads, withMargin(bu.caller.HeadTimeout), HeadTimeout},
+		{&bu.idle, withMargin(bu.caller.IdleTimeout), IdleTimeout},
+	}
+}
+
 // closeOverdue closes the connections whose head or whose next request has taken too long.
 func (bu *Budget) closeOverdue(now time.Time) []Action {
 	actions := []Action(nil)
-	for _, each := range []struct {
-		list    *list
-		timeout time.Duration
-		cause   Cause
-	}{{&bu.heads, bu.caller.HeadTimeout, HeadTimeout}, {&bu.idle, bu.caller.IdleTimeout, IdleTimeout}} {
-		allowed := each.timeout + each.timeout/timeoutMargin
-		for allowed > 0 && each.list.first != nil && now.Sub(each.list.first.since) >= allowed {
+	for _, each := range bu.timedLists() {
+		for each.allowed > 0 && each.list.first != nil && now.Sub(each.list.first.since) >= each.allowed {
 			actions = append(actions, bu.close(each.list.first, each.cause))
 		}
 	}
--- a/memoryguard/body.go
+++ b/memoryguard/body.go
@@ -75,6 +75,7 @@
 		return actions
 	})
 	if decisions != nil {
+		bd.guard.tellBodyWaits()
 		return <-decisions
 	}
 	return decision
--- a/memoryguard/guard.go
+++ b/memoryguard/guard.go
@@ -31,6 +31,8 @@
 	budget      *memorybudget.Budget
 	connections map[*memorybudget.Connection]*Conn
 	bodies      map[*memorybudget.Body]*Body
+	// bodyWaits holds a value after a body has begun to wait, so that Run shortens its sleep.
+	bodyWaits chan struct{}
 }
 
 // New returns a guard; Run must be running so that timeouts are enforced.
@@ -38,25 +40,47 @@
 	gd := &Guard{
 		Parts: parts, budget: memorybudget.New(parts.Limits),
 		connections: map[*memorybudget.Connection]*Conn{}, bodies: map[*memorybudget.Body]*Body{},
+		bodyWaits: make(chan struct{}, 1),
 	}
 	gd.budget.Configure(parts.Caller())
 	return gd
 }
 
-// tickInterval is how often timeouts are checked; a wait for memory may last that much longer than its limit.
-const tickInterval = 100 * time.Millisecond
-
 // Run enforces the timeouts until ctx ends, then closes done.
 func (gd *Guard) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
-	for gd.Timers.Sleep(ctx, tickInterval) == nil {
+	for next := memorybudget.MinTick; gd.sleep(ctx, next) == nil; {
 		gd.update(func(now time.Time) []memorybudget.Action {
 			gd.budget.Configure(gd.Caller())
-			return gd.budget.Tick(now)
+			actions := gd.budget.Tick(now)
+			next = gd.budget.NextTick(now)
+			return actions
 		})
 	}
 }
 
+// sleep waits for d, but at most for memorybudget.MinTick once a body has begun to wait. It returns ctx.Err() if the context ends first.
+func (gd *Guard) sleep(ctx context.Context, d time.Duration) error {
+	if d > memorybudget.MinTick {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-gd.Timers.After(d):
+			return nil
+		case <-gd.bodyWaits:
+		}
+	}
+	return gd.Timers.Sleep(ctx, memorybudget.MinTick)
+}
+
+// tellBodyWaits makes Run shorten its sleep.
+func (gd *Guard) tellBodyWaits() {
+	select {
+	case gd.bodyWaits <- struct{}{}:
+	default:
+	}
+}
+
 // Usage returns what callers hold.
 func (gd *Guard) Usage() memorybudget.Usage {
 	gd.mu.Lock()
--- a/memoryguard/memoryguard_test.go
+++ b/memoryguard/memoryguard_test.go
@@ -157,3 +157,24 @@
 	must.Between(t, 1200*time.Millisecond, time.Since(began), 2200*time.Millisecond)
 	must.Eq(t, memorybudget.Usage{}, gd.Usage())
 }
+
+// TestBodyThatWaitsEndsTheSleep guards against a body that waits much longer than until its deadline, since the guard sleeps while nothing waits.
+func TestBodyThatWaitsEndsTheSleep(t *testing.T) {
+	gd := newGuard(t, memorybudget.Limits{BodyBytes: 2 * block}, memorybudget.CallerLimits{BodyBytes: block})
+	holder := gd.Begin(memorybudget.BodySpec{Organisation: "a", Length: 2 * block}, connection{interrupted: make(chan struct{})})
+	must.Eq(t, memoryguard.Decision(memoryguard.Granted{}), holder.Grow(2*block))
+	must.Eq(t, memoryguard.Decision(memoryguard.Granted{}), holder.Complete())
+	// After three times the shortest sleep, the guard is in one of the longest.
+	time.Sleep(3 * memorybudget.MinTick)
+	began := time.Now()
+	late := gd.Begin(memorybudget.BodySpec{
+		Organisation: "b", Length: 2 * block, Deadline: began.Add(memorybudget.MinTick),
+	}, connection{interrupted: make(chan struct{})})
+	refused, is := late.Grow(block).(memoryguard.Refused)
+	must.True(t, is)
+	must.Eq(t, memorybudget.NoMemory, refused.Cause)
+	must.Between(t, memorybudget.MinTick, time.Since(began), 5*memorybudget.MinTick)
+	late.Release()
+	holder.Release()
+	must.Eq(t, memorybudget.Usage{}, gd.Usage())
+}
