memorybudget: names and comments that had to be read twice

The bodies with reserved memory were leaders and are reservation holders; to make way was a second word for yield and is to wait for others. leaving, leave, settle and take are stoppedBytes, stopReading, decideWaiting and addTaken; Body.longest, which differed from the specification's Longest, is maxLength. Comments say which list a connection is in and when a request counts.

--- a/memorybudget/body.go
+++ b/memorybudget/body.go
@@ -19,8 +19,8 @@
 type bodyState int
 
 const (
-	// reading: it has the memory that it asked for; waiting: it waits for memory; refused, yielded: its request must not run;
-	// complete: it was read to its end; released: it holds nothing.
+	// reading: it has the memory that it asked for; waiting: it waits for memory; refused, yielded: it was given up, its request must not
+	// run; complete: it was read to its end; released: it holds no memory.
 	reading bodyState = iota
 	waiting
 	refused
@@ -29,55 +29,56 @@
 	released
 )
 
-// Body is the memory of one request's body.
+// Body is a request's body and the memory that it holds.
 type Body struct {
 	spec  BodySpec
 	state bodyState
-	// isLong is set if it takes the memory for long bodies.
+	// isLong is set if it takes the memory for long bodies; taken is the memory that it holds, in bytes.
 	isLong bool
 	taken  int64
 	// wanted is the memory that it waits for, since waitingSince.
 	wanted       int64
 	waitingSince time.Time
-	// received counts its bytes; counted is what of them had been received at progressAt, when it last made progress.
+	// received counts its bytes; at progressAt, when it last made progress, there were counted ones.
 	received, counted int64
 	progressAt        time.Time
 }
 
 const (
-	// stallTime is how long a body may make no progress while others need its memory; progress is progressBytes: a caller that sends
-	// single bytes would keep its place otherwise.
+	// stallTime is how long a body may make no progress while others need its memory. Only each further progressBytes are progress: a caller
+	// that sends single bytes would keep its memory otherwise.
 	stallTime     = time.Second
 	progressBytes = 4 << 10
-	// maxWait is how long a body waits for memory.
+	// maxWait is how long a body waits for memory each time that it grows.
 	maxWait = 2 * time.Second
-	// The leaders reserve at most 3 in 4 parts of the memory, so that callers who send just enough not to stall don't reserve all of it.
-	leaderParts = 3
-	allParts    = 4
-	// refusedRetryAfter is the delay after which a caller is asked to retry, and retryStep how much later each further one that waits is.
+	// At most reservedParts in allParts of the memory for long bodies are reserved, so that callers who send just enough not to stall don't
+	// reserve all of it.
+	reservedParts = 3
+	allParts      = 4
+	// A refused caller is asked to retry after refusedRetryAfter, plus retryStep for each other body that waits, so that not all retry at once.
 	refusedRetryAfter = time.Second
 	retryStep         = 25 * time.Millisecond
 )
 
-// Begin counts a new body, which takes nothing yet.
+// Begin adds a new body, which holds no memory yet.
 func (bu *Budget) Begin(now time.Time, bd *Body, spec BodySpec) {
 	bd.spec, bd.isLong, bd.progressAt = spec, spec.Length > ShortBody, now
 	bu.incomplete = append(bu.incomplete, bd)
 }
 
-// Grow asks for memory for a body that is being read, and reports whether it may use it now. Otherwise it waits, and a later action
-// grants or refuses it; a refused or yielded body gets nothing.
+// Grow asks for memory for a body that is being read, and reports whether the body has got it. Otherwise the body waits, and one of the
+// actions of this or a later call grants or refuses it; a refused or yielded body gets nothing.
 func (bu *Budget) Grow(now time.Time, bd *Body, size int64) (bool, []Action) {
 	if bd.state != reading {
 		return false, nil
 	}
 	bd.wanted, bd.waitingSince = size, now
-	if len(bu.waiting) == 0 && bu.missing(bd, bu.leaders(now)) <= 0 {
+	if len(bu.waiting) == 0 && bu.missing(bd, bu.reservationHolders(now)) <= 0 {
 		bu.grant(now, bd)
 		return true, nil
 	}
 	bu.enqueue(bd)
-	actions := bu.settle(now)
+	actions := bu.decideWaiting(now)
 	if bd.state != reading {
 		return false, actions
 	}
@@ -92,14 +93,14 @@
 	}
 }
 
-// Complete tells that a body was read to its end, and reports whether its request may run: its memory is then never taken from it.
+// Complete records that a body was read to its end, and reports whether its request may run; its memory is then never taken from it.
 func (bu *Budget) Complete(now time.Time, bd *Body) (bool, []Action) {
 	if bd.state != reading {
 		return false, nil
 	}
 	bd.state = complete
 	bu.incomplete = remove(bu.incomplete, bd)
-	return true, bu.settle(now)
+	return true, bu.decideWaiting(now)
 }
 
 // Release gives back the memory of a body; a second call does nothing.
@@ -108,13 +109,13 @@
 		return nil
 	}
 	if bd.state == yielded || bd.state == refused {
-		bu.leaving -= bd.taken
+		bu.stoppedBytes -= bd.taken
 	}
 	bd.state = released
 	bu.incomplete = remove(bu.incomplete, bd)
 	bu.dequeue(bd)
-	bu.take(bd, -bd.taken)
-	return bu.settle(now)
+	bu.addTaken(bd, -bd.taken)
+	return bu.decideWaiting(now)
 }
 
 func remove(list []*Body, bd *Body) []*Body {
@@ -124,8 +125,8 @@
 	return list
 }
 
-// take changes the memory of a body.
-func (bu *Budget) take(bd *Body, size int64) {
+// addTaken adds to the memory that a body holds; size may be negative.
+func (bu *Budget) addTaken(bd *Body, size int64) {
 	bd.taken += size
 	if bd.isLong {
 		bu.long += size
@@ -141,25 +142,26 @@
 
 // longCapacity returns the memory for long bodies.
 func (bu *Budget) longCapacity() int64 {
-	return max(bu.limits.BodyBytes-bu.limits.ShortBytes, longestBodies*bu.caller.BodyBytes)
+	return max(bu.limits.BodyBytes-bu.limits.ShortBytes, minLongestBodies*bu.caller.BodyBytes)
 }
 
-// longest returns how much memory a body may take.
-func (bd *Body) longest() int64 {
+// maxLength returns the stated length of a body, or the limit if it is unknown.
+func (bd *Body) maxLength() int64 {
 	if bd.spec.Length >= 0 {
 		return bd.spec.Length
 	}
 	return bd.spec.Longest
 }
 
-// isStalled reports whether a body makes no progress though it has memory to be read into.
+// isStalled reports whether a body has made no progress for stallTime although it has memory to be read into.
 func (bd *Body) isStalled(now time.Time) bool {
 	return bd.state == reading && now.Sub(bd.progressAt) >= stallTime
 }
 
-// leaders returns the long bodies that began first and make progress, as many as may still take three quarters of the memory, but at least
-// one. If possible their organisations need not make way. All others leave what they may still take, so that bodies that each hold a part don't wait for each other.
-func (bu *Budget) leaders(now time.Time) []*Body {
+// reservationHolders returns the bodies for which all memory is reserved that they may still take: the long ones that began first and have not
+// stalled, as many as fit into three quarters of the memory, but at least one. Without reservations, bodies that each hold a part would wait
+// for each other for ever. Bodies whose organisation exceeds its share while others wait get one only if there are no others.
+func (bu *Budget) reservationHolders(now time.Time) []*Body {
 	chosen, reserved, first := []*Body(nil), int64(0), (*Body)(nil)
 	for _, bd := range bu.incomplete {
 		if !bd.isLong && !bd.becomesLong() || bd.state == reading && bd.isStalled(now) {
@@ -168,11 +170,11 @@
 		if first == nil {
 			first = bd
 		}
-		if bu.holdsTooMuch(bd) {
+		if bu.exceedsContestedShare(bd) {
 			continue
 		}
 		reserved += bd.remaining()
-		if len(chosen) > 0 && reserved > bu.longCapacity()*leaderParts/allParts {
+		if len(chosen) > 0 && reserved > bu.longCapacity()*reservedParts/allParts {
 			break
 		}
 		chosen = append(chosen, bd)
@@ -183,9 +185,9 @@
 	return chosen
 }
 
-// remaining returns how much memory a body may still take.
+// remaining returns how much more memory a body may take.
 func (bd *Body) remaining() int64 {
-	return max(bd.longest()-bd.taken, 0)
+	return max(bd.maxLength()-bd.taken, 0)
 }
 
 // becomesLong reports whether a body of unknown length takes the memory for long bodies once it gets what it waits for.
@@ -193,8 +195,9 @@
 	return !bd.isLong && bd.wanted > 0 && bd.spec.Length < 0 && bd.taken+bd.wanted > FirstBytes
 }
 
-// missing returns how much memory must become free before a body gets what it waits for; it has it if that is not positive.
-func (bu *Budget) missing(bd *Body, leaders []*Body) int64 {
+// missing returns how much memory must become free before a body can get what it waits for; it can get it now if that is not positive.
+// A holder of a reservation leaves only the reservations before its own.
+func (bu *Budget) missing(bd *Body, holders []*Body) int64 {
 	long, short := bu.long, bu.short
 	switch {
 	case bd.becomesLong():
@@ -207,16 +210,16 @@
 		short += bd.wanted
 	}
 	reserved := int64(0)
-	for _, leader := range leaders {
-		if leader == bd {
+	for _, holder := range holders {
+		if holder == bd {
 			break
 		}
-		reserved += leader.remaining()
+		reserved += holder.remaining()
 	}
 	return long + max(short-bu.limits.ShortBytes, 0) + reserved - bu.longCapacity()
 }
 
-// isOverShare reports whether an organisation would hold more than half of the memory for long bodies with more bytes.
+// isOverShare reports whether an organisation would hold more than half of the memory for long bodies if it took more bytes.
 func (bu *Budget) isOverShare(name string, more int64) bool {
 	return bu.organisations[name]+more > bu.longCapacity()/2
 }
@@ -226,14 +229,14 @@
 	return len(bu.waiting) > bu.waitingOf[name]
 }
 
-// enqueue makes a body wait.
+// enqueue appends a body to those that wait.
 func (bu *Budget) enqueue(bd *Body) {
 	bd.state = waiting
 	bu.waiting = append(bu.waiting, bd)
 	bu.waitingOf[bd.spec.Organisation]++
 }
 
-// dequeue ends the wait of a body, if it waits.
+// dequeue removes a body from those that wait, if it is one of them.
 func (bu *Budget) dequeue(bd *Body) {
 	at := slices.Index(bu.waiting, bd)
 	if at < 0 {
@@ -247,8 +250,8 @@
 	}
 }
 
-// holdsTooMuch reports whether the organisation of a long body holds too much to take more while others wait.
-func (bu *Budget) holdsTooMuch(bd *Body) bool {
+// exceedsContestedShare reports whether another organisation waits while that of a body is over its share, or would be with what the body waits for.
+func (bu *Budget) exceedsContestedShare(bd *Body) bool {
 	more := int64(0)
 	if bd.state == waiting {
 		more = bd.wanted
@@ -256,18 +259,18 @@
 	return bu.othersWait(bd.spec.Organisation) && bu.isOverShare(bd.spec.Organisation, more)
 }
 
-// mustMakeWay reports whether a body that does not lead gets nothing while others wait: its organisation holds too much, or nothing of it was read,
-// as many bodies that each hold a small part would leave too little for each other.
-func (bu *Budget) mustMakeWay(bd *Body, leaders []*Body) bool {
-	if slices.Contains(leaders, bd) || !bd.isLong && !bd.becomesLong() {
+// mustWaitForOthers reports whether a long body without a reservation gets nothing while others wait: its organisation exceeds its share, or the
+// body holds nothing yet, since many bodies that each hold a small part would leave too little for each other.
+func (bu *Budget) mustWaitForOthers(bd *Body, holders []*Body) bool {
+	if slices.Contains(holders, bd) || !bd.isLong && !bd.becomesLong() {
 		return false
 	}
-	return bu.holdsTooMuch(bd) || bd.taken == 0 && len(bu.waiting) > 1
+	return bu.exceedsContestedShare(bd) || bd.taken == 0 && len(bu.waiting) > 1
 }
 
-// settle grants memory to the bodies that wait, in their order, refuses those that have waited too long, and takes memory from bodies that
-// stall while others wait.
-func (bu *Budget) settle(now time.Time) []Action {
+// decideWaiting refuses the bodies that have waited too long, grants memory to the others in their order, and takes memory from stalled
+// bodies for those that still wait.
+func (bu *Budget) decideWaiting(now time.Time) []Action {
 	if len(bu.waiting) == 0 {
 		return nil
 	}
@@ -276,14 +279,15 @@
 	return append(actions, bu.reclaim(now)...)
 }
 
-// grantAll grants memory to all bodies that can get it. A grant may let another one pass, whose organisation had to make way.
+// grantAll grants memory to all waiting bodies that can get it. It repeats until none can: after a grant, the organisation of a body that was
+// passed over may no longer exceed a share that others wait for.
 func (bu *Budget) grantAll(now time.Time) []Action {
 	actions := []Action(nil)
 	for before := -1; before < len(actions); {
 		before = len(actions)
 		for _, bd := range slices.Clone(bu.waiting) {
-			leaders := bu.leaders(now)
-			if bu.missing(bd, leaders) > 0 || bu.mustMakeWay(bd, leaders) {
+			holders := bu.reservationHolders(now)
+			if bu.missing(bd, holders) > 0 || bu.mustWaitForOthers(bd, holders) {
 				continue
 			}
 			bu.dequeue(bd)
@@ -294,15 +298,15 @@
 	return actions
 }
 
-// grant gives a body what it asked for.
+// grant gives a body the memory that it asked for.
 func (bu *Budget) grant(now time.Time, bd *Body) {
 	if bd.becomesLong() {
 		held := bd.taken
-		bu.take(bd, -held)
+		bu.addTaken(bd, -held)
 		bd.isLong = true
-		bu.take(bd, held)
+		bu.addTaken(bd, held)
 	}
-	bu.take(bd, bd.wanted)
+	bu.addTaken(bd, bd.wanted)
 	bd.wanted = 0
 	if bd.state == waiting {
 		bd.state, bd.progressAt = reading, now
@@ -322,17 +326,17 @@
 
 func (bu *Budget) refuse(bd *Body, cause Cause) Action {
 	retryAfter := refusedRetryAfter + time.Duration(len(bu.waiting)-1)*retryStep
-	bu.leave(bd, refused)
+	bu.stopReading(bd, refused)
 	return RefuseBody{Body: bd, Cause: cause, RetryAfter: retryAfter}
 }
 
-// reclaim takes memory from others for the long and the short body that have waited longest.
+// reclaim takes memory from other bodies for the short and the long one that have waited longest.
 func (bu *Budget) reclaim(now time.Time) []Action {
 	actions := []Action(nil)
 	for _, isLong := range []bool{false, true} {
-		leaders := bu.leaders(now)
+		holders := bu.reservationHolders(now)
 		first := slices.IndexFunc(bu.waiting, func(bd *Body) bool {
-			return (bd.isLong || bd.becomesLong()) == isLong && !bu.mustMakeWay(bd, leaders)
+			return (bd.isLong || bd.becomesLong()) == isLong && !bu.mustWaitForOthers(bd, holders)
 		})
 		if first >= 0 {
 			actions = append(actions, bu.reclaimFor(now, bu.waiting[first])...)
@@ -341,12 +345,12 @@
 	return actions
 }
 
-// reclaimFor takes memory for a body that waits from the bodies that stall, the one that has stalled longest first, and else from a body that
-// waits itself and whose organisation holds too much.
+// reclaimFor takes memory for a waiting body from stalled ones, the one that has stalled longest first. If these hold too little, it refuses
+// a waiting body whose organisation is over its share.
 func (bu *Budget) reclaimFor(now time.Time, bd *Body) []Action {
 	actions := []Action(nil)
 	needsLong := bd.isLong || bd.becomesLong()
-	for bu.missing(bd, bu.leaders(now)) > bu.leaving {
+	for bu.missing(bd, bu.reservationHolders(now)) > bu.stoppedBytes {
 		stalled := bu.stalledLongest(now, func(other *Body) bool {
 			return !needsLong || other.isLong || bu.short > bu.limits.ShortBytes
 		})
@@ -358,7 +362,7 @@
 	return actions
 }
 
-// reclaimShare refuses the newest waiting body of another organisation that holds more than its share, if the organisation of bd does not.
+// reclaimShare refuses the waiting body that came last of those that hold memory and whose organisation is over its share, unless that of bd is too.
 func (bu *Budget) reclaimShare(bd *Body) []Action {
 	if bu.isOverShare(bd.spec.Organisation, bd.wanted) {
 		return nil
@@ -384,14 +388,14 @@
 }
 
 func (bu *Budget) yield(bd *Body) Action {
-	bu.leave(bd, yielded)
+	bu.stopReading(bd, yielded)
 	return YieldBody{Body: bd, Cause: Stalled}
 }
 
-// leave ends the reading of a body, whose memory is free once it is released.
-func (bu *Budget) leave(bd *Body, state bodyState) {
+// stopReading gives up a body; its memory becomes free once it is released.
+func (bu *Budget) stopReading(bd *Body, state bodyState) {
 	bd.state = state
-	bu.leaving += bd.taken
+	bu.stoppedBytes += bd.taken
 	bu.incomplete = remove(bu.incomplete, bd)
 	bu.dequeue(bd)
 }
--- a/memorybudget/budget.go
+++ b/memorybudget/budget.go
@@ -2,57 +2,57 @@
 
 import "time"
 
-// Budget divides the memory; it is not safe for concurrent use. After each call its owner executes the actions in their order.
+// Budget divides the memory among callers; it is not safe for concurrent use. Whoever calls it must execute the returned actions in order.
 type Budget struct {
 	limits Limits
 	caller CallerLimits
 
-	// connections counts the connections, headBytes the weighed bytes of the heads whose requests are not complete.
+	// connections counts the connections. headBytes is the memory of the heads whose requests are not complete: HeadWeight times their bytes.
 	connections int
 	headBytes   int64
-	// idle are the connections between two requests, heads those that are reading a head, bodies those whose head is complete and
-	// whose request is not; each in the order in which they began.
+	// idle holds the connections between two requests, heads those whose head is incomplete, and unread those whose head is complete and whose
+	// body is not; each in the order in which they reached that state. Other connections are in no list: their requests are being served.
 	idle, heads, unread list
 
-	// long and short are the bytes of bodies of either kind, organisations those of each organisation.
+	// long and short are the memory of long and of short bodies, in bytes; organisations is that of each organisation.
 	long, short   int64
 	organisations map[string]int64
-	// incomplete are the bodies that are being read, in the order in which they began; waiting are those of them that wait for memory.
+	// incomplete holds the bodies that are reading or waiting, in the order in which they began; waiting holds those that wait for memory.
 	incomplete []*Body
 	waiting    []*Body
 	// waitingOf counts the waiting bodies of each organisation.
 	waitingOf map[string]int
-	// leaving is the memory of the bodies that were refused or asked to yield and are not released.
-	leaving int64
+	// stoppedBytes is the memory of bodies that were refused or have yielded, and are not released yet.
+	stoppedBytes int64
 }
 
-// New returns a budget that nothing is taken from.
+// New returns a budget of which nothing is in use.
 func New(limits Limits) *Budget {
 	return &Budget{limits: limits, organisations: map[string]int64{}, waitingOf: map[string]int{}}
 }
 
-// Configure sets the limits of single callers. Two bodies of the greatest legal length always fit.
+// Configure sets the limits of single callers. The memory for bodies is raised if two of the greatest legal length would not fit.
 func (bu *Budget) Configure(limits CallerLimits) {
 	bu.caller = limits
 }
 
-// Usage is what callers hold of a budget.
+// Usage is the part of a budget that is in use.
 type Usage struct {
 	Connections int
-	// HeadBytes is the weighed memory of heads, BodyBytes the memory of bodies; WaitingBodies counts the bodies that wait for memory.
+	// HeadBytes is the memory of heads, HeadWeight times their bytes; BodyBytes is that of bodies. WaitingBodies counts the bodies that wait for memory.
 	HeadBytes     int64
 	BodyBytes     int64
 	WaitingBodies int
 }
 
-// Usage returns what callers hold.
+// Usage returns the part of the budget that is in use.
 func (bu *Budget) Usage() Usage {
 	return Usage{Connections: bu.connections, HeadBytes: bu.headBytes, BodyBytes: bu.long + bu.short, WaitingBodies: len(bu.waiting)}
 }
 
-// Tick decides what is due at a time: connections and bodies that have taken too long.
+// Tick closes connections that have exceeded a timeout, refuses bodies that have waited too long, and takes memory from stalled ones.
 func (bu *Budget) Tick(now time.Time) []Action {
-	return append(bu.closeOverdue(now), bu.settle(now)...)
+	return append(bu.closeOverdue(now), bu.decideWaiting(now)...)
 }
 
 const (
--- a/memorybudget/connection.go
+++ b/memorybudget/connection.go
@@ -4,23 +4,23 @@
 
 // Connection is a caller's connection.
 type Connection struct {
-	// since is when its state began.
+	// since is when it became idle, or when its head began.
 	since time.Time
-	// head is the number of bytes of its head that were read.
+	// head is the number of bytes of its current head that were read.
 	head           int64
 	closed         bool
 	list           *list
 	previous, next *Connection
 }
 
-// timeoutMargin is added to the configured timeouts as a fraction, for slow machines: 1 in 4.
-const timeoutMargin = 4
+// A timeout is enforced after 1/timeoutMarginDivisor more than its configured time, for slow machines.
+const timeoutMarginDivisor = 4
 
-// overshoot is the part of the connections, 1 in 16, by which their number is exceeded while connections with stalled bodies are asked to end.
-const overshoot = 16
+// The maximum number of connections may be exceeded by 1/overshootDivisor of it while the connections of bodies that have yielded are being closed.
+const overshootDivisor = 16
 
-// Accept counts a new connection. If there are too many, it closes the one that has been idle longest, else the one that has been reading
-// its head longest, else asks the body that stalls to yield, else closes the new one.
+// Accept counts a new connection. If there are too many, it closes the one that has been idle longest, else the one whose head has been
+// incomplete longest. If there is neither, the body that has stalled longest yields; without such a body, the new connection is closed.
 func (bu *Budget) Accept(now time.Time) (*Connection, []Action) {
 	cn := &Connection{since: now}
 	bu.connections++
@@ -36,7 +36,7 @@
 		}
 	}
 	stalled := bu.stalledLongest(now, func(*Body) bool { return true })
-	if stalled == nil || bu.connections > bu.limits.Connections+bu.limits.Connections/overshoot {
+	if stalled == nil || bu.connections > bu.limits.Connections+bu.limits.Connections/overshootDivisor {
 		return cn, []Action{bu.close(cn, TooManyConnections)}
 	}
 	bu.idle.append(cn)
@@ -48,7 +48,8 @@
 	return CloseConnection{Connection: cn, Cause: cause}
 }
 
-// ReadHead counts bytes that were read from a connection before the head of its request was complete.
+// ReadHead counts bytes that were read before the head of a request was complete. It refuses a head over the limit and, if the memory for
+// heads is used up, closes the connections whose requests have been incomplete longest.
 func (bu *Budget) ReadHead(now time.Time, cn *Connection, count int) []Action {
 	if cn.closed {
 		return nil
@@ -79,7 +80,7 @@
 	return actions
 }
 
-// CompleteHead tells that the head of a request is complete; it counts until CompleteRequest.
+// CompleteHead records that the head of a request is complete; its bytes count until CompleteRequest.
 func (bu *Budget) CompleteHead(cn *Connection) {
 	if cn.closed {
 		return
@@ -88,7 +89,7 @@
 	bu.unread.append(cn)
 }
 
-// CompleteRequest tells that a connection's request was read to its end; its head no longer counts.
+// CompleteRequest records that a request was read to its end; its head no longer counts.
 func (bu *Budget) CompleteRequest(cn *Connection) {
 	if cn.closed {
 		return
@@ -97,7 +98,7 @@
 	bu.releaseHead(cn)
 }
 
-// Idle tells that a connection waits for its next request.
+// Idle records that a connection waits for its next request.
 func (bu *Budget) Idle(now time.Time, cn *Connection) {
 	if cn.closed {
 		return
@@ -108,7 +109,7 @@
 	bu.idle.append(cn)
 }
 
-// Close tells that a connection was closed; further calls with it do nothing.
+// Close records that a connection was closed; further calls with it do nothing.
 func (bu *Budget) Close(cn *Connection) {
 	if cn.closed {
 		return
@@ -133,7 +134,7 @@
 
 // timedLists returns the lists whose connections have a timeout, with the margin added to it.
 func (bu *Budget) timedLists() [2]timedList {
-	withMargin := func(timeout time.Duration) time.Duration { return timeout + timeout/timeoutMargin }
+	withMargin := func(timeout time.Duration) time.Duration { return timeout + timeout/timeoutMarginDivisor }
 	return [2]timedList{
 		{&bu.heads, withMargin(bu.caller.HeadTimeout), HeadTimeout},
 		{&bu.idle, withMargin(bu.caller.IdleTimeout), IdleTimeout},
