memoryguard, requestbody: comments and names in plain terms

Several comments had to be read twice (which bytes count as a head, what a yielded body is, what holds a body). requestbody counts references and not holders; ErrReleased and Open said that nobody holds the body, though Open fails after Release even while readers are open. readerOnly had no effect: io.CopyN wraps its source anyway. LingerTime is exported for platform, which had it again.

--- a/command/front.go
+++ b/command/front.go
@@ -32,7 +32,7 @@
 	return entrypoint.New(adapter, settings, logger).Run()
 }
 
-// callerLimits returns the limits of the settings file with those that flags override.
+// callerLimits returns the limits of the settings file, overridden by flags.
 func (cl *CLI) callerLimits(limits memorybudget.Limits) memorybudget.Limits {
 	if count := cl.options.maxConnections; count > 0 {
 		limits.Connections = count
--- a/command/table.go
+++ b/command/table.go
@@ -150,7 +150,7 @@
 func frontFlags(op *options, sub *flaggy.Subcommand) {
 	platformSettingsFlag(op, sub)
 	sub.Int(&op.metricsPort, "m", "metrics-port", "Port of the metrics on the instance's own address; 0 selects the second internal port of the platform's settings file")
-	sub.Int(&op.maxConnections, "c", "max-connections", "Greatest number of callers' connections; 0 derives it from the memory and the descriptors of the platform's settings file")
+	sub.Int(&op.maxConnections, "c", "max-connections", "Maximum number of callers' connections; 0 derives it from the memory and the descriptors of the platform's settings file")
 	sub.Int(&op.bodyMemoryMB, "b", "body-memory-mb", "Memory for callers' request bodies in MB; 0 derives it from the memory of the platform's settings file")
 }
 
--- a/digest/digest.go
+++ b/digest/digest.go
@@ -16,7 +16,7 @@
 	return OfBlocks(nil, parts...)
 }
 
-// OfBlocks returns the digest of the parts and, if there are blocks, of one more part that consists of these.
+// OfBlocks returns the digest of the parts, followed by one more part whose content is that of all blocks, unless blocks is nil.
 func OfBlocks(blocks [][]byte, parts ...[]byte) Sum {
 	hasher := sha256.New()
 	for _, part := range parts {
--- a/memoryguard/body.go
+++ b/memoryguard/body.go
@@ -11,12 +11,12 @@
 	decision()
 }
 
-// Granted means that the memory may be used.
+// Granted means that a body has got the memory that it asked for, or that its request may run.
 type Granted struct{}
 
 func (Granted) decision() {}
 
-// Refused means that the request must not run, and its caller may retry after a time.
+// Refused means that there is no memory for a body. Its request must not run; its caller may retry after RetryAfter.
 type Refused struct {
 	Cause      memorybudget.Cause
 	RetryAfter time.Duration
@@ -24,31 +24,31 @@
 
 func (Refused) decision() {}
 
-// Yielded means that the body has stalled and its request must not run.
+// Yielded means that a stalled body was given up since others need its memory. Its request must not run.
 type Yielded struct {
 	Cause memorybudget.Cause
 }
 
 func (Yielded) decision() {}
 
-// Connection is what a body is read from; http.ResponseController is one.
+// Connection is the connection that a body is read from; http.ResponseController implements it.
 type Connection interface {
-	// SetReadDeadline sets when the read in progress fails; it does not block.
+	// SetReadDeadline sets when reads fail, also one in progress; it does not block, as the guard's lock is held.
 	SetReadDeadline(deadline time.Time) error
 }
 
-// Body is the memory of one request's body; Release must be called.
+// Body is a request's body and the memory that it holds; Release must be called.
 type Body struct {
 	guard      *Guard
 	counted    memorybudget.Body
 	connection Connection
-	// decisions holds the decision that Grow waits for; it is nil before the first one.
+	// decisions receives the decision that Grow waits for; it is nil until Grow has to wait. The guard's lock protects it.
 	decisions chan Decision
-	// yielded is set once the body was asked to yield. The guard's lock protects both.
+	// yielded is set once the body has yielded. The guard's lock protects it.
 	yielded Decision
 }
 
-// Begin counts a body that takes nothing yet. If it has to yield, reads from the connection fail from then on.
+// Begin adds a body that holds no memory yet. Once it yields, reads from the connection fail.
 func (gd *Guard) Begin(spec memorybudget.BodySpec, connection Connection) *Body {
 	bd := &Body{guard: gd, connection: connection}
 	gd.mu.Lock()
@@ -59,7 +59,7 @@
 	return bd
 }
 
-// Grow asks for more memory and waits for the decision, which comes after at most some seconds.
+// Grow asks for more memory and waits for the decision, at most a little longer than the budget's limit for a wait of 2 s.
 func (bd *Body) Grow(size int64) Decision {
 	decision, decisions := Decision(Granted{}), (chan Decision)(nil)
 	bd.guard.update(func(now time.Time) []memorybudget.Action {
@@ -75,20 +75,20 @@
 		return actions
 	})
 	if decisions != nil {
-		bd.guard.tellBodyWaits()
+		bd.guard.notifyBodyWaits()
 		return <-decisions
 	}
 	return decision
 }
 
-// Receive counts bytes that have arrived.
+// Receive counts bytes of the body that have arrived.
 func (bd *Body) Receive(count int) {
 	bd.guard.mu.Lock()
 	defer bd.guard.mu.Unlock()
 	bd.guard.budget.Receive(bd.guard.Timers.Now(), &bd.counted, count)
 }
 
-// Complete tells that the body was read to its end. Its request may run if the decision is Granted; the body need not yield from then on.
+// Complete records that the body was read to its end. Its request may run if the decision is Granted; the body never yields after that.
 func (bd *Body) Complete() Decision {
 	decision := Decision(Granted{})
 	bd.guard.update(func(now time.Time) []memorybudget.Action {
@@ -101,7 +101,7 @@
 	return decision
 }
 
-// Yielded returns the decision that the body has to yield, or nil.
+// Yielded returns a Yielded decision if the body has yielded, else nil.
 func (bd *Body) Yielded() Decision {
 	bd.guard.mu.Lock()
 	defer bd.guard.mu.Unlock()
@@ -119,7 +119,7 @@
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
-// yield ends the read of the body. The caller holds the guard's lock.
+// yield makes the reads of the body fail. The caller holds the guard's lock.
 func (bd *Body) yield(cause memorybudget.Cause) {
 	bd.yielded = Yielded{Cause: cause}
 	_ = bd.connection.SetReadDeadline(longAgo)
--- a/memoryguard/conn.go
+++ b/memoryguard/conn.go
@@ -18,20 +18,20 @@
 	guard      *Guard
 	counted    *memorybudget.Connection
 	acceptedAt time.Time
-	// isReadingHead is set while bytes that are read belong to a head or precede it: net/http reads a body, or the byte that tells that the
-	// caller has gone, only in between.
+	// isReadingHead is set while a request's head is awaited or incomplete; bytes that are read count as its head. At other times net/http reads
+	// a body, or a single byte to detect that the caller has closed the connection.
 	isReadingHead atomic.Bool
-	// isHeadRefused is set once the head was too long, isAborted once the guard has closed the connection.
+	// isHeadRefused is set once a head was too long, isAborted once the guard has closed the connection.
 	isHeadRefused atomic.Bool
 	isAborted     atomic.Bool
 	closing       sync.Once
 	closeError    error
 }
 
-// tooLongAnswer is the answer to a head that is too long, the same as that of net/http.
+// tooLongAnswer is the answer to a head that is too long; net/http gives the same one.
 const tooLongAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n431 Request Header Fields Too Large"
 
-// Read reads from the connection. The head that exceeds the limit is answered here, and ends for the server like a closed connection.
+// Read reads from the connection. A head over the limit is answered here; the server then reads the end of the connection.
 func (cn *Conn) Read(into []byte) (int, error) {
 	if cn.isHeadRefused.Load() {
 		return 0, io.EOF
@@ -42,7 +42,7 @@
 	}
 	cn.guard.update(func(now time.Time) []memorybudget.Action { return cn.guard.budget.ReadHead(now, cn.counted, count) })
 	if cn.isHeadRefused.Load() {
-		_ = cn.SetWriteDeadline(time.Now().Add(lingerTime))
+		_ = cn.SetWriteDeadline(time.Now().Add(LingerTime))
 		_, _ = cn.Write([]byte(tooLongAnswer))
 		return 0, io.EOF
 	}
@@ -50,9 +50,10 @@
 }
 
 const (
-	// lingerTime and lingerBytes bound what is read and dropped after the answer to a head that is too long: a connection that is closed
-	// with bytes unread is reset, and its caller loses the answer.
-	lingerTime  = 500 * time.Millisecond
+	// LingerTime is how long the rest of a refused request is read and discarded after the answer: a connection that is closed with unread
+	// bytes is reset, and its caller loses the answer.
+	LingerTime = 500 * time.Millisecond
+	// lingerBytes is how much of a refused head is read and discarded at most.
 	lingerBytes = 256 << 10
 )
 
@@ -61,8 +62,8 @@
 	cn.closing.Do(func() {
 		if cn.isHeadRefused.Load() && !cn.isAborted.Load() {
 			_ = cn.CloseWrite()
-			_ = cn.SetReadDeadline(time.Now().Add(lingerTime))
-			_, _ = io.CopyN(io.Discard, readerOnly{cn.TCPConn}, lingerBytes)
+			_ = cn.SetReadDeadline(time.Now().Add(LingerTime))
+			_, _ = io.CopyN(io.Discard, cn.TCPConn, lingerBytes)
 		}
 		cn.closeError = cn.TCPConn.Close()
 		cn.guard.forget(cn)
@@ -70,12 +71,7 @@
 	return cn.closeError
 }
 
-// readerOnly hides that a connection can write itself to a writer.
-type readerOnly struct {
-	io.Reader
-}
-
-// forget stops counting a connection.
+// forget removes a connection that was closed.
 func (gd *Guard) forget(cn *Conn) {
 	gd.update(func(time.Time) []memorybudget.Action {
 		gd.budget.Close(cn.counted)
@@ -84,7 +80,7 @@
 	})
 }
 
-// abort closes the connection, whose reads and writes then fail; the server closes it once more.
+// abort closes the connection, so that the server's reads and writes fail and it calls Close. It does not linger, as the guard's lock is held.
 func (cn *Conn) abort() {
 	cn.isAborted.Store(true)
 	_ = cn.TCPConn.Close()
--- a/memoryguard/guard.go
+++ b/memoryguard/guard.go
@@ -35,7 +35,7 @@
 	bodyWaits chan struct{}
 }
 
-// New returns a guard; Run must be running so that timeouts are enforced.
+// New returns a guard; it enforces timeouts only while Run is running.
 func New(parts Parts) *Guard {
 	gd := &Guard{
 		Parts: parts, budget: memorybudget.New(parts.Limits),
@@ -46,7 +46,7 @@
 	return gd
 }
 
-// Run enforces the timeouts until ctx ends, then closes done.
+// Run enforces the timeouts of connections and bodies until ctx ends, then closes done.
 func (gd *Guard) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	for next := memorybudget.MinTick; gd.sleep(ctx, next) == nil; {
@@ -73,22 +73,22 @@
 	return gd.Timers.Sleep(ctx, memorybudget.MinTick)
 }
 
-// tellBodyWaits makes Run shorten its sleep.
-func (gd *Guard) tellBodyWaits() {
+// notifyBodyWaits makes Run shorten its sleep.
+func (gd *Guard) notifyBodyWaits() {
 	select {
 	case gd.bodyWaits <- struct{}{}:
 	default:
 	}
 }
 
-// Usage returns what callers hold.
+// Usage returns the part of the budget that is in use.
 func (gd *Guard) Usage() memorybudget.Usage {
 	gd.mu.Lock()
 	defer gd.mu.Unlock()
 	return gd.budget.Usage()
 }
 
-// update makes a decision and executes its actions. Events are recorded without the lock.
+// update makes a decision and executes its actions under the lock; it records the events after that.
 func (gd *Guard) update(decide func(now time.Time) []memorybudget.Action) {
 	now := gd.Timers.Now()
 	gd.mu.Lock()
@@ -109,7 +109,7 @@
 			delete(gd.connections, action.Connection)
 			closed.abort()
 			if action.Cause != memorybudget.IdleTimeout {
-				// The end of an idle connection is the usual one, of which the log tells nothing.
+				// An idle timeout is how most connections end, and is not logged.
 				events = append(events, closed.event(action.Cause))
 			}
 		case memorybudget.RefuseHead:
@@ -127,18 +127,17 @@
 	return events
 }
 
-// Listen returns a listener that counts the connections that it accepts, which must be TCP connections. ConnState of the server must be ConnState.
+// Listen returns a listener whose connections the guard counts; inner must accept TCP connections. The server must use the guard's ConnState.
 func (gd *Guard) Listen(inner net.Listener) net.Listener {
 	return guardedListener{Listener: inner, guard: gd}
 }
 
-// guardedListener counts the connections that it accepts.
 type guardedListener struct {
 	net.Listener
 	guard *Guard
 }
 
-// Accept returns the next connection that may stay open.
+// Accept returns the next connection that the guard does not close at once.
 func (gl guardedListener) Accept() (net.Conn, error) {
 	for {
 		accepted, err := gl.Listener.Accept()
@@ -168,7 +167,7 @@
 	return cn
 }
 
-// ConnState tells the guard of the states of connections; it is the hook of http.Server.
+// ConnState follows the states of connections; it is the hook ConnState of http.Server.
 func (gd *Guard) ConnState(connection net.Conn, state http.ConnState) {
 	cn, is := connection.(*Conn)
 	if !is {
@@ -191,7 +190,7 @@
 	}
 }
 
-// RequestComplete tells that the request on a connection was read to its end.
+// RequestComplete records that the request on a connection was read to its end, so that its head no longer counts.
 func (gd *Guard) RequestComplete(connection net.Conn) {
 	if cn, is := connection.(*Conn); is {
 		gd.update(func(time.Time) []memorybudget.Action {
@@ -201,7 +200,7 @@
 	}
 }
 
-// RecordRefusal records that a request was refused before it was served.
+// RecordRefusal records the event of a request that was refused before it was served.
 func (gd *Guard) RecordRefusal(refusal Refusal) {
 	gd.Events.Record(&wire.Event{
 		Kind: wire.EventKind_EventBodyRefused, RequestId: refusal.RequestID, Organisation: refusal.Organisation, Cause: string(refusal.Cause),
--- a/requestbody/requestbody.go
+++ b/requestbody/requestbody.go
@@ -12,7 +12,7 @@
 // blocks holds *[BlockBytes]byte that are not in use.
 var blocks = sync.Pool{New: func() any { return new([BlockBytes]byte) }}
 
-// NewBlock returns a block of a size, with unspecified content if it is BlockBytes.
+// NewBlock returns a block of a size. Its content is unspecified, as blocks of BlockBytes are reused.
 func NewBlock(size int64) []byte {
 	if size != BlockBytes {
 		return make([]byte, size)
@@ -20,42 +20,43 @@
 	return blocks.Get().(*[BlockBytes]byte)[:]
 }
 
-// Body is a request's body, which is not changed; nil is an empty one. It is held by its request until Release, and by each reader until
-// that is closed. It is safe for concurrent use.
+// Body is a request's body; nil is an empty one. Its blocks are kept until Release was called and all readers are closed. Apart from Append, it
+// is safe for concurrent use.
 type Body struct {
 	length int64
-	// memory is released once nobody holds the body; it is nil if the blocks are not reused.
+	// memory is released with the blocks; it is nil if the blocks are not reused.
 	memory Releaser
 
-	mu       sync.Mutex
-	holders  int
-	released bool
-	blocks   [][]byte
-	// single is the memory of blocks for bodies of one block.
+	mu sync.Mutex
+	// references counts the readers that are open, and one more until Release.
+	references int
+	released   bool
+	blocks     [][]byte
+	// single is the array behind blocks while there is one block, which saves an allocation.
 	single [1][]byte
 }
 
-// Of returns a body with a content.
+// Of returns a body with a content, which must not be changed afterwards and is not reused.
 func Of(content []byte) *Body {
-	bd := &Body{length: int64(len(content)), holders: 1}
+	bd := &Body{length: int64(len(content)), references: 1}
 	bd.single[0] = content
 	bd.blocks = bd.single[:]
 	return bd
 }
 
-// Releaser is told once when nobody holds a body any longer.
+// Releaser gets back the memory of a body; Release is called once.
 type Releaser interface {
 	Release()
 }
 
-// New returns a body without content, whose blocks are reused once nobody holds it.
+// New returns a body without content, whose blocks are reused after its last reference has ended.
 func New(memory Releaser) *Body {
-	bd := &Body{holders: 1, memory: memory}
+	bd := &Body{references: 1, memory: memory}
 	bd.blocks = bd.single[:0]
 	return bd
 }
 
-// Append adds a block from NewBlock, which holds only content, before the body is read.
+// Append adds a block from NewBlock, all of which is content. It must not be called once the body is read.
 func (bd *Body) Append(block []byte) {
 	bd.blocks = append(bd.blocks, block)
 	bd.length += int64(len(block))
@@ -79,7 +80,7 @@
 	return bd.blocks
 }
 
-// Release tells that the request will not be sent again; a second call does nothing.
+// Release ends the use of the body by its request; it can't be opened after that. A second call does nothing.
 func (bd *Body) Release() {
 	if bd == nil {
 		return
@@ -93,11 +94,11 @@
 	}
 }
 
-// drop ends the hold of one holder, and gives the blocks back with the last one.
+// drop ends one reference, and gives the blocks back with the last one.
 func (bd *Body) drop() {
 	bd.mu.Lock()
-	bd.holders--
-	last, content := bd.holders == 0, bd.blocks
+	bd.references--
+	last, content := bd.references == 0, bd.blocks
 	if last {
 		bd.blocks = nil
 	}
@@ -112,7 +113,7 @@
 	clear(bd.single[:])
 }
 
-// reuse gives back blocks from NewBlock that nobody uses.
+// reuse returns blocks of BlockBytes to the pool; the others are left to the garbage collector.
 func reuse(content [][]byte) {
 	for _, block := range content {
 		if cap(block) == BlockBytes {
@@ -121,7 +122,7 @@
 	}
 }
 
-// ErrReleased reports that a body was released before it was read.
+// ErrReleased reports that a body was opened after its release, or read after its reader was closed.
 var ErrReleased = errors.New("the body was released")
 
 // Reader reads a body once; it must be closed. Close may be called during Read.
@@ -134,14 +135,14 @@
 	closed bool
 }
 
-// Open returns a reader of the whole body. The error is ErrReleased if nobody holds the body.
+// Open returns a reader of the whole body. The error is ErrReleased after Release.
 func (bd *Body) Open() (*Reader, error) {
 	bd.mu.Lock()
 	defer bd.mu.Unlock()
 	if bd.released {
 		return nil, ErrReleased
 	}
-	bd.holders++
+	bd.references++
 	return &Reader{body: bd}, nil
 }
 
