platform, gateway, entry, entrypoint: names of what is checked before a body is read

Terms, head and lookUp did not say what they hold or do: CheckedHead, resolvedHead and resolveHead. The servers for readiness and metrics were called small and are auxiliary servers; headerTimeout was no longer used. Comments that had to be read twice say what is checked, and when a request may run.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,7 +77,7 @@
 	items    *gather.Client
 	batches  *gather.Server
 	relay    *relay.Relay
-	memory   *memoryguard.Guard
+	guard    *memoryguard.Guard
 	rotation *storereader.Rotation
 	// storeClock relates what answers of the store say to the time here.
 	storeClock *storeclock.Clock
@@ -164,7 +164,7 @@
 	if parts.UseDial != nil {
 		parts.UseDial(en.relay.DialUpstream)
 	}
-	en.memory = en.newCallersGuard()
+	en.guard = en.newCallerGuard()
 	en.registerGauges()
 	en.registerMemoryGauges()
 	return en
@@ -281,7 +281,7 @@
 	en.startLoop(en.throttle.Run)
 	en.startLoop(en.streams.Run)
 	en.startLoop(en.relay.Run)
-	en.startLoop(en.memory.Run)
+	en.startLoop(en.guard.Run)
 	for _, each := range en.watches {
 		en.startLoop(each.Run)
 	}
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -17,13 +17,13 @@
 	defaultMaxBodyBytes = 4 << 20
 )
 
-// NewGuard returns a guard that enforces limits, with the timers and the events of the instance.
+// NewGuard returns a guard that uses the timers of the instance and records its events there.
 func (en *Instance) NewGuard(limits memorybudget.Limits, caller func() memorybudget.CallerLimits) *memoryguard.Guard {
 	return memoryguard.New(memoryguard.Parts{Limits: limits, Caller: caller, Timers: en.timers, Events: en.events})
 }
 
-// newCallersGuard returns the guard of the memory for callers.
-func (en *Instance) newCallersGuard() *memoryguard.Guard {
+// newCallerGuard returns the guard of callers' connections and bodies; without limits in the settings, it has none.
+func (en *Instance) newCallerGuard() *memoryguard.Guard {
 	limits := en.settings.Callers
 	if limits == (memorybudget.Limits{}) {
 		limits = memorybudget.LimitsOf(0, 0)
@@ -48,9 +48,9 @@
 	return limits
 }
 
-// Memory returns the guard of the memory for callers.
-func (en *Instance) Memory() *memoryguard.Guard {
-	return en.memory
+// CallerGuard returns the guard of callers' connections and bodies.
+func (en *Instance) CallerGuard() *memoryguard.Guard {
+	return en.guard
 }
 
 // MaxBodyBytes returns the limit of a request body.
@@ -61,14 +61,15 @@
 	return defaultMaxBodyBytes
 }
 
-// CheckHead checks the route and the API key of a request whose body was not read. It returns the outcome that rejects the request, or nil.
-func (en *Instance) CheckHead(decoded *gateway.Request) (gateway.Terms, gateway.Outcome) {
+// CheckHead checks the route and the API key of a request before its body is read. It returns nil, or the outcome that rejects the request, which
+// it has recorded.
+func (en *Instance) CheckHead(decoded *gateway.Request) (gateway.CheckedHead, gateway.Outcome) {
 	return en.gateway.CheckHead(decoded)
 }
 
 func (en *Instance) registerMemoryGauges() {
 	gauge := func(name string, value func(memorybudget.Usage) float64) {
-		en.metrics.RegisterGauge(name, func() float64 { return value(en.memory.Usage()) })
+		en.metrics.RegisterGauge(name, func() float64 { return value(en.guard.Usage()) })
 	}
 	gauge("callers_connections", func(usage memorybudget.Usage) float64 { return float64(usage.Connections) })
 	gauge(`callers_bytes{kind="heads"}`, func(usage memorybudget.Usage) float64 { return float64(usage.HeadBytes) })
--- a/entrypoint/entrypoint.go
+++ b/entrypoint/entrypoint.go
@@ -64,22 +64,21 @@
 	// cancelLead is the time between the cancellation of the requests in flight and the cut-off, in which their callers
 	// still get an answer.
 	cancelLead = 250 * time.Millisecond
-	// headerTimeout and idleTimeout bound the time to read a head and the time between two requests where the entry instance does not;
-	// its limits may be shorter or longer than those of the other servers.
-	headerTimeout       = 20 * time.Second
-	idleTimeout         = 90 * time.Second
+	// callerHeaderTimeout and callerIdleTimeout are the timeouts of net/http for callers. They exceed all usual ones of the configuration,
+	// which the guard of the entry instance enforces.
 	callerHeaderTimeout = 10 * time.Minute
 	callerIdleTimeout   = time.Hour
-	// maxHeaderBytes bounds the head of a caller's request where the configuration does not, smallHeaderBytes that of the other servers.
-	maxHeaderBytes   = 256 << 10
-	smallHeaderBytes = 8 << 10
-	// smallTimeout bounds the time to read a request of the other servers and to write the answer.
-	smallTimeout = 10 * time.Second
-	serverCount  = 4
-	// smallConnections bounds the connections of each of the other servers, which a balancer and a few scrapers use; smallHeads is the memory
-	// for their incomplete heads, in bytes.
-	smallConnections = 32
-	smallHeads       = 1 << 20
+	// maxHeaderBytes bounds the head of a caller's request; the limit of the configuration may be lower.
+	maxHeaderBytes = 256 << 10
+	serverCount    = 4
+	// The constants below are the limits of each auxiliary server (readiness, metrics), which a balancer and a few scrapers use.
+	auxiliaryHeaderBytes = 8 << 10
+	// auxiliaryTimeout bounds the time to read a request, and that to write the answer; auxiliaryIdleTimeout the time between two requests.
+	auxiliaryTimeout     = 10 * time.Second
+	auxiliaryIdleTimeout = 90 * time.Second
+	auxiliaryConnections = 32
+	// auxiliaryHeadMemory is the memory for incomplete heads, in bytes.
+	auxiliaryHeadMemory = 1 << 20
 )
 
 // New returns a server that is not running yet; Run runs it.
@@ -173,11 +172,11 @@
 	sv.callers = &http.Server{
 		Handler:           invariant.Handler(sv.adapter.Handler(sv.entry), invariant.Abort),
 		ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: sv.adapter.ConnContext, ConnState: sv.entry.Memory().ConnState,
+		ConnContext: sv.adapter.ConnContext, ConnState: sv.entry.CallerGuard().ConnState,
 		ErrorLog: sv.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
-	readyGuard, metricsGuard := sv.smallGuard(), sv.smallGuard()
-	sv.ready, sv.metrics = sv.smallServer(sv.answerReady, readyGuard), sv.smallServer(sv.answerMetrics, metricsGuard)
+	readyGuard, metricsGuard := sv.auxiliaryGuard(), sv.auxiliaryGuard()
+	sv.ready, sv.metrics = sv.auxiliaryServer(sv.answerReady, readyGuard), sv.auxiliaryServer(sv.answerMetrics, metricsGuard)
 	sv.peers = NewPeerServer(sv.entry)
 	opened, err := listener.OpenAll(
 		listener.Address{Setting: "CallerAddress", Address: sv.settings.CallerAddress},
@@ -188,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	opened[0] = sv.entry.Memory().Listen(opened[0])
+	opened[0] = sv.entry.CallerGuard().Listen(opened[0])
 	opened[1], opened[3] = readyGuard.Listen(opened[1]), metricsGuard.Listen(opened[3])
 	for at, serve := range []func(net.Listener) error{sv.callers.Serve, sv.ready.Serve, sv.peers.Serve, sv.metrics.Serve} {
 		go func() { sv.report(serve(opened[at])) }()
@@ -196,17 +195,17 @@
 	return nil
 }
 
-// smallGuard returns a guard for a server for short requests. Its timeouts are those of the server.
-func (sv *Server) smallGuard() *memoryguard.Guard {
-	limits := memorybudget.Limits{Connections: smallConnections, HeadBytes: smallHeads}
-	return sv.entry.NewGuard(limits, func() memorybudget.CallerLimits { return memorybudget.CallerLimits{HeadBytes: smallHeaderBytes} })
+// auxiliaryGuard returns a guard for an auxiliary server, which enforces its timeouts itself.
+func (sv *Server) auxiliaryGuard() *memoryguard.Guard {
+	limits := memorybudget.Limits{Connections: auxiliaryConnections, HeadBytes: auxiliaryHeadMemory}
+	return sv.entry.NewGuard(limits, func() memorybudget.CallerLimits { return memorybudget.CallerLimits{HeadBytes: auxiliaryHeaderBytes} })
 }
 
-// smallServer returns a server for short requests from a few clients.
-func (sv *Server) smallServer(handle http.HandlerFunc, guard *memoryguard.Guard) *http.Server {
+// auxiliaryServer returns an auxiliary server.
+func (sv *Server) auxiliaryServer(handle http.HandlerFunc, guard *memoryguard.Guard) *http.Server {
 	return &http.Server{
-		Handler: handle, ReadHeaderTimeout: smallTimeout, ReadTimeout: smallTimeout, WriteTimeout: smallTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: smallHeaderBytes, ConnState: guard.ConnState, ErrorLog: sv.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		Handler: handle, ReadHeaderTimeout: auxiliaryTimeout, ReadTimeout: auxiliaryTimeout, WriteTimeout: auxiliaryTimeout, IdleTimeout: auxiliaryIdleTimeout,
+		MaxHeaderBytes: auxiliaryHeaderBytes, ConnState: guard.ConnState, ErrorLog: sv.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -179,17 +179,18 @@
 	return rn.execute(ctx)
 }
 
-// head is what the head of a request selects.
-type head struct {
+// resolvedHead is what the head of a request selects in the routing table.
+type resolvedHead struct {
 	table        *route.Table
 	pipeline     *route.Pipeline
 	organisation route.Organisation
 	deadline     time.Time
 }
 
-// lookUp looks up the pipeline and the organisation of a request, and its deadline. It returns nil or the outcome that rejects the request.
-func (gw *Gateway) lookUp(request *Request) (head, Outcome) {
-	found := head{table: gw.Catalog.RoutingTable()}
+// resolveHead looks up the pipeline and the organisation of a request and computes its deadline. It returns nil or the outcome that rejects the
+// request.
+func (gw *Gateway) resolveHead(request *Request) (resolvedHead, Outcome) {
+	found := resolvedHead{table: gw.Catalog.RoutingTable()}
 	if found.table == nil {
 		return found, Refused{RetryAfter: notReadyRetryAfter, Cause: NoConfiguration}
 	}
@@ -213,25 +214,25 @@
 	return found, nil
 }
 
-// Terms are what a request whose body was not read is entitled to.
-type Terms struct {
+// CheckedHead is what the head of a request says that is needed to read its body: whose memory it takes, and until when it may be read.
+type CheckedHead struct {
 	Organisation string
 	Deadline     time.Time
 }
 
-// CheckHead checks the route and the API key of a request whose body was not read. It returns the outcome that rejects the request, which it
-// records, or nil; then the request may still be refused by Serve.
-func (gw *Gateway) CheckHead(request *Request) (Terms, Outcome) {
-	found, refusal := gw.lookUp(request)
+// CheckHead checks the route and the API key of a request before its body is read. It returns nil, or the outcome that rejects the request, which
+// it records. Serve may still refuse the request for other reasons.
+func (gw *Gateway) CheckHead(request *Request) (CheckedHead, Outcome) {
+	found, refusal := gw.resolveHead(request)
 	if refusal == nil {
-		return Terms{Organisation: found.organisation.Name, Deadline: found.deadline}, nil
+		return CheckedHead{Organisation: found.organisation.Name, Deadline: found.deadline}, nil
 	}
 	rn := &run{
 		Gateway: gw, request: request, response: response.NewAfter(nil, ""), audit: sendaudit.New(request.ID, sendaudit.Limits{AtMostOnce: true}),
 		table: found.table, pipeline: found.pipeline, organisation: found.organisation, detail: "before its body was read",
 	}
 	rn.recordEnd(refusal)
-	return Terms{}, refusal
+	return CheckedHead{}, refusal
 }
 
 // defaultCallerTimeout applies to callers that send no timeout.
@@ -240,7 +241,7 @@
 // resolveRoute looks up the pipeline, the organisation and the pool of a request and sets its deadlines. It returns nil
 // or the outcome that rejects the request.
 func (rn *run) resolveRoute() Outcome {
-	found, refusal := rn.lookUp(rn.request)
+	found, refusal := rn.resolveHead(rn.request)
 	rn.table, rn.pipeline, rn.organisation, rn.deadline = found.table, found.pipeline, found.organisation, found.deadline
 	if refused, is := refusal.(Refused); is {
 		return rn.refuse(refused.RetryAfter, refused.Cause, "no configuration loaded yet")
