--- a/soak/calm_test.go
+++ b/soak/calm_test.go
@@ -40,7 +40,7 @@
 	return newLimitedFleet(t, programs, upstreams, defaultResources, configuredLimits)
 }
 
-// newLimitedFleet is newCalmFleet with limits of the settings and of the configuration.
+// newLimitedFleet is newCalmFleet with other limits in the settings and in the configuration.
 func newLimitedFleet(t *testing.T, programs []string, upstreams map[string]string, resources resourceLimits, configured string) *calmFleet {
 	t.Helper()
 	cf := &calmFleet{fleet: &fleet{t: t, folder: t.TempDir(), store: standin.New(), resources: resources, configured: configured}}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -46,7 +46,7 @@
 	settings  []string
 	// metrics are the addresses of the instances' metrics.
 	metrics []string
-	// resources are the limits in the settings of each process, and configured those in the configuration.
+	// resources are the limits in the settings of each process, configured is the JSON object of the callers' limits in the configuration.
 	resources  resourceLimits
 	configured string
 
@@ -65,10 +65,10 @@
 	descriptors int
 }
 
-// defaultResources are those of an instance in the tests that play no callers beyond the limits.
+// defaultResources are the limits in tests whose callers keep to theirs.
 var defaultResources = resourceLimits{memoryMB: memoryLimitMB, descriptors: 4100}
 
-// configuredLimits bound what callers may send in the tests with short bodies.
+// configuredLimits are the callers' limits in the configuration of tests whose bodies are short.
 const configuredLimits = `{"max_body_bytes":100000,"idle_timeout_ms":30000}`
 
 const services = `"services":[{"name":"model","engine":{"slot_count":64,"kv_capacity_tokens":100000}},{"name":"plain"},
--- a/soak/hostile_test.go
+++ b/soak/hostile_test.go
@@ -18,8 +18,8 @@
 	"github.com/shoenig/test/must"
 )
 
-// The limits of the process and of its callers in the tests below. The callers' limits are those of the users' deployments, the memory is
-// a little less than that of their smallest instance.
+// The limits of the process and of its callers in the tests below. The callers' limits are those of the users' deployments; the memory is a
+// little less than that of their smallest instance.
 var (
 	hostileResources  = resourceLimits{memoryMB: 128, descriptors: 600}
 	hostileConfigured = fmt.Sprintf(`{"max_header_bytes":16384,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000}`, hostileBody)
@@ -28,22 +28,22 @@
 const (
 	// hostileBody is the longest body that a caller may send, in bytes.
 	hostileBody = 4 << 20
-	// bodyCrowd, headCrowd and silentCrowd are the numbers of connections at once.
+	// bodyCrowd, headCrowd and silentCrowd are the numbers of simultaneous connections that send bodies, heads, or only the beginning of a head.
 	bodyCrowd   = 64
 	headCrowd   = 160
 	silentCrowd = 800
-	// completeEach is how many connections of a crowd there are for each one that sends its request to the end.
+	// One in completeEach connections of a crowd that sends bodies sends its body to the end.
 	completeEach = 8
-	// endlessHeadBytes bounds what is sent on a connection that nobody closes, in bytes.
+	// endlessHeadBytes bounds what is sent on a connection that the instance does not close, in bytes.
 	endlessHeadBytes = 64 << 20
-	// settledAfter is how long a crowd must have sent nothing to count as complete, and settleTimeout how long that may take.
+	// A crowd has settled once it could send nothing for settledAfter; settleTimeout is how long the test waits for that.
 	settledAfter  = 1500 * time.Millisecond
 	settleTimeout = 2 * time.Minute
-	// answerTimeout is how long a caller comes back after refusals.
+	// answerTimeout is how long an ordinary caller retries after refusals.
 	answerTimeout = time.Minute
 )
 
-// crowd is the callers that keep to no limits: each sends its parts on a connection of its own and leaves that open.
+// crowd is a group of callers that keep to no limits: each sends its parts on a connection of its own and leaves that open.
 type crowd struct {
 	sent    atomic.Int64
 	running sync.WaitGroup
@@ -70,7 +70,7 @@
 	})
 }
 
-// awaitSettled waits until nothing more is sent: all parts are, or those that are left are not read.
+// awaitSettled waits until nothing more is sent, since all parts were sent or the instance does not read the others.
 func (cr *crowd) awaitSettled() {
 	last, since := cr.sent.Load(), time.Now()
 	for end := time.Now().Add(settleTimeout); time.Now().Before(end) && time.Since(since) < settledAfter; time.Sleep(20 * time.Millisecond) {
@@ -90,14 +90,14 @@
 	cr.running.Wait()
 }
 
-// hostileHead is a head of a request that nothing but its end is missing from.
+// hostileHead returns the head of a request without the empty line that ends it.
 func hostileHead(number int, framing string) []byte {
 	return fmt.Appendf(nil, "POST /post/%d HTTP/1.1\r\nHost: h\r\nTurmericdoor-Attempt-Id: hostile-%d\r\nTurmericdoor-Deadline-Ms: 600000\r\n"+
 		"Authorization: Token k\r\n%s", number, number, framing)
 }
 
-// sendBody sends a body of the longest legal length in parts of a size, each as encode writes it. All but one of completeEach connections
-// stop one part before the end.
+// sendBody sends a body of the longest legal length in parts of a size, each encoded by encode. All but one in completeEach connections stop one
+// part before the end.
 func sendBody(number, partSize int, framing string, encode func(part []byte) []byte, end string) func(send func([]byte) bool) {
 	return func(send func([]byte) bool) {
 		if !send(hostileHead(number, framing+"\r\n")) {
@@ -115,12 +115,12 @@
 	}
 }
 
-// manySmall joins small parts to one that is sent at once.
-func manySmall(part []byte, count int) []byte {
+// repeated returns a part several times, to be sent in one write.
+func repeated(part []byte, count int) []byte {
 	return bytes.Repeat(part, count)
 }
 
-// hostileCrowds are the crowds by what they send; each function sends the parts of one connection.
+// hostileCrowds holds the crowds by what they send: the number of connections, and what the connection with a number sends.
 var hostileCrowds = map[string]struct {
 	size  int
 	parts func(number int) func(send func([]byte) bool)
@@ -145,7 +145,7 @@
 	}},
 	"small chunks": {bodyCrowd, func(number int) func(func([]byte) bool) {
 		return sendBody(number, 16<<10, "Transfer-Encoding: chunked\r\n", func(part []byte) []byte {
-			return manySmall(fmt.Appendf(nil, "10\r\n%s\r\n", part[:16]), len(part)/16)
+			return repeated(fmt.Appendf(nil, "10\r\n%s\r\n", part[:16]), len(part)/16)
 		}, "0\r\n\r\n")
 	}},
 	"heads over the limit that stop before their end": {headCrowd, func(number int) func(func([]byte) bool) {
@@ -195,8 +195,8 @@
 	}},
 }
 
-// sealedUpstream answers each request once it has read it.
-func sealedUpstream(t *testing.T) string {
+// startSignedUpstream starts an upstream that reads each request and answers it with its signature, and returns its address.
+func startSignedUpstream(t *testing.T) string {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		_, _ = io.Copy(io.Discard, request.Body)
@@ -229,7 +229,7 @@
 	return response.StatusCode, nil
 }
 
-// assertAnswered checks that a caller that keeps to all limits gets its answer, if need be when it comes back.
+// assertAnswered checks that a caller that keeps to all limits is answered, if need be after some retries.
 func (cf *calmFleet) assertAnswered(what string, body []byte) {
 	cf.t.Helper()
 	number := 0
@@ -249,10 +249,10 @@
 	return len(entries)
 }
 
-// TestCallersBeyondTheLimits guards against an instance that ends for want of memory, or has no descriptors left, since many callers at
-// once send heads without end or over the limit, or bodies that stop just before their end, and stay connected.
+// TestCallersBeyondTheLimits guards against an instance that runs out of memory or descriptors, since many callers at once send heads without
+// end or over the limit, or bodies that stop just before their end, and stay connected.
 func TestCallersBeyondTheLimits(t *testing.T) {
-	binary, address := buildProgram(t), sealedUpstream(t)
+	binary, address := buildProgram(t), startSignedUpstream(t)
 	for name, each := range hostileCrowds {
 		t.Run(name, func(t *testing.T) {
 			cf := newLimitedFleet(t, []string{binary}, map[string]string{"plain-0": address}, hostileResources, hostileConfigured)
