--- a/memorybudget/body.go
+++ b/memorybudget/body.go
@@ -49,6 +49,8 @@
 	// that sends single bytes would keep its memory otherwise.
 	stallTime     = time.Second
 	progressBytes = 4 << 10
+	// maxWaiting is the maximum number of bodies that wait: each decision goes through all of them.
+	maxWaiting = 256
 	// maxWait is how long a body waits for memory each time that it grows.
 	maxWait = 2 * time.Second
 	// At most reservedParts in allParts of the memory for long bodies are reserved, so that callers who send just enough not to stall don't
@@ -77,6 +79,9 @@
 		bu.grant(now, bd)
 		return true, nil
 	}
+	if len(bu.waiting) >= maxWaiting {
+		return false, []Action{bu.refuse(bd, NoMemory)}
+	}
 	bu.enqueue(bd)
 	actions := bu.decideWaiting(now)
 	if bd.state != reading {
--- a/memorybudget/budget.go
+++ b/memorybudget/budget.go
@@ -7,7 +7,7 @@
 	limits Limits
 	caller CallerLimits
 
-	// connections counts the connections. headBytes is the memory of the heads whose requests are not complete: HeadWeight times their bytes.
+	// connections counts the connections. headBytes is the memory of the heads whose requests are not complete: HeadWeight times their bytes until they are parsed.
 	connections int
 	headBytes   int64
 	// idle holds the connections between two requests, heads those whose head is incomplete, and unread those whose head is complete and whose
--- a/memorybudget/connection.go
+++ b/memorybudget/connection.go
@@ -6,8 +6,9 @@
 type Connection struct {
 	// since is when it became idle, or when its head began.
 	since time.Time
-	// head is the number of bytes of its current head that were read.
+	// head is the number of bytes of its current head that were read, headMemory the memory that they take.
 	head           int64
+	headMemory     int64
 	closed         bool
 	list           *list
 	previous, next *Connection
@@ -60,6 +61,7 @@
 		bu.heads.append(cn)
 	}
 	cn.head += int64(count)
+	cn.headMemory += int64(count) * HeadWeight
 	bu.headBytes += int64(count) * HeadWeight
 	if bu.caller.HeadBytes > 0 && cn.head > bu.caller.HeadBytes+headSlack {
 		cn.removeFromList()
@@ -89,6 +91,16 @@
 	bu.unread.append(cn)
 }
 
+// ParsedHead records the memory that a complete head takes, which is mostly far less than HeadWeight times its bytes: these include the
+// beginning of the body, if it was read together with the head.
+func (bu *Budget) ParsedHead(cn *Connection, size int64) {
+	if cn.closed || size >= cn.headMemory {
+		return
+	}
+	bu.headBytes -= cn.headMemory - size
+	cn.headMemory = size
+}
+
 // CompleteRequest records that a request was read to its end; its head no longer counts.
 func (bu *Budget) CompleteRequest(cn *Connection) {
 	if cn.closed {
@@ -121,8 +133,8 @@
 }
 
 func (bu *Budget) releaseHead(cn *Connection) {
-	bu.headBytes -= cn.head * HeadWeight
-	cn.head = 0
+	bu.headBytes -= cn.headMemory
+	cn.head, cn.headMemory = 0, 0
 }
 
 // timedList is a list of connections that are closed once they have been in it for a time; 0 means that they are not.
--- a/memorybudget/connection_test.go
+++ b/memorybudget/connection_test.go
@@ -119,3 +119,18 @@
 	must.SliceEmpty(t, bs.budget.Tick(begun.Add(15*time.Second)))
 	must.Eq(t, []memorybudget.Action{memorybudget.CloseConnection{Connection: list[0], Cause: memorybudget.IdleTimeout}}, bs.budget.Tick(begun.Add(18750*time.Millisecond)))
 }
+
+// TestManyUploadsAtOnce guards against closing the connections of legal uploads: the beginning of a body, which is read together with the head,
+// counted like a head until the body was complete.
+func TestManyUploadsAtOnce(t *testing.T) {
+	budget := memorybudget.New(memorybudget.LimitsOf(144<<20, 3075))
+	now := time.Unix(1, 0)
+	for range 400 {
+		cn, actions := budget.Accept(now)
+		must.SliceEmpty(t, actions)
+		must.SliceEmpty(t, budget.ReadHead(now, cn, 4096))
+		budget.CompleteHead(cn)
+		budget.ParsedHead(cn, 2048)
+	}
+	must.Eq(t, 400*2048, budget.Usage().HeadBytes)
+}
--- a/memoryguard/conn.go
+++ b/memoryguard/conn.go
@@ -43,12 +43,21 @@
 	cn.guard.update(func(now time.Time) []memorybudget.Action { return cn.guard.budget.ReadHead(now, cn.counted, count) })
 	if cn.isHeadRefused.Load() {
 		_ = cn.SetWriteDeadline(time.Now().Add(LingerTime))
-		_, _ = cn.Write([]byte(tooLongAnswer))
+		_, _ = cn.TCPConn.Write([]byte(tooLongAnswer))
 		return 0, io.EOF
 	}
 	return count, err
 }
 
+// Write writes to the connection. After a head was refused here, what the server writes is discarded: it answers the end of the connection
+// within a head with status 400, which the caller would read as a part of the first answer.
+func (cn *Conn) Write(part []byte) (int, error) {
+	if cn.isHeadRefused.Load() {
+		return len(part), nil
+	}
+	return cn.TCPConn.Write(part)
+}
+
 const (
 	// LingerTime is how long the rest of a refused request is read and discarded after the answer: a connection that is closed with unread
 	// bytes is reset, and its caller loses the answer.
--- a/memoryguard/guard.go
+++ b/memoryguard/guard.go
@@ -190,6 +190,16 @@
 	}
 }
 
+// HeadParsed records the memory that the head of the current request on a connection takes.
+func (gd *Guard) HeadParsed(connection net.Conn, size int64) {
+	if cn, is := connection.(*Conn); is {
+		gd.update(func(time.Time) []memorybudget.Action {
+			gd.budget.ParsedHead(cn.counted, size)
+			return nil
+		})
+	}
+}
+
 // RequestComplete records that the request on a connection was read to its end, so that its head no longer counts.
 func (gd *Guard) RequestComplete(connection net.Conn) {
 	if cn, is := connection.(*Conn); is {
