--- a/memorybudget/action.go
+++ b/memorybudget/action.go
@@ -51,7 +51,7 @@
 
 func (GrantBody) action() {}
 
-// RefuseBody means that a waiting body gets no memory. Its request must not run; its caller may retry after RetryAfter.
+// RefuseBody means that a body gets no memory, after it has waited or at once if too many wait. Its request must not run; its caller may retry after RetryAfter.
 type RefuseBody struct {
 	Body       *Body
 	Cause      Cause
--- a/memorybudget/body.go
+++ b/memorybudget/body.go
@@ -19,7 +19,7 @@
 type bodyState int
 
 const (
-	// reading: it has the memory that it asked for; waiting: it waits for memory; refused, yielded: it was given up, its request must not
+	// reading: it has the memory that it asked for; waiting: it waits for memory; refused, yielded: it is no longer read, its request must not
 	// run; complete: it was read to its end; released: it holds no memory.
 	reading bodyState = iota
 	waiting
@@ -108,7 +108,7 @@
 	return true, bu.decideWaiting(now)
 }
 
-// Release gives back the memory of a body; a second call does nothing.
+// Release frees the memory of a body; a second call does nothing.
 func (bu *Budget) Release(now time.Time, bd *Body) []Action {
 	if bd.state == released {
 		return nil
@@ -397,7 +397,7 @@
 	return YieldBody{Body: bd, Cause: Stalled}
 }
 
-// stopReading gives up a body; its memory becomes free once it is released.
+// stopReading records that a body is no longer read; its memory becomes free once it is released.
 func (bu *Budget) stopReading(bd *Body, state bodyState) {
 	bd.state = state
 	bu.stoppedBytes += bd.taken
--- a/memorybudget/connection.go
+++ b/memorybudget/connection.go
@@ -82,7 +82,7 @@
 	return actions
 }
 
-// CompleteHead records that the head of a request is complete; its bytes count until CompleteRequest.
+// CompleteHead records that the head of a request is complete; it counts until CompleteRequest.
 func (bu *Budget) CompleteHead(cn *Connection) {
 	if cn.closed {
 		return
--- a/memoryguard/body.go
+++ b/memoryguard/body.go
@@ -24,7 +24,7 @@
 
 func (Refused) decision() {}
 
-// Yielded means that a stalled body was given up since others need its memory. Its request must not run.
+// Yielded means that a stalled body is no longer read because others need its memory. Its request must not run.
 type Yielded struct {
 	Cause memorybudget.Cause
 }
@@ -108,7 +108,7 @@
 	return bd.yielded
 }
 
-// Release gives back the memory; a second call does nothing.
+// Release frees the memory; a second call does nothing.
 func (bd *Body) Release() {
 	bd.guard.update(func(now time.Time) []memorybudget.Action {
 		delete(bd.guard.bodies, &bd.counted)
--- a/throttle/cold.go
+++ b/throttle/cold.go
@@ -8,6 +8,7 @@
 	"github.com/turmericdoor/turmericdoor/noticetable"
 	"github.com/turmericdoor/turmericdoor/roster"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
+	"github.com/turmericdoor/turmericdoor/timer"
 )
 
 const (
@@ -160,7 +161,7 @@
 	if request.GetColdPerSecond() <= 0 || request.GetColdLeftMs() <= 0 {
 		return 0, 0
 	}
-	return request.GetColdPerSecond(), milliseconds(request.GetColdLeftMs())
+	return request.GetColdPerSecond(), coldTimeOf(request.GetColdLeftMs())
 }
 
 // countCold counts a permit for a cold upstream as granted or denied.
@@ -236,7 +237,7 @@
 	}
 }
 
-// milliseconds converts the remaining cold time that another instance reports, at most maxColdTime.
-func milliseconds(count int64) time.Duration {
-	return time.Duration(min(max(count, 0), maxColdTime.Milliseconds())) * time.Millisecond
+// coldTimeOf converts the remaining cold time that another instance reports, in milliseconds; it is at most maxColdTime.
+func coldTimeOf(count int64) time.Duration {
+	return timer.Milliseconds(min(max(count, 0), maxColdTime.Milliseconds()))
 }
--- a/throttle/observe.go
+++ b/throttle/observe.go
@@ -140,7 +140,7 @@
 		Length: timer.Milliseconds(limit.GetLengthMs()),
 	}
 	if entry.Kind == noticetable.Cold {
-		entry.Until = th.Timers.Now().Add(milliseconds(limit.GetLengthMs()))
+		entry.Until = th.Timers.Now().Add(coldTimeOf(limit.GetLengthMs()))
 	}
 	if limit.GetUnixNanos() != 0 {
 		entry.At = time.Unix(0, limit.GetUnixNanos())
