--- a/review/stand2/front.go
+++ b/review/stand2/front.go
@@ -5,11 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -80,18 +82,29 @@
 	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 }
 
+const (
+	// firstPort and portCount are a range below the ports that outgoing connections get, so that none of them takes the port of a process that is
+	// down for a moment.
+	firstPort = 15000
+	portCount = 15000
+)
+
 // freePorts returns ports on which nothing listens.
 func freePorts(count int) []int {
-	listeners, ports := []net.Listener{}, []int{}
-	for range count {
-		listener := mustListen()
-		listeners = append(listeners, listener)
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
-	}
-	for _, each := range listeners {
-		_ = each.Close()
+	ports := []int{}
+	for range portCount {
+		port := firstPort + rand.IntN(portCount)
+		listener, err := net.Listen("tcp", local(port))
+		if err != nil || slices.Contains(ports, port) {
+			continue
+		}
+		_ = listener.Close()
+		if ports = append(ports, port); len(ports) == count {
+			return ports
+		}
 	}
-	return ports
+	cannotRun("no free ports")
+	return nil
 }
 
 // start starts the process.
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -115,3 +115,13 @@
 		"rows": list, "has_more": false, "row_version": st.version, "server_time_ms": 1 + time.Since(st.began).Milliseconds(),
 	})
 }
+
+// remove removes a row.
+func (st *store) remove(table, key string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.version++
+	st.rows[table+"/"+key] = row{Table: table, Key: key, Version: st.version, Deleted: true}
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
