--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -28,6 +28,8 @@
 	version int64
 	changed chan struct{}
 	began   time.Time
+	// down makes the store answer all calls with 503: nothing was done.
+	down bool
 }
 
 func newStore() *store {
@@ -61,8 +63,34 @@
 	return st.version
 }
 
+// putIfUp writes a row unless the store is down.
+func (st *store) putIfUp(table, key string, value any) {
+	if !st.isDown() {
+		st.put(table, key, value)
+	}
+}
+
+func (st *store) isDown() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.down
+}
+
+// setDown takes the store down, and ends the calls that wait for changes, or up again.
+func (st *store) setDown(down bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.down = down
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
 func (st *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	table := request.FormValue("table")
+	if st.isDown() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch request.URL.Path {
 	case "/v1/rows-get":
 		st.write(writer, table, -1)
@@ -70,6 +98,10 @@
 		after, _ := strconv.ParseInt(request.FormValue("after"), 10, 64)
 		wait, _ := strconv.ParseInt(request.FormValue("wait_ms"), 10, 64)
 		st.await(request, table, after, time.Duration(wait)*time.Millisecond)
+		if st.isDown() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		st.write(writer, table, after)
 	default:
 		writer.WriteHeader(http.StatusNotFound)
@@ -86,7 +118,7 @@
 			found = found || each.Table == table && each.Version > after
 		}
 		st.mu.Unlock()
-		if found {
+		if found || st.isDown() {
 			return
 		}
 		select {
@@ -115,13 +147,3 @@
 		"rows": list, "has_more": false, "row_version": st.version, "server_time_ms": 1 + time.Since(st.began).Milliseconds(),
 	})
 }
-
-// remove removes a row.
-func (st *store) remove(table, key string) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.version++
-	st.rows[table+"/"+key] = row{Table: table, Key: key, Version: st.version, Deleted: true}
-	close(st.changed)
-	st.changed = make(chan struct{})
-}
