--- a/review/stand2/front.go
+++ b/review/stand2/front.go
@@ -116,6 +116,8 @@
 	if err != nil {
 		cannotRun("write the settings: %v", err)
 	}
+	// Only the first start is one of the whole system for the first time.
+	fr.fields["bootstrap"] = false
 	output, err := os.OpenFile(fr.logs, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		cannotRun("open a log: %v", err)
