--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
   echo "build first: the build of deploy/system.toml, then review/build-2.sh" | tee review/8/record.txt
   exit 2
 fi
-exec target/review-2 pieces review/8/record.txt
+exec target/review-2 signals review/8/record.txt
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts of the cases 6 to 10 start besides the program of the deploy file: target/review-2, with the stand-ins for
+# Builds what the scripts of the cases 6 to 9 start besides the program of the deploy file: target/review-2, with the stand-ins for
 # the store, the engines, the clients and the platform. It needs only the standard library, and no network. The sources end in
 # .txt, because the project's own tests read every Go file of the repository.
 set -euo pipefail
