--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -412,6 +413,11 @@
 	return en.catalog
 }
 
+// RecordSignal records in the time line that a signal of the platform has reached the process.
+func (en *Instance) RecordSignal(received os.Signal) {
+	en.events.Record(&wire.Event{Kind: wire.EventKind_EventSignalReceived, Detail: received.String()})
+}
+
 // RecordReload records in the time line that the settings were reloaded; detail is the trigger or the error.
 func (en *Instance) RecordReload(detail string) {
 	en.events.Record(&wire.Event{Kind: wire.EventKind_EventReloaded, Detail: detail})
--- a/entrypoint/entrypoint.go
+++ b/entrypoint/entrypoint.go
@@ -118,6 +118,7 @@
 	for {
 		select {
 		case received := <-signals:
+			sv.entry.RecordSignal(received)
 			if received != syscall.SIGHUP {
 				return nil
 			}
