LOST: a SIGTERM that came beside a SIGHUP was dropped, and the instance served until it was killed

Cause: all signals went to one channel with room for one; os/signal drops what finds no room. The loop that read it also reads the settings file, so that a SIGHUP filled the channel.

Fix: stops and reloads have a channel each, so that a pending signal can only displace one that asks for the same, and the settings are read beside the wait for the stop. Signals are received before the settings are first read.

--- a/command/front.go
+++ b/command/front.go
@@ -11,11 +11,14 @@
 	"github.com/turmericdoor/turmericdoor/entrypoint"
 	"github.com/turmericdoor/turmericdoor/memorybudget"
 	"github.com/turmericdoor/turmericdoor/platform"
+	"github.com/turmericdoor/turmericdoor/signals"
 )
 
 // serveOnPlatform runs an entry instance on the users' platform until it is asked to stop. A second signal is
 // ignored.
 func (cl *CLI) serveOnPlatform() error {
+	received := signals.New()
+	defer received.Close()
 	adapter := platform.NewAdapter(cl.options.platformSettings)
 	settings, err := adapter.LoadSettings()
 	if err != nil {
@@ -29,7 +32,7 @@
 	logger := log.NewWithOptions(os.Stdout, log.Options{
 		Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 	}).With("instance", settings.Instance)
-	return entrypoint.New(adapter, settings, logger).Run()
+	return entrypoint.New(adapter, settings, logger).Run(received)
 }
 
 // callerLimits returns the limits of the settings file, overridden by flags.
--- a/entrypoint/entrypoint.go
+++ b/entrypoint/entrypoint.go
@@ -6,9 +6,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -19,6 +17,7 @@
 	"github.com/turmericdoor/turmericdoor/listener"
 	"github.com/turmericdoor/turmericdoor/memorybudget"
 	"github.com/turmericdoor/turmericdoor/memoryguard"
+	"github.com/turmericdoor/turmericdoor/signals"
 	"github.com/turmericdoor/turmericdoor/timer"
 )
 
@@ -93,10 +92,8 @@
 	return sv
 }
 
-// Run serves until SIGTERM, SIGINT or the failure of a listener, and then shuts down gracefully.
-func (sv *Server) Run() error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+// Run serves until a signal asks it to stop or a listener fails, and then shuts down gracefully.
+func (sv *Server) Run(received *signals.Receiver) error {
 	if sv.settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(sv.settings.MemoryBytes) * memoryShare))
 	}
@@ -105,30 +102,49 @@
 		return err
 	}
 	sv.entry.Start()
-	failure := sv.await(signals)
+	following, stopFollowing := context.WithCancel(context.Background())
+	followed := make(chan struct{})
+	go sv.followSettings(following, received.Reload, followed)
+	failure := sv.awaitStop(received.Stop)
 	if failure != nil {
 		sv.logger.Error("server failed", "err", failure)
 	}
 	sv.shutdown(sv.timers.Now())
+	stopFollowing()
+	select {
+	case <-followed:
+	case <-sv.timers.After(reloadEndTimeout):
+		sv.logger.Warn("the settings are still being read at the end")
+	}
 	return failure
 }
 
-// await handles signals and reloads the settings until the instance must stop.
-func (sv *Server) await(signals <-chan os.Signal) error {
+// awaitStop waits until the instance must stop, and returns the error of a listener that failed.
+func (sv *Server) awaitStop(stop <-chan os.Signal) error {
+	select {
+	case received := <-stop:
+		sv.entry.RecordSignal(received)
+		return nil
+	case err := <-sv.failed:
+		return err
+	}
+}
+
+// followSettings reloads the settings at each signal and when their file changes, until ctx ends; then it closes done. Reading the file
+// may take long, and must not delay a stop.
+func (sv *Server) followSettings(ctx context.Context, reload <-chan os.Signal, done chan<- struct{}) {
+	defer close(done)
 	for {
 		select {
-		case received := <-signals:
+		case <-ctx.Done():
+			return
+		case received := <-reload:
 			sv.entry.RecordSignal(received)
-			if received != syscall.SIGHUP {
-				return nil
-			}
 			sv.reload("signal")
 		case <-sv.timers.After(settingsPollInterval):
 			if sv.adapter.SettingsChanged() {
 				sv.reload("file changed")
 			}
-		case err := <-sv.failed:
-			return err
 		}
 	}
 }
@@ -136,6 +152,9 @@
 // settingsPollInterval is the interval of checks for a modified settings file, which may come without a SIGHUP.
 const settingsPollInterval = 2 * time.Second
 
+// reloadEndTimeout is how long an instance that has stopped waits for a settings file that is being read.
+const reloadEndTimeout = 20 * time.Millisecond
+
 // reload reads the settings file and applies it; invalid settings are ignored.
 func (sv *Server) reload(cause string) {
 	reloaded, err := sv.adapter.LoadSettings()
--- a/entrypoint/listen_test.go
+++ b/entrypoint/listen_test.go
@@ -13,6 +13,7 @@
 	"github.com/turmericdoor/turmericdoor/entropy"
 	"github.com/turmericdoor/turmericdoor/entry"
 	"github.com/turmericdoor/turmericdoor/entrypoint"
+	"github.com/turmericdoor/turmericdoor/signals"
 )
 
 // adapter is an adapter to a platform that is never asked.
@@ -39,7 +40,9 @@
 		CallerAddress: free.Addr().String(), ReadyAddress: taken.Addr().String(), PeerAddress: "127.0.0.1:0", MetricsAddress: "127.0.0.1:0",
 	}
 	server := entrypoint.New(adapter{}, settings, log.New(io.Discard))
-	must.ErrorContains(t, server.Run(), "listen on ReadyAddress")
+	received := signals.New()
+	defer received.Close()
+	must.ErrorContains(t, server.Run(received), "listen on ReadyAddress")
 	again, err := net.Listen("tcp", settings.CallerAddress)
 	must.NoError(t, err)
 	must.NoError(t, again.Close())
