Signals of serve, load and standin: none ends them at once

Callers of serve lost their requests in flight when it got a SIGHUP, which nothing received. load slept until its next request was due, up to a minute at a low rate, before it acted on a signal, and lost its report at SIGHUP; all three could be ended by a signal during their start.

--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -14,6 +14,9 @@
 )
 
 func main() {
+	// The requests so far are reported at the first signal, also at that of a terminal that is closed; further ones are ignored.
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer cancel()
 	path, csv, image := "", "", ""
 	parser := flaggy.NewParser("load")
 	parser.Description = "sends requests at the configured rates, independent of the answers, and reports deadline attainment by rank and organisation"
@@ -28,8 +31,6 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
 	run.Do(ctx, os.Stderr)
 	run.Print(os.Stdout)
 	if err := write(run, csv, image); err != nil {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -14,6 +14,9 @@
 )
 
 func main() {
+	// A signal that comes during the start stops the stand-ins once they have started.
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer cancel()
 	if len(os.Args) != 2 {
 		fmt.Fprintln(os.Stderr, "usage: standin FILE.ini, with one section [Standin NAME] for each stand-in")
 		os.Exit(2)
@@ -29,8 +32,6 @@
 			os.Exit(1)
 		}
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
 	<-ctx.Done()
 	for _, standin := range list {
 		standin.Stop()
--- a/command/local.go
+++ b/command/local.go
@@ -4,11 +4,9 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"sort"
 	"strings"
-	"syscall"
 
 	"github.com/charmbracelet/log"
 
@@ -16,11 +14,14 @@
 	"github.com/turmericdoor/turmericdoor/digest"
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/instance"
+	"github.com/turmericdoor/turmericdoor/signals"
 )
 
-// serve runs an entry instance until a signal, then shuts it down gracefully. A second signal is ignored, so that
+// serve runs an entry instance until a signal asks it to stop, then shuts it down gracefully. A second signal is ignored, so that
 // the requests in flight are still answered.
 func (cl *CLI) serve() error {
+	received := signals.New()
+	defer received.Close()
 	loaded, err := configuration.Load(cl.options.settings)
 	if err != nil {
 		return badInput(err)
@@ -34,9 +35,29 @@
 	}
 	logger.SetLevel(level)
 	logger = logger.With("instance", loaded.GetInstance().GetId())
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	return instance.New(loaded, logger).Run(ctx)
+	running, stop := context.WithCancel(context.Background())
+	following, stopFollowing := context.WithCancel(context.Background())
+	followed := make(chan struct{})
+	go followSignals(following, received, stop, logger, followed)
+	defer func() { stopFollowing(); <-followed }()
+	return instance.New(loaded, logger).Run(running)
+}
+
+// followSignals calls stop at each signal that asks for the end and logs those that ask for the settings, until ctx ends; then it
+// closes done.
+func followSignals(ctx context.Context, received *signals.Receiver, stop func(), logger *log.Logger, done chan<- struct{}) {
+	defer close(done)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case each := <-received.Stop:
+			logger.Info("signal received", "signal", each)
+			stop()
+		case each := <-received.Reload:
+			logger.Info("signal ignored: settings are read at the start, certificates when their files change", "signal", each)
+		}
+	}
 }
 
 // badInput wraps the error of a missing or invalid file with its exit code.
--- a/load/load.go
+++ b/load/load.go
@@ -69,7 +69,9 @@
 			break
 		}
 		scheduled := rn.startedAt.Add(due[at])
-		time.Sleep(time.Until(scheduled))
+		if !sleepUntil(ctx, scheduled) {
+			break
+		}
 		if rn.isActive(rn.streams[at], due[at]) {
 			rn.send(ctx, rn.streams[at], scheduled)
 		}
@@ -82,6 +84,18 @@
 	rn.inFlight.Wait()
 }
 
+// sleepUntil waits until a time and reports whether ctx has not ended before.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	reached := time.NewTimer(time.Until(at))
+	defer reached.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-reached.C:
+		return true
+	}
+}
+
 // nextGap draws the exponentially distributed time until a stream's next request.
 func nextGap(random *rand.Rand, st stream) time.Duration {
 	rate := float64(st.config.GetRatePerMinute()) / 60
