ROUTE: once the last key of all organisations was taken away, no key was checked any more

Cause: whether a key is needed was inferred from the map of keys being not empty, so that a configuration whose organisations have no keys looked like one without organisations.

Fix: the presence of the field says whether keys are needed; an unknown key is refused also where none is needed, unless the route is public; the empty text is no key.

--- a/document/document_test.go
+++ b/document/document_test.go
@@ -52,6 +52,18 @@
 		_, known = parsed.OrganisationByKey("other-key")
 		must.False(t, known)
 	})
+	t.Run("no key is known once no organisation has one", func(t *testing.T) {
+		for _, text := range []string{"", "[Organisation guild]\nWeight = 1\n", "[Organisation guild]\nKeyDigests =\n"} {
+			parsed, faults := parse(ranks+text, models)
+			if faults != "" {
+				continue
+			}
+			for _, key := range []string{"", "guild-key"} {
+				_, known := parsed.OrganisationByKey(key)
+				must.False(t, known, must.Sprintf("%q with %q", text, key))
+			}
+		}
+	})
 	cases := map[string]struct{ text, fault string }{
 		"a cycle of stages":                {strings.Replace(models, "Stages = generate", "Stages = generate, generate", 1), "a repeated stage makes a cycle"},
 		"a missing stage":                  {strings.Replace(models, "Stages = generate", "Stages = nowhere", 1), `b:11: [Pipeline draft] Stages = "nowhere": expected the name of a [Stage] section`},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -198,9 +198,8 @@
 	if found.pipeline == nil {
 		return found, NotFound{}
 	}
-	known := false
-	found.organisation, known = found.table.Organisations[request.APIKey]
-	if !known && !found.pipeline.Public && len(found.table.Organisations) > 0 {
+	allowed := false
+	if found.organisation, allowed = found.table.Authorise(found.pipeline, request.APIKey); !allowed {
 		return found, Unauthorised{}
 	}
 	timeout := request.CallerTimeout
--- a/route/route.go
+++ b/route/route.go
@@ -14,8 +14,11 @@
 	Revision      int64
 	Pipelines     []Pipeline
 	Pools         map[string]Pool
+	// Organisations holds the organisations by API key.
 	Organisations map[string]Organisation
-	Limits        Limits
+	// RequiresKey is set if callers need an API key, which holds also while no organisation has one.
+	RequiresKey bool
+	Limits      Limits
 
 	byHost map[string][]*Pipeline
 }
@@ -117,6 +120,7 @@
 // New indexes a table and returns it; the caller must not modify its contents afterwards.
 func New(tb Table) *Table {
 	tb.byHost = map[string][]*Pipeline{}
+	tb.RequiresKey = tb.RequiresKey || len(tb.Organisations) > 0
 	for at := range tb.Pipelines {
 		pipeline := &tb.Pipelines[at]
 		tb.byHost[pipeline.Host] = append(tb.byHost[pipeline.Host], pipeline)
@@ -139,6 +143,16 @@
 	return nil
 }
 
+// Authorise returns the organisation that an API key belongs to, and whether a request with that key, or with none if it is empty, may use
+// a pipeline. A key that is unknown is refused even where none is required, unless the pipeline is public.
+func (tb *Table) Authorise(pipeline *Pipeline, apiKey string) (Organisation, bool) {
+	if apiKey == "" {
+		return Organisation{}, pipeline.Public || !tb.RequiresKey
+	}
+	organisation, known := tb.Organisations[apiKey]
+	return organisation, known || pipeline.Public
+}
+
 // SelectPool returns the pool for a request. Traffic is split by weight; the same request id always gets the same pool.
 func (tb *Table) SelectPool(pipeline *Pipeline, requestID string) (Pool, bool) {
 	total := 0
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -49,6 +50,8 @@
 	// resources are the limits in the settings of each process, configured is the JSON object of the callers' limits in the configuration.
 	resources  resourceLimits
 	configured string
+	// tenants are the organisations in the configuration, with the field's name; if empty, guildTenants.
+	tenants string
 
 	mu        sync.Mutex
 	processes []*exec.Cmd
@@ -73,8 +76,10 @@
 
 const services = `"services":[{"name":"model","engine":{"slot_count":64,"kv_capacity_tokens":100000},"cold_s":3,"cold_per_s":2},
 {"name":"plain","cold_s":3,"cold_per_s":2},
-{"name":"stage","pieces":{"slot_count":1,"queue":2,"batch":8,"call_ms":20,"item_ms":1,"headroom_mb":36,"handle_s":4}}],
-"tenants":[{"name":"guild","api_keys":["k"]}],"limits":`
+{"name":"stage","pieces":{"slot_count":1,"queue":2,"batch":8,"call_ms":20,"item_ms":1,"headroom_mb":36,"handle_s":4}}],`
+
+// guildTenants are the organisations whose key all callers have.
+const guildTenants = `"tenants":[{"name":"guild","api_keys":["k"]}],`
 
 const routes = `"routes":[{"name":"resume","host":"h","prefix":"/resume/","kind":"streaming","resumable":true,"timeout_ms":5000,
 "target_latency_ms":2000,"service":"model","max_attempts":2},
@@ -208,9 +213,9 @@
 func (fl *fleet) putConfiguration() {
 	fl.mu.Lock()
 	fl.version++
-	version := fl.version
+	version, tenants := fl.version, cmp.Or(fl.tenants, guildTenants)
 	fl.mu.Unlock()
-	fl.store.Put("op", "config", fmt.Sprintf(`{"version":%d,%s%s%s}`, version, routes, services, fl.configured))
+	fl.store.Put("op", "config", fmt.Sprintf(`{"version":%d,%s%s%s"limits":%s}`, version, routes, services, tenants, fl.configured))
 }
 
 func (fl *fleet) start(at int) {
