MIXED: an answer without length that was reset beside its upload looked complete

What callers saw: a part of an engine's answer as a complete 200, if the engine answered before it had read a long body and reset the connection while that was still being written.

Cause: Linux reports a reset once, to the first call on the socket. If that is the write of the upload, the next read returns 0 like after a regular end, and an answer that ends with its connection is taken for whole.

Fix: connections to upstreams return the error of the write if the kernel has closed the socket and a write failed with something else than EPIPE, which is what a regular end gives.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"syscall"
@@ -245,3 +246,33 @@
 	must.Error(t, err)
 	must.Eq(t, int64(1), cut.Relayed())
 }
+
+// TestResetBesideAnUploadLooksRegular guards against an upstream that resets its connection while the other instance still writes to it, and
+// whose answer seems to have ended regularly.
+func TestResetBesideAnUploadLooksRegular(t *testing.T) {
+	const (
+		tries = 120
+		size  = 2 << 20
+	)
+	address := newUpstream(t, func(connection *net.TCPConn) {
+		_, _ = connection.Read(make([]byte, 1<<10))
+		_, _ = io.WriteString(connection, "a part")
+		time.Sleep(rand.N(20 * time.Millisecond))
+		_ = connection.SetLinger(0)
+		_ = connection.Close()
+	})
+	cut, _ := pair(t, address)
+	regular := 0
+	for range tries {
+		connection, err := cut.DialUpstream(t.Context(), address)
+		must.NoError(t, err)
+		written := make(chan struct{})
+		go func() { defer close(written); _, _ = connection.Write(make([]byte, size)) }()
+		if _, err = io.ReadAll(connection); err == nil {
+			regular++
+		}
+		must.NoError(t, connection.Close())
+		<-written
+	}
+	must.Zero(t, regular, must.Sprintf("regular ends of %d resets", tries))
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/turmericdoor/turmericdoor/resetguard"
 	"github.com/turmericdoor/turmericdoor/schema/wire"
 )
 
@@ -38,8 +39,9 @@
 	if err := stream.Send(&wire.RelayData{State: wire.RelayState_RelayConnected}); err != nil {
 		return err
 	}
-	go passToUpstream(stream, upstream)
-	return passFromUpstream(stream, upstream)
+	guarded := resetguard.New(upstream)
+	go passToUpstream(stream, guarded)
+	return passFromUpstream(stream, guarded)
 }
 
 // failureState returns what to tell another instance of a connection that failed here. Without a connection of its own just now,
