--- a/resetguard/resetguard.go
+++ b/resetguard/resetguard.go
@@ -1,6 +1,7 @@
 package resetguard
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -31,6 +32,20 @@
 	return &Conn{Conn: tcp, tcp: tcp}
 }
 
+// DialContext connects to an address, as net.Dialer does.
+type DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Guarded returns a function that connects as another one does, with the guard.
+func Guarded(dial DialContext) DialContext {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return New(connection), nil
+	}
+}
+
 // Write writes to the connection.
 func (cn *Conn) Write(from []byte) (int, error) {
 	cn.writing.Lock()
--- a/tableservice/tableservice.go
+++ b/tableservice/tableservice.go
@@ -11,6 +11,7 @@
 
 	"github.com/turmericdoor/turmericdoor/readbudget"
 	"github.com/turmericdoor/turmericdoor/readlimit"
+	"github.com/turmericdoor/turmericdoor/resetguard"
 	"github.com/turmericdoor/turmericdoor/table"
 )
 
@@ -62,7 +63,7 @@
 // New returns a client for the table service at address, an IP address and port.
 func New(address string) *Client {
 	dialer := &net.Dialer{}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes}
+	transport := &http.Transport{DialContext: resetguard.Guarded(dialer.DialContext), MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{address: address, client: &http.Client{Transport: transport}, answers: readbudget.New(replyBudget)}
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -15,6 +15,7 @@
 	"github.com/turmericdoor/turmericdoor/document"
 	"github.com/turmericdoor/turmericdoor/readbudget"
 	"github.com/turmericdoor/turmericdoor/readlimit"
+	"github.com/turmericdoor/turmericdoor/resetguard"
 )
 
 // The headers that identify a call, and those with which an upstream reports its state.
@@ -57,13 +58,13 @@
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	pooled := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerUpstream, DisableCompression: true,
+		DialContext: resetguard.Guarded(dialer.DialContext), MaxIdleConnsPerHost: maxIdleConnsPerUpstream, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	// A call that must not run twice gets a new connection: net/http may resend a request on another connection if
 	// the reused one turns out to be stale, which RFC 9110, section 9.2.2, allows only for idempotent requests.
 	unpooled := &http.Transport{
-		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext: resetguard.Guarded(dialer.DialContext), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{
 		pooled:   &http.Client{Transport: pooled, CheckRedirect: keepRedirect},
