--- a/upstream/earlyanswer_test.go
+++ b/upstream/earlyanswer_test.go
@@ -58,3 +58,15 @@
 		must.Zero(t, replies, must.Sprintf("of %d calls, once %t", calls, once))
 	}
 }
+
+// TestOddStatusIsAReply guards against an answer whose status is none and that counts as a reply, or as a promise that the call did not run.
+func TestOddStatusIsAReply(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "-00", "+20", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			head := "HTTP/1.1 " + status + " Odd\r\nX-Request-Id: r1\r\nX-Stage: s\r\nX-Attempt: 1\r\nX-Not-Run: 1\r\n\r\n"
+			outcome := answerRaw(t, document.Service, head+`{"a":1}`, false)
+			_, broken := outcome.(upstream.Broken)
+			must.True(t, broken, must.Sprintf("%#v", outcome))
+		})
+	}
+}
