--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -36,6 +36,12 @@
 	ActThenClose bool
 	// CutShort sends the first half of the response body, with the Content-Length of the whole.
 	CutShort bool
+	// EarlyReset executes the call and answers before it has read the body, with a response without a length, whose connection it
+	// resets EarlyResetMs later.
+	EarlyReset   bool
+	EarlyResetMs int64
+	// Status replaces the status of a response, as three characters; "000" is none.
+	Status string
 	// Leaving refuses calls as not executed and announces in a header that the stand-in is shutting down.
 	Leaving bool
 	// Busy refuses calls with status 503; upstreams also mark them as not executed.
--- a/emulator/work.go
+++ b/emulator/work.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -120,11 +121,16 @@
 func (sd *Standin) handleCall(next func(*call) any) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
 		sd.calls.Add(1)
+		cl := &call{writer: writer, request: request, faults: sd.faults.Load()}
+		if cl.faults.EarlyReset {
+			sd.resetEarly(cl)
+			return
+		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
 		}
-		cl := &call{writer: writer, request: request, body: body, faults: sd.faults.Load()}
+		cl.body = body
 		if sd.refuse(cl) {
 			return
 		}
@@ -159,7 +165,43 @@
 	return true
 }
 
-// sendAnswer writes the response, altered by the faults ActThenClose, Garbage and CutShort. A nil answer
+// resetEarly answers a call whose body has not been read, and resets the connection some time after.
+func (sd *Standin) resetEarly(cl *call) {
+	sd.effects.record("")
+	connection, _, err := http.NewResponseController(cl.writer).Hijack()
+	if err != nil {
+		return
+	}
+	defer connection.Close()
+	sd.writeHead(connection, cl.request, "200 OK")
+	_, _ = io.WriteString(connection, `{"Done":true}`)
+	time.Sleep(time.Duration(cl.faults.EarlyResetMs) * time.Millisecond)
+	if tcp, is := connection.(*net.TCPConn); is {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// writeStatus writes a whole response with another status, and ends the connection.
+func (sd *Standin) writeStatus(cl *call, encoded []byte) {
+	connection, _, err := http.NewResponseController(cl.writer).Hijack()
+	if err != nil {
+		return
+	}
+	defer connection.Close()
+	sd.writeHead(connection, cl.request, cl.faults.Status+" Odd")
+	_, _ = connection.Write(encoded)
+}
+
+// writeHead writes the head of a response without a length.
+func (sd *Standin) writeHead(connection net.Conn, request *http.Request, status string) {
+	_, _ = fmt.Fprintf(connection, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nConnection: close\r\n", status)
+	for _, name := range []string{upstream.HeaderRequestID, upstream.HeaderStage, upstream.HeaderAttempt} {
+		_, _ = fmt.Fprintf(connection, "%s: %s\r\n", name, request.Header.Get(name))
+	}
+	_, _ = io.WriteString(connection, "\r\n")
+}
+
+// sendAnswer writes the response, altered by the faults ActThenClose, Status, Garbage and CutShort. A nil answer
 // means that the response has already been written.
 func (sd *Standin) sendAnswer(cl *call, answer any) {
 	if answer == nil {
@@ -169,6 +211,8 @@
 	switch {
 	case cl.faults.ActThenClose:
 		closeConnection(cl.writer)
+	case cl.faults.Status != "":
+		sd.writeStatus(cl, encoded)
 	case cl.faults.Garbage:
 		_, _ = io.WriteString(cl.writer, "<html>no gateway here</html>")
 	case cl.faults.CutShort:
--- a/entry/soak_test.go
+++ b/entry/soak_test.go
@@ -113,7 +113,7 @@
 func (sk *soak) configure() {
 	sk.revision++
 	table := route.Table{
-		Revision: sk.revision, Organisations: map[string]route.Organisation{},
+		Revision: sk.revision, Organisations: map[string]route.Organisation{}, RequiresKey: true,
 		Pools: map[string]route.Pool{
 			"plain": {Name: "plain"}, "model": {Name: "model", Engine: &route.Engine{Slots: 8}},
 			"encode": stagePool("encode"), "rank": stagePool("rank"),
@@ -318,6 +318,27 @@
 	})
 }
 
+// takeAllKeys takes the keys away one by one until none is left; then no instance may serve a request, whatever key it has.
+func (sk *soak) takeAllKeys() {
+	for len(sk.keyHolders) > 0 {
+		sk.keyHolders = sk.keyHolders[1:]
+		sk.configure()
+		time.Sleep(convergenceTime)
+	}
+	for _, nd := range sk.fleet.live() {
+		for at, key := range []string{"", "never", "key-" + organisationName(0), "key-" + organisationName(organisationCount-1)} {
+			id := fmt.Sprintf("without-keys-%s-%d", nd.id, at)
+			request := &gateway.Request{
+				ID: id, Method: http.MethodPost, Host: "h", Path: "/lookup/" + id, APIKey: key, Arrived: time.Now(), CallerTimeout: requestTimeout,
+			}
+			outcome := sk.serve(context.Background(), nd, request)
+			if _, is := outcome.(gateway.Unauthorised); !is {
+				sk.violations = append(sk.violations, fmt.Sprintf("instance %s: outcome %s with the key %q while no organisation has one", nd.id, gateway.OutcomeName(outcome), key))
+			}
+		}
+	}
+}
+
 // finish ends all faults, waits for every request, and checks the final state.
 func (sk *soak) finish() {
 	for _, fault := range sk.activeFaults {
@@ -334,6 +355,7 @@
 			sk.violations = append(sk.violations, fmt.Sprintf("instance %s takes failure domains for evacuated after the end: %v", nd.id, evacuated))
 		}
 	}
+	sk.takeAllKeys()
 	us := sk.fleet.upstreams
 	us.mu.Lock()
 	defer us.mu.Unlock()
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -142,6 +142,7 @@
 		}
 		faults := map[string]emulator.Faults{
 			"garbage": {Garbage: true}, "answers cut short": {CutShort: true}, "another call's answers": {AnswerOther: true},
+			"early answers that are reset": {EarlyReset: true}, "answers whose status is none": {Status: "000"},
 		}
 		for name, fault := range faults {
 			t.Run(name+" from every encoder makes the request fail", func(t *testing.T) {
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -39,6 +39,13 @@
 	pausing bool
 	// bad calls have a part in their prompts that crashes upstreams.
 	bad bool
+	// padding is the length of what follows the text in the body.
+	padding int
+}
+
+// bodyOf returns the body of a request: a text that names it, and padding.
+func bodyOf(id string, padding int) string {
+	return "body of " + id + strings.Repeat("x", padding)
 }
 
 // newCall returns a caller's call by its number. The periods have no common factor, so that all combinations occur.
@@ -66,7 +73,7 @@
 
 // newRequest returns the HTTP request of a call.
 func (fl *fleet) newRequest(cl call) (*http.Request, error) {
-	body := io.NopCloser(strings.NewReader("body of " + cl.id))
+	body := io.NopCloser(strings.NewReader(bodyOf(cl.id, cl.padding)))
 	request, err := http.NewRequest(http.MethodPost, "http://"+fl.addresses[cl.instance]+"/"+cl.kind+"/1", body)
 	if err != nil {
 		return nil, err
@@ -79,6 +86,9 @@
 	} {
 		request.Header.Set(name, value)
 	}
+	if cl.padding > 0 {
+		request.Header.Set(paddingHeader, strconv.Itoa(cl.padding))
+	}
 	if routeKinds[cl.kind].streaming {
 		request.Header.Set(prefixHeader, cl.prefix())
 	}
@@ -125,9 +135,15 @@
 		fl.ledger.recordNotRun(cl.id, response.StatusCode, routeKinds[cl.kind].limit == 1)
 		time.Sleep(10 * time.Millisecond)
 	case http.StatusUnauthorized, http.StatusNotFound, http.StatusForbidden:
-		if response.Header.Get(errorHeader) == "" {
+		isLate := response.StatusCode == http.StatusUnauthorized && fl.ledger.mayLackKey(cl.instance)
+		if response.Header.Get(errorHeader) == "" && !isLate {
 			fl.ledger.violation("request %s was answered with status %d", cl.id, response.StatusCode)
 		}
+		time.Sleep(10 * time.Millisecond)
+	default:
+		if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+			fl.ledger.violation("request %s was answered with status %d, which is none", cl.id, response.StatusCode)
+		}
 	}
 }
 
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -56,6 +56,8 @@
 	mu        sync.Mutex
 	processes []*exec.Cmd
 	version   int
+	// restarting is held while an instance is stopped and started again.
+	restarting [instances]sync.Mutex
 	// stopping is when each instance got a SIGTERM that it has not yet ended after, or zero.
 	stopping [instances]time.Time
 	// disturbed is when each instance was last ended, started, paused or woken.
@@ -106,7 +108,7 @@
 	t.Helper()
 	fl := &fleet{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), binary: binary, folder: t.TempDir(),
-		store: standin.New(), resources: defaultResources, configured: configuredLimits,
+		store: standin.New(), resources: defaultResources, configured: uploadLimits,
 		ledger: newLedger(), upstreams: map[string]*upstream{},
 	}
 	fl.ledger.isUndisturbed, fl.ledger.lastFault = fl.isUndisturbed, fl.lastFault
@@ -120,6 +122,7 @@
 	for _, id := range spareUpstreams {
 		fl.addUpstream(id, seed)
 	}
+	fl.addDirectUpstream(directUpstream, seed)
 	fl.putConfiguration()
 	free := freeAddresses(t, 4*instances)
 	control := free[3*instances:]
@@ -153,6 +156,21 @@
 	return px
 }
 
+// directUpstream has no proxy before it, whose buffers would take most of a long body before it is answered.
+const directUpstream = "plain-6"
+
+// addDirectUpstream starts an upstream without a proxy and registers it.
+func (fl *fleet) addDirectUpstream(id string, seed uint64) {
+	up := newUpstream(fl.t, id, seed, fl.ledger)
+	up.senderOf = fl.instanceAt
+	up.register = func() {
+		fl.store.Put("servers", id, registration(id, strings.TrimPrefix(up.URL, "http://"), up.domain, up.born.Load()))
+	}
+	up.crash = func() {}
+	up.register()
+	fl.upstreams[id] = up
+}
+
 // upstreamCounts is the number of upstreams of each pool whose connections have faults.
 var upstreamCounts = map[string]int{"model": 4, "plain": 3, "stage": 3}
 
@@ -290,6 +308,8 @@
 
 // restart ends an instance with a signal, waits for its end and starts it again.
 func (fl *fleet) restart(at int, signal syscall.Signal) {
+	fl.restarting[at].Lock()
+	defer fl.restarting[at].Unlock()
 	command := fl.process(at)
 	fl.disturb(at)
 	defer fl.disturb(at)
--- a/soak/laterfaults_test.go
+++ b/soak/laterfaults_test.go
@@ -99,7 +99,8 @@
 	if arrivals > 0 {
 		fl.ledger.violation("a request that was sent late in a stop was passed on: %s, sent %v after the SIGTERM, status %d", id, late.sentAt, late.status)
 	}
-	if late.status != 0 && late.status != http.StatusServiceUnavailable {
+	isWithoutKey := late.status == http.StatusUnauthorized && fl.ledger.mayLackKey(at)
+	if late.status != 0 && late.status != http.StatusServiceUnavailable && !isWithoutKey {
 		fl.ledger.violation("a request that was sent late in a stop got the status %d: %s, sent %v after the SIGTERM", late.status, id, late.sentAt)
 	}
 }
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/turmericdoor/turmericdoor/resetguard"
 )
 
 // proxy forwards TCP connections to a target and can delay their data, drop it, refuse connections or reset them.
@@ -134,31 +136,39 @@
 			_ = from.Close()
 			continue
 		}
+		// Long bodies don't fit into the buffers, so that their senders wait while they are not read.
+		_ = from.(*net.TCPConn).SetReadBuffer(bufferBytes)
+		_ = to.(*net.TCPConn).SetWriteBuffer(bufferBytes)
 		px.mu.Lock()
 		px.conns[from], px.conns[to] = true, true
 		px.sources[to.LocalAddr().String()] = from.RemoteAddr().String()
 		px.mu.Unlock()
-		go px.forward(from, to, &px.dropRequests)
-		go px.forward(to, from, &px.dropResponses)
+		// A reset of one side must not reach the other one as a regular end.
+		guardedFrom, guardedTo := resetguard.New(from), resetguard.New(to)
+		go px.forward(from, to, guardedFrom, guardedTo, &px.dropRequests)
+		go px.forward(to, from, guardedTo, guardedFrom, &px.dropResponses)
 	}
 }
 
+// bufferBytes is the size of the kernel's buffers on the way of a request.
+const bufferBytes = 32 << 10
+
 // throttle is the pause after each read whose data is dropped: a sender whose data is lost does not go on at full speed.
 const throttle = 10 * time.Millisecond
 
-// forward copies data in one direction until either connection ends; while drop is set, it discards the data. A regular end
+// forward copies data in one direction, from source to sink, until either connection ends; while drop is set, it discards the data. A regular end
 // is passed on; both connections are closed at the end of the second direction, and reset if a connection failed.
-func (px *proxy) forward(from, to net.Conn, drop *atomic.Bool) {
+func (px *proxy) forward(from, to, source, sink net.Conn, drop *atomic.Bool) {
 	buffer := make([]byte, 16<<10)
 	for {
-		count, err := from.Read(buffer)
+		count, err := source.Read(buffer)
 		px.lastUse.Store(time.Now().UnixNano())
 		time.Sleep(time.Duration(px.delay.Load()))
 		switch {
 		case count > 0 && drop.Load():
 			time.Sleep(throttle)
 		case count > 0:
-			if _, failure := to.Write(buffer[:count]); failure != nil {
+			if _, failure := sink.Write(buffer[:count]); failure != nil {
 				px.remove(from, to, failure)
 				return
 			}
--- a/soak/response_test.go
+++ b/soak/response_test.go
@@ -39,12 +39,14 @@
 	endless
 	// The head breaks off at any byte: by a regular close or a reset.
 	cutHead
+	// The status is none.
+	oddStatus
 	faultCount
 )
 
 var faultNames = [faultCount]string{
 	"whole", "cutReset", "cutClose", "cutInChunk", "cutLength", "bareReset", "bareClose", "error500", "error502", "error404",
-	"error409", "error204", "error503", "errorNotRun", "emptyAnswer", "startAgain", "unsigned", "endless", "cutHead",
+	"error409", "error204", "error503", "errorNotRun", "emptyAnswer", "startAgain", "unsigned", "endless", "cutHead", "oddStatus",
 }
 
 // String returns the fault's name.
@@ -122,6 +124,8 @@
 		writeWhole(writer, answer)
 	case cutHead:
 		writeCutHead(writer, answer)
+	case oddStatus:
+		writeOddStatus(writer, answer)
 	case endless:
 		us.ledger.writeEndless(writer, answer.random, answer.id, answer.deadline, answer.head(), strings.Join(answer.events, ""))
 	default:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -72,6 +72,12 @@
 	callers.Go(func() { fl.sendLateRequests(ctx) })
 	callers.Go(func() { fl.evacuate(ctx, seed) })
 	callers.Go(func() { fl.startCold(ctx, seed) })
+	callers.Go(func() { fl.takeKeysAway(ctx, seed) })
+	callers.Go(func() { fl.tryKeys(ctx) })
+	callers.Go(func() { fl.stopFrozen(ctx, seed) })
+	for number := range uploaders {
+		callers.Go(func() { fl.sendUploads(ctx, number, counts) })
+	}
 	time.Sleep(time.Second)
 	for _, id := range standingUpstreams {
 		fl.upstreams[id].leave()
@@ -92,9 +98,9 @@
 	defer fl.ledger.mu.Unlock()
 	played, _ := json.Marshal(fl.ledger.played)
 	text := fmt.Sprintf("seed %d: answers by status %s, %d runs, responses by kind %s; endless ones were open for %v and sent up to %v bytes; instances used up to %d MB; "+
-		"a part crashed %d upstreams, %d requests with it reached upstreams; most requests in %v at upstreams with a limit %v; streams taken up, by status: %v; a brittle upstream rejected up to %d in a second and fell over %d times; %d instances told that upstreams are leaving, of which %d requests arrived; %d requests came late in a stop; cold upstreams got up to %v requests in a second; %d calls reached evacuated failure domains late",
+		"a part crashed %d upstreams, %d requests with it reached upstreams; most requests in %v at upstreams with a limit %v; streams taken up, by status: %v; a brittle upstream rejected up to %d in a second and fell over %d times; %d instances told that upstreams are leaving, of which %d requests arrived; %d requests came late in a stop; cold upstreams got up to %v requests in a second; %d calls reached evacuated failure domains late; %d stops of frozen instances, %d requests with keys that may not be used",
 		seed, summary, len(fl.ledger.runs), played, fl.ledger.longest, fl.ledger.most, fl.ledger.memoryMB, len(fl.ledger.crashes), len(fl.ledger.crashers),
-		limitWindow, fl.ledger.limits.most, fl.ledger.takenUp, fl.ledger.brittle.most, fl.ledger.brittle.falls, len(fl.ledger.told), fl.ledger.toldArrivals, fl.ledger.late, fl.ledger.coldMost, fl.ledger.lateEvacuated)
+		limitWindow, fl.ledger.limits.most, fl.ledger.takenUp, fl.ledger.brittle.most, fl.ledger.brittle.falls, len(fl.ledger.told), fl.ledger.toldArrivals, fl.ledger.late, fl.ledger.coldMost, fl.ledger.lateEvacuated, fl.ledger.frozenStops, fl.ledger.keyProbes)
 	t.Log(text)
 	if len(fl.ledger.violations) > 0 {
 		fl.keep(t, seed, text)
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -72,6 +72,9 @@
 }
 
 func (us *upstream) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if us.answerEarly(writer, request) {
+		return
+	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
@@ -169,6 +172,9 @@
 			fault = cutHead
 		}
 	}
+	if us.isOdd(request, id, number) {
+		fault = oddStatus
+	}
 	us.ledger.recordPlayed(id, fault.String())
 	if fault != errorNotRun {
 		us.ledger.recordRun(id, kind.limit)
@@ -209,7 +215,8 @@
 // checkRequest checks that a request arrived as its caller sent it, without the caller's key and with the organisation
 // and its own inputs.
 func (us *upstream) checkRequest(request *http.Request, id, body string) {
-	if body != "body of "+id || request.Header.Get("Authorization") != "" || request.Header.Get("Turmericdoor-Tenant") != "guild" {
+	padding, _ := strconv.Atoi(request.Header.Get(paddingHeader))
+	if body != bodyOf(id, padding) || request.Header.Get("Authorization") != "" || request.Header.Get("Turmericdoor-Tenant") != "guild" {
 		us.ledger.violation("request %s arrived changed", id)
 	}
 	for _, handle := range strings.Split(request.Header.Get("Turmericdoor-Inputs"), ",") {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -52,6 +52,12 @@
 	told map[toldKey]time.Time
 	// late counts the requests that were sent late in a stop.
 	late int
+	// keyGone is set while the callers' key is taken away, keyBack is when it was last given back.
+	keyGone bool
+	keyBack time.Time
+	// frozenStops counts the stops of frozen instances, keyProbes the requests with keys that may not be used.
+	frozenStops int
+	keyProbes   int
 	// toldArrivals counts the requests of such instances that reached those upstreams, at any time.
 	toldArrivals int
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -88,6 +88,24 @@
 			must.False(t, outcomeIs[upstream.Broken](t, do(t, upstream.New(), call(sd, document.Encoder))).Died)
 		})
 	})
+	t.Run("an answer that comes early and is reset is broken", func(t *testing.T) {
+		withStandin(t, "Service", func(sd *emulator.Standin) {
+			for pause := range int64(20) {
+				sd.SetFaults(emulator.Faults{EarlyReset: true, EarlyResetMs: pause})
+				long := call(sd, document.Service)
+				long.Path, long.Payload.Body = "/", json.RawMessage(`"`+strings.Repeat("x", 3<<20)+`"`)
+				outcomeIs[upstream.Broken](t, do(t, upstream.New(), long))
+			}
+		})
+	})
+	t.Run("an answer whose status is none is broken", func(t *testing.T) {
+		withStandin(t, "Encoder", func(sd *emulator.Standin) {
+			for _, status := range []string{"000", "099", "101", "999"} {
+				sd.SetFaults(emulator.Faults{Status: status})
+				outcomeIs[upstream.Broken](t, do(t, upstream.New(), call(sd, document.Encoder)))
+			}
+		})
+	})
 	t.Run("a leaving upstream refuses the call", func(t *testing.T) {
 		withStandin(t, "Engine", func(sd *emulator.Standin) {
 			sd.SetFaults(emulator.Faults{Leaving: true})
