--- a/entrypoint/link.go
+++ b/entrypoint/link.go
@@ -1,6 +1,7 @@
 package entrypoint
 
 import (
+	"io"
 	"time"
 
 	"google.golang.org/grpc"
@@ -32,35 +33,16 @@
 	return grpc.NewClient("passthrough:///"+address, options...)
 }
 
-// peerLink is a connection to the peer service of another instance.
-type peerLink struct {
-	wire.PeerClient
-	connection *grpc.ClientConn
-}
-
-// Close closes the connection.
-func (lk peerLink) Close() error {
-	return lk.connection.Close()
-}
-
 // DialPeer returns a link to the peer service of another instance.
 func DialPeer(address string) (peer.Link, error) {
 	connection, err := dial(address)
 	if err != nil {
 		return nil, err
 	}
-	return peerLink{PeerClient: wire.NewPeerClient(connection), connection: connection}, nil
-}
-
-// batchLink is a connection to the batch service of another instance.
-type batchLink struct {
-	wire.BatchesClient
-	connection *grpc.ClientConn
-}
-
-// Close closes the connection.
-func (lk batchLink) Close() error {
-	return lk.connection.Close()
+	return struct {
+		wire.PeerClient
+		io.Closer
+	}{wire.NewPeerClient(connection), connection}, nil
 }
 
 // DialBatches returns a link to the batch service of another instance.
@@ -69,18 +51,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return batchLink{BatchesClient: wire.NewBatchesClient(connection), connection: connection}, nil
-}
-
-// relayLink is a connection to the relay service of another instance.
-type relayLink struct {
-	wire.RelaysClient
-	connection *grpc.ClientConn
-}
-
-// Close closes the connection.
-func (lk relayLink) Close() error {
-	return lk.connection.Close()
+	return struct {
+		wire.BatchesClient
+		io.Closer
+	}{wire.NewBatchesClient(connection), connection}, nil
 }
 
 // DialRelay returns a link to the relay service of another instance.
@@ -89,7 +63,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return relayLink{RelaysClient: wire.NewRelaysClient(connection), connection: connection}, nil
+	return struct {
+		wire.RelaysClient
+		io.Closer
+	}{wire.NewRelaysClient(connection), connection}, nil
 }
 
 // NewPeerServer returns a server with the services of an instance for other instances.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 
 	"github.com/charmbracelet/log"
@@ -156,17 +157,6 @@
 	}
 }
 
-// link is a gRPC connection to another instance.
-type link struct {
-	wire.PeerClient
-	connection *grpc.ClientConn
-}
-
-// Close closes the connection.
-func (lk link) Close() error {
-	return lk.connection.Close()
-}
-
 // dialPeer creates a link to another instance; the connection is made with the first call.
 func (in *Instance) dialPeer(address string) (peer.Link, error) {
 	options := append(peerlimit.DialOptions(), grpc.WithTransportCredentials(in.peerCredentials()))
@@ -174,5 +164,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return link{PeerClient: wire.NewPeerClient(connection), connection: connection}, nil
+	return struct {
+		wire.PeerClient
+		io.Closer
+	}{wire.NewPeerClient(connection), connection}, nil
 }
--- a/route/route.go
+++ b/route/route.go
@@ -11,9 +11,9 @@
 
 // Table is one revision of the configuration; it is immutable once returned by New.
 type Table struct {
-	Revision      int64
-	Pipelines     []Pipeline
-	Pools         map[string]Pool
+	Revision  int64
+	Pipelines []Pipeline
+	Pools     map[string]Pool
 	// Organisations holds the organisations by API key.
 	Organisations map[string]Organisation
 	// RequiresKey is set if callers need an API key, which holds also while no organisation has one.
--- a/soak/olderstore_test.go
+++ b/soak/olderstore_test.go
@@ -47,25 +47,32 @@
 		return
 	}
 	for at := range instances {
-		if revision, known := fl.revisionOf(at); known && fl.isUndisturbed(at) && revision < float64(version) {
+		if revision := fl.revisionOf(at); revision >= 0 && fl.isUndisturbed(at) && revision < float64(version) {
 			fl.ledger.violation("instance %d has configuration %v %v after the store came back older, want %d", at, revision, appliedWithin, version)
 		}
 	}
 }
 
-// revisionOf returns the configuration that an instance has, by its metrics.
-func (fl *fleet) revisionOf(at int) (float64, bool) {
+// revisionOf returns the configuration that an instance has, or -1.
+func (fl *fleet) revisionOf(at int) float64 {
+	return fl.gauge(at, "configuration_revision")
+}
+
+// gauge returns the value of a metric of an instance, or -1.
+func (fl *fleet) gauge(at int, name string) float64 {
 	response, err := http.Get("http://" + fl.metrics[at] + "/metrics")
 	if err != nil {
-		return 0, false
+		return -1
 	}
 	defer response.Body.Close()
 	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
-		name, value, _ := strings.Cut(lines.Text(), " ")
-		if strings.HasSuffix(name, "configuration_revision") {
-			revision, err := strconv.ParseFloat(value, 64)
-			return revision, err == nil
+		text, is := strings.CutPrefix(lines.Text(), "turmericdoor_"+name+" ")
+		if !is {
+			continue
+		}
+		if value, err := strconv.ParseFloat(text, 64); err == nil {
+			return value
 		}
 	}
-	return 0, false
+	return -1
 }
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -96,26 +97,7 @@
 	})
 	t.Run("while frozen", func(t *testing.T) {
 		t.Parallel()
-		const count = 8
-		programs := []string{}
-		for range count {
-			programs = append(programs, binary)
-		}
-		cf := newCalmFleet(t, programs, nil)
-		for at := range programs {
-			signalAll(t, cf.process(at), syscall.SIGSTOP)
-		}
-		time.Sleep(frozenFor)
-		for at := range programs {
-			content, err := os.ReadFile(cf.settings[at])
-			must.NoError(t, err)
-			must.NoError(t, os.WriteFile(cf.settings[at], append(content, '\n'), 0o600))
-			signalAll(t, cf.process(at), syscall.SIGHUP, syscall.SIGTERM, syscall.SIGCONT)
-		}
-		woke := time.Now()
-		for at := range programs {
-			assertEnds(t, cf.process(at), time.Until(woke.Add(within)))
-		}
+		stopFrozenInstances(t, binary)
 	})
 	t.Run("several at once", func(t *testing.T) {
 		t.Parallel()
@@ -125,25 +107,52 @@
 	})
 	t.Run("during a shutdown, which goes on", func(t *testing.T) {
 		t.Parallel()
-		su := &slowUpstream{arrived: map[string]bool{}}
-		server := httptest.NewServer(su)
-		t.Cleanup(server.Close)
-		cf := newCalmFleet(t, []string{binary}, map[string]string{"plain-0": strings.TrimPrefix(server.URL, "http://")})
-		signalAll(t, cf.process(0), syscall.SIGTERM)
-		connection, err := net.Dial("tcp", cf.addresses[0])
-		must.NoError(t, err)
-		defer connection.Close()
-		stopped := time.Now()
-		go func() {
-			for range 10 {
-				_ = cf.process(0).Process.Signal(syscall.SIGHUP)
-				_ = cf.process(0).Process.Signal(syscall.SIGTERM)
-				time.Sleep(50 * time.Millisecond)
-			}
-		}()
-		late := sendLate(connection, "during-the-stop", "/post/1", stopped, 0)
-		must.Eq(t, http.StatusOK, late.status, must.Sprintf("%+v", late))
-		must.True(t, late.whole)
-		assertEnds(t, cf.process(0), within)
+		signalStoppingInstance(t, binary)
 	})
 }
+
+// stopFrozenInstances changes the settings of frozen instances and sends them SIGHUP and SIGTERM; each must end in its grace period.
+func stopFrozenInstances(t *testing.T, binary string) {
+	t.Helper()
+	programs := slices.Repeat([]string{binary}, 8)
+	cf := newCalmFleet(t, programs, nil)
+	for at := range programs {
+		signalAll(t, cf.process(at), syscall.SIGSTOP)
+	}
+	time.Sleep(frozenFor)
+	for at := range programs {
+		content, err := os.ReadFile(cf.settings[at])
+		must.NoError(t, err)
+		must.NoError(t, os.WriteFile(cf.settings[at], append(content, '\n'), 0o600))
+		signalAll(t, cf.process(at), syscall.SIGHUP, syscall.SIGTERM, syscall.SIGCONT)
+	}
+	woke := time.Now()
+	for at := range programs {
+		assertEnds(t, cf.process(at), time.Until(woke.Add(stopGrace+endSlack)))
+	}
+}
+
+// signalStoppingInstance sends signals to an instance that is stopping; it must go on to answer requests, and end in its grace period.
+func signalStoppingInstance(t *testing.T, binary string) {
+	t.Helper()
+	su := &slowUpstream{arrived: map[string]bool{}}
+	server := httptest.NewServer(su)
+	t.Cleanup(server.Close)
+	cf := newCalmFleet(t, []string{binary}, map[string]string{"plain-0": strings.TrimPrefix(server.URL, "http://")})
+	signalAll(t, cf.process(0), syscall.SIGTERM)
+	connection, err := net.Dial("tcp", cf.addresses[0])
+	must.NoError(t, err)
+	defer connection.Close()
+	stopped := time.Now()
+	go func() {
+		for range 10 {
+			_ = cf.process(0).Process.Signal(syscall.SIGHUP)
+			_ = cf.process(0).Process.Signal(syscall.SIGTERM)
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	late := sendLate(connection, "during-the-stop", "/post/1", stopped, 0)
+	must.Eq(t, http.StatusOK, late.status, must.Sprintf("%+v", late))
+	must.True(t, late.whole)
+	assertEnds(t, cf.process(0), stopGrace+endSlack)
+}
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -36,24 +36,6 @@
 	return binary
 }
 
-// gauge returns the value of a metric of an instance, or -1.
-func (cf *calmFleet) gauge(at int, name string) float64 {
-	response, err := http.Get("http://" + cf.metrics[at] + "/metrics")
-	if err != nil {
-		return -1
-	}
-	defer response.Body.Close()
-	content, _ := io.ReadAll(response.Body)
-	for line := range strings.Lines(string(content)) {
-		if value, is := strings.CutPrefix(line, "turmericdoor_"+name+" "); is {
-			read := -1.0
-			_, _ = fmt.Sscan(value, &read)
-			return read
-		}
-	}
-	return -1
-}
-
 // assertApplied writes a configuration and checks that it is in force in time at the instances.
 func (cf *calmFleet) assertApplied(what string, at ...int) {
 	cf.t.Helper()
@@ -63,7 +45,7 @@
 	cf.mu.Unlock()
 	cf.eventually(what, inForceWithin, func() bool {
 		for _, each := range at {
-			if cf.gauge(each, "configuration_revision") < version {
+			if cf.revisionOf(each) < version {
 				return false
 			}
 		}
