--- a/resetguard/resetguard.go
+++ b/resetguard/resetguard.go
@@ -32,11 +32,10 @@
 	return &Conn{Conn: tcp, tcp: tcp}
 }
 
-// DialContext connects to an address, as net.Dialer does.
-type DialContext func(ctx context.Context, network, address string) (net.Conn, error)
-
-// Guarded returns a function that connects as another one does, with the guard.
-func Guarded(dial DialContext) DialContext {
+// Guarded returns a function that connects as another one does, such as DialContext of net.Dialer, with the guard.
+func Guarded(
+	dial func(ctx context.Context, network, address string) (net.Conn, error),
+) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dial(ctx, network, address)
 		if err != nil {
@@ -80,11 +79,14 @@
 	if err != nil {
 		return true
 	}
-	state := uint8(unix.BPF_TCP_CLOSE)
+	state := uint8(closed)
 	_ = raw.Control(func(descriptor uintptr) {
 		if info, failed := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); failed == nil {
 			state = info.State
 		}
 	})
-	return state == unix.BPF_TCP_CLOSE
+	return state == closed
 }
+
+// closed is the state TCP_CLOSE of the kernel.
+const closed = unix.BPF_TCP_CLOSE
