Fault soak: an upstream that has crashed already isn't cold from another time on

Trace: a prompt's part had crashed model-2 at 38.88 s, at 39.25 s the soak meant to start it again cold, which did nothing as it was away, but moved the time until which the check takes it for cold to 43.25 s. It registered at 39.58 s as cold for 3.0 s; the instances kept to that and sent freely from 42.90 s on. The check counts as before, from the time at which the upstream says so.

--- a/soak/cold_test.go
+++ b/soak/cold_test.go
@@ -27,8 +27,10 @@
 			sleepFor(ctx, time.Duration(random.IntN(1000))*time.Millisecond)
 			us := fl.upstreams[id]
 			us.born.Add(1)
-			us.coldFrom.Store(time.Now().Add(crashLength).UnixNano())
-			us.crash()
+			// One that is away already registers at its own time, and says then how long it is cold.
+			if back := time.Now().Add(crashLength); us.crash() {
+				us.coldFrom.Store(back.UnixNano())
+			}
 		}
 	}
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -150,7 +150,7 @@
 	up.register = func() {
 		fl.store.Put("servers", id, coldRegistration(id, px.address(), up.domain, up.born.Load(), up.coldLeft()))
 	}
-	up.crash = func() { px.crash(crashLength, up.register) }
+	up.crash = func() bool { return px.crash(crashLength, up.register) }
 	up.register()
 	fl.upstreams[id] = up
 	return px
@@ -166,7 +166,7 @@
 	up.register = func() {
 		fl.store.Put("servers", id, registration(id, strings.TrimPrefix(up.URL, "http://"), up.domain, up.born.Load()))
 	}
-	up.crash = func() {}
+	up.crash = func() bool { return false }
 	up.register()
 	fl.upstreams[id] = up
 }
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -55,12 +55,13 @@
 	px.reset()
 }
 
-// crash closes the listener and all connections, as the end of the target's process does, and listens again after a time.
-func (px *proxy) crash(length time.Duration, back func()) {
+// crash closes the listener and all connections, as the end of the target's process does, and listens again after a time. It returns false,
+// and does nothing, if the target has crashed already.
+func (px *proxy) crash(length time.Duration, back func()) bool {
 	px.mu.Lock()
 	if px.crashed || px.ended {
 		px.mu.Unlock()
-		return
+		return false
 	}
 	px.crashed = true
 	_ = px.listener.Close()
@@ -86,6 +87,7 @@
 		go px.accept(listener)
 		back()
 	})
+	return true
 }
 
 // reservePort returns a socket that keeps other processes from listening on the port, which refuses connections meanwhile.
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -49,10 +49,11 @@
 	// domain is its failure domain; senderOf returns the instance of a connection by its remote address.
 	domain   int
 	senderOf func(remote string) (int, bool)
-	// born is the start time of the current incarnation; register writes its registration, crash ends and restarts it.
+	// born is the start time of the current incarnation; register writes its registration, crash ends and restarts it unless it is
+	// away already.
 	born     atomic.Int64
 	register func()
-	crash    func()
+	crash    func() bool
 }
 
 func newUpstream(t *testing.T, id string, seed uint64, lg *ledger) *upstream {
