Tests of the review's faults, read once more: names, comments, one way to change a settings file

program.before is arguments, tenantsOf is configuredTenants; two comments said less than the code. The settings file of an instance is changed in one place, which reports an error instead of dropping it.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -227,6 +227,17 @@
 	fl.metrics = append(fl.metrics, ports[2])
 }
 
+// changeSettings changes the settings file of an instance, but not what it says.
+func (fl *fleet) changeSettings(at int) {
+	content, err := os.ReadFile(fl.settings[at])
+	if err == nil {
+		err = os.WriteFile(fl.settings[at], append(content, '\n'), 0o600)
+	}
+	if err != nil {
+		fl.t.Errorf("change the settings of instance %d: %v", at, err)
+	}
+}
+
 // putConfiguration writes the configuration to the platform under the next version.
 func (fl *fleet) putConfiguration() {
 	fl.mu.Lock()
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -17,9 +17,9 @@
 // program is a program of the project whose only file is written by a test.
 type program struct {
 	name string
-	// content is the content of the file, arguments are the program's arguments before and after its path.
-	content string
-	before  []string
+	// content is the content of the file, arguments are what comes before its path on the command line.
+	content   string
+	arguments []string
 	// isDaemon programs aren't ended by SIGHUP.
 	isDaemon bool
 }
@@ -36,8 +36,8 @@
 	load := fmt.Sprintf("[Load]\nDurationMs = 600000\nTargets = %s\n[Stream one]\nPipeline = p\nOrganisation = o\nKey = k\nRank = Urgent\nRatePerMinute = 1\n", free[5])
 	standin := fmt.Sprintf("[Standin encoder]\nKind = Encoder\nAddress = %s\nSlots = 1\n", free[6])
 	return []program{
-		{name: "turmericdoor", content: front, before: []string{"front", "--settings"}, isDaemon: true},
-		{name: "turmericdoor", content: serve, before: []string{"serve", "--settings"}, isDaemon: true},
+		{name: "turmericdoor", content: front, arguments: []string{"front", "--settings"}, isDaemon: true},
+		{name: "turmericdoor", content: serve, arguments: []string{"serve", "--settings"}, isDaemon: true},
 		{name: "load", content: load},
 		{name: "standin", content: standin},
 	}
@@ -54,7 +54,7 @@
 // start starts a program with the file at a path.
 func (pr program) start(t *testing.T, folder, path string) *exec.Cmd {
 	t.Helper()
-	command := exec.Command(filepath.Join(folder, pr.name), append(pr.before, path)...)
+	command := exec.Command(filepath.Join(folder, pr.name), append(pr.arguments, path)...)
 	must.NoError(t, command.Start())
 	t.Cleanup(func() { _ = command.Process.Kill() })
 	return command
@@ -67,7 +67,7 @@
 	out, err := exec.Command("go", "build", "-o", folder, "../cmd/...").CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(out)))
 	for _, pr := range programs(t) {
-		name := strings.Join(append([]string{pr.name}, pr.before[:min(len(pr.before), 1)]...), " ")
+		name := strings.Join(append([]string{pr.name}, pr.arguments[:min(len(pr.arguments), 1)]...), " ")
 		t.Run(name+", during the start", func(t *testing.T) {
 			path := filepath.Join(t.TempDir(), "file")
 			file := newPipedFile(t, path)
--- a/soak/reviewfaults_test.go
+++ b/soak/reviewfaults_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"os/exec"
 	"strings"
 	"sync"
@@ -29,7 +28,7 @@
 	maxEarlyPause = 20 * time.Millisecond
 	// maxStatus is the highest status.
 	maxStatus = 599
-	// withoutKeyShare is the share of the seeds in which the callers' key is taken away, too.
+	// In one of withoutKeyShare seeds the callers' key is taken away, too.
 	withoutKeyShare = 3
 	// keyGoneFor is how long the callers' key is taken away.
 	keyGoneFor = 800 * time.Millisecond
@@ -116,7 +115,8 @@
 	fl.putConfiguration()
 }
 
-// takeKeysAway takes the organisation's keys away one by one, in some seeds until none is left, which is given back soon.
+// takeKeysAway takes the organisation's keys away one by one. In some seeds none is left for a moment, again and again: then the callers' key is
+// taken away, too, and given back after keyGoneFor.
 func (fl *fleet) takeKeysAway(ctx context.Context, seed uint64) {
 	random := seededRandom(seed, "keys")
 	pause := func() { sleepFor(ctx, time.Duration(100+random.IntN(300))*time.Millisecond) }
@@ -217,9 +217,7 @@
 	defer fl.disturb(at)
 	_ = command.Process.Signal(syscall.SIGSTOP)
 	time.Sleep(frozen)
-	if content, err := os.ReadFile(fl.settings[at]); err == nil {
-		_ = os.WriteFile(fl.settings[at], append(content, '\n'), 0o600)
-	}
+	fl.changeSettings(at)
 	fl.setStopping(at, time.Now())
 	defer fl.setStopping(at, time.Time{})
 	for _, each := range append(list, syscall.SIGCONT) {
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -121,9 +121,7 @@
 	}
 	time.Sleep(frozenFor)
 	for at := range programs {
-		content, err := os.ReadFile(cf.settings[at])
-		must.NoError(t, err)
-		must.NoError(t, os.WriteFile(cf.settings[at], append(content, '\n'), 0o600))
+		cf.changeSettings(at)
 		signalAll(t, cf.process(at), syscall.SIGHUP, syscall.SIGTERM, syscall.SIGCONT)
 	}
 	woke := time.Now()
